--- /dev/null
+++ b/api/failure.go
@@ -0,0 +1,99 @@
+package api
+
+import (
+	"fmt"
+	"time"
+)
+
+// RunState says whether a request was run by an upstream.
+type RunState string
+
+const (
+	// Ran means that the upstream ran the request.
+	Ran RunState = "ran"
+	// NotRun is proof that it did not and will not run for this send.
+	NotRun RunState = "not_run"
+	// Unknown means that neither can be shown.
+	Unknown RunState = "unknown"
+)
+
+// Code is the stable name of a kind of failure, as callers see it.
+type Code string
+
+// Codes of failures. docs/operators/errors.md lists them for callers.
+const (
+	CodeBadRequest        Code = "bad_request"
+	CodeUnauthenticated   Code = "unauthenticated"
+	CodeForbidden         Code = "forbidden"
+	CodeNotFound          Code = "not_found"
+	CodeUnknownModel      Code = "unknown_model"
+	CodeUnknownService    Code = "unknown_service"
+	CodeMethodNotAllowed  Code = "method_not_allowed"
+	CodeBodyTooLarge      Code = "body_too_large"
+	CodeTooManyStreams    Code = "too_many_streams"
+	CodeRateLimited       Code = "rate_limited"
+	CodeQueueFull         Code = "queue_full"
+	CodeOverloaded        Code = "overloaded"
+	CodeColdUpstream      Code = "cold_upstream"
+	CodeNoUpstream        Code = "no_upstream"
+	CodeZoneOut           Code = "zone_out"
+	CodeLeaving           Code = "leaving"
+	CodeStaleRevision     Code = "stale_revision"
+	CodeWrongIncarnation  Code = "wrong_incarnation"
+	CodeWrongUpstream     Code = "wrong_upstream"
+	CodeNotReady          Code = "not_ready"
+	CodeShuttingDown      Code = "shutting_down"
+	CodeDeadlineExceeded  Code = "deadline_exceeded"
+	CodeCanceled          Code = "canceled"
+	CodeLinkLost          Code = "link_lost"
+	CodeStreamBroken      Code = "stream_broken"
+	CodeUpstreamFailed    Code = "upstream_failed"
+	CodeUpstreamUnreached Code = "upstream_unreached"
+	CodeKeyNotBound       Code = "key_not_bound"
+	CodeKeyExpired        Code = "key_expired"
+	CodeKeyReused         Code = "key_reused"
+	CodeKeyMalformed      Code = "key_malformed"
+	CodeInProgress        Code = "in_progress"
+	CodeLedgerFull        Code = "ledger_full"
+	CodeAnswerNotKept     Code = "answer_not_kept"
+	CodeTombstoned        Code = "tombstoned"
+	CodeSuspect           Code = "suspect"
+	CodeRetryBudget       Code = "retry_budget"
+	CodeStaleFencingToken Code = "stale_fencing_token"
+	CodeReplayed          Code = "replayed"
+	CodeInternal          Code = "internal"
+)
+
+// Failure is the typed failure of a request.
+type Failure struct {
+	Code Code
+	Run  RunState
+	// Detail is a sentence for a person.
+	Detail string
+	// RetryAfter is zero where waiting does not help.
+	RetryAfter time.Duration
+	// BoundKey is a fresh key for a caller whose own key could not be verified.
+	BoundKey string
+	// Revision is the configuration revision of the refusing process, if it matters.
+	Revision uint64
+	Err      error
+}
+
+func (f *Failure) Error() string {
+	text := fmt.Sprintf("%s (%s)", f.Code, f.Run)
+	if f.Detail != "" {
+		text += ": " + f.Detail
+	}
+	if f.Err != nil {
+		text += ": " + f.Err.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Err }
+
+// Fail returns a failure without a cause.
+func Fail(code Code, run RunState, detail string) *Failure {
+	return &Failure{Code: code, Run: run, Detail: detail}
+}
--- /dev/null
+++ b/api/names.go
@@ -0,0 +1,21 @@
+package api
+
+// Names under which services are registered. A process runs a list of them.
+const (
+	ServiceConfigSource    = "config.source"
+	ServiceConfigStore     = "config.store"
+	ServiceMembership      = "membership"
+	ServiceTransportLinks  = "transport.links"
+	ServiceTransportServer = "transport.server"
+	ServiceTransportPeers  = "transport.peers"
+	ServiceTrust           = "trust"
+	ServiceAdmission       = "admission"
+	ServiceRouting         = "routing"
+	ServiceFrontendHTTP    = "frontend.http"
+	ServiceWork            = "work"
+	ServiceEngine          = "engine"
+	ServiceExperts         = "experts"
+	ServiceMetrics         = "metrics"
+	ServiceAdminHTTP       = "admin.http"
+	ServiceLog             = "log"
+)
--- /dev/null
+++ b/api/services.go
@@ -0,0 +1,242 @@
+package api
+
+import (
+	"context"
+	"time"
+)
+
+// ConfigStore owns the accepted configuration of the process.
+type ConfigStore interface {
+	// Current returns the snapshot in force, nil before the first.
+	Current() *Snapshot
+	// Subscribe adds a function that runs on the control loop after each
+	// change. It must be called while services are provisioned.
+	Subscribe(func(now time.Duration, s *Snapshot))
+	// Ready is closed once a first snapshot is in force.
+	Ready() <-chan struct{}
+}
+
+// ConfigSource delivers raw configuration as the platform publishes it.
+type ConfigSource interface {
+	// Watch calls deliver for each revision seen, until ctx ends. It reports
+	// the health of the source through health.
+	Watch(ctx context.Context, deliver func(RawConfig), health func(error))
+}
+
+// RawConfig is one published revision: files by name.
+type RawConfig struct {
+	Revision uint64
+	Files    map[string][]byte
+}
+
+// VMState is what the membership list says of a VM.
+type VMState string
+
+// States of a VM on the membership list.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// VM is one entry of the membership list.
+type VM struct {
+	Name    string
+	Address string
+	Zone    string
+	// Role is "router" or "agent".
+	Role  string
+	State VMState
+}
+
+// Membership combines the platform's list with what the process saw itself.
+type Membership interface {
+	// Members returns the last known list. The slice must not be changed.
+	Members() []VM
+	// Subscribe adds a function that runs on the control loop after a change.
+	Subscribe(func(now time.Duration, members []VM))
+}
+
+// LinkState is what a router knows of its link to an agent.
+type LinkState struct {
+	Up          bool
+	Incarnation Incarnation
+	// Elapsed is the agent's elapsed time when it was last heard.
+	Elapsed  time.Duration
+	Revision uint64
+}
+
+// Exchange is a request under way on a link.
+type Exchange interface {
+	// Cancel tells the agent that nobody wants the answer any more.
+	Cancel()
+	// Consumed grants the agent flow-control credit.
+	Consumed(bytes uint32)
+}
+
+// Links sends orders to agents.
+type Links interface {
+	// Send hands over an order. Answers reach the sink. An error means that
+	// the order did not leave this process.
+	Send(ctx context.Context, o Order, s Sink) (Exchange, error)
+	// Query asks an agent for an outcome.
+	Query(ctx context.Context, q OutcomeQuery) (Outcome, error)
+	// State returns what is known of the link to an upstream's agent.
+	State(upstream string) LinkState
+}
+
+// LinkEvents is implemented by services that follow links on the control loop.
+type LinkEvents interface {
+	LinkUp(now time.Duration, upstream string, s LinkState)
+	LinkDown(now time.Duration, upstream string)
+	LoadReport(now time.Duration, l Load)
+}
+
+// LinkFeed lets services subscribe to link events while they are provisioned.
+type LinkFeed interface {
+	Follow(LinkEvents)
+}
+
+// Caller is an authenticated caller.
+type Caller struct {
+	Member string
+}
+
+// Admission decides whether a caller's request may enter.
+type Admission interface {
+	// Authenticate maps a bearer token to a guild member.
+	Authenticate(token string) (Caller, *Failure)
+	// Enter admits a request of a member. The release function must be called
+	// once when the request has ended.
+	Enter(ctx context.Context, member string, costTokens uint32) (release func(), failure *Failure)
+	// SpendRetry takes one retry from the budgets of the member and the process.
+	SpendRetry(member string) bool
+}
+
+// RouteQuery asks for an upstream.
+type RouteQuery struct {
+	Member  string
+	Model   string
+	Service string
+	// Prefix holds hashes of the prompt's blocks, longest prefix last.
+	Prefix     []uint64
+	CostTokens uint32
+	Priority   int32
+	// Exclude names upstreams that were tried already.
+	Exclude []string
+	// Only restricts the choice to one upstream, for bound keys.
+	Only string
+}
+
+// RouteChoice is the upstream chosen, and the facts the order must carry.
+type RouteChoice struct {
+	Upstream    string
+	Incarnation Incarnation
+	Elapsed     time.Duration
+	Revision    uint64
+}
+
+// RouteResult tells the routing service how a send ended.
+type RouteResult struct {
+	Upstream   string
+	CostTokens uint32
+	Failure    *Failure
+	FirstChunk time.Duration
+	Total      time.Duration
+}
+
+// Routing chooses upstreams. Every Route that succeeds must be followed by
+// one Done.
+type Routing interface {
+	Route(ctx context.Context, q RouteQuery) (RouteChoice, *Failure)
+	Done(r RouteResult)
+}
+
+// Dispatcher carries one request through routing, sends and retries to a
+// whole answer or a typed failure. Front ends encode and decode only.
+type Dispatcher interface {
+	Dispatch(ctx context.Context, r Request, s Sink)
+	// IssueKey binds a new idempotency key to an upstream.
+	IssueKey(ctx context.Context, member, model, service string) (string, *Failure)
+	// Outcome answers what became of a key.
+	Outcome(ctx context.Context, member, service, key string) (Outcome, *Failure)
+}
+
+// Request is a caller's request, free of its transport.
+type Request struct {
+	ID     string
+	Member string
+	// Key is the caller's idempotency key, or empty.
+	Key        string
+	Idempotent bool
+	Model      string
+	Service    string
+	Method     string
+	Path       string
+	Headers    []Header
+	Body       []byte
+	Prefix     []uint64
+	CostTokens uint32
+	Priority   int32
+	Deadline   time.Duration
+	Stream     bool
+	ResumeFrom uint64
+}
+
+// Work is the agent's sole entry point to its upstream.
+type Work interface {
+	// Execute runs an order, or refuses it, and closes the sink with End.
+	// Ending ctx means that the router lost interest or its link.
+	Execute(ctx context.Context, o Order, s Sink)
+	// Outcome answers a query from the ledger.
+	Outcome(ctx context.Context, q OutcomeQuery) Outcome
+	// Load returns the present report.
+	Load() Load
+	// LoadChanged is signalled after the report changed.
+	LoadChanged() <-chan struct{}
+}
+
+// Engine is the adapter of one upstream.
+type Engine interface {
+	// Run sends the order to the upstream and streams its answer into the
+	// sink, except for End, which the caller writes. An error of type
+	// *Failure says whether the request ran.
+	Run(ctx context.Context, o Order, s Sink) (Usage, *Failure)
+}
+
+// Usage is what a run consumed.
+type Usage struct {
+	Chunks          uint64
+	PromptTokens    uint32
+	GeneratedTokens uint32
+	FirstChunk      time.Duration
+	Total           time.Duration
+}
+
+// Counter counts events since the start of the process.
+type Counter interface {
+	Add(delta int64)
+}
+
+// Metrics hands out the counters and gauges listed in the table of metrics.
+type Metrics interface {
+	// Counter returns the counter of that name; label may be empty.
+	Counter(name, label string) Counter
+	// Gauge publishes a value read at each scrape.
+	Gauge(name string, read func() int64)
+	// Observe records a duration in the histogram of that name and label.
+	Observe(name, label string, d time.Duration)
+}
+
+// Logger writes a line for a change of state.
+type Logger interface {
+	Change(event string, fields Fields)
+}
+
+// Fields are the typed details of a log line.
+type Fields map[string]any
+
+// Readiness is implemented by services that can hold back /readyz.
+type Readiness interface {
+	// Ready returns nil, or why the process must not get traffic.
+	Ready() error
+}
--- /dev/null
+++ b/bench/output.go
@@ -0,0 +1,53 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+type figureJSON struct {
+	Value  float64 `json:"value"`
+	Unit   string  `json:"unit"`
+	Target string  `json:"target,omitempty"`
+	Met    bool    `json:"met"`
+}
+
+type resultJSON struct {
+	Experiment string                `json:"experiment"`
+	Seed       uint64                `json:"seed"`
+	Figures    map[string]figureJSON `json:"figures"`
+}
+
+// WriteJSON writes one JSON object for a run.
+func WriteJSON(w io.Writer, name string, seed uint64, r Result) error {
+	out := resultJSON{Experiment: name, Seed: seed, Figures: make(map[string]figureJSON)}
+	for _, f := range r.Figures {
+		j := figureJSON{Value: f.Value, Unit: f.Unit, Met: f.Met()}
+		if f.Target != nil {
+			j.Target = f.Target.String()
+		}
+		out.Figures[f.Name] = j
+	}
+	enc := json.NewEncoder(w)
+	return enc.Encode(out)
+}
+
+// WriteTable writes a run for a person.
+func WriteTable(w io.Writer, name string, seed uint64, r Result) error {
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(tw, "%s\tseed %d\t\t\t\n", name, seed)
+	fmt.Fprintln(tw, "figure\tvalue\tunit\ttarget\tmet")
+	for _, f := range r.Figures {
+		target, met := "-", "-"
+		if f.Target != nil {
+			target, met = f.Target.String(), "no"
+			if f.Met() {
+				met = "yes"
+			}
+		}
+		fmt.Fprintf(tw, "%s\t%.4g\t%s\t%s\t%s\n", f.Name, f.Value, f.Unit, target, met)
+	}
+	return tw.Flush()
+}
--- /dev/null
+++ b/kernel/host.go
@@ -0,0 +1,256 @@
+package kernel
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"reflect"
+)
+
+// Provisioner is a service that looks up others and reads its settings.
+type Provisioner interface {
+	Provision(*Context) error
+}
+
+// Validator is a service that checks itself before anything starts.
+type Validator interface {
+	Validate() error
+}
+
+// Starter is a service that runs. Start must return once the service is ready.
+type Starter interface {
+	Start(context.Context) error
+}
+
+// Stopper is a service that drains. Stop returns when its work has ended or
+// the context is done.
+type Stopper interface {
+	Stop(context.Context) error
+}
+
+// Cleaner is a service that holds resources to release, even if it never started.
+type Cleaner interface {
+	Cleanup()
+}
+
+// Host runs the services of one process.
+type Host struct {
+	registry *Registry
+	names    []string
+	clock    Clock
+	loop     *Loop
+	values   map[reflect.Type]any
+	running  map[string]*instance
+	order    []*instance
+}
+
+type instance struct {
+	name     string
+	service  any
+	complete bool
+	started  bool
+}
+
+// Options configures a host.
+type Options struct {
+	// Clock defaults to BootClock.
+	Clock Clock
+	// Values are shared with services by type, see Value.
+	Values []any
+}
+
+// NewHost returns a host that will run the named services of a registry.
+func NewHost(r *Registry, names []string, o Options) *Host {
+	if o.Clock == nil {
+		o.Clock = BootClock{}
+	}
+	h := &Host{
+		registry: r,
+		names:    names,
+		clock:    o.Clock,
+		loop:     NewLoop(o.Clock),
+		values:   make(map[reflect.Type]any),
+		running:  make(map[string]*instance),
+	}
+	for _, v := range o.Values {
+		h.values[reflect.TypeOf(v)] = v
+	}
+	return h
+}
+
+// Loop returns the control loop of the process.
+func (h *Host) Loop() *Loop { return h.loop }
+
+// Start provisions and validates all services, then starts them in order of
+// dependency. On failure, whatever was started is stopped again.
+func (h *Host) Start(ctx context.Context) error {
+	if err := h.prepare(); err != nil {
+		h.cleanup()
+		return err
+	}
+	h.loop.Start()
+	for _, in := range h.order {
+		s, ok := in.service.(Starter)
+		if ok {
+			if err := s.Start(ctx); err != nil {
+				failure := &PhaseError{Service: in.name, Phase: "start", Err: err}
+				return errors.Join(failure, h.Stop(ctx))
+			}
+		}
+		in.started = true
+	}
+	return nil
+}
+
+// Stop stops services in reverse order of their start. Each gets what is left
+// of the context's deadline; all are asked even if one fails.
+func (h *Host) Stop(ctx context.Context) error {
+	var failures []error
+	for i := len(h.order) - 1; i >= 0; i-- {
+		in := h.order[i]
+		s, ok := in.service.(Stopper)
+		if !ok || !in.started {
+			continue
+		}
+		in.started = false
+		if err := s.Stop(ctx); err != nil {
+			failures = append(failures, &PhaseError{Service: in.name, Phase: "stop", Err: err})
+		}
+	}
+	h.loop.Stop()
+	h.cleanup()
+	return errors.Join(failures...)
+}
+
+func (h *Host) prepare() error {
+	for _, name := range h.names {
+		if _, err := h.provision(name, nil); err != nil {
+			return err
+		}
+	}
+	for _, in := range h.order {
+		v, ok := in.service.(Validator)
+		if !ok {
+			continue
+		}
+		if err := v.Validate(); err != nil {
+			return &PhaseError{Service: in.name, Phase: "validate", Err: err}
+		}
+	}
+	return nil
+}
+
+// provision makes a service and, through its look-ups, those it needs. The
+// order in which services complete is their order of dependency.
+func (h *Host) provision(name string, path []string) (*instance, error) {
+	path = append(path, name)
+	if in, ok := h.running[name]; ok {
+		if !in.complete {
+			return nil, &DependencyCycleError{Path: path}
+		}
+		return in, nil
+	}
+	if !h.listed(name) {
+		wanted := ""
+		if len(path) > 1 {
+			wanted = path[len(path)-2]
+		}
+		return nil, &UnknownServiceError{Name: name, Wanted: wanted}
+	}
+	in := &instance{name: name, service: h.registry.factories[name]()}
+	h.running[name] = in
+	if p, ok := in.service.(Provisioner); ok {
+		if err := p.Provision(&Context{host: h, path: path}); err != nil {
+			return nil, &PhaseError{Service: name, Phase: "provision", Err: err}
+		}
+	}
+	in.complete = true
+	h.order = append(h.order, in)
+	return in, nil
+}
+
+func (h *Host) listed(name string) bool {
+	if _, ok := h.registry.factories[name]; !ok {
+		return false
+	}
+	for _, n := range h.names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Host) cleanup() {
+	for i := len(h.order) - 1; i >= 0; i-- {
+		if c, ok := h.order[i].service.(Cleaner); ok {
+			c.Cleanup()
+		}
+	}
+	h.order = nil
+}
+
+// Context is what a service sees of its host while it is provisioned.
+type Context struct {
+	host *Host
+	path []string
+}
+
+// Clock returns the clock of the process.
+func (c *Context) Clock() Clock { return c.host.clock }
+
+// Loop returns the control loop of the process.
+func (c *Context) Loop() *Loop { return c.host.loop }
+
+// Lookup finds a service by name and interface, and records the dependency.
+func Lookup[T any](c *Context, name string) (T, error) {
+	var zero T
+	in, err := c.host.provision(name, c.path)
+	if err != nil {
+		return zero, err
+	}
+	return as[T](in)
+}
+
+// LookupOptional is Lookup for a service that the process may run without.
+func LookupOptional[T any](c *Context, name string) (T, bool, error) {
+	var zero T
+	if !c.host.listed(name) {
+		return zero, false, nil
+	}
+	s, err := Lookup[T](c, name)
+	return s, err == nil, err
+}
+
+// Find returns a service of a started host, for front ends outside it and tests.
+func Find[T any](h *Host, name string) (T, error) {
+	var zero T
+	in, ok := h.running[name]
+	if !ok {
+		return zero, &UnknownServiceError{Name: name}
+	}
+	return as[T](in)
+}
+
+// Value returns a value that was given to the host, found by its type.
+func Value[T any](c *Context) (T, error) {
+	var zero T
+	v, ok := c.host.values[reflect.TypeFor[T]()]
+	if !ok {
+		return zero, &MissingValueError{Type: reflect.TypeFor[T]().String()}
+	}
+	return v.(T), nil
+}
+
+func as[T any](in *instance) (T, error) {
+	s, ok := in.service.(T)
+	if !ok {
+		var zero T
+		return zero, &ServiceTypeError{
+			Name: in.name,
+			Want: reflect.TypeFor[T]().String(),
+			Got:  fmt.Sprintf("%T", in.service),
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/kernel/loop.go
@@ -0,0 +1,132 @@
+package kernel
+
+import (
+	"container/heap"
+	"sync"
+	"time"
+)
+
+// Loop is the control loop: one goroutine that owns the control state of a
+// process. Handlers of mailboxes and timers run on it one at a time, so the
+// state they share needs no lock. It sleeps while there is nothing to do.
+type Loop struct {
+	clock    Clock
+	capacity int
+	ready    chan dispatcher
+	stop     chan struct{}
+	done     chan struct{}
+	stopOnce sync.Once
+	timers   timerHeap
+	boxes    []counted
+}
+
+type dispatcher interface {
+	dispatch(now time.Duration)
+}
+
+type counted interface {
+	Counters() MailboxCounters
+}
+
+// NewLoop returns a loop that is not yet running.
+func NewLoop(clock Clock) *Loop {
+	return &Loop{clock: clock, stop: make(chan struct{}), done: make(chan struct{})}
+}
+
+// Start begins to handle events. Mailboxes must have been made before.
+func (l *Loop) Start() {
+	l.ready = make(chan dispatcher, l.capacity)
+	go l.run()
+}
+
+// Stop ends the loop after the handler that is running. Later events are refused.
+func (l *Loop) Stop() {
+	l.stopOnce.Do(func() { close(l.stop) })
+	if l.ready != nil {
+		<-l.done
+	}
+}
+
+// Counters returns the counters of every mailbox.
+func (l *Loop) Counters() []MailboxCounters {
+	all := make([]MailboxCounters, 0, len(l.boxes))
+	for _, b := range l.boxes {
+		all = append(all, b.Counters())
+	}
+	return all
+}
+
+// After runs f on the loop once d has passed. It must be called on the loop
+// or before the loop starts. The returned function cancels it, under the same
+// condition.
+func (l *Loop) After(d time.Duration, f func(now time.Duration)) (cancel func()) {
+	t := &timer{due: l.clock.Now() + d, run: f}
+	heap.Push(&l.timers, t)
+	return func() { t.run = nil }
+}
+
+// Every runs f on the loop each d, under the same condition as After.
+func (l *Loop) Every(d time.Duration, f func(now time.Duration)) {
+	var again func(time.Duration)
+	again = func(now time.Duration) {
+		f(now)
+		l.After(d, again)
+	}
+	l.After(d, again)
+}
+
+func (l *Loop) run() {
+	defer close(l.done)
+	wake := time.NewTimer(l.untilNextTimer())
+	defer wake.Stop()
+	for {
+		select {
+		case <-l.stop:
+			return
+		case d := <-l.ready:
+			d.dispatch(l.clock.Now())
+		case <-wake.C:
+		}
+		l.runDueTimers()
+		wake.Reset(l.untilNextTimer())
+	}
+}
+
+// idleWait bounds the sleep of a loop without timers.
+const idleWait = time.Hour
+
+func (l *Loop) untilNextTimer() time.Duration {
+	if len(l.timers) == 0 {
+		return idleWait
+	}
+	return max(l.timers[0].due-l.clock.Now(), 0)
+}
+
+func (l *Loop) runDueTimers() {
+	now := l.clock.Now()
+	for len(l.timers) > 0 && l.timers[0].due <= now {
+		t := heap.Pop(&l.timers).(*timer)
+		if t.run != nil {
+			t.run(now)
+		}
+	}
+}
+
+type timer struct {
+	due time.Duration
+	run func(now time.Duration)
+}
+
+type timerHeap []*timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].due < h[j].due }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)        { *h = append(*h, x.(*timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
