--- a/api/config.go
+++ b/api/config.go
@@ -142,8 +142,9 @@
 	Adapters []string `toml:"adapters"`
 	// SizeMB is the size of its weights.
 	SizeMB int `toml:"size_mb"`
-	// NonIdempotent marks a model whose completions must not be repeated.
-	NonIdempotent bool `toml:"non_idempotent"`
+	// Idempotent marks completions as safe to repeat. By RFC 9110 an unmarked
+	// POST is not.
+	Idempotent bool `toml:"idempotent"`
 	// ContextTokens bounds prompt plus answer.
 	ContextTokens int `toml:"context_tokens"`
 	// MaxOutputTokens is the estimate where a caller names no maximum.
--- /dev/null
+++ b/api/metrics.go
@@ -0,0 +1,78 @@
+package api
+
+// MetricKind tells totals from present values and distributions.
+type MetricKind string
+
+// Kinds of metric.
+const (
+	MetricCounter   MetricKind = "counter"
+	MetricGauge     MetricKind = "gauge"
+	MetricHistogram MetricKind = "histogram"
+)
+
+// Metric describes one published metric.
+type Metric struct {
+	Name string
+	Kind MetricKind
+	Unit string
+	// Label says what the parts of the metric are, empty for a single value.
+	Label string
+	// Process is "router", "agent" or "both".
+	Process string
+	Help    string
+}
+
+// MetricTable lists every metric; docs/metrics.md is made from it.
+var MetricTable = []Metric{
+	{"link_up", MetricCounter, "links", "", "router", "links to agents that came up"},
+	{"link_down", MetricCounter, "links", "", "router", "links to agents that were lost"},
+	{"link_refused", MetricCounter, "dials", "", "router", "dials to agents that failed"},
+	{"link_foreign_frames", MetricCounter, "frames", "", "router", "frames for no exchange under way, dropped"},
+	{"server_orders", MetricCounter, "orders", "", "agent", "orders received"},
+	{"server_replayed_orders", MetricCounter, "orders", "", "agent", "orders that repeat one under way on the same link, dropped"},
+	{"server_foreign_frames", MetricCounter, "links", "", "agent", "links that began with a hello for another upstream"},
+	{"server_refused_role", MetricCounter, "calls", "", "both", "calls refused for the role in the certificate"},
+	{"config_revision", MetricGauge, "revision", "", "both", "configuration revision in force"},
+	{"config_accepted", MetricCounter, "revisions", "", "both", "revisions put in force"},
+	{"config_refused", MetricCounter, "revisions", "", "both", "revisions that did not validate"},
+	{"config_older", MetricCounter, "revisions", "", "both", "revisions older than the one in force, ignored"},
+	{"config_source_errors", MetricCounter, "calls", "", "both", "failed calls to the configuration service"},
+	{"config_source_calls", MetricCounter, "calls", "", "both", "calls to the configuration service"},
+	{"mailbox_posted", MetricGauge, "events", "mailbox", "both", "events posted to the control loop"},
+	{"mailbox_dropped", MetricGauge, "events", "mailbox", "both", "events dropped because a mailbox was full"},
+	{"mailbox_replaced", MetricGauge, "events", "mailbox", "both", "events replaced by a newer one before they were handled"},
+	{"mailbox_waited", MetricGauge, "events", "mailbox", "both", "events whose sender waited for room"},
+	{"requests", MetricCounter, "requests", "member", "router", "requests taken from callers"},
+	{"answers_whole", MetricCounter, "answers", "member", "router", "whole answers given to callers"},
+	{"failures", MetricCounter, "answers", "code", "router", "answers that ended in a failure, by code"},
+	{"failures_run", MetricCounter, "answers", "run", "router", "answers that ended in a failure, by run state"},
+	{"retries", MetricCounter, "sends", "", "router", "sends after the first of a request"},
+	{"resumes", MetricCounter, "sends", "", "router", "streams that went on at another upstream"},
+	{"retries_denied", MetricCounter, "sends", "", "router", "retries refused by the retry budget"},
+	{"outcome_queries", MetricCounter, "queries", "", "router", "queries for the outcome of a send after a lost link"},
+	{"chunks_duplicate", MetricCounter, "chunks", "", "router", "chunks dropped as duplicates"},
+	{"chunks_foreign", MetricCounter, "chunks", "", "router", "chunks dropped as foreign"},
+	{"chunks_late", MetricCounter, "chunks", "", "router", "chunks dropped as late"},
+	{"keys_issued", MetricCounter, "keys", "", "router", "bound keys issued"},
+	{"streams", MetricGauge, "requests", "", "router", "requests under way"},
+	{"streams_refused", MetricCounter, "requests", "", "router", "requests refused by the bound on streams"},
+	{"first_chunk", MetricHistogram, "us", "member", "router", "time from arrival to the first chunk"},
+	{"chunk_gap", MetricHistogram, "us", "member", "router", "time between two chunks"},
+	{"request_time", MetricHistogram, "us", "member", "router", "time from arrival to the end"},
+	{"route_choices", MetricCounter, "choices", "reason", "router", "choices of upstream, by what decided them"},
+	{"route_ejected", MetricCounter, "ejections", "", "router", "upstreams ejected as outliers"},
+	{"work_started", MetricCounter, "requests", "member", "agent", "requests started at the upstream"},
+	{"work_refused", MetricCounter, "requests", "code", "agent", "requests refused before the start, by code"},
+	{"work_running", MetricGauge, "requests", "", "agent", "requests running at the upstream"},
+	{"work_queued", MetricGauge, "requests", "", "agent", "requests waiting for a turn"},
+	{"work_limit", MetricGauge, "requests", "", "agent", "present bound on running requests"},
+	{"work_cold", MetricGauge, "flag", "", "agent", "1 while the upstream counts as cold"},
+	{"work_cold_falls", MetricCounter, "events", "reason", "agent", "falls back to the cold limit, by reason"},
+	{"work_crashes", MetricCounter, "events", "", "agent", "crashes of the upstream that were noticed"},
+	{"work_isolated", MetricCounter, "requests", "", "agent", "suspect requests run in isolation"},
+	{"ledger_entries", MetricGauge, "keys", "", "agent", "keys in the ledger"},
+	{"ledger_repeats", MetricCounter, "requests", "", "agent", "requests answered from the ledger"},
+	{"ledger_tombstones", MetricCounter, "sends", "", "agent", "sends that were promised not to start"},
+	{"engine_runs", MetricCounter, "requests", "", "agent", "requests sent to the upstream"},
+	{"engine_failures", MetricCounter, "requests", "code", "agent", "requests that the upstream did not answer whole"},
+}
--- a/api/names.go
+++ b/api/names.go
@@ -11,6 +11,7 @@
 	ServiceTrust           = "trust"
 	ServiceAdmission       = "admission"
 	ServiceRouting         = "routing"
+	ServiceDispatch        = "dispatch"
 	ServiceFrontendHTTP    = "frontend.http"
 	ServiceWork            = "work"
 	ServiceEngine          = "engine"
--- a/api/request.go
+++ b/api/request.go
@@ -90,6 +90,18 @@
 	End(End)
 }
 
+// Binder is a sink that wants to control the exchange it belongs to. Bind is
+// called before anything else.
+type Binder interface {
+	Bind(Exchange)
+}
+
+// Flusher is a sink that buffers. Flush is called when no further event of the
+// answer is at hand.
+type Flusher interface {
+	Flush()
+}
+
 // Outcome is what a ledger knows about a key or a send.
 type Outcome struct {
 	Run RunState
--- a/api/services.go
+++ b/api/services.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"net"
 	"time"
 )
 
@@ -82,6 +84,8 @@
 	Query(ctx context.Context, q OutcomeQuery) (Outcome, error)
 	// State returns what is known of the link to an upstream's agent.
 	State(upstream string) LinkState
+	// WaitUp returns the state of a link once it is up, or false if ctx ends first.
+	WaitUp(ctx context.Context, upstream string) (LinkState, bool)
 }
 
 // LinkEvents is implemented by services that follow links on the control loop.
@@ -125,6 +129,8 @@
 	Exclude []string
 	// Only restricts the choice to one upstream, for bound keys.
 	Only string
+	// Leaving allows an upstream that takes no new work, to reach a recorded answer.
+	Leaving bool
 }
 
 // RouteChoice is the upstream chosen, and the facts the order must carry.
@@ -180,6 +186,8 @@
 	Deadline   time.Duration
 	Stream     bool
 	ResumeFrom uint64
+	// Fingerprint identifies the content across resends.
+	Fingerprint uint64
 }
 
 // Work is the agent's sole entry point to its upstream.
@@ -189,10 +197,13 @@
 	Execute(ctx context.Context, o Order, s Sink)
 	// Outcome answers a query from the ledger.
 	Outcome(ctx context.Context, q OutcomeQuery) Outcome
-	// Load returns the present report.
-	Load() Load
-	// LoadChanged is signalled after the report changed.
-	LoadChanged() <-chan struct{}
+	// Load returns the present report and a channel that is closed once a newer
+	// one is published.
+	Load() (Load, <-chan struct{})
+	// Incarnation returns the incarnation of this process.
+	Incarnation() Incarnation
+	// Elapsed returns the agent's own elapsed time, as bound keys embed it.
+	Elapsed() time.Duration
 }
 
 // Engine is the adapter of one upstream.
@@ -235,6 +246,35 @@
 // Fields are the typed details of a log line.
 type Fields map[string]any
 
+// Trust holds the keys between processes.
+type Trust interface {
+	// Client returns the configuration for a link to a process of a role, nil
+	// where the settings allow plain links.
+	Client(role string) *tls.Config
+	// Server returns the configuration for accepting links, nil as above.
+	Server() *tls.Config
+	// Peer returns the role and name in the certificate of a connection.
+	Peer(net.Conn) (PeerIdentity, *TrustError)
+}
+
+// PeerIdentity is what a certificate says of a process.
+type PeerIdentity struct {
+	// Role is RoleRouter or RoleAgent.
+	Role string
+	Name string
+}
+
+// Roles of processes, as in the organizational unit of a certificate.
+const (
+	RoleRouter = "router"
+	RoleAgent  = "agent"
+)
+
+// TrustError reports a connection whose certificate does not allow its use.
+type TrustError struct{ Reason string }
+
+func (e *TrustError) Error() string { return "connection refused: " + e.Reason }
+
 // Readiness is implemented by services that can hold back /readyz.
 type Readiness interface {
 	// Ready returns nil, or why the process must not get traffic.
--- /dev/null
+++ b/decide/idempotency/idempotency_test.go
@@ -0,0 +1,50 @@
+package idempotency_test
+
+import (
+	"testing"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/idempotency"
+)
+
+// A call wrongly taken as idempotent would be repeated after a failure.
+func TestOf(t *testing.T) {
+	booking := api.Plain{
+		Idempotent:    []string{"POST /search", "* /schedule/*"},
+		NonIdempotent: []string{"POST /visits", "PUT /visits/*", "DELETE /visits/*"},
+	}
+	cases := []struct {
+		name, method, path string
+		mark               idempotency.Mark
+		want               bool
+	}{
+		{"unlisted GET", "GET", "/visits", idempotency.Unmarked, true},
+		{"unlisted POST", "POST", "/other", idempotency.Unmarked, false},
+		{"unlisted PATCH", "PATCH", "/other", idempotency.Unmarked, false},
+		{"listed POST", "POST", "/search", idempotency.Unmarked, true},
+		{"pattern of any method", "POST", "/schedule/week", idempotency.Unmarked, true},
+		{"listed as non-idempotent", "PUT", "/visits/7", idempotency.Unmarked, false},
+		{"caller cannot override the configuration", "POST", "/visits", idempotency.MarkedIdempotent, false},
+		{"caller marks an unlisted POST", "POST", "/other", idempotency.MarkedIdempotent, true},
+		{"caller may always be careful", "GET", "/visits", idempotency.MarkedNonIdempotent, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := idempotency.Of(booking, c.method, c.path, c.mark); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestOfModel(t *testing.T) {
+	if idempotency.OfModel(api.Model{}, idempotency.Unmarked) {
+		t.Error("an unmarked completion is a POST and must not be repeated")
+	}
+	if !idempotency.OfModel(api.Model{Idempotent: true}, idempotency.Unmarked) {
+		t.Error("the configuration marks the model as idempotent")
+	}
+	if idempotency.OfModel(api.Model{Idempotent: true}, idempotency.MarkedNonIdempotent) {
+		t.Error("the caller's mark must hold")
+	}
+}
--- a/kernel/host.go
+++ b/kernel/host.go
@@ -28,6 +28,12 @@
 	Stop(context.Context) error
 }
 
+// Drainer is a service that stops taking new work. Drain is called on all
+// services before any is stopped, so that work still flows where it runs.
+type Drainer interface {
+	Drain()
+}
+
 // Cleaner is a service that holds resources to release, even if it never started.
 type Cleaner interface {
 	Cleanup()
@@ -105,6 +111,7 @@
 // Stop stops services in reverse order of their start. Each gets what is left
 // of the context's deadline; all are asked even if one fails.
 func (h *Host) Stop(ctx context.Context) error {
+	h.drain()
 	var failures []error
 	for i := len(h.order) - 1; i >= 0; i-- {
 		in := h.order[i]
@@ -122,6 +129,15 @@
 	return errors.Join(failures...)
 }
 
+func (h *Host) drain() {
+	for i := len(h.order) - 1; i >= 0; i-- {
+		d, ok := h.order[i].service.(Drainer)
+		if ok && h.order[i].started {
+			d.Drain()
+		}
+	}
+}
+
 func (h *Host) prepare() error {
 	for _, name := range h.names {
 		if _, err := h.provision(name, nil); err != nil {
--- /dev/null
+++ b/service/adminhttp/adminhttp.go
@@ -0,0 +1,135 @@
+// Package adminhttp serves health, readiness, metrics and profiles.
+package adminhttp
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel"
+)
+
+const headerTimeout = 5 * time.Second
+
+type exporter interface{ JSON() string }
+
+type service struct {
+	settings *api.Settings
+	metrics  exporter
+	checks   map[string]api.Readiness
+	draining atomic.Bool
+	server   *http.Server
+	listener net.Listener
+}
+
+// Register adds the service under its name.
+func Register(r *kernel.Registry) error {
+	return r.Register(api.ServiceAdminHTTP, func() any { return &service{} })
+}
+
+// checked are the services whose state holds back readiness, if present.
+var checked = []string{api.ServiceConfigStore, api.ServiceWork, api.ServiceRouting}
+
+func (s *service) Provision(c *kernel.Context) (err error) {
+	if s.settings, err = kernel.Value[*api.Settings](c); err != nil {
+		return err
+	}
+	if s.metrics, err = kernel.Lookup[exporter](c, api.ServiceMetrics); err != nil {
+		return err
+	}
+	s.checks = make(map[string]api.Readiness)
+	for _, name := range checked {
+		found, ok, err := kernel.LookupOptional[any](c, name)
+		if err != nil {
+			return err
+		}
+		if check, is := found.(api.Readiness); ok && is {
+			s.checks[name] = check
+		}
+	}
+	return nil
+}
+
+// ListenError reports an address that cannot be served.
+type ListenError struct {
+	Address string
+	Err     error
+}
+
+func (e *ListenError) Error() string { return "listen on " + e.Address + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+func (s *service) Start(ctx context.Context) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", s.settings.Listen.Admin)
+	if err != nil {
+		return &ListenError{Address: s.settings.Listen.Admin, Err: err}
+	}
+	s.listener = listener
+	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout}
+	go func() { _ = s.server.Serve(listener) }()
+	return nil
+}
+
+// Address returns the address served.
+func (s *service) Address() string { return s.listener.Addr().String() }
+
+// Drain withdraws readiness.
+func (s *service) Drain() { s.draining.Store(true) }
+
+func (s *service) Stop(ctx context.Context) error {
+	if s.server == nil {
+		return nil
+	}
+	return s.server.Shutdown(ctx)
+}
+
+func (s *service) routes() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	r.Get("/readyz", s.ready)
+	r.Get("/debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		_, _ = w.Write([]byte(s.metrics.JSON()))
+	})
+	r.HandleFunc("/debug/pprof/*", pprof.Index)
+	r.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+	r.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	r.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	r.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	return r
+}
+
+type readiness struct {
+	Ready  bool              `json:"ready"`
+	Checks map[string]string `json:"checks"`
+}
+
+func (s *service) ready(w http.ResponseWriter, _ *http.Request) {
+	state := readiness{Ready: true, Checks: make(map[string]string)}
+	if s.draining.Load() {
+		state.Ready = false
+		state.Checks["process"] = "shutting down"
+	}
+	for name, check := range s.checks {
+		state.Checks[name] = "ok"
+		if err := check.Ready(); err != nil {
+			state.Ready = false
+			state.Checks[name] = err.Error()
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if !state.Ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_ = json.NewEncoder(w).Encode(state)
+}
--- /dev/null
+++ b/service/admission/admission.go
@@ -0,0 +1,131 @@
+// Package admission maps bearer tokens to guild members and bounds what enters.
+package admission
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel"
+)
+
+const retryAfterBusy = time.Second
+
+// Register adds the service under its name.
+func Register(r *kernel.Registry) error {
+	return r.Register(api.ServiceAdmission, func() any { return &service{} })
+}
+
+type service struct {
+	settings *api.Settings
+	store    api.ConfigStore
+	refused  api.Counter
+	members  atomic.Pointer[table]
+	streams  atomic.Int64
+}
+
+// table is derived from one snapshot and never changed.
+type table struct {
+	tokens   []token
+	limiters map[string]*rate.Limiter
+	rates    map[string]float64
+}
+
+type token struct {
+	hash   [sha256.Size]byte
+	member string
+}
+
+func (s *service) Provision(c *kernel.Context) (err error) {
+	if s.settings, err = kernel.Value[*api.Settings](c); err != nil {
+		return err
+	}
+	if s.store, err = kernel.Lookup[api.ConfigStore](c, api.ServiceConfigStore); err != nil {
+		return err
+	}
+	metrics, err := kernel.Lookup[api.Metrics](c, api.ServiceMetrics)
+	if err != nil {
+		return err
+	}
+	s.refused = metrics.Counter("streams_refused", "")
+	metrics.Gauge("streams", s.streams.Load)
+	s.members.Store(&table{})
+	s.store.Subscribe(s.configure)
+	return nil
+}
+
+// configure derives the table of a new snapshot; limiters whose rate did not
+// change are kept, so that a change of configuration refills nobody.
+func (s *service) configure(_ time.Duration, snap *api.Snapshot) {
+	old := s.members.Load()
+	next := &table{limiters: make(map[string]*rate.Limiter), rates: make(map[string]float64)}
+	for name, m := range snap.Config.Members {
+		for _, text := range m.TokenHashes {
+			raw, err := hex.DecodeString(text)
+			if err != nil || len(raw) != sha256.Size {
+				continue
+			}
+			next.tokens = append(next.tokens, token{hash: [sha256.Size]byte(raw), member: name})
+		}
+		if m.RequestsPerSecond <= 0 {
+			continue
+		}
+		next.rates[name] = m.RequestsPerSecond
+		if old.rates[name] == m.RequestsPerSecond {
+			next.limiters[name] = old.limiters[name]
+			continue
+		}
+		burst := max(int(m.RequestsPerSecond), 1)
+		next.limiters[name] = rate.NewLimiter(rate.Limit(m.RequestsPerSecond), burst)
+	}
+	s.members.Store(next)
+}
+
+// Authenticate compares the token's hash with every configured one, so that
+// the time taken says nothing about which one came close.
+func (s *service) Authenticate(bearer string) (api.Caller, *api.Failure) {
+	sum := sha256.Sum256([]byte(bearer))
+	t := s.members.Load()
+	found := -1
+	for i := range t.tokens {
+		same := subtle.ConstantTimeCompare(sum[:], t.tokens[i].hash[:])
+		found = subtle.ConstantTimeSelect(same, i, found)
+	}
+	if found < 0 {
+		return api.Caller{}, api.Fail(api.CodeUnauthenticated, api.NotRun, "unknown bearer token")
+	}
+	return api.Caller{Member: t.tokens[found].member}, nil
+}
+
+// Enter admits a request while the process has room for it and the member's
+// rate allows it.
+func (s *service) Enter(_ context.Context, member string, _ uint32) (func(), *api.Failure) {
+	if limiter := s.members.Load().limiters[member]; limiter != nil && !limiter.Allow() {
+		return nil, &api.Failure{
+			Code:       api.CodeRateLimited,
+			Run:        api.NotRun,
+			Detail:     "guild member " + member + " exceeds its request rate",
+			RetryAfter: retryAfterBusy,
+		}
+	}
+	if s.streams.Add(1) > int64(s.settings.Limits.Streams) {
+		s.streams.Add(-1)
+		s.refused.Add(1)
+		return nil, &api.Failure{
+			Code:       api.CodeTooManyStreams,
+			Run:        api.NotRun,
+			Detail:     "this router has no room for another request",
+			RetryAfter: retryAfterBusy,
+		}
+	}
+	return func() { s.streams.Add(-1) }, nil
+}
+
+// SpendRetry takes one retry from the budgets.
+func (s *service) SpendRetry(string) bool { return true }
--- /dev/null
+++ b/service/configsource/configsource.go
@@ -0,0 +1,185 @@
+// Package configsource reads and watches the configuration that the platform
+// publishes, or a folder on a single machine.
+package configsource
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel"
+)
+
+const (
+	// watchTimeout exceeds the time after which the service ends a watch.
+	watchTimeout = 40 * time.Second
+	// firstRetry and longestRetry bound the wait after a failed call.
+	firstRetry   = 200 * time.Millisecond
+	longestRetry = 5 * time.Second
+	// maxBytes bounds one published configuration; values are up to 1 MB and
+	// JSON escapes them.
+	maxBytes = 4 << 20
+)
+
+// Register adds the service under its name.
+func Register(r *kernel.Registry) error {
+	return r.Register(api.ServiceConfigSource, func() any { return &service{} })
+}
+
+type service struct {
+	settings *api.Settings
+	client   *http.Client
+	calls    api.Counter
+}
+
+func (s *service) Provision(c *kernel.Context) (err error) {
+	if s.settings, err = kernel.Value[*api.Settings](c); err != nil {
+		return err
+	}
+	metrics, err := kernel.Lookup[api.Metrics](c, api.ServiceMetrics)
+	if err != nil {
+		return err
+	}
+	s.calls = metrics.Counter("config_source_calls", "")
+	s.client = &http.Client{Timeout: watchTimeout}
+	return nil
+}
+
+// NoSourceError reports settings that name neither a service nor a folder.
+type NoSourceError struct{}
+
+func (*NoSourceError) Error() string { return "config: set either service or folder" }
+
+func (s *service) Validate() error {
+	if (s.settings.Config.Service == "") == (s.settings.Config.Folder == "") {
+		return &NoSourceError{}
+	}
+	return nil
+}
+
+// CallError reports a failed call to the configuration service.
+type CallError struct {
+	Status int
+	Err    error
+}
+
+func (e *CallError) Error() string {
+	if e.Err != nil {
+		return "configuration service: " + e.Err.Error()
+	}
+	return "configuration service: status " + strconv.Itoa(e.Status)
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Err }
+
+// Watch delivers each revision seen until ctx ends.
+func (s *service) Watch(ctx context.Context, deliver func(api.RawConfig), health func(error)) {
+	if s.settings.Config.Folder != "" {
+		raw, err := ReadFolder(s.settings.Config.Folder)
+		health(err)
+		if err == nil {
+			deliver(raw)
+		}
+		return
+	}
+	var after uint64
+	wait := firstRetry
+	for ctx.Err() == nil {
+		raw, changed, err := s.poll(ctx, after)
+		health(err)
+		if err == nil {
+			wait = firstRetry
+			if changed {
+				after = raw.Revision
+				deliver(raw)
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+		wait = min(2*wait, longestRetry)
+	}
+}
+
+type published struct {
+	Revision uint64            `json:"revision"`
+	Files    map[string]string `json:"files"`
+}
+
+// poll waits for a revision other than the last one seen.
+func (s *service) poll(ctx context.Context, after uint64) (api.RawConfig, bool, error) {
+	s.calls.Add(1)
+	url := strings.TrimSuffix(s.settings.Config.Service, "/") + "/v1/config?after=" + strconv.FormatUint(after, 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return api.RawConfig{}, false, &CallError{Err: err}
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return api.RawConfig{}, false, &CallError{Err: err}
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified {
+		return api.RawConfig{}, false, nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return api.RawConfig{}, false, &CallError{Status: resp.StatusCode}
+	}
+	var p published
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBytes)).Decode(&p); err != nil {
+		return api.RawConfig{}, false, &CallError{Err: err}
+	}
+	raw := api.RawConfig{Revision: p.Revision, Files: make(map[string][]byte, len(p.Files))}
+	for name, text := range p.Files {
+		raw.Files[name] = []byte(text)
+	}
+	return raw, true, nil
+}
+
+// FolderError reports a configuration folder that cannot be read.
+type FolderError struct {
+	Path string
+	Err  error
+}
+
+func (e *FolderError) Error() string { return "read " + e.Path + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *FolderError) Unwrap() error { return e.Err }
+
+// ReadFolder reads the TOML files of a folder. The newest change time stands
+// for the revision.
+func ReadFolder(path string) (api.RawConfig, error) {
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return api.RawConfig{}, &FolderError{Path: path, Err: err}
+	}
+	raw := api.RawConfig{Files: make(map[string][]byte)}
+	for _, entry := range entries {
+		if entry.IsDir() || filepath.Ext(entry.Name()) != ".toml" {
+			continue
+		}
+		file := filepath.Join(path, entry.Name())
+		content, err := os.ReadFile(file)
+		if err != nil {
+			return api.RawConfig{}, &FolderError{Path: file, Err: err}
+		}
+		info, err := entry.Info()
+		if err != nil {
+			return api.RawConfig{}, &FolderError{Path: file, Err: err}
+		}
+		raw.Files[entry.Name()] = content
+		raw.Revision = max(raw.Revision, uint64(info.ModTime().UnixNano()))
+	}
+	return raw, nil
+}
--- /dev/null
+++ b/service/dispatch/delivery.go
@@ -0,0 +1,371 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
+
+const (
+	// maxSends bounds the sends of one request.
+	maxSends = 8
+	// windowBytes is the flow-control credit of one exchange.
+	windowBytes = 256 << 10
+	// reattachWait bounds the wait for a lost link before the outcome of a
+	// non-idempotent request is given as unknown.
+	reattachWait = 10 * time.Second
+)
+
+// delivery is one request on its way to a whole answer.
+type delivery struct {
+	service *service
+	request api.Request
+	sink    api.Sink
+	begin   time.Duration
+
+	// home is the only upstream that may run the request, empty for any.
+	home        string
+	incarnation api.Incarnation
+	key         string
+	attempt     uint32
+	exclude     []string
+	// delivered counts the chunks that the caller has.
+	delivered uint64
+	headSent  bool
+	resumable bool
+	// uncertain is set once a send may have run.
+	uncertain bool
+}
+
+// bind settles where a request with a caller's key belongs.
+func (d *delivery) bind() *api.Failure {
+	r := d.request
+	if r.Idempotent || r.Key == "" {
+		return nil
+	}
+	home, incarnation, failure := d.service.home(r.Member, r.Service, r.Model, r.Key)
+	if failure != nil {
+		return failure
+	}
+	d.home, d.incarnation, d.key = home, incarnation, r.Key
+	return nil
+}
+
+func (d *delivery) run(ctx context.Context) api.End {
+	for {
+		end, sent := d.send(ctx)
+		if end.Failure == nil {
+			return end
+		}
+		if sent && end.Failure.Run != api.NotRun {
+			d.uncertain = true
+		}
+		if !d.again(ctx, end.Failure) {
+			return d.conclude(end)
+		}
+	}
+}
+
+// conclude words the failure for the caller. A key that the caller brought may
+// have been run by an earlier send through another router, so only the agent
+// that the key belongs to can say that it was not run.
+func (d *delivery) conclude(end api.End) api.End {
+	f := *end.Failure
+	if f.Run == api.NotRun && (d.uncertain || d.request.Key != "" && localRefusal(f.Code)) {
+		f.Run = api.Unknown
+	}
+	if f.Run == api.NotRun && d.headSent {
+		f.Run = api.Unknown
+	}
+	end.Failure = &f
+	return end
+}
+
+// localRefusal reports whether a code stems from this process rather than from
+// the agent.
+func localRefusal(code api.Code) bool {
+	switch code {
+	case api.CodeUpstreamUnreached, api.CodeNoUpstream, api.CodeNotReady, api.CodeCanceled, api.CodeInternal:
+		return true
+	}
+	return false
+}
+
+// again decides whether another send follows, and waits for it to be possible.
+func (d *delivery) again(ctx context.Context, f *api.Failure) bool {
+	if ctx.Err() != nil || d.attempt >= maxSends || d.attempt == 0 {
+		return false
+	}
+	if !d.repeatable(f) {
+		return false
+	}
+	if !d.service.admission.SpendRetry(d.request.Member) {
+		d.service.counts.denied.Add(1)
+		return false
+	}
+	d.service.counts.retries.Add(1)
+	if d.delivered > 0 {
+		d.service.counts.resumes.Add(1)
+	}
+	return d.home == "" || d.awaitHome(ctx)
+}
+
+func (d *delivery) repeatable(f *api.Failure) bool {
+	if !retryable(f.Code) {
+		return false
+	}
+	if d.headSent && !d.resumable {
+		return false
+	}
+	if d.request.Idempotent {
+		return true
+	}
+	if f.Run == api.NotRun && !d.uncertain {
+		// The send is known not to have run. A key of the caller's stays bound
+		// to its upstream, so sending it there again at once is of no use.
+		if d.request.Key != "" {
+			return false
+		}
+		d.unbind()
+		return true
+	}
+	// The agent that the key is bound to recognises a repeated key.
+	return d.key != "" && f.Code == api.CodeLinkLost
+}
+
+// unbind lets a request whose key this router made go to another upstream.
+func (d *delivery) unbind() { d.home, d.key, d.incarnation = "", "", 0 }
+
+// awaitHome waits until the link to the bound upstream is up again, and checks
+// that it leads to the incarnation that knows the key.
+func (d *delivery) awaitHome(ctx context.Context) bool {
+	wait, cancel := context.WithTimeout(ctx, reattachWait)
+	defer cancel()
+	state, ok := d.service.links.WaitUp(wait, d.home)
+	return ok && (d.incarnation == 0 || state.Incarnation == d.incarnation)
+}
+
+func retryable(code api.Code) bool {
+	switch code {
+	case api.CodeLinkLost, api.CodeStreamBroken, api.CodeUpstreamFailed, api.CodeUpstreamUnreached,
+		api.CodeWrongIncarnation, api.CodeStaleRevision, api.CodeZoneOut, api.CodeLeaving,
+		api.CodeShuttingDown, api.CodeQueueFull, api.CodeOverloaded, api.CodeColdUpstream,
+		api.CodeNotReady, api.CodeLedgerFull:
+		return true
+	}
+	return false
+}
+
+// send makes one attempt. The second result is false if nothing left this process.
+func (d *delivery) send(ctx context.Context) (api.End, bool) {
+	choice, failure := d.route(ctx)
+	if failure != nil {
+		return api.End{Failure: failure}, false
+	}
+	d.attempt++
+	a := &attempt{delivery: d, done: make(chan api.End, 1)}
+	order, failure := d.order(choice)
+	if failure != nil {
+		return api.End{Failure: failure}, false
+	}
+	a.send = order.Send
+	began := d.service.clock.Now()
+	exchange, err := d.service.links.Send(ctx, order, a)
+	if err != nil {
+		failure := asFailure(err, api.NotRun)
+		d.finish(choice, began, a, failure)
+		return api.End{Failure: failure}, false
+	}
+	end := a.wait(ctx, exchange, d.request.Idempotent)
+	d.finish(choice, began, a, end.Failure)
+	return end, true
+}
+
+func (d *delivery) finish(choice api.RouteChoice, began time.Duration, a *attempt, f *api.Failure) {
+	if f != nil {
+		d.exclude = append(d.exclude, choice.Upstream)
+	}
+	d.service.routing.Done(api.RouteResult{
+		Upstream:   choice.Upstream,
+		CostTokens: d.request.CostTokens,
+		Failure:    f,
+		FirstChunk: a.firstChunk,
+		Total:      d.service.clock.Now() - began,
+	})
+}
+
+func (d *delivery) route(ctx context.Context) (api.RouteChoice, *api.Failure) {
+	r := d.request
+	choice, failure := d.service.routing.Route(ctx, api.RouteQuery{
+		Member:     r.Member,
+		Model:      r.Model,
+		Service:    r.Service,
+		Prefix:     r.Prefix,
+		CostTokens: r.CostTokens,
+		Priority:   r.Priority,
+		Exclude:    d.exclusions(),
+		Only:       d.home,
+		Leaving:    d.home != "",
+	})
+	if failure != nil || r.Idempotent || d.key != "" {
+		return choice, failure
+	}
+	key, failure := d.service.mint(choice)
+	d.home, d.incarnation, d.key = choice.Upstream, choice.Incarnation, key
+	return choice, failure
+}
+
+func (d *delivery) exclusions() []string {
+	if d.home != "" {
+		return nil
+	}
+	return d.exclude
+}
+
+func (d *delivery) order(choice api.RouteChoice) (api.Order, *api.Failure) {
+	r := d.request
+	left := remaining(d.begin+r.Deadline, d.service.clock.Now())
+	if left == 0 {
+		return api.Order{}, api.Fail(api.CodeDeadlineExceeded, api.NotRun, "the deadline passed before the send")
+	}
+	incarnation := choice.Incarnation
+	if d.incarnation != 0 {
+		incarnation = d.incarnation
+	}
+	return api.Order{
+		Send:         api.SendID{Request: r.ID, Attempt: d.attempt},
+		Member:       r.Member,
+		Key:          d.key,
+		BodyHash:     xxhash.Sum64(r.Body),
+		Idempotent:   r.Idempotent,
+		Upstream:     choice.Upstream,
+		Incarnation:  incarnation,
+		Revision:     choice.Revision,
+		DeadlineLeft: left,
+		Priority:     r.Priority,
+		CostTokens:   r.CostTokens,
+		Fingerprint:  r.Fingerprint,
+		Model:        r.Model,
+		Method:       r.Method,
+		Path:         r.Path,
+		Headers:      r.Headers,
+		Body:         r.Body,
+		ResumeFrom:   d.delivered,
+		WindowBytes:  windowBytes,
+	}, nil
+}
+
+// attempt is the sink of one send. The mutex keeps a sink that was given up
+// from writing to the caller while the next one does.
+type attempt struct {
+	delivery   *delivery
+	send       api.SendID
+	exchange   api.Exchange
+	done       chan api.End
+	firstChunk time.Duration
+
+	mu       sync.Mutex
+	detached bool
+}
+
+// Bind receives the exchange before any answer.
+func (a *attempt) Bind(x api.Exchange) { a.exchange = x }
+
+// DetachedError reports an answer to an attempt that was given up.
+type DetachedError struct{}
+
+func (*DetachedError) Error() string { return "the attempt was given up" }
+
+// Head passes the head of the first attempt that gets one.
+func (a *attempt) Head(h api.Head) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.detached {
+		return &DetachedError{}
+	}
+	d := a.delivery
+	if d.headSent {
+		return nil
+	}
+	d.headSent, d.resumable = true, isEventStream(h)
+	return d.sink.Head(h)
+}
+
+func isEventStream(h api.Head) bool {
+	for _, header := range h.Headers {
+		if header.Name == "Content-Type" {
+			return len(header.Value) >= len(eventStream) && header.Value[:len(eventStream)] == eventStream
+		}
+	}
+	return false
+}
+
+const eventStream = "text/event-stream"
+
+// Chunk passes the next chunk in sequence.
+func (a *attempt) Chunk(c api.Chunk) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.detached {
+		a.delivery.service.counts.late.Add(1)
+		return &DetachedError{}
+	}
+	d := a.delivery
+	if c.Seq <= d.delivered {
+		d.service.counts.duplicate.Add(1)
+		return nil
+	}
+	if c.Seq != d.delivered+1 {
+		return &DetachedError{}
+	}
+	if a.firstChunk == 0 {
+		a.firstChunk = d.service.clock.Now() - d.begin
+	}
+	d.delivered = c.Seq
+	err := d.sink.Chunk(c)
+	if err == nil {
+		a.exchange.Consumed(uint32(len(c.Payload)))
+	}
+	return err
+}
+
+// Flush passes on that nothing more is at hand.
+func (a *attempt) Flush() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if f, ok := a.delivery.sink.(api.Flusher); ok && !a.detached {
+		f.Flush()
+	}
+}
+
+// End closes the attempt. A whole answer must have all its chunks.
+func (a *attempt) End(e api.End) {
+	if e.Failure == nil && e.Chunks != a.delivery.delivered {
+		e.Failure = api.Fail(api.CodeStreamBroken, api.Ran, "chunks of the answer are missing")
+	}
+	a.done <- e
+}
+
+// wait returns the end of the attempt. If the caller goes away, an idempotent
+// request is cancelled; any other runs on at its agent.
+func (a *attempt) wait(ctx context.Context, x api.Exchange, cancel bool) api.End {
+	select {
+	case e := <-a.done:
+		return e
+	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	a.detached = true
+	a.mu.Unlock()
+	if cancel {
+		x.Cancel()
+	}
+	if f, ok := context.Cause(ctx).(*api.Failure); ok {
+		return api.End{Failure: f}
+	}
+	return api.End{Failure: &api.Failure{Code: api.CodeCanceled, Run: api.Unknown, Err: context.Cause(ctx)}}
+}
--- /dev/null
+++ b/service/dispatch/dispatch.go
@@ -0,0 +1,156 @@
+// Package dispatch carries one request through routing, sends and retries to
+// a whole answer or a typed failure. It knows neither HTTP nor drpc.
+package dispatch
+
+import (
+	"context"
+	"crypto/rand"
+	"slices"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/idemkey"
+	"github.com/mulberryfork/mulberryfork/kernel"
+)
+
+// Register adds the service under its name.
+func Register(r *kernel.Registry) error {
+	return r.Register(api.ServiceDispatch, func() any { return &service{} })
+}
+
+type service struct {
+	store     api.ConfigStore
+	routing   api.Routing
+	links     api.Links
+	admission api.Admission
+	metrics   api.Metrics
+	clock     kernel.Clock
+	counts    counters
+}
+
+type counters struct {
+	retries, resumes, denied, queries, keys api.Counter
+	duplicate, foreign, late                api.Counter
+}
+
+func (s *service) Provision(c *kernel.Context) (err error) {
+	if s.store, err = kernel.Lookup[api.ConfigStore](c, api.ServiceConfigStore); err != nil {
+		return err
+	}
+	if s.routing, err = kernel.Lookup[api.Routing](c, api.ServiceRouting); err != nil {
+		return err
+	}
+	if s.links, err = kernel.Lookup[api.Links](c, api.ServiceTransportLinks); err != nil {
+		return err
+	}
+	if s.admission, err = kernel.Lookup[api.Admission](c, api.ServiceAdmission); err != nil {
+		return err
+	}
+	if s.metrics, err = kernel.Lookup[api.Metrics](c, api.ServiceMetrics); err != nil {
+		return err
+	}
+	s.clock = c.Clock()
+	s.counts = counters{
+		retries:   s.metrics.Counter("retries", ""),
+		resumes:   s.metrics.Counter("resumes", ""),
+		denied:    s.metrics.Counter("retries_denied", ""),
+		queries:   s.metrics.Counter("outcome_queries", ""),
+		keys:      s.metrics.Counter("keys_issued", ""),
+		duplicate: s.metrics.Counter("chunks_duplicate", ""),
+		foreign:   s.metrics.Counter("chunks_foreign", ""),
+		late:      s.metrics.Counter("chunks_late", ""),
+	}
+	return nil
+}
+
+// Dispatch answers one request through its sink.
+func (s *service) Dispatch(ctx context.Context, r api.Request, sink api.Sink) {
+	d := &delivery{service: s, request: r, sink: sink, begin: s.clock.Now(), delivered: r.ResumeFrom}
+	if failure := d.bind(); failure != nil {
+		sink.End(api.End{Failure: failure})
+		return
+	}
+	sink.End(d.run(ctx))
+}
+
+// IssueKey binds a new key to an upstream.
+func (s *service) IssueKey(ctx context.Context, member, model, service string) (string, *api.Failure) {
+	choice, failure := s.routing.Route(ctx, api.RouteQuery{Member: member, Model: model, Service: service})
+	if failure != nil {
+		return "", failure
+	}
+	s.routing.Done(api.RouteResult{Upstream: choice.Upstream})
+	key, failure := s.mint(choice)
+	if failure != nil {
+		return "", failure
+	}
+	return key, nil
+}
+
+func (s *service) mint(choice api.RouteChoice) (string, *api.Failure) {
+	var random [idemkey.RandomBytes]byte
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(random[:])
+	key, err := idemkey.New(choice.Upstream, choice.Incarnation, choice.Elapsed, random)
+	if err != nil {
+		return "", &api.Failure{Code: api.CodeInternal, Run: api.NotRun, Err: err}
+	}
+	s.counts.keys.Add(1)
+	return key.String(), nil
+}
+
+// Outcome asks the agent that a key belongs to.
+func (s *service) Outcome(ctx context.Context, member, service, key string) (api.Outcome, *api.Failure) {
+	upstream, _, failure := s.home(member, service, "", key)
+	if failure != nil {
+		return api.Outcome{Run: api.Unknown}, failure
+	}
+	s.counts.queries.Add(1)
+	o, err := s.links.Query(ctx, api.OutcomeQuery{Upstream: upstream, Member: member, Key: key})
+	if err != nil {
+		return api.Outcome{Run: api.Unknown}, asFailure(err, api.Unknown)
+	}
+	return o, nil
+}
+
+// home returns the upstream that a key belongs to, and its incarnation for a
+// bound key.
+func (s *service) home(member, service, model, text string) (string, api.Incarnation, *api.Failure) {
+	key, err := idemkey.Parse(text)
+	if err != nil {
+		return "", 0, &api.Failure{Code: api.CodeKeyMalformed, Run: api.NotRun, Err: err}
+	}
+	if key.Bound != nil {
+		return key.Bound.Upstream, key.Bound.Incarnation, nil
+	}
+	snap := s.store.Current()
+	if snap == nil {
+		return "", 0, api.Fail(api.CodeNotReady, api.Unknown, "no configuration yet")
+	}
+	upstream, ok := idemkey.Home(member, text, homes(snap.Config, service, model))
+	if !ok {
+		return "", 0, api.Fail(api.CodeNoUpstream, api.Unknown, "no upstream is configured for the key")
+	}
+	return upstream, 0, nil
+}
+
+// homes lists the configured upstreams among which a caller-made key is hashed.
+func homes(c *api.Config, service, model string) []string {
+	var names []string
+	for name, u := range c.Upstreams {
+		if service != "" && u.Service == service || service == "" && slices.Contains(u.Models, model) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func asFailure(err error, run api.RunState) *api.Failure {
+	if f, ok := err.(*api.Failure); ok {
+		return f
+	}
+	return &api.Failure{Code: api.CodeInternal, Run: run, Err: err}
+}
+
+func remaining(deadline, now time.Duration) time.Duration { return max(deadline-now, 0) }
--- /dev/null
+++ b/service/engine/engine.go
@@ -0,0 +1,168 @@
+// Package engine is the agent's adapter for its upstream: it sends an order as
+// an HTTP request and turns the answer into chunks.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"mime"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel"
+)
+
+const (
+	maxIdleConns = 512
+	// idleTimeout is shorter than that of usual servers, so that a request is
+	// rarely written to a connection that the server has just closed.
+	idleTimeout = 5 * time.Second
+	dialTimeout = time.Second
+	// headerResume tells an engine how many chunks to leave out.
+	headerResume    = "X-Resume-From"
+	headerPriority  = "X-Priority"
+	headerRequestID = "X-Request-Id"
+	headerKey       = "Idempotency-Key"
+)
+
+type service struct {
+	settings *api.Settings
+	metrics  api.Metrics
+	clock    kernel.Clock
+	client   *http.Client
+	runs     api.Counter
+}
+
+// Register adds the service under its name.
+func Register(r *kernel.Registry) error {
+	return r.Register(api.ServiceEngine, func() any { return &service{} })
+}
+
+func (s *service) Provision(c *kernel.Context) (err error) {
+	if s.settings, err = kernel.Value[*api.Settings](c); err != nil {
+		return err
+	}
+	if s.metrics, err = kernel.Lookup[api.Metrics](c, api.ServiceMetrics); err != nil {
+		return err
+	}
+	s.clock = c.Clock()
+	s.runs = s.metrics.Counter("engine_runs", "")
+	s.client = &http.Client{
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConns:        maxIdleConns,
+			MaxIdleConnsPerHost: maxIdleConns,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return nil
+}
+
+// Cleanup closes idle connections.
+func (s *service) Cleanup() {
+	if s.client != nil {
+		s.client.CloseIdleConnections()
+	}
+}
+
+// Run sends one order and streams its answer.
+func (s *service) Run(ctx context.Context, o api.Order, sink api.Sink) (api.Usage, *api.Failure) {
+	s.runs.Add(1)
+	begin := s.clock.Now()
+	usage, failure := s.run(ctx, o, sink, begin)
+	usage.Total = s.clock.Now() - begin
+	if failure != nil {
+		s.metrics.Counter("engine_failures", string(failure.Code)).Add(1)
+	}
+	return usage, failure
+}
+
+func (s *service) run(ctx context.Context, o api.Order, sink api.Sink, begin time.Duration) (api.Usage, *api.Failure) {
+	req, failure := s.request(ctx, o)
+	if failure != nil {
+		return api.Usage{}, failure
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return api.Usage{}, unanswered(ctx, err)
+	}
+	defer resp.Body.Close()
+	if err := sink.Head(api.Head{Send: o.Send, Status: resp.StatusCode, Headers: answerHeaders(resp.Header)}); err != nil {
+		return api.Usage{}, abandoned(err)
+	}
+	r := relay{clock: s.clock, begin: begin, sink: sink, send: o.Send, seq: o.ResumeFrom}
+	kind, _, _ := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	if kind == "text/event-stream" {
+		failure = r.events(resp.Body)
+	} else {
+		failure = r.bytes(resp.Body)
+	}
+	r.usage.Chunks = r.seq
+	return r.usage, failure
+}
+
+func (s *service) request(ctx context.Context, o api.Order) (*http.Request, *api.Failure) {
+	url := strings.TrimSuffix(s.settings.Engine.URL, "/") + o.Path
+	req, err := http.NewRequestWithContext(ctx, o.Method, url, nil)
+	if err != nil {
+		return nil, &api.Failure{Code: api.CodeBadRequest, Run: api.NotRun, Err: err}
+	}
+	for _, h := range o.Headers {
+		req.Header.Add(h.Name, h.Value)
+	}
+	if len(o.Body) > 0 || !o.Idempotent {
+		// Without GetBody, package net/http never sends a request a second time
+		// on its own, which it otherwise does for one with an idempotency key.
+		req.Body = io.NopCloser(bytes.NewReader(o.Body))
+		req.ContentLength = int64(len(o.Body))
+	}
+	req.Header.Set(headerRequestID, o.Send.Request)
+	if o.Key != "" {
+		req.Header.Set(headerKey, o.Key)
+	}
+	if o.Priority != 0 {
+		req.Header.Set(headerPriority, strconv.Itoa(int(o.Priority)))
+	}
+	if o.ResumeFrom > 0 {
+		req.Header.Set(headerResume, strconv.FormatUint(o.ResumeFrom, 10))
+	}
+	return req, nil
+}
+
+// unanswered classifies a request that got no response. Only a connection that
+// was never made proves that the upstream did not run it.
+func unanswered(ctx context.Context, err error) *api.Failure {
+	if ctx.Err() != nil {
+		return &api.Failure{Code: api.CodeCanceled, Run: api.Unknown, Err: context.Cause(ctx)}
+	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &api.Failure{Code: api.CodeUpstreamUnreached, Run: api.NotRun, Err: err}
+	}
+	return &api.Failure{Code: api.CodeUpstreamFailed, Run: api.Unknown, Err: err}
+}
+
+func abandoned(err error) *api.Failure {
+	return &api.Failure{Code: api.CodeCanceled, Run: api.Ran, Err: err}
+}
+
+// passedHeaders are the answer headers that reach the caller.
+var passedHeaders = []string{"Content-Type", "Content-Language", "Content-Disposition", "Location", "Retry-After", "Etag", "Cache-Control"}
+
+func answerHeaders(h http.Header) []api.Header {
+	var out []api.Header
+	for _, name := range passedHeaders {
+		for _, value := range h.Values(name) {
+			out = append(out, api.Header{Name: name, Value: value})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/service/frontend/frontend.go
@@ -0,0 +1,158 @@
+// Package frontend serves callers over HTTP: the OpenAI-compatible calls, plain
+// services and the outcomes of non-idempotent requests. It encodes and decodes
+// only; the dispatch service decides.
+package frontend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel"
+)
+
+// lastWords is the time that handlers get to tell callers the truth after the
+// deadline of a shutdown.
+const lastWords = 500 * time.Millisecond
+
+// Register adds the service under its name.
+func Register(r *kernel.Registry) error {
+	return r.Register(api.ServiceFrontendHTTP, func() any { return &service{} })
+}
+
+type service struct {
+	settings   *api.Settings
+	store      api.ConfigStore
+	admission  api.Admission
+	dispatcher api.Dispatcher
+	metrics    api.Metrics
+	clock      kernel.Clock
+
+	server   *http.Server
+	listener net.Listener
+	cancel   context.CancelCauseFunc
+}
+
+func (s *service) Provision(c *kernel.Context) (err error) {
+	if s.settings, err = kernel.Value[*api.Settings](c); err != nil {
+		return err
+	}
+	if s.store, err = kernel.Lookup[api.ConfigStore](c, api.ServiceConfigStore); err != nil {
+		return err
+	}
+	if s.admission, err = kernel.Lookup[api.Admission](c, api.ServiceAdmission); err != nil {
+		return err
+	}
+	if s.dispatcher, err = kernel.Lookup[api.Dispatcher](c, api.ServiceDispatch); err != nil {
+		return err
+	}
+	if s.metrics, err = kernel.Lookup[api.Metrics](c, api.ServiceMetrics); err != nil {
+		return err
+	}
+	s.clock = c.Clock()
+	return nil
+}
+
+// ListenError reports an address that cannot be served.
+type ListenError struct {
+	Address string
+	Err     error
+}
+
+func (e *ListenError) Error() string { return "listen on " + e.Address + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+func (s *service) Start(ctx context.Context) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", s.settings.Listen.HTTP)
+	if err != nil {
+		return &ListenError{Address: s.settings.Listen.HTTP, Err: err}
+	}
+	s.listener = listener
+	base, cancel := context.WithCancelCause(context.Background())
+	s.cancel = cancel
+	s.server = &http.Server{
+		Handler:           s.routes(),
+		ReadHeaderTimeout: time.Duration(s.settings.Limits.ReadTimeout),
+		MaxHeaderBytes:    s.settings.Limits.HeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return base },
+	}
+	go func() { _ = s.server.Serve(listener) }()
+	return nil
+}
+
+// Address returns the address served.
+func (s *service) Address() string { return s.listener.Addr().String() }
+
+// Stop lets running requests end. Those still running at the deadline are told
+// what is known of them.
+func (s *service) Stop(ctx context.Context) error {
+	if s.server == nil {
+		return nil
+	}
+	err := s.server.Shutdown(ctx)
+	if err == nil {
+		return nil
+	}
+	s.cancel(api.Fail(api.CodeShuttingDown, api.Unknown, "the router had to stop before the answer was whole"))
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWords)
+	defer cancel()
+	if s.server.Shutdown(last) != nil {
+		_ = s.server.Close()
+	}
+	return &StopError{Err: err}
+}
+
+// StopError reports requests that were cut off by the deadline of a shutdown.
+type StopError struct{ Err error }
+
+func (e *StopError) Error() string { return "requests were still running: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *StopError) Unwrap() error { return e.Err }
+
+func (s *service) routes() http.Handler {
+	r := chi.NewRouter()
+	r.NotFound(func(w http.ResponseWriter, _ *http.Request) {
+		writeFailure(w, api.Fail(api.CodeNotFound, api.NotRun, "no such path"))
+	})
+	r.MethodNotAllowed(func(w http.ResponseWriter, _ *http.Request) {
+		writeFailure(w, api.Fail(api.CodeMethodNotAllowed, api.NotRun, "the path does not take this method"))
+	})
+	r.Post("/v1/chat/completions", s.authenticated(s.complete))
+	r.Post("/v1/completions", s.authenticated(s.complete))
+	r.Get("/v1/models", s.authenticated(s.models))
+	r.Post("/v1/keys", s.authenticated(s.issueKey))
+	r.Get("/v1/outcomes/{key}", s.authenticated(s.outcome))
+	r.HandleFunc("/services/{service}/*", s.authenticated(s.plain))
+	return r
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, caller api.Caller)
+
+func (s *service) authenticated(next handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		caller, failure := s.admission.Authenticate(bearer(r))
+		if failure != nil {
+			s.fail(w, failure)
+			return
+		}
+		next(w, r, caller)
+	}
+}
+
+func (s *service) fail(w http.ResponseWriter, f *api.Failure) {
+	s.countFailure(f)
+	writeFailure(w, f)
+}
+
+func (s *service) countFailure(f *api.Failure) {
+	s.metrics.Counter("failures", string(f.Code)).Add(1)
+	s.metrics.Counter("failures_run", string(f.Run)).Add(1)
+}
--- /dev/null
+++ b/service/frontend/request.go
@@ -0,0 +1,253 @@
+package frontend
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/google/uuid"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/idempotency"
+	"github.com/mulberryfork/mulberryfork/decide/prompt"
+)
+
+// Headers of callers.
+const (
+	headerKey        = "Idempotency-Key"
+	headerIdempotent = "X-Idempotent"
+	headerTimeout    = "X-Request-Timeout"
+	headerPriority   = "X-Priority"
+	headerRequestID  = "X-Request-Id"
+	headerLastEvent  = "Last-Event-ID"
+
+	maxPriority = 9
+	// plainCostTokens is the cost of a call to a plain service.
+	plainCostTokens = 1
+)
+
+func bearer(r *http.Request) string {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return token
+}
+
+// completion is the part of a completion request that matters here.
+type completion struct {
+	Model               string `json:"model"`
+	Stream              bool   `json:"stream"`
+	MaxTokens           int    `json:"max_tokens"`
+	MaxCompletionTokens int    `json:"max_completion_tokens"`
+}
+
+func (c completion) maxOutput(m api.Model) int {
+	for _, n := range []int{c.MaxCompletionTokens, c.MaxTokens} {
+		if n > 0 {
+			return n
+		}
+	}
+	return m.MaxOutputTokens
+}
+
+func (s *service) complete(w http.ResponseWriter, r *http.Request, caller api.Caller) {
+	request, failure := s.completionRequest(r, caller)
+	if failure != nil {
+		s.fail(w, failure)
+		return
+	}
+	s.serve(w, r, request)
+}
+
+func (s *service) completionRequest(r *http.Request, caller api.Caller) (api.Request, *api.Failure) {
+	request, failure := s.baseRequest(r, caller)
+	if failure != nil {
+		return request, failure
+	}
+	var c completion
+	if err := json.Unmarshal(request.Body, &c); err != nil {
+		return request, badRequest("the body is not a JSON object: " + err.Error())
+	}
+	if c.Model == "" {
+		return request, badRequest("model is missing")
+	}
+	snap := s.store.Current()
+	if snap == nil {
+		return request, api.Fail(api.CodeNotReady, api.NotRun, "no configuration yet")
+	}
+	model, ok := snap.Config.Models[c.Model]
+	if !ok {
+		return request, api.Fail(api.CodeUnknownModel, api.NotRun, "no model "+c.Model)
+	}
+	request.Model, request.Stream = c.Model, c.Stream
+	request.Idempotent = idempotency.OfModel(model, callerMark(r))
+	request.Prefix = prompt.Prefixes(c.Model, promptText(request.Body))
+	request.CostTokens = prompt.Cost(len(request.Body), c.maxOutput(model))
+	return request, nil
+}
+
+// promptText returns the part of the body from the prompt on, so that requests
+// that differ in options before it still share prefixes.
+func promptText(body []byte) []byte {
+	var parts struct {
+		Messages json.RawMessage `json:"messages"`
+		Prompt   json.RawMessage `json:"prompt"`
+	}
+	if json.Unmarshal(body, &parts) != nil {
+		return body
+	}
+	if parts.Messages != nil {
+		return parts.Messages
+	}
+	return parts.Prompt
+}
+
+func (s *service) plain(w http.ResponseWriter, r *http.Request, caller api.Caller) {
+	request, failure := s.plainRequest(r, caller)
+	if failure != nil {
+		s.fail(w, failure)
+		return
+	}
+	s.serve(w, r, request)
+}
+
+func (s *service) plainRequest(r *http.Request, caller api.Caller) (api.Request, *api.Failure) {
+	request, failure := s.baseRequest(r, caller)
+	if failure != nil {
+		return request, failure
+	}
+	snap := s.store.Current()
+	if snap == nil {
+		return request, api.Fail(api.CodeNotReady, api.NotRun, "no configuration yet")
+	}
+	name := chi.URLParam(r, "service")
+	plain, ok := snap.Config.Services[name]
+	if !ok {
+		return request, api.Fail(api.CodeUnknownService, api.NotRun, "no service "+name)
+	}
+	path := "/" + chi.URLParam(r, "*")
+	request.Service = name
+	request.Idempotent = idempotency.Of(plain, r.Method, path, callerMark(r))
+	request.Path = path
+	if r.URL.RawQuery != "" {
+		request.Path += "?" + r.URL.RawQuery
+	}
+	request.CostTokens = plainCostTokens
+	if plain.Timeout > 0 {
+		request.Deadline = min(request.Deadline, time.Duration(plain.Timeout))
+	}
+	return request, nil
+}
+
+func (s *service) baseRequest(r *http.Request, caller api.Caller) (api.Request, *api.Failure) {
+	body, failure := s.readBody(r)
+	if failure != nil {
+		return api.Request{}, failure
+	}
+	deadline, failure := parseTimeout(r.Header.Get(headerTimeout), time.Duration(s.settings.Limits.RequestTimeout))
+	if failure != nil {
+		return api.Request{}, failure
+	}
+	priority, failure := parsePriority(r.Header.Get(headerPriority))
+	if failure != nil {
+		return api.Request{}, failure
+	}
+	resume, failure := parseLastEvent(r.Header.Get(headerLastEvent))
+	if failure != nil {
+		return api.Request{}, failure
+	}
+	id, err := uuid.NewV7()
+	if err != nil {
+		return api.Request{}, &api.Failure{Code: api.CodeInternal, Run: api.NotRun, Err: err}
+	}
+	return api.Request{
+		ID:          id.String(),
+		Member:      caller.Member,
+		Key:         r.Header.Get(headerKey),
+		Method:      r.Method,
+		Path:        r.URL.Path,
+		Headers:     passedHeaders(r.Header),
+		Body:        body,
+		Priority:    priority,
+		Deadline:    deadline,
+		ResumeFrom:  resume,
+		Fingerprint: prompt.Fingerprint(caller.Member, r.URL.Path, body),
+	}, nil
+}
+
+func (s *service) readBody(r *http.Request) ([]byte, *api.Failure) {
+	limited := http.MaxBytesReader(nil, r.Body, s.settings.Limits.BodyBytes)
+	body, err := io.ReadAll(limited)
+	if err == nil {
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, api.Fail(api.CodeBodyTooLarge, api.NotRun, "the body exceeds "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+	}
+	return nil, &api.Failure{Code: api.CodeBadRequest, Run: api.NotRun, Err: err}
+}
+
+func parsePriority(text string) (int32, *api.Failure) {
+	if text == "" {
+		return 0, nil
+	}
+	p, err := strconv.Atoi(text)
+	if err != nil || p < -maxPriority || p > maxPriority {
+		return 0, badRequest(headerPriority + " must be between -9 and 9")
+	}
+	return int32(p), nil
+}
+
+// parseLastEvent reads the number of chunks that a reconnecting caller has
+// from an event id of the form "request:sequence".
+func parseLastEvent(text string) (uint64, *api.Failure) {
+	if text == "" {
+		return 0, nil
+	}
+	_, seq, ok := strings.Cut(text, ":")
+	n, err := strconv.ParseUint(seq, 10, 64)
+	if !ok || err != nil {
+		return 0, badRequest(headerLastEvent + " is not an event id of this service")
+	}
+	return n, nil
+}
+
+func callerMark(r *http.Request) idempotency.Mark {
+	switch strings.ToLower(r.Header.Get(headerIdempotent)) {
+	case "true":
+		return idempotency.MarkedIdempotent
+	case "false":
+		return idempotency.MarkedNonIdempotent
+	}
+	return idempotency.Unmarked
+}
+
+// withheldHeaders end at the router, by RFC 9110 section 7.6.1 or because the
+// router gives them a meaning of its own.
+var withheldHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+	"Authorization": true, "Accept-Encoding": true, "Expect": true,
+	headerKey: true, headerIdempotent: true, headerTimeout: true, headerPriority: true,
+	headerRequestID: true, "Last-Event-Id": true, "X-Resume-From": true,
+}
+
+func passedHeaders(h http.Header) []api.Header {
+	var out []api.Header
+	for name, values := range h {
+		if withheldHeaders[name] {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, api.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/service/linkserver/link.go
@@ -0,0 +1,280 @@
+package linkserver
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/wire"
+)
+
+const (
+	outboundFrames = 1024
+	// batchFrames and batchBytes bound what one write packs.
+	batchFrames = 256
+	batchBytes  = 256 << 10
+	// reportInterval is the shortest time between two load reports on a link.
+	reportInterval = 100 * time.Millisecond
+	// defaultWindow is the credit of an order that names none.
+	defaultWindow = 256 << 10
+)
+
+// link is one stream from a router. Orders run on goroutines of their own and
+// share the writer, which packs their frames.
+type link struct {
+	server   *service
+	stream   wire.DRPCLink_OpenStream
+	ctx      context.Context
+	cancel   context.CancelFunc
+	outbound chan *wire.AgentFrame
+	seen     atomic.Uint64
+
+	mu     sync.Mutex
+	orders map[api.SendID]*order
+}
+
+func newLink(s *service, stream wire.DRPCLink_OpenStream) *link {
+	ctx, cancel := context.WithCancel(stream.Context())
+	return &link{
+		server:   s,
+		stream:   stream,
+		ctx:      ctx,
+		cancel:   cancel,
+		outbound: make(chan *wire.AgentFrame, outboundFrames),
+		orders:   make(map[api.SendID]*order),
+	}
+}
+
+func (l *link) serve(rest []*wire.RouterFrame) error {
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		l.write()
+	}()
+	defer func() {
+		l.cancel()
+		<-written
+	}()
+	for {
+		for _, f := range rest {
+			l.handle(f)
+		}
+		batch, err := l.stream.Recv()
+		if err != nil {
+			if isCanceled(err) {
+				return nil
+			}
+			return err
+		}
+		rest = batch.GetFrames()
+	}
+}
+
+func (l *link) handle(f *wire.RouterFrame) {
+	switch body := f.GetBody().(type) {
+	case *wire.RouterFrame_Order:
+		l.seen.Add(1)
+		l.begin(wire.ToOrder(body.Order))
+	case *wire.RouterFrame_Cancel:
+		if o := l.find(body.Cancel.GetRequest(), body.Cancel.GetAttempt()); o != nil {
+			o.cancel()
+		}
+	case *wire.RouterFrame_Credit:
+		if o := l.find(body.Credit.GetRequest(), body.Credit.GetAttempt()); o != nil {
+			o.grant(int64(body.Credit.GetBytes()))
+		}
+	case *wire.RouterFrame_Query:
+		go l.query(body.Query)
+	}
+}
+
+func (l *link) query(m *wire.Query) {
+	outcome := l.server.work.Outcome(l.ctx, wire.ToQuery(m))
+	l.post(&wire.AgentFrame{Body: &wire.AgentFrame_Outcome{Outcome: wire.FromOutcome(m.GetId(), outcome)}})
+}
+
+func (l *link) begin(o api.Order) {
+	l.server.counts.orders.Add(1)
+	if o.WindowBytes == 0 {
+		o.WindowBytes = defaultWindow
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	running := &order{link: l, send: o.Send, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1)}
+	running.credit.Store(int64(o.WindowBytes))
+	if !l.add(running) {
+		cancel()
+		l.server.counts.replayed.Add(1)
+		return
+	}
+	l.server.orders.Add(1)
+	go func() {
+		defer l.server.orders.Done()
+		defer l.remove(running)
+		l.server.work.Execute(ctx, o, running)
+	}()
+}
+
+func (l *link) add(o *order) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.orders[o.send]; ok {
+		return false
+	}
+	l.orders[o.send] = o
+	return true
+}
+
+func (l *link) remove(o *order) {
+	l.mu.Lock()
+	delete(l.orders, o.send)
+	l.mu.Unlock()
+	o.cancel()
+}
+
+func (l *link) find(request string, attempt uint32) *order {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.orders[api.SendID{Request: request, Attempt: attempt}]
+}
+
+func (l *link) post(f *wire.AgentFrame) bool {
+	select {
+	case l.outbound <- f:
+		return true
+	case <-l.ctx.Done():
+		return false
+	}
+}
+
+// write sends frames as they come, a load report after a change of load but
+// not more often than the report interval, and a heartbeat when idle.
+func (l *link) write() {
+	defer l.cancel()
+	if !l.flush(l.hello(), l.report()) {
+		return
+	}
+	_, changed := l.server.work.Load()
+	timer := time.NewTimer(wire.HeartbeatInterval)
+	defer timer.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case f := <-l.outbound:
+			if !l.flush(l.pack(f)...) {
+				return
+			}
+		case <-changed:
+			changed = nil
+			timer.Reset(max(reportInterval-time.Since(last), 0))
+		case <-timer.C:
+			if !l.flush(l.report()) {
+				return
+			}
+			last = time.Now()
+			_, changed = l.server.work.Load()
+			timer.Reset(wire.HeartbeatInterval)
+		}
+	}
+}
+
+func (l *link) flush(frames ...*wire.AgentFrame) bool {
+	return l.stream.Send(&wire.AgentBatch{Frames: frames}) == nil
+}
+
+func (l *link) pack(first *wire.AgentFrame) []*wire.AgentFrame {
+	frames := []*wire.AgentFrame{first}
+	size := len(first.GetChunk().GetPayload())
+	for len(frames) < batchFrames && size < batchBytes {
+		select {
+		case f := <-l.outbound:
+			frames = append(frames, f)
+			size += len(f.GetChunk().GetPayload())
+		default:
+			return frames
+		}
+	}
+	return frames
+}
+
+func (l *link) hello() *wire.AgentFrame {
+	var revision uint64
+	if snap := l.server.store.Current(); snap != nil {
+		revision = snap.Revision
+	}
+	return &wire.AgentFrame{Body: &wire.AgentFrame_Hello{Hello: &wire.Hello{
+		Version:     wire.ProtocolVersion,
+		Node:        l.server.settings.Node,
+		Upstream:    l.server.settings.Upstream,
+		Incarnation: uint64(l.server.work.Incarnation()),
+		ElapsedNs:   uint64(l.server.work.Elapsed()),
+		Revision:    revision,
+	}}}
+}
+
+func (l *link) report() *wire.AgentFrame {
+	load, _ := l.server.work.Load()
+	load.SeenOrders = l.seen.Load()
+	load.Elapsed = l.server.work.Elapsed()
+	return &wire.AgentFrame{Body: &wire.AgentFrame_Load{Load: wire.FromLoad(load)}}
+}
+
+// order is the sink of one order: it turns the answer into frames and holds
+// the engine back while the router has granted no credit.
+type order struct {
+	link   *link
+	send   api.SendID
+	ctx    context.Context
+	cancel context.CancelFunc
+	credit atomic.Int64
+	wake   chan struct{}
+}
+
+func (o *order) grant(bytes int64) {
+	o.credit.Add(bytes)
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// LostError reports an answer that nobody waits for.
+type LostError struct{}
+
+func (*LostError) Error() string { return "the router no longer waits for this answer" }
+
+// Head sends the head of the answer.
+func (o *order) Head(h api.Head) error {
+	h.Send = o.send
+	return o.post(&wire.AgentFrame{Body: &wire.AgentFrame_Head{Head: wire.FromHead(h)}})
+}
+
+// Chunk sends one chunk once there is credit for it.
+func (o *order) Chunk(c api.Chunk) error {
+	for o.credit.Load() <= 0 {
+		select {
+		case <-o.wake:
+		case <-o.ctx.Done():
+			return &LostError{}
+		}
+	}
+	o.credit.Add(-int64(len(c.Payload)))
+	c.Send = o.send
+	return o.post(&wire.AgentFrame{Body: &wire.AgentFrame_Chunk{Chunk: wire.FromChunk(c)}})
+}
+
+// End closes the answer.
+func (o *order) End(e api.End) {
+	e.Send = o.send
+	_ = o.post(&wire.AgentFrame{Body: &wire.AgentFrame_End{End: wire.FromEnd(e)}})
+}
+
+func (o *order) post(f *wire.AgentFrame) error {
+	if !o.link.post(f) {
+		return &LostError{}
+	}
+	return nil
+}
--- /dev/null
+++ b/service/linkserver/server.go
@@ -0,0 +1,224 @@
+// Package linkserver accepts links from routers and calls from peers, checks
+// the role in their certificates and hands orders to the agent's work service.
+package linkserver
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcctx"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/wire"
+)
+
+const (
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = 2 * time.Second
+	keepAliveCount    = 3
+)
+
+type service struct {
+	settings *api.Settings
+	trust    api.Trust
+	store    api.ConfigStore
+	work     api.Work
+	counts   counters
+
+	mux      *drpcmux.Mux
+	listener net.Listener
+	cancel   context.CancelFunc
+	draining chan struct{}
+	served   chan struct{}
+	orders   sync.WaitGroup
+}
+
+type counters struct {
+	foreign, refusedRole, orders, replayed api.Counter
+}
+
+// Register adds the service under its name.
+func Register(r *kernel.Registry) error {
+	return r.Register(api.ServiceTransportServer, func() any { return &service{mux: drpcmux.New()} })
+}
+
+func (s *service) Provision(c *kernel.Context) (err error) {
+	if s.settings, err = kernel.Value[*api.Settings](c); err != nil {
+		return err
+	}
+	if s.trust, err = kernel.Lookup[api.Trust](c, api.ServiceTrust); err != nil {
+		return err
+	}
+	if s.store, err = kernel.Lookup[api.ConfigStore](c, api.ServiceConfigStore); err != nil {
+		return err
+	}
+	work, present, err := kernel.LookupOptional[api.Work](c, api.ServiceWork)
+	if err != nil {
+		return err
+	}
+	metrics, err := kernel.Lookup[api.Metrics](c, api.ServiceMetrics)
+	if err != nil {
+		return err
+	}
+	s.counts = counters{
+		foreign:     metrics.Counter("server_foreign_frames", ""),
+		refusedRole: metrics.Counter("server_refused_role", ""),
+		orders:      metrics.Counter("server_orders", ""),
+		replayed:    metrics.Counter("server_replayed_orders", ""),
+	}
+	s.draining, s.served = make(chan struct{}), make(chan struct{})
+	if !present {
+		return nil
+	}
+	s.work = work
+	return wire.DRPCRegisterLink(s.mux, s)
+}
+
+// RegisterPeer adds the calls between any two processes.
+func (s *service) RegisterPeer(p wire.DRPCPeerServer) error { return wire.DRPCRegisterPeer(s.mux, p) }
+
+// RegisterGroup adds the calls between agents of one group.
+func (s *service) RegisterGroup(g wire.DRPCGroupServer) error {
+	return wire.DRPCRegisterGroup(s.mux, g)
+}
+
+// CheckRole refuses a caller whose certificate lacks a role.
+func (s *service) CheckRole(ctx context.Context, role string) error {
+	id, err := s.peer(ctx)
+	if err != nil {
+		return err
+	}
+	if role != "" && id.Role != "" && id.Role != role {
+		s.counts.refusedRole.Add(1)
+		return &api.TrustError{Reason: "role " + id.Role + " may not call this"}
+	}
+	return nil
+}
+
+func (s *service) peer(ctx context.Context) (api.PeerIdentity, error) {
+	transport, ok := drpcctx.Transport(ctx)
+	if !ok {
+		return api.PeerIdentity{}, &api.TrustError{Reason: "the call has no connection"}
+	}
+	conn, ok := transport.(net.Conn)
+	if !ok {
+		return api.PeerIdentity{}, &api.TrustError{Reason: "the connection is not a network connection"}
+	}
+	id, failure := s.trust.Peer(conn)
+	if failure != nil {
+		s.counts.refusedRole.Add(1)
+		return id, failure
+	}
+	return id, nil
+}
+
+func (s *service) Start(ctx context.Context) error {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     keepAliveIdle,
+		Interval: keepAliveInterval,
+		Count:    keepAliveCount,
+	}}
+	listener, err := config.Listen(ctx, "tcp", s.settings.Listen.Link)
+	if err != nil {
+		return &ListenError{Address: s.settings.Listen.Link, Err: err}
+	}
+	s.listener = listener
+	if secure := s.trust.Server(); secure != nil {
+		listener = tls.NewListener(listener, secure)
+	}
+	server := drpcserver.NewWithOptions(s.mux, drpcserver.Options{Manager: drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: wire.MessageBytes},
+	}})
+	serving, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	go func() {
+		defer close(s.served)
+		_ = server.Serve(serving, listener)
+	}()
+	return nil
+}
+
+// Address returns the address that links are accepted on.
+func (s *service) Address() string { return s.listener.Addr().String() }
+
+// ListenError reports an address that cannot be served.
+type ListenError struct {
+	Address string
+	Err     error
+}
+
+func (e *ListenError) Error() string { return "listen on " + e.Address + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// DrainError reports orders that were still running at the deadline.
+type DrainError struct{ Err error }
+
+func (e *DrainError) Error() string { return "orders still run: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *DrainError) Unwrap() error { return e.Err }
+
+// Stop waits for the running orders, whose answers need the links, and then
+// closes the links. New orders are refused by the work service meanwhile.
+func (s *service) Stop(ctx context.Context) error {
+	if s.cancel == nil {
+		return nil
+	}
+	close(s.draining)
+	done := make(chan struct{})
+	go func() { s.orders.Wait(); close(done) }()
+	var failure error
+	select {
+	case <-done:
+	case <-ctx.Done():
+		failure = &DrainError{Err: context.Cause(ctx)}
+	}
+	s.cancel()
+	_ = s.listener.Close()
+	<-s.served
+	return failure
+}
+
+// Open serves one link.
+func (s *service) Open(stream wire.DRPCLink_OpenStream) error {
+	if err := s.CheckRole(stream.Context(), api.RoleRouter); err != nil {
+		return err
+	}
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	hello := firstHello(first)
+	if hello == nil || hello.GetUpstream() != s.settings.Upstream {
+		s.counts.foreign.Add(1)
+		return &HelloError{}
+	}
+	l := newLink(s, stream)
+	return l.serve(first.GetFrames()[1:])
+}
+
+func firstHello(b *wire.RouterBatch) *wire.Hello {
+	if len(b.GetFrames()) == 0 {
+		return nil
+	}
+	return b.GetFrames()[0].GetHello()
+}
+
+// HelloError reports a link that did not begin with a hello for this upstream.
+type HelloError struct{}
+
+func (*HelloError) Error() string { return "a link must begin with a hello for this upstream" }
+
+func isCanceled(err error) bool { return errors.Is(err, context.Canceled) }
--- /dev/null
+++ b/service/metrics/metrics.go
@@ -0,0 +1,197 @@
+// Package metrics publishes the counters, gauges and histograms of a process
+// in the form of package expvar.
+package metrics
+
+import (
+	"encoding/base64"
+	"expvar"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel"
+)
+
+const (
+	// lowestMicros and highestMicros are the range of recorded durations.
+	lowestMicros  = 1
+	highestMicros = 600_000_000
+	// significantDigits of 2 keeps a histogram at about 25 KB; 350 members need three each.
+	significantDigits = 2
+	// maxLabels bounds the parts of one metric; the rest is summed as "other".
+	maxLabels = 1024
+)
+
+// Service publishes metrics. Each process of a test has its own, so it does
+// not use the global table of expvar.
+type Service struct {
+	vars  expvar.Map
+	loop  *kernel.Loop
+	known map[string]api.Metric
+
+	mu         sync.Mutex
+	counters   map[string]*expvar.Int
+	labels     map[string]int
+	histograms map[string]*histogram
+	unlisted   []string
+}
+
+// Register adds the service under its name.
+func Register(r *kernel.Registry) error {
+	return r.Register(api.ServiceMetrics, func() any { return New() })
+}
+
+// New returns an empty table.
+func New() *Service {
+	s := &Service{
+		known:      make(map[string]api.Metric, len(api.MetricTable)),
+		counters:   make(map[string]*expvar.Int),
+		labels:     make(map[string]int),
+		histograms: make(map[string]*histogram),
+	}
+	s.vars.Init()
+	for _, m := range api.MetricTable {
+		s.known[m.Name] = m
+	}
+	return s
+}
+
+// Provision publishes the counters of the control loop.
+func (s *Service) Provision(c *kernel.Context) error {
+	s.loop = c.Loop()
+	for name, read := range map[string]func(kernel.MailboxCounters) uint64{
+		"mailbox_posted":   func(m kernel.MailboxCounters) uint64 { return m.Posted },
+		"mailbox_dropped":  func(m kernel.MailboxCounters) uint64 { return m.Dropped },
+		"mailbox_replaced": func(m kernel.MailboxCounters) uint64 { return m.Replaced },
+		"mailbox_waited":   func(m kernel.MailboxCounters) uint64 { return m.Waited },
+	} {
+		s.vars.Set(name, expvar.Func(func() any {
+			values := make(map[string]uint64)
+			for _, m := range s.loop.Counters() {
+				values[m.Name] = read(m)
+			}
+			return values
+		}))
+	}
+	return nil
+}
+
+// Counter returns the counter of a name and label.
+func (s *Service) Counter(name, label string) api.Counter {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	label = s.boundLabel(name, label)
+	id := name + "\x00" + label
+	if c, ok := s.counters[id]; ok {
+		return c
+	}
+	s.note(name, api.MetricCounter)
+	c := new(expvar.Int)
+	s.counters[id] = c
+	if label == "" {
+		s.vars.Set(name, c)
+		return c
+	}
+	part, ok := s.vars.Get(name).(*expvar.Map)
+	if !ok {
+		part = new(expvar.Map).Init()
+		s.vars.Set(name, part)
+	}
+	part.Set(label, c)
+	return c
+}
+
+func (s *Service) boundLabel(name, label string) string {
+	if label == "" {
+		return ""
+	}
+	if _, ok := s.counters[name+"\x00"+label]; ok {
+		return label
+	}
+	if s.labels[name] >= maxLabels {
+		return "other"
+	}
+	s.labels[name]++
+	return label
+}
+
+// Gauge publishes a value that is read at each scrape.
+func (s *Service) Gauge(name string, read func() int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.note(name, api.MetricGauge)
+	s.vars.Set(name, expvar.Func(func() any { return read() }))
+}
+
+// Observe records a duration.
+func (s *Service) Observe(name, label string, d time.Duration) {
+	s.histogram(name, label).record(d)
+}
+
+func (s *Service) histogram(name, label string) *histogram {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := name + "\x00" + label
+	if h, ok := s.histograms[id]; ok {
+		return h
+	}
+	s.note(name, api.MetricHistogram)
+	h := &histogram{values: hdrhistogram.New(lowestMicros, highestMicros, significantDigits)}
+	s.histograms[id] = h
+	part, ok := s.vars.Get(name).(*expvar.Map)
+	if !ok {
+		part = new(expvar.Map).Init()
+		s.vars.Set(name, part)
+	}
+	part.Set(label, h)
+	return h
+}
+
+// note remembers metrics that the table lacks, so that a test can find them.
+func (s *Service) note(name string, kind api.MetricKind) {
+	if m, ok := s.known[name]; !ok || m.Kind != kind {
+		s.unlisted = append(s.unlisted, name)
+	}
+}
+
+// Unlisted returns the metrics in use that the table lacks.
+func (s *Service) Unlisted() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.unlisted...)
+}
+
+// JSON returns all metrics as expvar writes them.
+func (s *Service) JSON() string { return s.vars.String() }
+
+// histogram is an expvar.Var that keeps its whole distribution, so that a
+// reader can add several processes up without losing the tails.
+type histogram struct {
+	mu     sync.Mutex
+	values *hdrhistogram.Histogram
+}
+
+func (h *histogram) record(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	// A value beyond the range counts as the largest.
+	_ = h.values.RecordValue(min(max(d.Microseconds(), lowestMicros), highestMicros))
+}
+
+// String encodes count, quantiles and the compressed histogram as JSON.
+func (h *histogram) String() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	packed, err := h.values.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	if err != nil {
+		packed = nil
+	}
+	quantile := func(q float64) string { return strconv.FormatInt(h.values.ValueAtQuantile(q), 10) }
+	return `{"count":` + strconv.FormatInt(h.values.TotalCount(), 10) +
+		`,"p50":` + quantile(50) + `,"p95":` + quantile(95) + `,"p99":` + quantile(99) +
+		`,"p999":` + quantile(99.9) +
+		`,"hdr":"` + base64.StdEncoding.EncodeToString(packed) + `"}`
+}
--- /dev/null
+++ b/wire/codec.go
@@ -0,0 +1,296 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
+
+// ProtocolVersion is raised when a field changes meaning. A process answers a
+// lower version with what that version understands.
+const ProtocolVersion = 1
+
+const (
+	// MessageBytes bounds one message on a link.
+	MessageBytes = 8 << 20
+	// HeartbeatInterval is the longest time that an agent stays silent on a link.
+	HeartbeatInterval = 2 * time.Second
+	// SilenceLimit is when a router gives a link up.
+	SilenceLimit = 3 * HeartbeatInterval
+)
+
+// FromOrder encodes an order.
+func FromOrder(o api.Order) *Order {
+	return &Order{
+		Request:        o.Send.Request,
+		Attempt:        o.Send.Attempt,
+		Member:         o.Member,
+		Key:            o.Key,
+		BodyHash:       o.BodyHash,
+		Idempotent:     o.Idempotent,
+		Upstream:       o.Upstream,
+		Incarnation:    uint64(o.Incarnation),
+		Revision:       o.Revision,
+		DeadlineLeftNs: nanos(o.DeadlineLeft),
+		Priority:       o.Priority,
+		CostTokens:     o.CostTokens,
+		Fingerprint:    o.Fingerprint,
+		Model:          o.Model,
+		Method:         o.Method,
+		Path:           o.Path,
+		Headers:        fromHeaders(o.Headers),
+		Body:           o.Body,
+		ResumeFrom:     o.ResumeFrom,
+		WindowBytes:    o.WindowBytes,
+	}
+}
+
+// ToOrder decodes an order.
+func ToOrder(m *Order) api.Order {
+	return api.Order{
+		Send:         sendID(m),
+		Member:       m.GetMember(),
+		Key:          m.GetKey(),
+		BodyHash:     m.GetBodyHash(),
+		Idempotent:   m.GetIdempotent(),
+		Upstream:     m.GetUpstream(),
+		Incarnation:  api.Incarnation(m.GetIncarnation()),
+		Revision:     m.GetRevision(),
+		DeadlineLeft: time.Duration(m.GetDeadlineLeftNs()),
+		Priority:     m.GetPriority(),
+		CostTokens:   m.GetCostTokens(),
+		Fingerprint:  m.GetFingerprint(),
+		Model:        m.GetModel(),
+		Method:       m.GetMethod(),
+		Path:         m.GetPath(),
+		Headers:      toHeaders(m.GetHeaders()),
+		Body:         m.GetBody(),
+		ResumeFrom:   m.GetResumeFrom(),
+		WindowBytes:  m.GetWindowBytes(),
+	}
+}
+
+// FromHead encodes the head of an answer.
+func FromHead(h api.Head) *Head {
+	return &Head{
+		Request:  h.Send.Request,
+		Attempt:  h.Send.Attempt,
+		Status:   uint32(h.Status),
+		Headers:  fromHeaders(h.Headers),
+		Recorded: h.Recorded,
+	}
+}
+
+// ToHead decodes the head of an answer.
+func ToHead(m *Head) api.Head {
+	return api.Head{
+		Send:     sendID(m),
+		Status:   int(m.GetStatus()),
+		Headers:  toHeaders(m.GetHeaders()),
+		Recorded: m.GetRecorded(),
+	}
+}
+
+// FromChunk encodes a chunk.
+func FromChunk(c api.Chunk) *Chunk {
+	return &Chunk{
+		Request: c.Send.Request,
+		Attempt: c.Send.Attempt,
+		Seq:     c.Seq,
+		Payload: c.Payload,
+		Tokens:  c.Tokens,
+	}
+}
+
+// ToChunk decodes a chunk.
+func ToChunk(m *Chunk) api.Chunk {
+	return api.Chunk{
+		Send:    sendID(m),
+		Seq:     m.GetSeq(),
+		Payload: m.GetPayload(),
+		Tokens:  m.GetTokens(),
+	}
+}
+
+// FromEnd encodes the end of an answer.
+func FromEnd(e api.End) *End {
+	return &End{
+		Request: e.Send.Request,
+		Attempt: e.Send.Attempt,
+		Chunks:  e.Chunks,
+		Failure: FromFailure(e.Failure),
+	}
+}
+
+// ToEnd decodes the end of an answer.
+func ToEnd(m *End) api.End {
+	return api.End{
+		Send:    sendID(m),
+		Chunks:  m.GetChunks(),
+		Failure: ToFailure(m.GetFailure()),
+	}
+}
+
+// FromFailure encodes a failure, nil for none.
+func FromFailure(f *api.Failure) *Failure {
+	if f == nil {
+		return nil
+	}
+	detail := f.Detail
+	if f.Err != nil {
+		detail += ": " + f.Err.Error()
+	}
+	return &Failure{
+		Code:         string(f.Code),
+		Run:          string(f.Run),
+		Detail:       detail,
+		RetryAfterNs: nanos(f.RetryAfter),
+		BoundKey:     f.BoundKey,
+		Revision:     f.Revision,
+	}
+}
+
+// ToFailure decodes a failure. A run state that this build does not know
+// becomes unknown, which promises nothing.
+func ToFailure(m *Failure) *api.Failure {
+	if m == nil {
+		return nil
+	}
+	run := api.RunState(m.GetRun())
+	if run != api.Ran && run != api.NotRun {
+		run = api.Unknown
+	}
+	return &api.Failure{
+		Code:       api.Code(m.GetCode()),
+		Run:        run,
+		Detail:     m.GetDetail(),
+		RetryAfter: time.Duration(m.GetRetryAfterNs()),
+		BoundKey:   m.GetBoundKey(),
+		Revision:   m.GetRevision(),
+	}
+}
+
+// FromOutcome encodes the answer to a query.
+func FromOutcome(id uint64, o api.Outcome) *Outcome {
+	return &Outcome{
+		Id:       id,
+		Run:      string(o.Run),
+		Done:     o.Done,
+		Status:   uint32(o.Status),
+		Headers:  fromHeaders(o.Headers),
+		Body:     o.Body,
+		BodyKept: o.BodyKept,
+		Failure:  FromFailure(o.Failure),
+	}
+}
+
+// ToOutcome decodes the answer to a query.
+func ToOutcome(m *Outcome) api.Outcome {
+	run := api.RunState(m.GetRun())
+	if run != api.Ran && run != api.NotRun {
+		run = api.Unknown
+	}
+	return api.Outcome{
+		Run:      run,
+		Done:     m.GetDone(),
+		Status:   int(m.GetStatus()),
+		Headers:  toHeaders(m.GetHeaders()),
+		Body:     m.GetBody(),
+		BodyKept: m.GetBodyKept(),
+		Failure:  ToFailure(m.GetFailure()),
+	}
+}
+
+// FromQuery encodes a query.
+func FromQuery(id uint64, q api.OutcomeQuery) *Query {
+	m := &Query{Id: id, Upstream: q.Upstream, Member: q.Member, Key: q.Key}
+	if q.Send != nil {
+		m.Request, m.Attempt = q.Send.Request, q.Send.Attempt
+	}
+	return m
+}
+
+// ToQuery decodes a query.
+func ToQuery(m *Query) api.OutcomeQuery {
+	q := api.OutcomeQuery{Upstream: m.GetUpstream(), Member: m.GetMember(), Key: m.GetKey()}
+	if m.GetRequest() != "" {
+		send := sendID(m)
+		q.Send = &send
+	}
+	return q
+}
+
+// FromLoad encodes a load report.
+func FromLoad(l api.Load) *Load {
+	return &Load{
+		Upstream:      l.Upstream,
+		Incarnation:   uint64(l.Incarnation),
+		ElapsedNs:     nanos(l.Elapsed),
+		Revision:      l.Revision,
+		Running:       l.Running,
+		Queued:        l.Queued,
+		Tokens:        l.Tokens,
+		LimitRequests: l.LimitRequests,
+		LimitTokens:   l.LimitTokens,
+		Cold:          l.Cold,
+		Accepting:     l.Accepting,
+		SeenOrders:    l.SeenOrders,
+		StepTimeNs:    nanos(l.StepTime),
+		FirstTokenNs:  nanos(l.FirstToken),
+		Served:        l.Served,
+		PrefixAdded:   l.PrefixAdded,
+		PrefixDropped: l.PrefixDropped,
+		CacheSeq:      l.CacheSeq,
+	}
+}
+
+// ToLoad decodes a load report.
+func ToLoad(m *Load) api.Load {
+	return api.Load{
+		Upstream:      m.GetUpstream(),
+		Incarnation:   api.Incarnation(m.GetIncarnation()),
+		Elapsed:       time.Duration(m.GetElapsedNs()),
+		Revision:      m.GetRevision(),
+		Running:       m.GetRunning(),
+		Queued:        m.GetQueued(),
+		Tokens:        m.GetTokens(),
+		LimitRequests: m.GetLimitRequests(),
+		LimitTokens:   m.GetLimitTokens(),
+		Cold:          m.GetCold(),
+		Accepting:     m.GetAccepting(),
+		SeenOrders:    m.GetSeenOrders(),
+		StepTime:      time.Duration(m.GetStepTimeNs()),
+		FirstToken:    time.Duration(m.GetFirstTokenNs()),
+		Served:        m.GetServed(),
+		PrefixAdded:   m.GetPrefixAdded(),
+		PrefixDropped: m.GetPrefixDropped(),
+		CacheSeq:      m.GetCacheSeq(),
+	}
+}
+
+type sent interface {
+	GetRequest() string
+	GetAttempt() uint32
+}
+
+func sendID(m sent) api.SendID {
+	return api.SendID{Request: m.GetRequest(), Attempt: m.GetAttempt()}
+}
+
+func nanos(d time.Duration) uint64 { return uint64(max(d, 0)) }
+
+func fromHeaders(hs []api.Header) []*Header {
+	out := make([]*Header, len(hs))
+	for i, h := range hs {
+		out[i] = &Header{Name: h.Name, Value: h.Value}
+	}
+	return out
+}
+
+func toHeaders(ms []*Header) []api.Header {
+	out := make([]api.Header, len(ms))
+	for i, m := range ms {
+		out[i] = api.Header{Name: m.GetName(), Value: m.GetValue()}
+	}
+	return out
+}
