Merge and validate the configuration

A fuzz test checks that the merge does not panic and gives equal results and equal errors for the same files.

--- /dev/null
+++ b/decide/config/config_test.go
@@ -0,0 +1,192 @@
+package config_test
+
+import (
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	"pgregory.net/rapid"
+
+	"github.com/mulberryfork/mulberryfork/decide/config"
+	"github.com/mulberryfork/mulberryfork/decide/tomltree"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20260101", "rapid.checks": "200"} {
+		if !set[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func read(t testing.TB, path string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// Guards against bad input that is accepted, reported at the wrong place, or
+// hidden by another problem: each file is laid over a sound configuration.
+func TestBadInputIsReported(t *testing.T) {
+	paths, err := filepath.Glob("testdata/bad/*.toml")
+	if err != nil || len(paths) < 30 {
+		t.Fatalf("%d cases, %v", len(paths), err)
+	}
+	g := goldie.New(t, goldie.WithFixtureDir("testdata/bad"))
+	for _, path := range paths {
+		name := strings.TrimSuffix(filepath.Base(path), ".toml")
+		t.Run(name, func(t *testing.T) {
+			_, errs := config.Merge(map[string][]byte{
+				"10-base.toml": read(t, "testdata/base.toml"),
+				"20-bad.toml":  read(t, path),
+			})
+			if errs == nil {
+				t.Fatal("accepted")
+			}
+			var one *tomltree.Error
+			if !errors.As(errs, &one) {
+				t.Error("no typed error inside")
+			}
+			g.Assert(t, name, []byte(errs.Error()+"\n"))
+		})
+	}
+}
+
+// Guards against a sound configuration that is refused, and against defaults
+// that are lost or replace an explicit value.
+func TestSoundInputGetsDefaults(t *testing.T) {
+	r, errs := config.Merge(map[string][]byte{
+		"a.toml": read(t, "testdata/base.toml"),
+		"b.toml": nil,
+		"c.toml": []byte("[members.north]\nrequests_per_second = 0\nshare = 3\n[pool]\nretry_ratio = 0\n"),
+	})
+	if errs != nil {
+		t.Fatal(errs)
+	}
+	north := r.Config.Members["north"]
+	if north.Share != 3 || north.QueueRequests != config.DefaultQueueRequests || len(north.TokenHashes) != 1 {
+		t.Errorf("member %+v", north)
+	}
+	if r.Config.Pool.RetryRatio != 0 || r.Config.Pool.LedgerEntries != config.DefaultLedgerEntries {
+		t.Errorf("pool %+v", r.Config.Pool)
+	}
+	g := r.Config.Groups["g1"]
+	if g.SlotsPerRank != 3 {
+		t.Errorf("group %+v", g)
+	}
+}
+
+// Guards against provenance that names the wrong file after an override.
+func TestExplainNamesTheFileThatSetTheKey(t *testing.T) {
+	r, errs := config.Merge(map[string][]byte{
+		"a.toml": []byte("[members.north]\nshare = 1\n"),
+		"b.toml": []byte("# comment\n[members]\nnorth.share = 2\n"),
+		"c.toml": []byte("[members]\nnorth = {share = 4}\n"),
+	})
+	if errs != nil {
+		t.Fatal(errs)
+	}
+	found, err := r.Explain("members.north.share")
+	want := []config.Explanation{{
+		Key: "members.north.share", Value: "4",
+		Origin:   tomltree.Origin{File: "c.toml", Line: 2},
+		Overrode: []tomltree.Origin{{File: "a.toml", Line: 2}, {File: "b.toml", Line: 3}},
+	}}
+	if err != nil || !reflect.DeepEqual(found, want) {
+		t.Errorf("got %+v, %v", found, err)
+	}
+	if found, err := r.Explain("members.north"); err != nil || len(found) != 6 || !found[1].Default {
+		t.Errorf("table: %+v, %v", found, err)
+	}
+	var unknown *config.UnknownKeyError
+	if _, err := r.Explain("members.south"); !errors.As(err, &unknown) {
+		t.Errorf("unknown key: %v", err)
+	}
+}
+
+// Guards against files that are read without a bound.
+func TestSizeIsBounded(t *testing.T) {
+	comment := []byte("#" + strings.Repeat("x", config.MaxBytes/2))
+	_, errs := config.Merge(map[string][]byte{"a": comment, "b": comment, "c": nil})
+	if errs == nil || errs.All[0].Kind != tomltree.TooLarge || errs.All[0].File != "b" {
+		t.Errorf("got %v", errs)
+	}
+}
+
+// Guards against a digest that ignores names or the border between files.
+func TestDigestCoversNamesAndContents(t *testing.T) {
+	sets := []map[string][]byte{
+		{"a": []byte("x"), "b": nil}, {"a": nil, "b": []byte("x")}, {"ax": nil, "b": nil}, {"a": []byte("xb")}, {},
+	}
+	seen := map[uint64]int{}
+	for i, files := range sets {
+		d := config.Digest(files)
+		if j, ok := seen[d]; ok {
+			t.Errorf("sets %d and %d have one digest", j, i)
+		}
+		seen[d] = i
+	}
+}
+
+// Guards against a merge that depends on anything but the last file that sets
+// a key: the oracle is a plain loop over the files in order of their names.
+func TestLaterFileWins(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		files, want := map[string][]byte{}, map[string]float64{}
+		for _, file := range names {
+			text := ""
+			for _, member := range names {
+				if rapid.Bool().Draw(t, "set") {
+					share := rapid.SampledFrom([]string{"1", "2", "4"}).Draw(t, "share")
+					text += "[members." + member + "]\nshare = " + share + "\n"
+					want[member] = float64(share[0] - '0')
+				}
+			}
+			files[file] = []byte(text)
+		}
+		r, errs := config.Merge(files)
+		if errs != nil {
+			t.Fatal(errs)
+		}
+		for member, share := range want {
+			if got := r.Config.Members[member].Share; got != share {
+				t.Errorf("%s has %v, want %v", member, got, share)
+			}
+		}
+	})
+}
+
+// Guards against panics and against results that differ between processes,
+// for instance by the iteration order of a map.
+func FuzzMerge(f *testing.F) {
+	paths, _ := filepath.Glob("testdata/bad/*.toml")
+	for _, path := range paths {
+		f.Add(read(f, "testdata/base.toml"), read(f, path))
+	}
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		a, errsA := config.Merge(map[string][]byte{"1": first, "2": second})
+		b, errsB := config.Merge(map[string][]byte{"2": second, "1": first})
+		if !reflect.DeepEqual(errsA, errsB) {
+			t.Fatalf("errors differ:\n%v\n%v", errsA, errsB)
+		}
+		if (a == nil) == (errsA == nil) {
+			t.Fatal("neither or both of result and errors")
+		}
+		if a != nil && (a.Digest != b.Digest || !reflect.DeepEqual(a.Config, b.Config)) {
+			t.Fatal("results differ")
+		}
+	})
+}
--- /dev/null
+++ b/decide/config/defaults.go
@@ -0,0 +1,102 @@
+package config
+
+import (
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/tomltree"
+)
+
+// Defaults of keys that are absent. docs/operators/configuration-files.md
+// lists them.
+const (
+	DefaultRetryRatio        = 0.1
+	DefaultOutcomeRetention  = 15 * time.Minute
+	DefaultLedgerEntries     = 100_000
+	DefaultLedgerAnswerBytes = 64 << 10
+	DefaultWeightStoreMBps   = 1000.0
+	DefaultShare             = 1.0
+	DefaultQueueRequests     = 64
+	DefaultRegion            = "default"
+	DefaultMaxRequests       = 64
+	DefaultMaxTokens         = 262_144
+	DefaultColdRequests      = 2
+	DefaultMemoryMB          = 81_920
+	DefaultResendWindow      = 10 * time.Minute
+	DefaultTimeout           = 30 * time.Second
+	DefaultVersion           = "1"
+	DefaultContextTokens     = 32_768
+	DefaultMaxOutputTokens   = 1024
+	DefaultMinUpstreams      = 1
+	DefaultExpertMB          = 1.0
+)
+
+// set writes a default where the files leave the key out. An explicit zero
+// stays and is checked like any other value.
+func set[T any](tree *tomltree.Node, field *T, value T, path ...string) {
+	if tree.Get(path...) == nil {
+		*field = value
+	}
+}
+
+func applyDefaults(c *api.Config, tree *tomltree.Node) {
+	p := &c.Pool
+	set(tree, &p.RetryRatio, DefaultRetryRatio, "pool", "retry_ratio")
+	set(tree, &p.OutcomeRetention, api.Duration(DefaultOutcomeRetention), "pool", "outcome_retention")
+	set(tree, &p.LedgerEntries, DefaultLedgerEntries, "pool", "ledger_entries")
+	set(tree, &p.LedgerAnswerBytes, DefaultLedgerAnswerBytes, "pool", "ledger_answer_bytes")
+	set(tree, &p.WeightStoreMBps, DefaultWeightStoreMBps, "pool", "weight_store_mbps")
+	each(tree, c.Members, "members", memberDefaults)
+	each(tree, c.Zones, "zones", zoneDefaults)
+	each(tree, c.Upstreams, "upstreams", upstreamDefaults)
+	each(tree, c.Services, "services", plainDefaults)
+	each(tree, c.Models, "models", modelDefaults)
+	each(tree, c.Groups, "groups", groupDefaults)
+}
+
+func each[T any](tree *tomltree.Node, items map[string]T, table string, apply func(*tomltree.Node, *T)) {
+	for name, item := range items {
+		apply(tree.Get(table, name), &item)
+		items[name] = item
+	}
+}
+
+func memberDefaults(n *tomltree.Node, m *api.Member) {
+	set(n, &m.Share, DefaultShare, "share")
+	set(n, &m.QueueRequests, DefaultQueueRequests, "queue_requests")
+}
+
+func zoneDefaults(n *tomltree.Node, z *api.Zone) {
+	set(n, &z.Region, DefaultRegion, "region")
+	set(n, &z.State, api.ZoneIn, "state")
+}
+
+func upstreamDefaults(n *tomltree.Node, u *api.Upstream) {
+	set(n, &u.MaxRequests, DefaultMaxRequests, "max_requests")
+	set(n, &u.MaxTokens, DefaultMaxTokens, "max_tokens")
+	set(n, &u.ColdRequests, min(DefaultColdRequests, max(u.MaxRequests, 1)), "cold_requests")
+	if u.Kind == api.KindModel {
+		set(n, &u.MemoryMB, DefaultMemoryMB, "memory_mb")
+	}
+}
+
+func plainDefaults(n *tomltree.Node, p *api.Plain) {
+	set(n, &p.ResendWindow, api.Duration(DefaultResendWindow), "resend_window")
+	set(n, &p.Timeout, api.Duration(DefaultTimeout), "timeout")
+}
+
+func modelDefaults(n *tomltree.Node, m *api.Model) {
+	set(n, &m.Version, DefaultVersion, "version")
+	set(n, &m.ContextTokens, DefaultContextTokens, "context_tokens")
+	set(n, &m.MaxOutputTokens, min(DefaultMaxOutputTokens, max(m.ContextTokens, 1)), "max_output_tokens")
+	set(n, &m.MinUpstreams, DefaultMinUpstreams, "min_upstreams")
+}
+
+// groupDefaults gives each rank room for one replica beside its even part of
+// the experts.
+func groupDefaults(n *tomltree.Node, g *api.Group) {
+	if g.Ranks > 0 && g.Experts > 0 {
+		set(n, &g.SlotsPerRank, (g.Experts-1)/g.Ranks+2, "slots_per_rank")
+	}
+	set(n, &g.ExpertMB, DefaultExpertMB, "expert_mb")
+}
--- /dev/null
+++ b/decide/config/validate.go
@@ -0,0 +1,201 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/tomltree"
+)
+
+// Bounds of values. They keep sums and products of values within 64 bits.
+const (
+	minDuration   = api.Duration(time.Millisecond)
+	maxRetention  = api.Duration(24 * time.Hour)
+	maxTimeout    = api.Duration(time.Hour)
+	maxEntries    = 10_000_000
+	maxAnswer     = 16 << 20
+	maxMBps       = 1_000_000.0
+	minShare      = 0.001
+	maxShare      = 1_000_000.0
+	maxQueue      = 100_000
+	maxRate       = 1_000_000.0
+	maxRequests   = 100_000
+	maxTokens     = 1_000_000_000
+	maxMemoryMB   = 16 << 20
+	maxContext    = 100_000_000
+	maxUpstreams  = 100_000
+	maxRanks      = 4096
+	maxExperts    = 4096
+	maxLayers     = 1024
+	maxExpertMB   = 1_000_000.0
+	tokenHashSize = 64
+)
+
+func validate(config *api.Config, tree *tomltree.Node) []*Error {
+	c := &checker{config: config, tree: tree}
+	c.pool()
+	for _, n := range sortedNames(config.Zones) {
+		c.zone(n)
+	}
+	c.members()
+	c.upstreams()
+	for _, n := range sortedNames(config.Services) {
+		c.service(n)
+	}
+	for _, n := range sortedNames(config.Models) {
+		c.model(n)
+	}
+	c.groups()
+	for _, n := range sortedNames(config.Objectives) {
+		c.objective(n)
+	}
+	return c.errs
+}
+
+func (c *checker) pool() {
+	p := c.config.Pool
+	c.numberBetween(p.RetryRatio, 0, 1, "pool", "retry_ratio")
+	c.durationBetween(p.OutcomeRetention, api.Duration(time.Second), maxRetention, "pool", "outcome_retention")
+	c.wholeBetween(p.LedgerEntries, 1, maxEntries, "pool", "ledger_entries")
+	c.wholeBetween(p.LedgerAnswerBytes, 0, maxAnswer, "pool", "ledger_answer_bytes")
+	c.numberBetween(p.WeightStoreMBps, 0.001, maxMBps, "pool", "weight_store_mbps")
+}
+
+func (c *checker) zone(n string) {
+	z := c.config.Zones[n]
+	c.name(n, "zones", n)
+	c.name(z.Region, "zones", n, "region")
+	c.oneOf(string(z.State), []string{string(api.ZoneIn), string(api.ZoneOut)}, "zones", n, "state")
+}
+
+func (c *checker) members() {
+	owners := map[string]string{}
+	for _, n := range sortedNames(c.config.Members) {
+		m := c.config.Members[n]
+		c.name(n, "members", n)
+		c.numberBetween(m.Share, minShare, maxShare, "members", n, "share")
+		c.wholeBetween(m.QueueRequests, 1, maxQueue, "members", n, "queue_requests")
+		c.numberBetween(m.RequestsPerSecond, 0, maxRate, "members", n, "requests_per_second")
+		c.tokens(n, m.TokenHashes, owners)
+		c.placement(n, m)
+	}
+}
+
+var hexHash = regexp.MustCompile(fmt.Sprintf(`^[0-9a-f]{%d}$`, tokenHashSize))
+
+func (c *checker) tokens(member string, hashes []string, owners map[string]string) {
+	for i, h := range hashes {
+		if !hexHash.MatchString(h) {
+			c.fail(BadTokenHash, fmt.Sprintf("item %d is not a SHA-256 hash of %d lower-case hex digits", i+1, tokenHashSize),
+				"members", member, "token_hashes")
+			continue
+		}
+		if owner, ok := owners[h]; ok {
+			c.fail(DuplicateTokenHash, fmt.Sprintf("item %d also belongs to member %q", i+1, owner),
+				"members", member, "token_hashes")
+		}
+		owners[h] = member
+	}
+}
+
+func (c *checker) placement(n string, m api.Member) {
+	c.distinct(m.Zones, "members", n, "zones")
+	c.distinct(m.Upstreams, "members", n, "upstreams")
+	sound := true
+	for _, z := range m.Zones {
+		sound = reference(c, c.config.Zones, z, UnknownZone, "members", n, "zones") && sound
+	}
+	for _, u := range m.Upstreams {
+		sound = reference(c, c.config.Upstreams, u, UnknownUpstream, "members", n, "upstreams") && sound
+	}
+	if !sound || len(m.Zones) == 0 || len(m.Upstreams) == 0 {
+		return
+	}
+	inZones := func(u string) bool { return slices.Contains(m.Zones, c.config.Upstreams[u].Zone) }
+	if !slices.ContainsFunc(m.Upstreams, inZones) {
+		c.fail(NoAllowedUpstream, "none of the member's upstreams is in one of its zones", "members", n, "upstreams")
+	}
+}
+
+func (c *checker) service(n string) {
+	p := c.config.Services[n]
+	c.name(n, "services", n)
+	c.routes(n, "idempotent", p.Idempotent)
+	c.routes(n, "non_idempotent", p.NonIdempotent)
+	for _, r := range p.NonIdempotent {
+		if slices.Contains(p.Idempotent, r) {
+			c.fail(RouteConflict, fmt.Sprintf("%q is also listed as idempotent", r), "services", n, "non_idempotent")
+		}
+	}
+	c.durationBetween(p.Timeout, minDuration, maxTimeout, "services", n, "timeout")
+	c.durationBetween(p.ResendWindow, 0, maxRetention, "services", n, "resend_window")
+	if p.ResendWindow > c.config.Pool.OutcomeRetention {
+		c.fail(ExceedsRetention, fmt.Sprintf("%s is longer than pool.outcome_retention (%s): an agent would forget a key that callers may still resend",
+			text(p.ResendWindow), text(c.config.Pool.OutcomeRetention)), "services", n, "resend_window")
+	}
+}
+
+var route = regexp.MustCompile(`^(GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS) /[^\s?#*]*\*?$`)
+
+func (c *checker) routes(service, key string, list []string) {
+	c.distinct(list, "services", service, key)
+	for _, r := range list {
+		if !route.MatchString(r) {
+			c.fail(BadRoute, fmt.Sprintf("%q is not \"METHOD /path\" with at most one * at the end", r), "services", service, key)
+		}
+	}
+}
+
+// address checks an IP literal with a port. Host names are refused, since
+// processes meet by IP address only.
+func (c *checker) address(value string, path ...string) {
+	a, err := netip.ParseAddrPort(value)
+	if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
+		c.fail(tomltree.BadAddress, fmt.Sprintf("%q is not an IP address and port, such as \"10.0.0.1:7000\"", value), path...)
+	}
+}
+
+func (c *checker) objective(n string) {
+	o := c.config.Objectives[n]
+	c.name(n, "objectives", n)
+	if c.required("objectives", n, "target") && !(o.Target > 0 && o.Target < 1) {
+		c.fail(tomltree.OutOfRange, fmt.Sprintf("%v is not between 0 and 1, both excluded", o.Target), "objectives", n, "target")
+	}
+	if o.Member != "" {
+		reference(c, c.config.Members, o.Member, UnknownMember, "objectives", n, "member")
+	}
+	if o.Model != "" {
+		reference(c, c.config.Models, o.Model, UnknownModel, "objectives", n, "model")
+	}
+	if o.Service != "" {
+		reference(c, c.config.Services, o.Service, UnknownService, "objectives", n, "service")
+	}
+	if o.Model != "" && o.Service != "" {
+		c.fail(tomltree.NotApplicable, "an objective is for a model or for a service, not both", "objectives", n, "service")
+	}
+	c.objectiveKind(n, o)
+}
+
+func (c *checker) objectiveKind(n string, o api.Objective) {
+	kinds := []string{
+		string(api.ObjectiveAvailability), string(api.ObjectiveFirstToken),
+		string(api.ObjectiveTokenGap), string(api.ObjectiveAnswered),
+	}
+	if !c.required("objectives", n, "kind") || !c.oneOf(string(o.Kind), kinds, "objectives", n, "kind") {
+		return
+	}
+	timed := o.Kind == api.ObjectiveFirstToken || o.Kind == api.ObjectiveTokenGap
+	switch {
+	case timed && c.required("objectives", n, "threshold"):
+		c.durationBetween(o.Threshold, minDuration, maxTimeout, "objectives", n, "threshold")
+	case !timed && o.Threshold != 0:
+		c.fail(tomltree.NotApplicable, "only first_token and token_gap have a threshold", "objectives", n, "threshold")
+	}
+	if timed && o.Service != "" {
+		c.fail(tomltree.NotApplicable, fmt.Sprintf("%s applies to models", o.Kind), "objectives", n, "service")
+	}
+}
--- /dev/null
+++ b/decide/config/validate_upstream.go
@@ -0,0 +1,199 @@
+package config
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/tomltree"
+)
+
+func (c *checker) upstreams() {
+	agents := map[string]string{}
+	for _, n := range sortedNames(c.config.Upstreams) {
+		u := c.config.Upstreams[n]
+		c.name(n, "upstreams", n)
+		c.upstreamPlace(n, u, agents)
+		c.upstreamLimits(n, u)
+		c.upstreamKind(n, u)
+	}
+}
+
+func (c *checker) upstreamPlace(n string, u api.Upstream, agents map[string]string) {
+	if c.required("upstreams", n, "zone") {
+		reference(c, c.config.Zones, u.Zone, UnknownZone, "upstreams", n, "zone")
+	}
+	if c.tree.Get("upstreams", n, "vm") != nil {
+		c.name(u.VM, "upstreams", n, "vm")
+	}
+	if !c.required("upstreams", n, "agent") {
+		return
+	}
+	c.address(u.Agent, "upstreams", n, "agent")
+	if other, ok := agents[u.Agent]; ok {
+		c.fail(DuplicateAddress, fmt.Sprintf("%q is also the agent of upstream %q", u.Agent, other), "upstreams", n, "agent")
+	}
+	agents[u.Agent] = n
+}
+
+func (c *checker) upstreamLimits(n string, u api.Upstream) {
+	c.wholeBetween(u.MaxRequests, 1, maxRequests, "upstreams", n, "max_requests")
+	c.wholeBetween(u.MaxTokens, 1, maxTokens, "upstreams", n, "max_tokens")
+	c.wholeBetween(u.ColdRequests, 1, maxRequests, "upstreams", n, "cold_requests")
+	c.wholeBetween(u.MemoryMB, 0, maxMemoryMB, "upstreams", n, "memory_mb")
+	if u.ColdRequests > u.MaxRequests {
+		c.fail(ExceedsLimit, fmt.Sprintf("%d is more than max_requests (%d)", u.ColdRequests, u.MaxRequests),
+			"upstreams", n, "cold_requests")
+	}
+}
+
+func (c *checker) upstreamKind(n string, u api.Upstream) {
+	kinds := []string{string(api.KindModel), string(api.KindPlain)}
+	if !c.required("upstreams", n, "kind") || !c.oneOf(string(u.Kind), kinds, "upstreams", n, "kind") {
+		return
+	}
+	if u.Kind == api.KindPlain {
+		c.plainUpstream(n, u)
+		return
+	}
+	c.modelUpstream(n, u)
+}
+
+func (c *checker) plainUpstream(n string, u api.Upstream) {
+	if c.required("upstreams", n, "service") {
+		reference(c, c.config.Services, u.Service, UnknownService, "upstreams", n, "service")
+	}
+	for _, key := range []string{"models", "adapters", "memory_mb"} {
+		if c.tree.Get("upstreams", n, key) != nil {
+			c.fail(WrongKind, "a plain upstream has no "+key, "upstreams", n, key)
+		}
+	}
+}
+
+func (c *checker) modelUpstream(n string, u api.Upstream) {
+	if u.Service != "" {
+		c.fail(WrongKind, "a model upstream belongs to no service", "upstreams", n, "service")
+	}
+	c.distinct(u.Models, "upstreams", n, "models")
+	c.distinct(u.Adapters, "upstreams", n, "adapters")
+	if c.required("upstreams", n, "models") && len(u.Models) == 0 {
+		c.fail(tomltree.OutOfRange, "a model upstream serves at least one model", "upstreams", n, "models")
+	}
+	adapters := map[string]bool{}
+	for _, m := range u.Models {
+		if !reference(c, c.config.Models, m, UnknownModel, "upstreams", n, "models") {
+			continue
+		}
+		model := c.config.Models[m]
+		for _, a := range model.Adapters {
+			adapters[a] = true
+		}
+		if model.SizeMB > u.MemoryMB {
+			c.fail(MemoryExceeded, fmt.Sprintf("model %q needs %d MB, memory_mb is %d", m, model.SizeMB, u.MemoryMB),
+				"upstreams", n, "models")
+		}
+	}
+	for _, a := range u.Adapters {
+		reference(c, adapters, a, UnknownAdapter, "upstreams", n, "adapters")
+	}
+}
+
+func (c *checker) model(n string) {
+	m := c.config.Models[n]
+	c.modelName(n, "models", n)
+	c.modelName(m.Version, "models", n, "version")
+	c.distinct(m.Adapters, "models", n, "adapters")
+	for _, a := range m.Adapters {
+		c.modelName(a, "models", n, "adapters")
+	}
+	c.wholeBetween(m.SizeMB, 0, maxMemoryMB, "models", n, "size_mb")
+	c.wholeBetween(m.ContextTokens, 1, maxContext, "models", n, "context_tokens")
+	c.wholeBetween(m.MaxOutputTokens, 1, maxContext, "models", n, "max_output_tokens")
+	c.wholeBetween(m.MinUpstreams, 0, maxUpstreams, "models", n, "min_upstreams")
+	if m.MaxOutputTokens > m.ContextTokens {
+		c.fail(ExceedsLimit, fmt.Sprintf("%d is more than context_tokens (%d)", m.MaxOutputTokens, m.ContextTokens),
+			"models", n, "max_output_tokens")
+	}
+	served := 0
+	for _, u := range c.config.Upstreams {
+		if slices.Contains(u.Models, n) {
+			served++
+		}
+	}
+	if served < m.MinUpstreams {
+		c.fail(TooFewUpstreams, fmt.Sprintf("%d upstreams may serve the model, min_upstreams is %d", served, m.MinUpstreams),
+			"models", n, "min_upstreams")
+	}
+}
+
+func (c *checker) groups() {
+	hosts := map[string]string{}
+	for _, n := range sortedNames(c.config.Groups) {
+		g := c.config.Groups[n]
+		c.name(n, "groups", n)
+		c.groupSizes(n, g)
+		c.groupUpstreams(n, g, hosts)
+	}
+}
+
+func (c *checker) groupSizes(n string, g api.Group) {
+	bounds := []struct {
+		key        string
+		value, max int
+	}{{"ranks", g.Ranks, maxRanks}, {"experts", g.Experts, maxExperts}, {"layers", g.Layers, maxLayers}}
+	for _, b := range bounds {
+		if c.required("groups", n, b.key) {
+			c.wholeBetween(b.value, 1, b.max, "groups", n, b.key)
+		}
+	}
+	c.numberBetween(g.ExpertMB, 0, maxExpertMB, "groups", n, "expert_mb")
+	if g.Ranks < 1 || g.Experts < 1 {
+		return
+	}
+	c.wholeBetween(g.SlotsPerRank, 1, maxExperts, "groups", n, "slots_per_rank")
+	if g.SlotsPerRank >= 1 && g.SlotsPerRank < (g.Experts-1)/g.Ranks+1 {
+		c.fail(TooFewSlots, fmt.Sprintf("%d ranks of %d slots cannot hold %d experts", g.Ranks, g.SlotsPerRank, g.Experts),
+			"groups", n, "slots_per_rank")
+	}
+}
+
+func (c *checker) groupUpstreams(n string, g api.Group, hosts map[string]string) {
+	if c.required("groups", n, "model") {
+		reference(c, c.config.Models, g.Model, UnknownModel, "groups", n, "model")
+	}
+	if !c.required("groups", n, "upstreams") {
+		return
+	}
+	c.distinct(g.Upstreams, "groups", n, "upstreams")
+	if len(g.Upstreams) == 0 || g.Ranks%len(g.Upstreams) != 0 {
+		c.fail(UnevenRanks, fmt.Sprintf("%d ranks cannot be split evenly over %d upstreams", g.Ranks, len(g.Upstreams)),
+			"groups", n, "upstreams")
+	}
+	for _, u := range g.Upstreams {
+		if !reference(c, c.config.Upstreams, u, UnknownUpstream, "groups", n, "upstreams") {
+			continue
+		}
+		c.groupHost(n, g, u)
+		if other, ok := hosts[u]; ok && other != n {
+			c.fail(UpstreamShared, fmt.Sprintf("%q also hosts group %q", u, other), "groups", n, "upstreams")
+		}
+		hosts[u] = n
+	}
+}
+
+func (c *checker) groupHost(n string, g api.Group, upstream string) {
+	u := c.config.Upstreams[upstream]
+	if u.Kind != api.KindModel {
+		c.fail(WrongKind, fmt.Sprintf("%q is not a model upstream", upstream), "groups", n, "upstreams")
+		return
+	}
+	if !slices.Contains(u.Models, g.Model) {
+		c.fail(NotServed, fmt.Sprintf("%q may not serve model %q", upstream, g.Model), "groups", n, "upstreams")
+	}
+	perUpstream := float64(g.Ranks) / float64(len(g.Upstreams))
+	need := perUpstream * float64(g.SlotsPerRank) * float64(g.Layers) * g.ExpertMB
+	if need > float64(u.MemoryMB) {
+		c.fail(MemoryExceeded, fmt.Sprintf("%q needs %.0f MB for its ranks, memory_mb is %d", upstream, need, u.MemoryMB),
+			"groups", n, "upstreams")
+	}
+}
