--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,150 @@
+// Package daemon names the services of each program and builds its host. A
+// program that embeds mulberryfork starts from these lists and replaces
+// services by registering its own under their names.
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/service/adminhttp"
+	"github.com/mulberryfork/mulberryfork/service/admission"
+	"github.com/mulberryfork/mulberryfork/service/configsource"
+	"github.com/mulberryfork/mulberryfork/service/configstore"
+	"github.com/mulberryfork/mulberryfork/service/dispatch"
+	"github.com/mulberryfork/mulberryfork/service/engine"
+	"github.com/mulberryfork/mulberryfork/service/frontend"
+	"github.com/mulberryfork/mulberryfork/service/links"
+	"github.com/mulberryfork/mulberryfork/service/linkserver"
+	"github.com/mulberryfork/mulberryfork/service/log"
+	"github.com/mulberryfork/mulberryfork/service/metrics"
+	"github.com/mulberryfork/mulberryfork/service/routing"
+	"github.com/mulberryfork/mulberryfork/service/trust"
+	"github.com/mulberryfork/mulberryfork/service/work"
+)
+
+// common are the services of every process.
+var common = []string{
+	api.ServiceLog,
+	api.ServiceMetrics,
+	api.ServiceTrust,
+	api.ServiceConfigSource,
+	api.ServiceConfigStore,
+	api.ServiceAdminHTTP,
+}
+
+// RouterServices returns the names of a router's services.
+func RouterServices() []string {
+	return append(append([]string(nil), common...),
+		api.ServiceTransportLinks,
+		api.ServiceAdmission,
+		api.ServiceRouting,
+		api.ServiceDispatch,
+		api.ServiceFrontendHTTP,
+	)
+}
+
+// AgentServices returns the names of an agent's services.
+func AgentServices() []string {
+	return append(append([]string(nil), common...),
+		api.ServiceEngine,
+		api.ServiceWork,
+		api.ServiceTransportServer,
+	)
+}
+
+// Registry returns a registry with every service of mulberryfork.
+func Registry() (*kernel.Registry, error) {
+	r := kernel.NewRegistry()
+	for _, register := range []func(*kernel.Registry) error{
+		adminhttp.Register,
+		admission.Register,
+		configsource.Register,
+		configstore.Register,
+		dispatch.Register,
+		engine.Register,
+		frontend.Register,
+		links.Register,
+		linkserver.Register,
+		log.Register,
+		metrics.Register,
+		routing.Register,
+		trust.Register,
+		work.Register,
+	} {
+		if err := register(r); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+// Process is one running router or agent.
+type Process struct {
+	Host     *kernel.Host
+	settings *api.Settings
+}
+
+// Start builds and starts a process. Values replace defaults of services, such
+// as certificates made in memory.
+func Start(ctx context.Context, names []string, settings *api.Settings, values ...any) (*Process, error) {
+	registry, err := Registry()
+	if err != nil {
+		return nil, err
+	}
+	return StartWith(ctx, registry, names, settings, values...)
+}
+
+// StartWith is Start with a registry of the caller's.
+func StartWith(ctx context.Context, r *kernel.Registry, names []string, settings *api.Settings, values ...any) (*Process, error) {
+	host := kernel.NewHost(r, names, kernel.Options{Values: append(values, settings)})
+	if err := host.Start(ctx); err != nil {
+		return nil, err
+	}
+	return &Process{Host: host, settings: settings}, nil
+}
+
+// Stop shuts the process down gracefully within its deadline.
+func (p *Process) Stop(ctx context.Context) error {
+	limit, cancel := context.WithTimeout(ctx, time.Duration(p.settings.StopDeadline))
+	defer cancel()
+	return p.Host.Stop(limit)
+}
+
+type addressed interface{ Address() string }
+
+// Address returns the address that a listening service got.
+func (p *Process) Address(service string) (string, error) {
+	s, err := kernel.Find[addressed](p.Host, service)
+	if err != nil {
+		return "", err
+	}
+	return s.Address(), nil
+}
+
+// WaitConfigured waits until the process has a configuration in force.
+func (p *Process) WaitConfigured(ctx context.Context) error {
+	store, err := kernel.Find[api.ConfigStore](p.Host, api.ServiceConfigStore)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-store.Ready():
+		return nil
+	case <-ctx.Done():
+		return &NotReadyError{Service: api.ServiceConfigStore, Err: context.Cause(ctx)}
+	}
+}
+
+// NotReadyError reports a process that was not ready in time.
+type NotReadyError struct {
+	Service string
+	Err     error
+}
+
+func (e *NotReadyError) Error() string { return e.Service + " is not ready: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *NotReadyError) Unwrap() error { return e.Err }
