Validate process settings and read configuration folders

decide/settings reads a router's or an agent's settings file with defaults per role and refuses host names, since processes meet by IP address. The checks that it shares with decide/config move to decide/tomltree.

confdir reads a folder and renders the output of the check and explain commands; the output has golden files.

--- /dev/null
+++ b/confdir/confdir.go
@@ -0,0 +1,91 @@
+// Package confdir reads a folder of configuration files and renders the
+// results of checking and explaining it for a terminal.
+package confdir
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/mulberryfork/mulberryfork/decide/config"
+)
+
+// Suffix is the ending of the files that belong to the configuration.
+const Suffix = ".toml"
+
+// ReadError reports a folder or file that cannot be read.
+type ReadError struct {
+	Path string
+	Err  error
+}
+
+func (e *ReadError) Error() string { return fmt.Sprintf("cannot read %s: %v", e.Path, e.Err) }
+
+// Unwrap returns the failure of the file system.
+func (e *ReadError) Unwrap() error { return e.Err }
+
+// TooLargeError reports a folder whose files exceed the bound of a configuration.
+type TooLargeError struct {
+	Path     string
+	MaxBytes int
+}
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the files of %s exceed %d bytes", e.Path, e.MaxBytes)
+}
+
+// Read returns the files of a folder by name. Subfolders, hidden files and
+// files with another ending are left out.
+func Read(dir string) (map[string][]byte, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, &ReadError{Path: dir, Err: err}
+	}
+	files, left := map[string][]byte{}, config.MaxBytes
+	for _, entry := range entries {
+		name := entry.Name()
+		if entry.IsDir() || strings.HasPrefix(name, ".") || !strings.HasSuffix(name, Suffix) {
+			continue
+		}
+		data, err := readFile(filepath.Join(dir, name), left)
+		if err != nil {
+			return nil, err
+		}
+		left -= len(data)
+		if left < 0 {
+			return nil, &TooLargeError{Path: dir, MaxBytes: config.MaxBytes}
+		}
+		files[name] = data
+	}
+	return files, nil
+}
+
+// readFile reads at most one byte more than the limit.
+func readFile(path string, limit int) ([]byte, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, &ReadError{Path: path, Err: err}
+	}
+	defer func() { _ = f.Close() }()
+	data, err := io.ReadAll(io.LimitReader(f, int64(limit)+1))
+	if err != nil {
+		return nil, &ReadError{Path: path, Err: err}
+	}
+	return data, nil
+}
+
+// Load reads and merges a folder. A failure is a *ReadError, a *TooLargeError
+// or a *config.Errors.
+func Load(dir string) (*config.Result, error) {
+	files, err := Read(dir)
+	if err != nil {
+		return nil, err
+	}
+	result, errs := config.Merge(files)
+	if errs != nil {
+		return nil, errs
+	}
+	return result, nil
+}
--- /dev/null
+++ b/confdir/confdir_test.go
@@ -0,0 +1,56 @@
+package confdir_test
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/mulberryfork/mulberryfork/confdir"
+	"github.com/mulberryfork/mulberryfork/decide/config"
+)
+
+// Guards against output that scripts can no longer split by line and colon.
+func TestCheckOutput(t *testing.T) {
+	for _, name := range []string{"good", "bad"} {
+		var out bytes.Buffer
+		err := confdir.Check(&out, "testdata/"+name)
+		var problems *config.Errors
+		if errors.As(err, &problems) != (name == "bad") {
+			t.Errorf("%s: %v", name, err)
+		}
+		goldie.New(t).Assert(t, "check-"+name, out.Bytes())
+	}
+}
+
+// Guards against an explanation that hides an overridden file or a default.
+func TestExplainOutput(t *testing.T) {
+	var out bytes.Buffer
+	if err := confdir.Explain(&out, "testdata/good", "members.north"); err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "explain", out.Bytes())
+	var unknown *config.UnknownKeyError
+	if err := confdir.Explain(&out, "testdata/good", "members.south"); !errors.As(err, &unknown) {
+		t.Errorf("unknown key: %v", err)
+	}
+}
+
+// Guards against untyped failures and against reading large files as a whole.
+func TestUnreadableFolders(t *testing.T) {
+	var unread *confdir.ReadError
+	if _, err := confdir.Read(filepath.Join(t.TempDir(), "none")); !errors.As(err, &unread) {
+		t.Errorf("missing folder: %v", err)
+	}
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "a.toml"), make([]byte, config.MaxBytes+1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var large *confdir.TooLargeError
+	if _, err := confdir.Read(dir); !errors.As(err, &large) {
+		t.Errorf("large folder: %v", err)
+	}
+}
--- /dev/null
+++ b/confdir/render.go
@@ -0,0 +1,78 @@
+package confdir
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/mulberryfork/mulberryfork/decide/config"
+	"github.com/mulberryfork/mulberryfork/decide/tomltree"
+)
+
+// Check writes the problems of a folder, one per line in the form
+// "file:line: key: kind: message", or a summary if there are none. It returns
+// the failure of Load.
+func Check(w io.Writer, dir string) error {
+	result, err := Load(dir)
+	var problems *config.Errors
+	if errors.As(err, &problems) {
+		return errors.Join(err, write(w, problems.Error()+"\n"))
+	}
+	if err != nil {
+		return errors.Join(err, write(w, err.Error()+"\n"))
+	}
+	return write(w, summary(result))
+}
+
+// Explain writes where the value of a key comes from, for each key below it if
+// it names a table.
+func Explain(w io.Writer, dir, key string) error {
+	result, err := Load(dir)
+	if err != nil {
+		return err
+	}
+	found, err := result.Explain(key)
+	if err != nil {
+		return err
+	}
+	var b strings.Builder
+	for _, e := range found {
+		b.WriteString(explanation(e))
+	}
+	return write(w, b.String())
+}
+
+// WriteError reports output that could not be written.
+type WriteError struct{ Err error }
+
+func (e *WriteError) Error() string { return "cannot write the result: " + e.Err.Error() }
+
+// Unwrap returns the failure of the writer.
+func (e *WriteError) Unwrap() error { return e.Err }
+
+func write(w io.Writer, text string) error {
+	if _, err := io.WriteString(w, text); err != nil {
+		return &WriteError{Err: err}
+	}
+	return nil
+}
+
+func summary(r *config.Result) string {
+	c := r.Config
+	return fmt.Sprintf("ok: digest %016x, %d members, %d zones, %d upstreams, %d services, %d models, %d groups, %d objectives\n",
+		r.Digest, len(c.Members), len(c.Zones), len(c.Upstreams), len(c.Services), len(c.Models), len(c.Groups), len(c.Objectives))
+}
+
+func explanation(e config.Explanation) string {
+	if e.Default {
+		return fmt.Sprintf("%s = %s (default)\n", e.Key, e.Value)
+	}
+	text := fmt.Sprintf("%s = %s (%s)\n", e.Key, e.Value, place(e.Origin))
+	for _, o := range e.Overrode {
+		text += fmt.Sprintf("  overrides %s\n", place(o))
+	}
+	return text
+}
+
+func place(o tomltree.Origin) string { return fmt.Sprintf("%s:%d", o.File, o.Line) }
--- a/decide/config/defaults.go
+++ b/decide/config/defaults.go
@@ -31,21 +31,13 @@
 	DefaultExpertMB          = 1.0
 )
 
-// set writes a default where the files leave the key out. An explicit zero
-// stays and is checked like any other value.
-func set[T any](tree *tomltree.Node, field *T, value T, path ...string) {
-	if tree.Get(path...) == nil {
-		*field = value
-	}
-}
-
 func applyDefaults(c *api.Config, tree *tomltree.Node) {
 	p := &c.Pool
-	set(tree, &p.RetryRatio, DefaultRetryRatio, "pool", "retry_ratio")
-	set(tree, &p.OutcomeRetention, api.Duration(DefaultOutcomeRetention), "pool", "outcome_retention")
-	set(tree, &p.LedgerEntries, DefaultLedgerEntries, "pool", "ledger_entries")
-	set(tree, &p.LedgerAnswerBytes, DefaultLedgerAnswerBytes, "pool", "ledger_answer_bytes")
-	set(tree, &p.WeightStoreMBps, DefaultWeightStoreMBps, "pool", "weight_store_mbps")
+	tomltree.Default(tree, &p.RetryRatio, DefaultRetryRatio, "pool", "retry_ratio")
+	tomltree.Default(tree, &p.OutcomeRetention, api.Duration(DefaultOutcomeRetention), "pool", "outcome_retention")
+	tomltree.Default(tree, &p.LedgerEntries, DefaultLedgerEntries, "pool", "ledger_entries")
+	tomltree.Default(tree, &p.LedgerAnswerBytes, DefaultLedgerAnswerBytes, "pool", "ledger_answer_bytes")
+	tomltree.Default(tree, &p.WeightStoreMBps, DefaultWeightStoreMBps, "pool", "weight_store_mbps")
 	each(tree, c.Members, "members", memberDefaults)
 	each(tree, c.Zones, "zones", zoneDefaults)
 	each(tree, c.Upstreams, "upstreams", upstreamDefaults)
@@ -62,41 +54,41 @@
 }
 
 func memberDefaults(n *tomltree.Node, m *api.Member) {
-	set(n, &m.Share, DefaultShare, "share")
-	set(n, &m.QueueRequests, DefaultQueueRequests, "queue_requests")
+	tomltree.Default(n, &m.Share, DefaultShare, "share")
+	tomltree.Default(n, &m.QueueRequests, DefaultQueueRequests, "queue_requests")
 }
 
 func zoneDefaults(n *tomltree.Node, z *api.Zone) {
-	set(n, &z.Region, DefaultRegion, "region")
-	set(n, &z.State, api.ZoneIn, "state")
+	tomltree.Default(n, &z.Region, DefaultRegion, "region")
+	tomltree.Default(n, &z.State, api.ZoneIn, "state")
 }
 
 func upstreamDefaults(n *tomltree.Node, u *api.Upstream) {
-	set(n, &u.MaxRequests, DefaultMaxRequests, "max_requests")
-	set(n, &u.MaxTokens, DefaultMaxTokens, "max_tokens")
-	set(n, &u.ColdRequests, min(DefaultColdRequests, max(u.MaxRequests, 1)), "cold_requests")
+	tomltree.Default(n, &u.MaxRequests, DefaultMaxRequests, "max_requests")
+	tomltree.Default(n, &u.MaxTokens, DefaultMaxTokens, "max_tokens")
+	tomltree.Default(n, &u.ColdRequests, min(DefaultColdRequests, max(u.MaxRequests, 1)), "cold_requests")
 	if u.Kind == api.KindModel {
-		set(n, &u.MemoryMB, DefaultMemoryMB, "memory_mb")
+		tomltree.Default(n, &u.MemoryMB, DefaultMemoryMB, "memory_mb")
 	}
 }
 
 func plainDefaults(n *tomltree.Node, p *api.Plain) {
-	set(n, &p.ResendWindow, api.Duration(DefaultResendWindow), "resend_window")
-	set(n, &p.Timeout, api.Duration(DefaultTimeout), "timeout")
+	tomltree.Default(n, &p.ResendWindow, api.Duration(DefaultResendWindow), "resend_window")
+	tomltree.Default(n, &p.Timeout, api.Duration(DefaultTimeout), "timeout")
 }
 
 func modelDefaults(n *tomltree.Node, m *api.Model) {
-	set(n, &m.Version, DefaultVersion, "version")
-	set(n, &m.ContextTokens, DefaultContextTokens, "context_tokens")
-	set(n, &m.MaxOutputTokens, min(DefaultMaxOutputTokens, max(m.ContextTokens, 1)), "max_output_tokens")
-	set(n, &m.MinUpstreams, DefaultMinUpstreams, "min_upstreams")
+	tomltree.Default(n, &m.Version, DefaultVersion, "version")
+	tomltree.Default(n, &m.ContextTokens, DefaultContextTokens, "context_tokens")
+	tomltree.Default(n, &m.MaxOutputTokens, min(DefaultMaxOutputTokens, max(m.ContextTokens, 1)), "max_output_tokens")
+	tomltree.Default(n, &m.MinUpstreams, DefaultMinUpstreams, "min_upstreams")
 }
 
 // groupDefaults gives each rank room for one replica beside its even part of
 // the experts.
 func groupDefaults(n *tomltree.Node, g *api.Group) {
 	if g.Ranks > 0 && g.Experts > 0 {
-		set(n, &g.SlotsPerRank, (g.Experts-1)/g.Ranks+2, "slots_per_rank")
+		tomltree.Default(n, &g.SlotsPerRank, (g.Experts-1)/g.Ranks+2, "slots_per_rank")
 	}
-	set(n, &g.ExpertMB, DefaultExpertMB, "expert_mb")
+	tomltree.Default(n, &g.ExpertMB, DefaultExpertMB, "expert_mb")
 }
--- a/decide/config/validate.go
+++ b/decide/config/validate.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"regexp"
 	"slices"
 	"time"
@@ -13,9 +12,9 @@
 
 // Bounds of values. They keep sums and products of values within 64 bits.
 const (
-	minDuration   = api.Duration(time.Millisecond)
-	maxRetention  = api.Duration(24 * time.Hour)
-	maxTimeout    = api.Duration(time.Hour)
+	minDuration   = time.Millisecond
+	maxRetention  = 24 * time.Hour
+	maxTimeout    = time.Hour
 	maxEntries    = 10_000_000
 	maxAnswer     = 16 << 20
 	maxMBps       = 1_000_000.0
@@ -36,7 +35,7 @@
 )
 
 func validate(config *api.Config, tree *tomltree.Node) []*Error {
-	c := &checker{config: config, tree: tree}
+	c := &checker{Checker: tomltree.Checker{Tree: tree}, config: config}
 	c.pool()
 	for _, n := range sortedNames(config.Zones) {
 		c.zone(n)
@@ -53,23 +52,23 @@
 	for _, n := range sortedNames(config.Objectives) {
 		c.objective(n)
 	}
-	return c.errs
+	return c.Errs
 }
 
 func (c *checker) pool() {
 	p := c.config.Pool
-	c.numberBetween(p.RetryRatio, 0, 1, "pool", "retry_ratio")
-	c.durationBetween(p.OutcomeRetention, api.Duration(time.Second), maxRetention, "pool", "outcome_retention")
-	c.wholeBetween(p.LedgerEntries, 1, maxEntries, "pool", "ledger_entries")
-	c.wholeBetween(p.LedgerAnswerBytes, 0, maxAnswer, "pool", "ledger_answer_bytes")
-	c.numberBetween(p.WeightStoreMBps, 0.001, maxMBps, "pool", "weight_store_mbps")
+	c.NumberBetween(p.RetryRatio, 0, 1, "pool", "retry_ratio")
+	c.DurationBetween(time.Duration(p.OutcomeRetention), time.Second, maxRetention, "pool", "outcome_retention")
+	c.WholeBetween(p.LedgerEntries, 1, maxEntries, "pool", "ledger_entries")
+	c.WholeBetween(p.LedgerAnswerBytes, 0, maxAnswer, "pool", "ledger_answer_bytes")
+	c.NumberBetween(p.WeightStoreMBps, 0.001, maxMBps, "pool", "weight_store_mbps")
 }
 
 func (c *checker) zone(n string) {
 	z := c.config.Zones[n]
 	c.name(n, "zones", n)
 	c.name(z.Region, "zones", n, "region")
-	c.oneOf(string(z.State), []string{string(api.ZoneIn), string(api.ZoneOut)}, "zones", n, "state")
+	c.OneOf(string(z.State), []string{string(api.ZoneIn), string(api.ZoneOut)}, "zones", n, "state")
 }
 
 func (c *checker) members() {
@@ -77,9 +76,9 @@
 	for _, n := range sortedNames(c.config.Members) {
 		m := c.config.Members[n]
 		c.name(n, "members", n)
-		c.numberBetween(m.Share, minShare, maxShare, "members", n, "share")
-		c.wholeBetween(m.QueueRequests, 1, maxQueue, "members", n, "queue_requests")
-		c.numberBetween(m.RequestsPerSecond, 0, maxRate, "members", n, "requests_per_second")
+		c.NumberBetween(m.Share, minShare, maxShare, "members", n, "share")
+		c.WholeBetween(m.QueueRequests, 1, maxQueue, "members", n, "queue_requests")
+		c.NumberBetween(m.RequestsPerSecond, 0, maxRate, "members", n, "requests_per_second")
 		c.tokens(n, m.TokenHashes, owners)
 		c.placement(n, m)
 	}
@@ -90,12 +89,12 @@
 func (c *checker) tokens(member string, hashes []string, owners map[string]string) {
 	for i, h := range hashes {
 		if !hexHash.MatchString(h) {
-			c.fail(BadTokenHash, fmt.Sprintf("item %d is not a SHA-256 hash of %d lower-case hex digits", i+1, tokenHashSize),
+			c.Fail(BadTokenHash, fmt.Sprintf("item %d is not a SHA-256 hash of %d lower-case hex digits", i+1, tokenHashSize),
 				"members", member, "token_hashes")
 			continue
 		}
 		if owner, ok := owners[h]; ok {
-			c.fail(DuplicateTokenHash, fmt.Sprintf("item %d also belongs to member %q", i+1, owner),
+			c.Fail(DuplicateTokenHash, fmt.Sprintf("item %d also belongs to member %q", i+1, owner),
 				"members", member, "token_hashes")
 		}
 		owners[h] = member
@@ -103,8 +102,8 @@
 }
 
 func (c *checker) placement(n string, m api.Member) {
-	c.distinct(m.Zones, "members", n, "zones")
-	c.distinct(m.Upstreams, "members", n, "upstreams")
+	c.Distinct(m.Zones, "members", n, "zones")
+	c.Distinct(m.Upstreams, "members", n, "upstreams")
 	sound := true
 	for _, z := range m.Zones {
 		sound = reference(c, c.config.Zones, z, UnknownZone, "members", n, "zones") && sound
@@ -117,7 +116,7 @@
 	}
 	inZones := func(u string) bool { return slices.Contains(m.Zones, c.config.Upstreams[u].Zone) }
 	if !slices.ContainsFunc(m.Upstreams, inZones) {
-		c.fail(NoAllowedUpstream, "none of the member's upstreams is in one of its zones", "members", n, "upstreams")
+		c.Fail(NoAllowedUpstream, "none of the member's upstreams is in one of its zones", "members", n, "upstreams")
 	}
 }
 
@@ -128,42 +127,33 @@
 	c.routes(n, "non_idempotent", p.NonIdempotent)
 	for _, r := range p.NonIdempotent {
 		if slices.Contains(p.Idempotent, r) {
-			c.fail(RouteConflict, fmt.Sprintf("%q is also listed as idempotent", r), "services", n, "non_idempotent")
+			c.Fail(RouteConflict, fmt.Sprintf("%q is also listed as idempotent", r), "services", n, "non_idempotent")
 		}
 	}
-	c.durationBetween(p.Timeout, minDuration, maxTimeout, "services", n, "timeout")
-	c.durationBetween(p.ResendWindow, 0, maxRetention, "services", n, "resend_window")
+	c.DurationBetween(time.Duration(p.Timeout), minDuration, maxTimeout, "services", n, "timeout")
+	c.DurationBetween(time.Duration(p.ResendWindow), 0, maxRetention, "services", n, "resend_window")
 	if p.ResendWindow > c.config.Pool.OutcomeRetention {
-		c.fail(ExceedsRetention, fmt.Sprintf("%s is longer than pool.outcome_retention (%s): an agent would forget a key that callers may still resend",
-			text(p.ResendWindow), text(c.config.Pool.OutcomeRetention)), "services", n, "resend_window")
+		c.Fail(ExceedsRetention, fmt.Sprintf("%s is longer than pool.outcome_retention (%s): an agent would forget a key that callers may still resend",
+			time.Duration(p.ResendWindow), time.Duration(c.config.Pool.OutcomeRetention)), "services", n, "resend_window")
 	}
 }
 
 var route = regexp.MustCompile(`^(GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS) /[^\s?#*]*\*?$`)
 
 func (c *checker) routes(service, key string, list []string) {
-	c.distinct(list, "services", service, key)
+	c.Distinct(list, "services", service, key)
 	for _, r := range list {
 		if !route.MatchString(r) {
-			c.fail(BadRoute, fmt.Sprintf("%q is not \"METHOD /path\" with at most one * at the end", r), "services", service, key)
+			c.Fail(BadRoute, fmt.Sprintf("%q is not \"METHOD /path\" with at most one * at the end", r), "services", service, key)
 		}
 	}
 }
 
-// address checks an IP literal with a port. Host names are refused, since
-// processes meet by IP address only.
-func (c *checker) address(value string, path ...string) {
-	a, err := netip.ParseAddrPort(value)
-	if err != nil || a.Port() == 0 || a.Addr().IsUnspecified() {
-		c.fail(tomltree.BadAddress, fmt.Sprintf("%q is not an IP address and port, such as \"10.0.0.1:7000\"", value), path...)
-	}
-}
-
 func (c *checker) objective(n string) {
 	o := c.config.Objectives[n]
 	c.name(n, "objectives", n)
-	if c.required("objectives", n, "target") && !(o.Target > 0 && o.Target < 1) {
-		c.fail(tomltree.OutOfRange, fmt.Sprintf("%v is not between 0 and 1, both excluded", o.Target), "objectives", n, "target")
+	if c.Required("objectives", n, "target") && !(o.Target > 0 && o.Target < 1) {
+		c.Fail(tomltree.OutOfRange, fmt.Sprintf("%v is not between 0 and 1, both excluded", o.Target), "objectives", n, "target")
 	}
 	if o.Member != "" {
 		reference(c, c.config.Members, o.Member, UnknownMember, "objectives", n, "member")
@@ -175,7 +165,7 @@
 		reference(c, c.config.Services, o.Service, UnknownService, "objectives", n, "service")
 	}
 	if o.Model != "" && o.Service != "" {
-		c.fail(tomltree.NotApplicable, "an objective is for a model or for a service, not both", "objectives", n, "service")
+		c.Fail(tomltree.NotApplicable, "an objective is for a model or for a service, not both", "objectives", n, "service")
 	}
 	c.objectiveKind(n, o)
 }
@@ -185,17 +175,17 @@
 		string(api.ObjectiveAvailability), string(api.ObjectiveFirstToken),
 		string(api.ObjectiveTokenGap), string(api.ObjectiveAnswered),
 	}
-	if !c.required("objectives", n, "kind") || !c.oneOf(string(o.Kind), kinds, "objectives", n, "kind") {
+	if !c.Required("objectives", n, "kind") || !c.OneOf(string(o.Kind), kinds, "objectives", n, "kind") {
 		return
 	}
 	timed := o.Kind == api.ObjectiveFirstToken || o.Kind == api.ObjectiveTokenGap
 	switch {
-	case timed && c.required("objectives", n, "threshold"):
-		c.durationBetween(o.Threshold, minDuration, maxTimeout, "objectives", n, "threshold")
+	case timed && c.Required("objectives", n, "threshold"):
+		c.DurationBetween(time.Duration(o.Threshold), minDuration, maxTimeout, "objectives", n, "threshold")
 	case !timed && o.Threshold != 0:
-		c.fail(tomltree.NotApplicable, "only first_token and token_gap have a threshold", "objectives", n, "threshold")
+		c.Fail(tomltree.NotApplicable, "only first_token and token_gap have a threshold", "objectives", n, "threshold")
 	}
 	if timed && o.Service != "" {
-		c.fail(tomltree.NotApplicable, fmt.Sprintf("%s applies to models", o.Kind), "objectives", n, "service")
+		c.Fail(tomltree.NotApplicable, fmt.Sprintf("%s applies to models", o.Kind), "objectives", n, "service")
 	}
 }
--- a/decide/config/validate_upstream.go
+++ b/decide/config/validate_upstream.go
@@ -20,36 +20,36 @@
 }
 
 func (c *checker) upstreamPlace(n string, u api.Upstream, agents map[string]string) {
-	if c.required("upstreams", n, "zone") {
+	if c.Required("upstreams", n, "zone") {
 		reference(c, c.config.Zones, u.Zone, UnknownZone, "upstreams", n, "zone")
 	}
-	if c.tree.Get("upstreams", n, "vm") != nil {
+	if c.Tree.Get("upstreams", n, "vm") != nil {
 		c.name(u.VM, "upstreams", n, "vm")
 	}
-	if !c.required("upstreams", n, "agent") {
+	if !c.Required("upstreams", n, "agent") {
 		return
 	}
-	c.address(u.Agent, "upstreams", n, "agent")
+	c.Address(u.Agent, "upstreams", n, "agent")
 	if other, ok := agents[u.Agent]; ok {
-		c.fail(DuplicateAddress, fmt.Sprintf("%q is also the agent of upstream %q", u.Agent, other), "upstreams", n, "agent")
+		c.Fail(DuplicateAddress, fmt.Sprintf("%q is also the agent of upstream %q", u.Agent, other), "upstreams", n, "agent")
 	}
 	agents[u.Agent] = n
 }
 
 func (c *checker) upstreamLimits(n string, u api.Upstream) {
-	c.wholeBetween(u.MaxRequests, 1, maxRequests, "upstreams", n, "max_requests")
-	c.wholeBetween(u.MaxTokens, 1, maxTokens, "upstreams", n, "max_tokens")
-	c.wholeBetween(u.ColdRequests, 1, maxRequests, "upstreams", n, "cold_requests")
-	c.wholeBetween(u.MemoryMB, 0, maxMemoryMB, "upstreams", n, "memory_mb")
+	c.WholeBetween(u.MaxRequests, 1, maxRequests, "upstreams", n, "max_requests")
+	c.WholeBetween(u.MaxTokens, 1, maxTokens, "upstreams", n, "max_tokens")
+	c.WholeBetween(u.ColdRequests, 1, maxRequests, "upstreams", n, "cold_requests")
+	c.WholeBetween(u.MemoryMB, 0, maxMemoryMB, "upstreams", n, "memory_mb")
 	if u.ColdRequests > u.MaxRequests {
-		c.fail(ExceedsLimit, fmt.Sprintf("%d is more than max_requests (%d)", u.ColdRequests, u.MaxRequests),
+		c.Fail(ExceedsLimit, fmt.Sprintf("%d is more than max_requests (%d)", u.ColdRequests, u.MaxRequests),
 			"upstreams", n, "cold_requests")
 	}
 }
 
 func (c *checker) upstreamKind(n string, u api.Upstream) {
 	kinds := []string{string(api.KindModel), string(api.KindPlain)}
-	if !c.required("upstreams", n, "kind") || !c.oneOf(string(u.Kind), kinds, "upstreams", n, "kind") {
+	if !c.Required("upstreams", n, "kind") || !c.OneOf(string(u.Kind), kinds, "upstreams", n, "kind") {
 		return
 	}
 	if u.Kind == api.KindPlain {
@@ -60,24 +60,24 @@
 }
 
 func (c *checker) plainUpstream(n string, u api.Upstream) {
-	if c.required("upstreams", n, "service") {
+	if c.Required("upstreams", n, "service") {
 		reference(c, c.config.Services, u.Service, UnknownService, "upstreams", n, "service")
 	}
 	for _, key := range []string{"models", "adapters", "memory_mb"} {
-		if c.tree.Get("upstreams", n, key) != nil {
-			c.fail(WrongKind, "a plain upstream has no "+key, "upstreams", n, key)
+		if c.Tree.Get("upstreams", n, key) != nil {
+			c.Fail(WrongKind, "a plain upstream has no "+key, "upstreams", n, key)
 		}
 	}
 }
 
 func (c *checker) modelUpstream(n string, u api.Upstream) {
 	if u.Service != "" {
-		c.fail(WrongKind, "a model upstream belongs to no service", "upstreams", n, "service")
+		c.Fail(WrongKind, "a model upstream belongs to no service", "upstreams", n, "service")
 	}
-	c.distinct(u.Models, "upstreams", n, "models")
-	c.distinct(u.Adapters, "upstreams", n, "adapters")
-	if c.required("upstreams", n, "models") && len(u.Models) == 0 {
-		c.fail(tomltree.OutOfRange, "a model upstream serves at least one model", "upstreams", n, "models")
+	c.Distinct(u.Models, "upstreams", n, "models")
+	c.Distinct(u.Adapters, "upstreams", n, "adapters")
+	if c.Required("upstreams", n, "models") && len(u.Models) == 0 {
+		c.Fail(tomltree.OutOfRange, "a model upstream serves at least one model", "upstreams", n, "models")
 	}
 	adapters := map[string]bool{}
 	for _, m := range u.Models {
@@ -89,7 +89,7 @@
 			adapters[a] = true
 		}
 		if model.SizeMB > u.MemoryMB {
-			c.fail(MemoryExceeded, fmt.Sprintf("model %q needs %d MB, memory_mb is %d", m, model.SizeMB, u.MemoryMB),
+			c.Fail(MemoryExceeded, fmt.Sprintf("model %q needs %d MB, memory_mb is %d", m, model.SizeMB, u.MemoryMB),
 				"upstreams", n, "models")
 		}
 	}
@@ -102,16 +102,16 @@
 	m := c.config.Models[n]
 	c.modelName(n, "models", n)
 	c.modelName(m.Version, "models", n, "version")
-	c.distinct(m.Adapters, "models", n, "adapters")
+	c.Distinct(m.Adapters, "models", n, "adapters")
 	for _, a := range m.Adapters {
 		c.modelName(a, "models", n, "adapters")
 	}
-	c.wholeBetween(m.SizeMB, 0, maxMemoryMB, "models", n, "size_mb")
-	c.wholeBetween(m.ContextTokens, 1, maxContext, "models", n, "context_tokens")
-	c.wholeBetween(m.MaxOutputTokens, 1, maxContext, "models", n, "max_output_tokens")
-	c.wholeBetween(m.MinUpstreams, 0, maxUpstreams, "models", n, "min_upstreams")
+	c.WholeBetween(m.SizeMB, 0, maxMemoryMB, "models", n, "size_mb")
+	c.WholeBetween(m.ContextTokens, 1, maxContext, "models", n, "context_tokens")
+	c.WholeBetween(m.MaxOutputTokens, 1, maxContext, "models", n, "max_output_tokens")
+	c.WholeBetween(m.MinUpstreams, 0, maxUpstreams, "models", n, "min_upstreams")
 	if m.MaxOutputTokens > m.ContextTokens {
-		c.fail(ExceedsLimit, fmt.Sprintf("%d is more than context_tokens (%d)", m.MaxOutputTokens, m.ContextTokens),
+		c.Fail(ExceedsLimit, fmt.Sprintf("%d is more than context_tokens (%d)", m.MaxOutputTokens, m.ContextTokens),
 			"models", n, "max_output_tokens")
 	}
 	served := 0
@@ -121,7 +121,7 @@
 		}
 	}
 	if served < m.MinUpstreams {
-		c.fail(TooFewUpstreams, fmt.Sprintf("%d upstreams may serve the model, min_upstreams is %d", served, m.MinUpstreams),
+		c.Fail(TooFewUpstreams, fmt.Sprintf("%d upstreams may serve the model, min_upstreams is %d", served, m.MinUpstreams),
 			"models", n, "min_upstreams")
 	}
 }
@@ -142,31 +142,31 @@
 		value, max int
 	}{{"ranks", g.Ranks, maxRanks}, {"experts", g.Experts, maxExperts}, {"layers", g.Layers, maxLayers}}
 	for _, b := range bounds {
-		if c.required("groups", n, b.key) {
-			c.wholeBetween(b.value, 1, b.max, "groups", n, b.key)
+		if c.Required("groups", n, b.key) {
+			c.WholeBetween(b.value, 1, b.max, "groups", n, b.key)
 		}
 	}
-	c.numberBetween(g.ExpertMB, 0, maxExpertMB, "groups", n, "expert_mb")
+	c.NumberBetween(g.ExpertMB, 0, maxExpertMB, "groups", n, "expert_mb")
 	if g.Ranks < 1 || g.Experts < 1 {
 		return
 	}
-	c.wholeBetween(g.SlotsPerRank, 1, maxExperts, "groups", n, "slots_per_rank")
+	c.WholeBetween(g.SlotsPerRank, 1, maxExperts, "groups", n, "slots_per_rank")
 	if g.SlotsPerRank >= 1 && g.SlotsPerRank < (g.Experts-1)/g.Ranks+1 {
-		c.fail(TooFewSlots, fmt.Sprintf("%d ranks of %d slots cannot hold %d experts", g.Ranks, g.SlotsPerRank, g.Experts),
+		c.Fail(TooFewSlots, fmt.Sprintf("%d ranks of %d slots cannot hold %d experts", g.Ranks, g.SlotsPerRank, g.Experts),
 			"groups", n, "slots_per_rank")
 	}
 }
 
 func (c *checker) groupUpstreams(n string, g api.Group, hosts map[string]string) {
-	if c.required("groups", n, "model") {
+	if c.Required("groups", n, "model") {
 		reference(c, c.config.Models, g.Model, UnknownModel, "groups", n, "model")
 	}
-	if !c.required("groups", n, "upstreams") {
+	if !c.Required("groups", n, "upstreams") {
 		return
 	}
-	c.distinct(g.Upstreams, "groups", n, "upstreams")
+	c.Distinct(g.Upstreams, "groups", n, "upstreams")
 	if len(g.Upstreams) == 0 || g.Ranks%len(g.Upstreams) != 0 {
-		c.fail(UnevenRanks, fmt.Sprintf("%d ranks cannot be split evenly over %d upstreams", g.Ranks, len(g.Upstreams)),
+		c.Fail(UnevenRanks, fmt.Sprintf("%d ranks cannot be split evenly over %d upstreams", g.Ranks, len(g.Upstreams)),
 			"groups", n, "upstreams")
 	}
 	for _, u := range g.Upstreams {
@@ -175,7 +175,7 @@
 		}
 		c.groupHost(n, g, u)
 		if other, ok := hosts[u]; ok && other != n {
-			c.fail(UpstreamShared, fmt.Sprintf("%q also hosts group %q", u, other), "groups", n, "upstreams")
+			c.Fail(UpstreamShared, fmt.Sprintf("%q also hosts group %q", u, other), "groups", n, "upstreams")
 		}
 		hosts[u] = n
 	}
@@ -184,16 +184,16 @@
 func (c *checker) groupHost(n string, g api.Group, upstream string) {
 	u := c.config.Upstreams[upstream]
 	if u.Kind != api.KindModel {
-		c.fail(WrongKind, fmt.Sprintf("%q is not a model upstream", upstream), "groups", n, "upstreams")
+		c.Fail(WrongKind, fmt.Sprintf("%q is not a model upstream", upstream), "groups", n, "upstreams")
 		return
 	}
 	if !slices.Contains(u.Models, g.Model) {
-		c.fail(NotServed, fmt.Sprintf("%q may not serve model %q", upstream, g.Model), "groups", n, "upstreams")
+		c.Fail(NotServed, fmt.Sprintf("%q may not serve model %q", upstream, g.Model), "groups", n, "upstreams")
 	}
 	perUpstream := float64(g.Ranks) / float64(len(g.Upstreams))
 	need := perUpstream * float64(g.SlotsPerRank) * float64(g.Layers) * g.ExpertMB
 	if need > float64(u.MemoryMB) {
-		c.fail(MemoryExceeded, fmt.Sprintf("%q needs %.0f MB for its ranks, memory_mb is %d", upstream, need, u.MemoryMB),
+		c.Fail(MemoryExceeded, fmt.Sprintf("%q needs %.0f MB for its ranks, memory_mb is %d", upstream, need, u.MemoryMB),
 			"groups", n, "upstreams")
 	}
 }
--- /dev/null
+++ b/decide/settings/settings.go
@@ -0,0 +1,75 @@
+// Package settings reads and validates a process's own settings, which are one
+// TOML file for a router or an agent.
+package settings
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/tomltree"
+)
+
+// Role is what a process does in the pool.
+type Role string
+
+// Roles of processes.
+const (
+	Router Role = "router"
+	Agent  Role = "agent"
+)
+
+// MaxBytes bounds a settings file.
+const MaxBytes = 64 << 10
+
+// Defaults of keys that are absent. docs/operators/settings.md lists them.
+const (
+	DefaultListenHTTP     = "0.0.0.0:8080"
+	DefaultListenLink     = "0.0.0.0:7000"
+	DefaultListenAdmin    = "127.0.0.1:9100"
+	DefaultHeaderBytes    = 32 << 10
+	DefaultBodyBytes      = 8 << 20
+	DefaultReadTimeout    = 10 * time.Second
+	DefaultRequestTimeout = 5 * time.Minute
+	DefaultStreams        = 10_000
+	DefaultLogLevel       = "info"
+	DefaultLogFormat      = "text"
+	DefaultStopDeadline   = time.Minute
+)
+
+// Read returns the settings of a process, or every problem found in the file.
+func Read(file string, data []byte, role Role) (*api.Settings, *tomltree.Errors) {
+	if len(data) > MaxBytes {
+		message := fmt.Sprintf("%d bytes; at most %d are allowed", len(data), MaxBytes)
+		return nil, tomltree.NewErrors([]*tomltree.Error{{File: file, Kind: tomltree.TooLarge, Message: message}})
+	}
+	tree, failure := tomltree.Parse(file, data)
+	if failure != nil {
+		return nil, tomltree.NewErrors([]*tomltree.Error{failure})
+	}
+	s := &api.Settings{}
+	errs := tomltree.Decode(tree, s)
+	applyDefaults(s, tree, role)
+	errs = tomltree.WithoutRepeats(errs, validate(s, tree, role))
+	if all := tomltree.NewErrors(errs); all != nil {
+		return nil, all
+	}
+	return s, nil
+}
+
+func applyDefaults(s *api.Settings, tree *tomltree.Node, role Role) {
+	if role == Router {
+		tomltree.Default(tree, &s.Listen.HTTP, DefaultListenHTTP, "listen", "http")
+	}
+	tomltree.Default(tree, &s.Listen.Link, DefaultListenLink, "listen", "link")
+	tomltree.Default(tree, &s.Listen.Admin, DefaultListenAdmin, "listen", "admin")
+	l := &s.Limits
+	tomltree.Default(tree, &l.HeaderBytes, DefaultHeaderBytes, "limits", "header_bytes")
+	tomltree.Default(tree, &l.BodyBytes, int64(DefaultBodyBytes), "limits", "body_bytes")
+	tomltree.Default(tree, &l.ReadTimeout, api.Duration(DefaultReadTimeout), "limits", "read_timeout")
+	tomltree.Default(tree, &l.RequestTimeout, api.Duration(DefaultRequestTimeout), "limits", "request_timeout")
+	tomltree.Default(tree, &l.Streams, DefaultStreams, "limits", "streams")
+	tomltree.Default(tree, &s.Log.Level, DefaultLogLevel, "log", "level")
+	tomltree.Default(tree, &s.Log.Format, DefaultLogFormat, "log", "format")
+	tomltree.Default(tree, &s.StopDeadline, api.Duration(DefaultStopDeadline), "stop_deadline")
+}
--- /dev/null
+++ b/decide/settings/validate.go
@@ -0,0 +1,152 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/tomltree"
+)
+
+// Bounds of values.
+const (
+	minHeaderBytes    = 1 << 10
+	maxHeaderBytes    = 1 << 20
+	minBodyBytes      = 1 << 10
+	maxBodyBytes      = 1 << 30
+	minReadTimeout    = 100 * time.Millisecond
+	maxReadTimeout    = 10 * time.Minute
+	minRequestTimeout = 100 * time.Millisecond
+	maxRequestTimeout = 24 * time.Hour
+	maxStreams        = 1_000_000
+	minStopDeadline   = time.Second
+	maxStopDeadline   = time.Hour
+)
+
+type checker struct {
+	tomltree.Checker
+	settings *api.Settings
+	role     Role
+}
+
+func validate(s *api.Settings, tree *tomltree.Node, role Role) []*tomltree.Error {
+	c := &checker{Checker: tomltree.Checker{Tree: tree}, settings: s, role: role}
+	c.nonEmpty(s.Node, "node")
+	c.nonEmpty(s.Zone, "zone")
+	c.roleKeys()
+	c.listen()
+	c.platform()
+	c.tls()
+	c.limits()
+	c.OneOf(s.Log.Level, []string{"debug", "info", "warn", "error"}, "log", "level")
+	c.OneOf(s.Log.Format, []string{"text", "json"}, "log", "format")
+	return c.Errs
+}
+
+func (c *checker) nonEmpty(value string, path ...string) {
+	if c.Required(path...) && value == "" {
+		c.Fail(tomltree.OutOfRange, "must not be empty", path...)
+	}
+}
+
+// roleKeys checks the keys that only one of the roles has.
+func (c *checker) roleKeys() {
+	agentKeys := [][]string{{"upstream"}, {"engine", "url"}, {"engine", "weight_store"}}
+	if c.role == Router {
+		for _, path := range agentKeys {
+			c.notFor("a router", path...)
+		}
+		return
+	}
+	c.notFor("an agent", "listen", "http")
+	c.nonEmpty(c.settings.Upstream, "upstream")
+	if c.Required("engine", "url") {
+		c.url(c.settings.Engine.URL, "engine", "url")
+	}
+	if c.Tree.Get("engine", "weight_store") != nil {
+		c.url(c.settings.Engine.WeightStore, "engine", "weight_store")
+	}
+}
+
+func (c *checker) notFor(role string, path ...string) {
+	if c.Tree.Get(path...) != nil {
+		c.Fail(tomltree.NotApplicable, role+" has no such key", path...)
+	}
+}
+
+func (c *checker) listen() {
+	l := c.settings.Listen
+	seen := map[string]string{}
+	for _, one := range []struct{ key, value string }{{"http", l.HTTP}, {"link", l.Link}, {"admin", l.Admin}} {
+		if one.key == "http" && c.role == Agent {
+			continue
+		}
+		c.ListenAddress(one.value, "listen", one.key)
+		a, err := netip.ParseAddrPort(one.value)
+		if err != nil || a.Port() == 0 {
+			continue
+		}
+		if other, ok := seen[one.value]; ok {
+			c.Fail(tomltree.DuplicateEntry, fmt.Sprintf("%q is also listen.%s", one.value, other), "listen", one.key)
+		}
+		seen[one.value] = one.key
+	}
+}
+
+func (c *checker) platform() {
+	service := c.Tree.Get("config", "service") != nil
+	folder := c.Tree.Get("config", "folder") != nil
+	switch {
+	case service && folder:
+		c.Fail(tomltree.NotApplicable, "the configuration comes from a service or a folder, not both", "config", "folder")
+	case service:
+		c.url(c.settings.Config.Service, "config", "service")
+	case !folder:
+		c.Fail(tomltree.Missing, "config.service or config.folder is required", "config")
+	default:
+		c.nonEmpty(c.settings.Config.Folder, "config", "folder")
+	}
+	if c.Tree.Get("membership", "service") != nil {
+		c.url(c.settings.Membership.Service, "membership", "service")
+	}
+	c.Distinct(c.settings.Peers, "peers")
+	for _, p := range c.settings.Peers {
+		c.Address(p, "peers")
+	}
+}
+
+// url checks an HTTP address whose host is an IP literal with a port.
+func (c *checker) url(value string, path ...string) {
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.User != nil || u.RawQuery != "" || u.Fragment != "" {
+		c.Fail(tomltree.BadURL, fmt.Sprintf("%q is not a URL such as \"http://10.0.0.1:8000\"", value), path...)
+		return
+	}
+	c.Address(u.Host, path...)
+}
+
+func (c *checker) tls() {
+	if c.settings.TLS.Plain {
+		for _, key := range []string{"cert", "key", "ca"} {
+			if c.Tree.Get("tls", key) != nil {
+				c.Fail(tomltree.NotApplicable, "tls.plain is set, so the file is not used", "tls", key)
+			}
+		}
+		return
+	}
+	c.nonEmpty(c.settings.TLS.Cert, "tls", "cert")
+	c.nonEmpty(c.settings.TLS.Key, "tls", "key")
+	c.nonEmpty(c.settings.TLS.CA, "tls", "ca")
+}
+
+func (c *checker) limits() {
+	l := c.settings.Limits
+	c.WholeBetween(l.HeaderBytes, minHeaderBytes, maxHeaderBytes, "limits", "header_bytes")
+	c.WholeBetween(int(l.BodyBytes), minBodyBytes, maxBodyBytes, "limits", "body_bytes")
+	c.DurationBetween(time.Duration(l.ReadTimeout), minReadTimeout, maxReadTimeout, "limits", "read_timeout")
+	c.DurationBetween(time.Duration(l.RequestTimeout), minRequestTimeout, maxRequestTimeout, "limits", "request_timeout")
+	c.WholeBetween(l.Streams, 1, maxStreams, "limits", "streams")
+	c.DurationBetween(time.Duration(c.settings.StopDeadline), minStopDeadline, maxStopDeadline, "stop_deadline")
+}
--- a/decide/tomltree/error.go
+++ b/decide/tomltree/error.go
@@ -12,19 +12,20 @@
 
 // Kinds of problem that do not depend on the meaning of a key.
 const (
-	Syntax        Kind = "syntax"
-	TooLarge      Kind = "too_large"
-	TooDeep       Kind = "too_deep"
-	TableConflict Kind = "table_conflict"
-	UnknownKey    Kind = "unknown_key"
-	WrongType     Kind = "wrong_type"
-	BadDuration   Kind = "bad_duration"
-	Missing       Kind = "missing"
-	OutOfRange    Kind = "out_of_range"
-	UnknownValue  Kind = "unknown_value"
-	BadAddress    Kind = "bad_address"
-	BadURL        Kind = "bad_url"
-	NotApplicable Kind = "not_applicable"
+	Syntax         Kind = "syntax"
+	TooLarge       Kind = "too_large"
+	TooDeep        Kind = "too_deep"
+	TableConflict  Kind = "table_conflict"
+	UnknownKey     Kind = "unknown_key"
+	WrongType      Kind = "wrong_type"
+	BadDuration    Kind = "bad_duration"
+	Missing        Kind = "missing"
+	OutOfRange     Kind = "out_of_range"
+	UnknownValue   Kind = "unknown_value"
+	BadAddress     Kind = "bad_address"
+	BadURL         Kind = "bad_url"
+	NotApplicable  Kind = "not_applicable"
+	DuplicateEntry Kind = "duplicate_entry"
 )
 
 // Error is one problem at one place.
