--- /dev/null
+++ b/confdir/examples_test.go
@@ -0,0 +1,49 @@
+package confdir_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/confdir"
+	"github.com/mulberryfork/mulberryfork/decide/settings"
+)
+
+// Guards against examples that the present checks refuse, or that no longer
+// have the size of the users' deployments.
+func TestExamplesAreSound(t *testing.T) {
+	for _, name := range []string{"vale-do-sousa", "slnecne-bodky"} {
+		r, err := confdir.Load("../examples/" + name)
+		if err != nil {
+			t.Errorf("%s:\n%v", name, err)
+			continue
+		}
+		models, plain, large := 0, 0, 0
+		for _, u := range r.Config.Upstreams {
+			if u.Kind == api.KindModel {
+				models++
+			} else {
+				plain++
+			}
+		}
+		for _, m := range r.Config.Members {
+			if m.Share > 1 {
+				large++
+			}
+		}
+		if len(r.Config.Zones) != 3 || models != 12 || plain != 3 || len(r.Config.Members) != 10 || large != 3 {
+			t.Errorf("%s: %d zones, %d models, %d plain, %d members, %d large",
+				name, len(r.Config.Zones), models, plain, len(r.Config.Members), large)
+		}
+	}
+	for _, role := range []settings.Role{settings.Router, settings.Agent} {
+		name := string(role) + ".toml"
+		data, err := os.ReadFile("../examples/settings/" + name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, errs := settings.Read(name, data, role); errs != nil {
+			t.Errorf("%v", errs)
+		}
+	}
+}
--- a/decide/config/validate_upstream.go
+++ b/decide/config/validate_upstream.go
@@ -88,7 +88,7 @@
 		for _, a := range model.Adapters {
 			adapters[a] = true
 		}
-		if model.SizeMB > u.MemoryMB {
+		if model.SizeMB > u.MemoryMB && !c.inGroup(n, m) {
 			c.Fail(MemoryExceeded, fmt.Sprintf("model %q needs %d MB, memory_mb is %d", m, model.SizeMB, u.MemoryMB),
 				"upstreams", n, "models")
 		}
@@ -98,6 +98,17 @@
 	}
 }
 
+// inGroup is true if the upstream holds only its part of the model, as one of
+// several hosts of a group.
+func (c *checker) inGroup(upstream, model string) bool {
+	for _, g := range c.config.Groups {
+		if g.Model == model && slices.Contains(g.Upstreams, upstream) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *checker) model(n string) {
 	m := c.config.Models[n]
 	c.modelName(n, "models", n)
