Add a stand-in for a model engine

The answer follows from the request; a step loop models batching and the hottest rank; a crash drops connections and all state, while the execution record for tests outlives it.

--- /dev/null
+++ b/standin/modelengine/answer.go
@@ -0,0 +1,46 @@
+package modelengine
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+var vocabulary = [...]string{
+	"meter", "valve", "pressure", "report", "visit", "line", "check", "value",
+	"order", "class", "plan", "note", "step", "room", "date", "result",
+}
+
+// Answer returns the tokens that the engine generates for a prompt. Each token
+// ends in a space, so that the answer is their concatenation.
+func Answer(model, prompt string, tokens int) []string {
+	state := xxhash.Sum64String(model + "\x00" + prompt)
+	words := make([]string, tokens)
+	for i := range words {
+		state = mix(state, uint64(i))
+		words[i] = vocabulary[state%uint64(len(vocabulary))] + " "
+	}
+	return words
+}
+
+func mix(a, b uint64) uint64 {
+	var buf [16]byte
+	binary.BigEndian.PutUint64(buf[:8], a)
+	binary.BigEndian.PutUint64(buf[8:], b)
+	return xxhash.Sum64(buf[:])
+}
+
+// BlockBytes is the size of a block of the prefix cache.
+const BlockBytes = 64
+
+// BlockHashes returns the hashes of the whole blocks of a prompt. Each covers
+// the model and all blocks before it, so equal hashes mean equal prefixes.
+func BlockHashes(model, prompt string) []uint64 {
+	h := xxhash.Sum64String(model)
+	hashes := make([]uint64, 0, len(prompt)/BlockBytes)
+	for i := 0; i+BlockBytes <= len(prompt); i += BlockBytes {
+		h = mix(h, xxhash.Sum64String(prompt[i:i+BlockBytes]))
+		hashes = append(hashes, h)
+	}
+	return hashes
+}
--- /dev/null
+++ b/standin/modelengine/http.go
@@ -0,0 +1,214 @@
+package modelengine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// maxPoll bounds the long poll of cache events.
+const maxPoll = 30 * time.Second
+
+func (e *Engine) routes() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.complete(true))
+	mux.HandleFunc("POST /v1/completions", e.complete(false))
+	mux.HandleFunc("GET /v1/models", e.listModels)
+	mux.HandleFunc("GET /internal/cache-events", e.cacheEvents)
+	mux.HandleFunc("GET /internal/load", e.getLoad)
+	mux.HandleFunc("POST /internal/kv/export", e.exportKV)
+	mux.HandleFunc("POST /internal/kv/import", e.importKV)
+	mux.HandleFunc("POST /internal/orders", e.postOrder)
+	mux.HandleFunc("GET /internal/orders", e.getOrders)
+	return mux
+}
+
+// ServeHTTP answers a request, or drops the connection while the engine is down.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	down, incarnation := e.down(), e.incarnation
+	e.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set(HeaderIncarnation, strconv.FormatUint(incarnation, 10))
+	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	e.mux.ServeHTTP(w, r)
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		fail(w, http.StatusBadRequest, "invalid_request")
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+}
+
+func fail(w http.ResponseWriter, status int, code string) {
+	reply(w, status, errorBody{errorDetail{Message: http.StatusText(status), Type: "engine_error", Code: code}})
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+}
+
+func (e *Engine) listModels(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	names := e.life.orders.names(e.options.Clock.Now())
+	e.mu.Unlock()
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, n := range names {
+		list.Data = append(list.Data, modelEntry{ID: n, Object: "model"})
+	}
+	reply(w, http.StatusOK, list)
+}
+
+// CacheFeed is one answer of the feed of cache events.
+type CacheFeed struct {
+	Incarnation uint64       `json:"incarnation"`
+	Events      []CacheEvent `json:"events"`
+}
+
+// cacheEvents waits until an event behind "after" is visible, or for "wait_ms".
+func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, errAfter := queryNumber(r, "after")
+	wait, errWait := queryNumber(r, "wait_ms")
+	if errAfter != nil || errWait != nil {
+		fail(w, http.StatusBadRequest, "invalid_request")
+		return
+	}
+	poll := time.NewTimer(min(time.Duration(min(wait, uint64(maxPoll.Milliseconds())))*time.Millisecond, maxPoll))
+	defer poll.Stop()
+	for {
+		e.mu.Lock()
+		now := e.options.Clock.Now()
+		events, next := e.life.cache.after(after, now)
+		feed := CacheFeed{Incarnation: e.incarnation, Events: events}
+		changed, ended := e.life.cache.changed, e.life.ended
+		e.mu.Unlock()
+		if len(events) > 0 || !waitForEvents(r, poll, next-now, changed, ended) {
+			reply(w, http.StatusOK, feed)
+			return
+		}
+	}
+}
+
+// waitForEvents returns false when the poll is over.
+func waitForEvents(r *http.Request, poll *time.Timer, visibleIn time.Duration, changed, ended chan struct{}) bool {
+	var visible <-chan time.Time
+	if visibleIn > 0 {
+		t := time.NewTimer(visibleIn)
+		defer t.Stop()
+		visible = t.C
+	}
+	select {
+	case <-visible:
+		return true
+	case <-changed:
+		return true
+	case <-poll.C:
+		return false
+	case <-ended:
+	case <-r.Context().Done():
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func queryNumber(r *http.Request, name string) (uint64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(text, 10, 64)
+}
+
+func (e *Engine) getLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	load := e.report()
+	e.mu.Unlock()
+	reply(w, http.StatusOK, load)
+}
+
+// Blocks lists blocks of the prefix cache.
+type Blocks struct {
+	Blocks []uint64 `json:"blocks"`
+}
+
+// exportKV answers which of the blocks are cached; they may be imported elsewhere.
+func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
+	var q Blocks
+	if !decode(w, r, &q) {
+		return
+	}
+	e.mu.Lock()
+	held := e.life.cache.held(q.Blocks)
+	e.mu.Unlock()
+	reply(w, http.StatusOK, Blocks{Blocks: held})
+}
+
+func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
+	var q Blocks
+	if !decode(w, r, &q) {
+		return
+	}
+	e.mu.Lock()
+	e.learn(q.Blocks)
+	held := e.life.cache.held(q.Blocks)
+	e.mu.Unlock()
+	reply(w, http.StatusOK, Blocks{Blocks: held})
+}
+
+func (e *Engine) postOrder(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if !decode(w, r, &o) {
+		return
+	}
+	e.mu.Lock()
+	result := e.life.orders.handle(o, e.options.ChecksFencing, e.options.Clock.Now()+e.options.LoadTime)
+	state := e.orderState()
+	e.mu.Unlock()
+	switch result {
+	case orderStale:
+		fail(w, http.StatusConflict, "stale_fencing_token")
+	case orderInvalid:
+		fail(w, http.StatusBadRequest, "invalid_order")
+	default:
+		reply(w, http.StatusOK, state)
+	}
+}
+
+func (e *Engine) getOrders(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	state := e.orderState()
+	e.mu.Unlock()
+	reply(w, http.StatusOK, state)
+}
+
+func (e *Engine) orderState() OrderState {
+	state := e.life.orders.state(e.options.ChecksFencing)
+	state.Incarnation, state.Steps = e.incarnation, e.life.steps
+	return state
+}
