--- /dev/null
+++ b/standin/memberlist/list.go
@@ -0,0 +1,125 @@
+// Package memberlist is a stand-in for the platform's lagging list of live and
+// leaving VMs. README.md states its protocol.
+package memberlist
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/kernel"
+)
+
+// VM is one entry of the list.
+type VM struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	// Role is "router" or "agent".
+	Role string `json:"role"`
+	// State is "live" or "leaving".
+	State string `json:"state"`
+}
+
+// Answer is the body of an answer, in order of names.
+type Answer struct {
+	Members []VM `json:"members"`
+}
+
+type version struct {
+	at  time.Duration
+	vms map[string]VM
+}
+
+// List is the stand-in, an http.Handler.
+type List struct {
+	clock kernel.Clock
+
+	mu      sync.Mutex
+	lag     time.Duration
+	down    bool
+	history []version
+	reads   int
+}
+
+// New returns an empty list whose answers are lag old.
+func New(clock kernel.Clock, lag time.Duration) *List {
+	return &List{clock: clock, lag: lag}
+}
+
+// Set adds or changes a VM.
+func (l *List) Set(vm VM) {
+	l.change(func(vms map[string]VM) { vms[vm.Name] = vm })
+}
+
+// Remove takes a VM off the list.
+func (l *List) Remove(name string) {
+	l.change(func(vms map[string]VM) { delete(vms, name) })
+}
+
+func (l *List) change(apply func(map[string]VM)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	vms := map[string]VM{}
+	if n := len(l.history); n > 0 {
+		vms = maps.Clone(l.history[n-1].vms)
+	}
+	apply(vms)
+	l.history = append(l.history, version{at: l.clock.Now(), vms: vms})
+}
+
+// SetLag changes the age of the answers.
+func (l *List) SetLag(lag time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = lag
+}
+
+// SetDown makes the list drop connections.
+func (l *List) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// Reads counts the calls so far.
+func (l *List) Reads() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reads
+}
+
+// ServeHTTP answers GET /v1/members.
+func (l *List) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet || r.URL.Path != "/v1/members" {
+		http.NotFound(w, r)
+		return
+	}
+	answer, down := l.read()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (l *List) read() (answer Answer, down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads++
+	answer.Members = []VM{}
+	limit := l.clock.Now() - l.lag
+	for _, v := range slices.Backward(l.history) {
+		if v.at > limit {
+			continue
+		}
+		for _, name := range slices.Sorted(maps.Keys(v.vms)) {
+			answer.Members = append(answer.Members, v.vms[name])
+		}
+		break
+	}
+	return answer, l.down
+}
--- /dev/null
+++ b/standin/memberlist/list_test.go
@@ -0,0 +1,38 @@
+package memberlist_test
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/standin/memberlist"
+)
+
+// Guards against a list that is fresher than the platform's.
+func TestListLags(t *testing.T) {
+	clock := &kernel.ManualClock{}
+	l := memberlist.New(clock, 5*time.Second)
+	read := func() string {
+		w := httptest.NewRecorder()
+		l.ServeHTTP(w, httptest.NewRequest("GET", "/v1/members", nil))
+		return strings.TrimSpace(w.Body.String())
+	}
+	const empty = `{"members":[]}`
+	const live = `{"members":[{"name":"a","address":"127.0.0.1:1","zone":"z","role":"agent","state":"live"}]}`
+	l.Set(memberlist.VM{Name: "a", Address: "127.0.0.1:1", Zone: "z", Role: "agent", State: "live"})
+	clock.Advance(5*time.Second - 1)
+	if got := read(); got != empty {
+		t.Errorf("early: %s", got)
+	}
+	clock.Advance(1)
+	l.Remove("a")
+	if got := read(); got != live {
+		t.Errorf("in time: %s", got)
+	}
+	clock.Advance(5 * time.Second)
+	if got := read(); got != empty || l.Reads() != 3 {
+		t.Errorf("removed: %s after %d reads", got, l.Reads())
+	}
+}
