--- a/api/config.go
+++ b/api/config.go
@@ -126,8 +126,8 @@
 
 // Plain is a plain service beside the engines.
 type Plain struct {
-	// Idempotent and NonIdempotent list "METHOD /path" patterns; a path may
-	// end in "*". Unlisted calls follow RFC 9110.
+	// Idempotent and NonIdempotent list "METHOD /path" patterns; the method
+	// may be "*" and a path may end in "*". Unlisted calls follow RFC 9110.
 	Idempotent    []string `toml:"idempotent"`
 	NonIdempotent []string `toml:"non_idempotent"`
 	// ResendWindow is how long callers may resend under a key of their own.
--- a/decide/config/validate.go
+++ b/decide/config/validate.go
@@ -138,7 +138,7 @@
 	}
 }
 
-var route = regexp.MustCompile(`^(GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS) /[^\s?#*]*\*?$`)
+var route = regexp.MustCompile(`^(GET|HEAD|POST|PUT|PATCH|DELETE|OPTIONS|\*) /[^\s?#*]*\*?$`)
 
 func (c *checker) routes(service, key string, list []string) {
 	c.Distinct(list, "services", service, key)
