Add the command line, the demonstration, an in-process deployment and bench path

The demonstration sends streamed completions and a booking through real routers and agents with mutual TLS, in one process with stand-ins. bench path drives open-loop load and compares with the same load sent straight to the stand-in.

--- /dev/null
+++ b/bench/load.go
@@ -0,0 +1,105 @@
+package bench
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// lowestMicros and highestMicros are the range of recorded durations.
+	lowestMicros      = 1
+	highestMicros     = 120_000_000
+	significantDigits = 3
+)
+
+// latencies records durations of many goroutines.
+type latencies struct {
+	mu     sync.Mutex
+	values *hdrhistogram.Histogram
+}
+
+func newLatencies() *latencies {
+	return &latencies{values: hdrhistogram.New(lowestMicros, highestMicros, significantDigits)}
+}
+
+func (l *latencies) record(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.values.RecordValue(min(max(d.Microseconds(), lowestMicros), highestMicros))
+}
+
+// ms returns a quantile in milliseconds.
+func (l *latencies) ms(percent float64) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return float64(l.values.ValueAtQuantile(percent)) / 1000
+}
+
+// openLoop sends at a fixed rate whether or not earlier requests are answered,
+// and counts latency from the intended start, so that a stall of the system
+// shows in every request that it delays.
+type openLoop struct {
+	perSecond float64
+	length    time.Duration
+	send      func(ctx context.Context, i int) error
+}
+
+type loadResult struct {
+	latency  *latencies
+	sent     int
+	failures int64
+}
+
+func (o openLoop) run(ctx context.Context) loadResult {
+	r := loadResult{latency: newLatencies()}
+	var failures atomic.Int64
+	var running sync.WaitGroup
+	begin := time.Now()
+	interval := time.Duration(float64(time.Second) / o.perSecond)
+	for i := 0; ; i++ {
+		due := begin.Add(time.Duration(i) * interval)
+		if due.Sub(begin) >= o.length || ctx.Err() != nil {
+			break
+		}
+		if wait := time.Until(due); wait > 0 {
+			time.Sleep(wait)
+		}
+		r.sent++
+		running.Go(func() {
+			if o.send(ctx, i) != nil {
+				failures.Add(1)
+			}
+			r.latency.record(time.Since(due))
+		})
+	}
+	running.Wait()
+	r.failures = failures.Load()
+	return r
+}
+
+// closedLoop keeps a number of requests under way, which shows the most that
+// a path can carry.
+func closedLoop(ctx context.Context, workers, requests int, send func(ctx context.Context, i int) error) (perSecond float64, failures int64) {
+	var next, failed atomic.Int64
+	var running sync.WaitGroup
+	begin := time.Now()
+	for range workers {
+		running.Go(func() {
+			for ctx.Err() == nil {
+				i := int(next.Add(1))
+				if i > requests {
+					return
+				}
+				if send(ctx, i) != nil {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	running.Wait()
+	return float64(requests) / time.Since(begin).Seconds(), failed.Load()
+}
--- /dev/null
+++ b/bench/path.go
@@ -0,0 +1,155 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mulberryfork/mulberryfork/deployment"
+)
+
+func init() {
+	register(Experiment{
+		Name: "path",
+		Asks: "What time does the path through router and agent add, and how many short requests does it carry, beside the same load sent straight to the stand-in?",
+		Run:  runPath,
+	})
+}
+
+const (
+	pathRate     = 1000
+	pathLength   = 5 * time.Second
+	pathWorkers  = 128
+	pathRequests = 100_000
+	pathWarmUp   = 5_000
+	// settleTime lets connections close before goroutines are counted.
+	settleTime = 500 * time.Millisecond
+)
+
+// shortAnswer is a completion of a few tokens.
+const shortAnswer = `{"id":"c1","object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":"ok"},"finish_reason":"stop"}]}`
+
+// echoEngine answers at once, so that only the path is measured.
+func echoEngine(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, shortAnswer)
+}
+
+// caller sends short completions to one address.
+type caller struct {
+	url    string
+	client *http.Client
+}
+
+func newCaller(url string) caller {
+	transport := &http.Transport{MaxIdleConns: 4 * pathWorkers, MaxIdleConnsPerHost: 4 * pathWorkers}
+	return caller{url: url + "/v1/chat/completions", client: &http.Client{Transport: transport}}
+}
+
+// StatusError reports an answer with an unexpected status.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
+
+func (c caller) send(ctx context.Context, i int) error {
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":4,"messages":[{"role":"user","content":"short request %d"}]}`, deployment.Model, i)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, strings.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "make a request")
+	}
+	req.Header.Set("Authorization", "Bearer "+deployment.Token("desk"))
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "send a request")
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return eris.Wrap(err, "read an answer")
+	}
+	if resp.StatusCode != http.StatusOK || len(got) != len(shortAnswer) {
+		return &StatusError{Status: resp.StatusCode}
+	}
+	return nil
+}
+
+func pathOptions() deployment.Options {
+	return deployment.Options{
+		Zones:      []string{"z1"},
+		Routers:    1,
+		Members:    map[string]float64{"desk": 1},
+		Idempotent: true,
+		Upstreams: []deployment.Upstream{{
+			Name: "m1", Zone: "z1", Handler: http.HandlerFunc(echoEngine),
+			MaxRequests: 1024, ColdRequests: 1024,
+		}},
+	}
+}
+
+func runPath(ctx context.Context, p Params) (Result, error) {
+	pool, err := deployment.Start(ctx, pathOptions())
+	if err != nil {
+		return Result{}, err
+	}
+	defer func() { _ = pool.Stop(context.WithoutCancel(ctx)) }()
+	routed, direct := newCaller(pool.Routers[0].URL), newCaller(pool.Agents[0].Engine)
+	for _, c := range []caller{direct, routed} {
+		if _, failed := closedLoop(ctx, pathWorkers, pathWarmUp, c.send); failed > 0 {
+			return Result{}, &FailedRequestsError{Count: failed}
+		}
+	}
+	fmt.Fprintf(p.Progress, "path: %d requests/s for %s, direct and routed\n", pathRate, pathLength)
+	baseline := openLoop{perSecond: pathRate, length: pathLength, send: direct.send}.run(ctx)
+	measured := openLoop{perSecond: pathRate, length: pathLength, send: routed.send}.run(ctx)
+	if n := baseline.failures + measured.failures; n > 0 {
+		return Result{}, &FailedRequestsError{Count: n}
+	}
+	return pathThroughput(ctx, p, routed, direct, baseline, measured)
+}
+
+func pathThroughput(ctx context.Context, p Params, routed, direct caller, baseline, measured loadResult) (Result, error) {
+	fmt.Fprintf(p.Progress, "path: %d requests over %d connections, direct and routed\n", pathRequests, pathWorkers)
+	directRate, directFailed := closedLoop(ctx, pathWorkers, pathRequests, direct.send)
+	before := usage()
+	rate, failed := closedLoop(ctx, pathWorkers, pathRequests, routed.send)
+	if failed+directFailed > 0 {
+		return Result{}, &FailedRequestsError{Count: failed + directFailed}
+	}
+	after := usage()
+	return Result{Figures: []Figure{
+		Bounded("added_p50_ms", measured.latency.ms(50)-baseline.latency.ms(50), "ms", AtMost, 0.3),
+		Bounded("added_p99_ms", measured.latency.ms(99)-baseline.latency.ms(99), "ms", AtMost, 1.5),
+		Bounded("requests_per_s", rate, "1/s", AtLeast, 10_000),
+		Plain("direct_requests_per_s", directRate, "1/s"),
+		Bounded("goroutines_grown", float64(after.goroutines-before.goroutines), "goroutines", AtMost, 0),
+		Plain("heap_grown_mb", float64(after.heap-before.heap)/(1<<20), "MB"),
+		Plain("direct_p50_ms", baseline.latency.ms(50), "ms"),
+		Plain("direct_p99_ms", baseline.latency.ms(99), "ms"),
+		Plain("direct_p999_ms", baseline.latency.ms(99.9), "ms"),
+		Plain("routed_p50_ms", measured.latency.ms(50), "ms"),
+		Plain("routed_p99_ms", measured.latency.ms(99), "ms"),
+		Plain("routed_p999_ms", measured.latency.ms(99.9), "ms"),
+	}}, nil
+}
+
+// FailedRequestsError reports an experiment whose requests must all succeed.
+type FailedRequestsError struct{ Count int64 }
+
+func (e *FailedRequestsError) Error() string { return fmt.Sprintf("%d requests failed", e.Count) }
+
+type resources struct{ goroutines, heap int }
+
+func usage() resources {
+	time.Sleep(settleTime)
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return resources{goroutines: runtime.NumGoroutine(), heap: int(m.HeapAlloc)}
+}
--- /dev/null
+++ b/bench/plot.go
@@ -0,0 +1,46 @@
+package bench
+
+import (
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 8 * vg.Inch
+	plotHeight = 5 * vg.Inch
+)
+
+// NoPlotError reports an experiment without a plot.
+type NoPlotError struct{}
+
+func (*NoPlotError) Error() string { return "this experiment has no plot" }
+
+// WritePlot draws the picture of a result. The file's ending gives the format.
+func WritePlot(path string, r Result) error {
+	if r.Picture == nil {
+		return &NoPlotError{}
+	}
+	p := plot.New()
+	p.Title.Text = r.Picture.Title
+	p.X.Label.Text = r.Picture.XLabel
+	p.Y.Label.Text = r.Picture.YLabel
+	p.Add(plotter.NewGrid())
+	for i, s := range r.Picture.Series {
+		points := make(plotter.XYs, len(s.X))
+		for j := range s.X {
+			points[j] = plotter.XY{X: s.X[j], Y: s.Y[j]}
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return eris.Wrap(err, "draw "+s.Name)
+		}
+		line.Color = plotutil.Color(i)
+		p.Add(line)
+		p.Legend.Add(s.Name, line)
+	}
+	p.Legend.Top = true
+	return eris.Wrap(p.Save(plotWidth, plotHeight, path), "write the plot")
+}
--- /dev/null
+++ b/cmd/mulberryfork/demo.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mulberryfork/mulberryfork/deployment"
+)
+
+const (
+	demoTimeout  = 30 * time.Second
+	demoRequests = 9
+	demoMember   = "desk"
+)
+
+type demoCommand struct {
+	Serve bool `help:"Stay up after the requests, until interrupted, so that curl can be used."`
+	Logs  bool `help:"Print the log lines of all processes to standard error."`
+}
+
+// Run starts a pool, sends requests through it and prints what happened.
+func (c demoCommand) Run(s streams) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	options := demoOptions()
+	if c.Logs {
+		options.Log = s.err
+	}
+	starting, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	pool, err := deployment.Start(starting, options)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(s.out, "started %d routers and %d agents in zones %s, mutual TLS between them\n",
+		len(pool.Routers), len(pool.Agents), strings.Join(options.Zones, ", "))
+	err = c.show(ctx, s, pool)
+	if err == nil && c.Serve {
+		serveHint(s.out, pool)
+		<-ctx.Done()
+	}
+	stopErr := pool.Stop(context.WithoutCancel(ctx))
+	if err == nil {
+		err = stopErr
+	}
+	if err == nil {
+		fmt.Fprintln(s.out, "stopped; no request was cut off")
+	}
+	return err
+}
+
+func (c demoCommand) show(ctx context.Context, s streams, pool *deployment.Deployment) error {
+	sending, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	client := demoClient{pool: pool, out: s.out, http: &http.Client{}}
+	defer client.http.CloseIdleConnections()
+	for i := range demoRequests {
+		if err := client.stream(sending, i); err != nil {
+			return err
+		}
+	}
+	if err := client.book(sending); err != nil {
+		return err
+	}
+	return client.counters(sending)
+}
+
+func serveHint(out io.Writer, pool *deployment.Deployment) {
+	router := pool.Routers[0]
+	fmt.Fprintf(out, "serving; try:\n  curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' "+
+		"-d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n"+
+		"  curl http://%s/debug/vars\ninterrupt to stop\n",
+		router.URL, deployment.Token(demoMember), deployment.Model, router.Admin)
+}
+
+type demoClient struct {
+	pool *deployment.Deployment
+	out  io.Writer
+	http *http.Client
+}
+
+// DemoError reports an answer that the demonstration did not expect.
+type DemoError struct {
+	What string
+	Got  string
+}
+
+func (e *DemoError) Error() string { return e.What + ": got " + e.Got }
+
+func (c demoClient) post(ctx context.Context, router int, path, body, key string) (*http.Response, error) {
+	url := c.pool.Routers[router%len(c.pool.Routers)].URL + path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(err, "make a request")
+	}
+	req.Header.Set("Authorization", "Bearer "+deployment.Token(demoMember))
+	req.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := c.http.Do(req)
+	return resp, eris.Wrap(err, "send a request")
+}
+
+// stream sends one streamed completion and prints how it went.
+func (c demoClient) stream(ctx context.Context, i int) error {
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":12,"messages":[{"role":"user","content":"Summarise inspection note %d."}]}`,
+		deployment.Model, i)
+	begin := time.Now()
+	resp, err := c.post(ctx, i, "/v1/chat/completions", body, "")
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	events, first, last := 0, time.Duration(0), ""
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if events == 0 {
+			first = time.Since(begin)
+		}
+		events++
+		last = data
+	}
+	if resp.StatusCode != http.StatusOK || last != "[DONE]" {
+		return &DemoError{What: "streamed answer", Got: fmt.Sprintf("status %d ending in %q", resp.StatusCode, last)}
+	}
+	fmt.Fprintf(c.out, "request %d: whole answer of %d events, first after %s, router %s\n",
+		i+1, events, first.Round(time.Microsecond*100), c.pool.Routers[i%len(c.pool.Routers)].Name)
+	return nil
+}
+
+// book makes one booking under a key of the system.
+func (c demoClient) book(ctx context.Context) error {
+	key, err := c.key(ctx)
+	if err != nil {
+		return err
+	}
+	first, err := c.visit(ctx, 0, key)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.out, "booking: %s\n", strings.TrimSpace(first))
+	return nil
+}
+
+func (c demoClient) key(ctx context.Context) (string, error) {
+	resp, err := c.post(ctx, 0, "/v1/keys", `{"service":"`+deployment.Service+`"}`, "")
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	var issued struct {
+		Key string `json:"key"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&issued); err != nil || issued.Key == "" {
+		return "", &DemoError{What: "key", Got: resp.Status}
+	}
+	return issued.Key, nil
+}
+
+func (c demoClient) visit(ctx context.Context, router int, key string) (string, error) {
+	resp, err := c.post(ctx, router, "/services/"+deployment.Service+"/visits", `{"home":"Rua 5","day":"2027-01-11"}`, key)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "", eris.Wrap(err, "read the booking's answer")
+	}
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return "", &DemoError{What: "booking", Got: resp.Status + " " + string(body)}
+	}
+	return string(body), nil
+}
+
+// shownCounters are the counters that the demonstration prints.
+var shownCounters = []string{"requests", "answers_whole", "failures", "retries", "link_up", "work_started", "ledger_repeats", "server_orders"}
+
+func (c demoClient) counters(ctx context.Context) error {
+	fmt.Fprintln(c.out, "counters:")
+	for _, n := range append(slices.Clone(c.pool.Routers), c.pool.Agents...) {
+		values, err := c.vars(ctx, n.Admin)
+		if err != nil {
+			return err
+		}
+		var shown []string
+		for _, name := range shownCounters {
+			if v, ok := values[name]; ok {
+				shown = append(shown, name+"="+string(v))
+			}
+		}
+		fmt.Fprintf(c.out, "  %-16s %s\n", n.Name, strings.Join(shown, " "))
+	}
+	return nil
+}
+
+func (c demoClient) vars(ctx context.Context, admin string) (map[string]json.RawMessage, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/debug/vars", nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "make a request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, eris.Wrap(err, "read counters")
+	}
+	defer resp.Body.Close()
+	var values map[string]json.RawMessage
+	return values, eris.Wrap(json.NewDecoder(resp.Body).Decode(&values), "decode counters")
+}
--- a/cmd/mulberryfork/main.go
+++ b/cmd/mulberryfork/main.go
@@ -1,8 +1,122 @@
 // Command mulberryfork runs the daemons and tools of the load balancer.
 package main
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
 
-func main() {
-	fmt.Println("mulberryfork")
+	"github.com/alecthomas/kong"
+
+	"github.com/mulberryfork/mulberryfork/decide/tomltree"
+)
+
+// Exit codes; docs/operators/commands.md documents them.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitUsage   = 2
+	exitInvalid = 3
+)
+
+// version is set by the linker for a release.
+var version = "development"
+
+// commands is the command line.
+type commands struct {
+	Router  routerCommand  `cmd:"" help:"Run a router on an entry VM."`
+	Agent   agentCommand   `cmd:"" help:"Run the agent beside an upstream."`
+	Demo    demoCommand    `cmd:"" help:"Run routers, agents and stand-ins in this process and send requests."`
+	Check   checkCommand   `cmd:"" help:"Check a folder of configuration files and print every error."`
+	Explain explainCommand `cmd:"" help:"Say which file sets a key and which it overrides."`
+	Bench   benchCommand   `cmd:"" help:"Run an experiment; 'list' explains each."`
+	Burn    burnCommand    `cmd:"" help:"Report how fast service-level error budgets burn."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+// streams are the standard streams, replaced in tests.
+type streams struct {
+	out io.Writer
+	err io.Writer
+}
+
+func main() { os.Exit(run(os.Args[1:], streams{out: os.Stdout, err: os.Stderr})) }
+
+// run parses the command line and returns the exit code.
+func run(args []string, s streams) int {
+	var c commands
+	exited := -1
+	parser, err := kong.New(&c,
+		kong.Name("mulberryfork"),
+		kong.Description("A load balancer for expert-parallel model groups."),
+		kong.Writers(s.out, s.err),
+		kong.Exit(func(code int) { exited = code }),
+		kong.Bind(s),
+	)
+	if err != nil {
+		return report(s, err, exitUsage)
+	}
+	parsed, err := parser.Parse(args)
+	if exited >= 0 {
+		// Help was asked for and printed.
+		return exited
+	}
+	if err != nil {
+		return report(s, err, exitUsage)
+	}
+	if err := parsed.Run(); err != nil {
+		return report(s, err, codeOf(err))
+	}
+	return exitOK
+}
+
+// InvalidInputError reports files that do not validate. Each line of its text
+// is one error.
+type InvalidInputError struct{ Err error }
+
+func (e *InvalidInputError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the errors found.
+func (e *InvalidInputError) Unwrap() error { return e.Err }
+
+func codeOf(err error) int {
+	var invalid *InvalidInputError
+	var files *tomltree.Errors
+	if errors.As(err, &invalid) || errors.As(err, &files) {
+		return exitInvalid
+	}
+	return exitFailed
+}
+
+// report prints an error with its type, each line of it on one line.
+func report(s streams, err error, code int) int {
+	kind := strings.TrimPrefix(fmt.Sprintf("%T", innermost(err)), "*")
+	for line := range strings.Lines(err.Error()) {
+		fmt.Fprintf(s.err, "mulberryfork: %s: %s\n", kind, strings.TrimRight(line, "\n"))
+	}
+	return code
+}
+
+// innermost returns the failure that has the most to say: below wrappers and
+// joins that only add context, the first typed one.
+func innermost(err error) error {
+	for {
+		switch e := err.(type) {
+		case interface{ Unwrap() []error }:
+			err = e.Unwrap()[0]
+		case *InvalidInputError:
+			err = e.Err
+		default:
+			return err
+		}
+	}
+}
+
+type versionCommand struct{}
+
+func (versionCommand) Run(s streams) error {
+	fmt.Fprintln(s.out, "mulberryfork", version)
+	return nil
 }
--- /dev/null
+++ b/cmd/mulberryfork/pool.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/deployment"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/standin/modelengine"
+	"github.com/mulberryfork/mulberryfork/standin/plainservice"
+)
+
+const (
+	demoRouters     = 3
+	demoEngines     = 6
+	demoServices    = 3
+	demoStepTime    = 5 * time.Millisecond
+	demoMaxRequests = 16
+	demoCold        = 4
+)
+
+// demoOptions describe the pool of the demonstration.
+func demoOptions() deployment.Options {
+	o := deployment.Options{
+		Zones:      []string{"porto-a", "porto-b", "porto-c"},
+		Routers:    demoRouters,
+		Members:    map[string]float64{demoMember: 2, "crews": 1},
+		Idempotent: true,
+	}
+	for i := range demoEngines {
+		o.Upstreams = append(o.Upstreams, deployment.Upstream{
+			Name: fmt.Sprintf("engine-%d", i+1),
+			Zone: o.Zones[i%len(o.Zones)],
+			Handler: modelengine.New(modelengine.Options{
+				Clock:    kernel.BootClock{},
+				Models:   []string{deployment.Model},
+				StepBase: demoStepTime,
+			}),
+			MaxRequests:  demoMaxRequests,
+			ColdRequests: demoCold,
+		})
+	}
+	for i := range demoServices {
+		o.Upstreams = append(o.Upstreams, deployment.Upstream{
+			Name:         fmt.Sprintf("booking-%d", i+1),
+			Zone:         o.Zones[i%len(o.Zones)],
+			Plain:        true,
+			Handler:      plainservice.New(plainservice.Options{Clock: kernel.BootClock{}}),
+			MaxRequests:  demoMaxRequests,
+			ColdRequests: demoCold,
+		})
+	}
+	return o
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -148,3 +148,42 @@
 
 // Unwrap returns the cause.
 func (e *NotReadyError) Unwrap() error { return e.Err }
+
+type reloader interface{ Reload() error }
+
+// ReloadKeys reads keys and certificates again. Open links keep theirs. A file
+// that can't be used leaves the keys in force and is logged.
+func (p *Process) ReloadKeys() error {
+	trust, err := kernel.Find[reloader](p.Host, api.ServiceTrust)
+	if err != nil {
+		return err
+	}
+	logger, err := kernel.Find[api.Logger](p.Host, api.ServiceLog)
+	if err != nil {
+		return err
+	}
+	if err := trust.Reload(); err != nil {
+		logger.Change("keys not reloaded", api.Fields{"error": err.Error()})
+		return nil
+	}
+	logger.Change("keys reloaded", nil)
+	return nil
+}
+
+// WaitLinked waits until a router has a link to each configured upstream.
+func (p *Process) WaitLinked(ctx context.Context) error {
+	store, err := kernel.Find[api.ConfigStore](p.Host, api.ServiceConfigStore)
+	if err != nil {
+		return err
+	}
+	links, err := kernel.Find[api.Links](p.Host, api.ServiceTransportLinks)
+	if err != nil {
+		return err
+	}
+	for name := range store.Current().Config.Upstreams {
+		if _, ok := links.WaitUp(ctx, name); !ok {
+			return &NotReadyError{Service: api.ServiceTransportLinks, Err: context.Cause(ctx)}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/deployment/deployment.go
@@ -0,0 +1,296 @@
+// Package deployment starts a whole pool on loopback in one process: stand-ins
+// for the platform and the upstreams, real agents and real routers. The
+// demonstration and the experiments use it.
+package deployment
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/daemon"
+	"github.com/mulberryfork/mulberryfork/decide/settings"
+	"github.com/mulberryfork/mulberryfork/devcert"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/service/log"
+	"github.com/mulberryfork/mulberryfork/service/trust"
+	"github.com/mulberryfork/mulberryfork/standin/confservice"
+)
+
+// Model and Service are the names that a deployment serves.
+const (
+	Model   = "assistant"
+	Service = "booking"
+
+	loopback = "127.0.0.1:0"
+	// routerStreams bounds the requests of one router.
+	routerStreams = 10_000
+	stopDeadline  = 10 * time.Second
+)
+
+// Upstream is one upstream to start, with its stand-in.
+type Upstream struct {
+	Name    string
+	Zone    string
+	Plain   bool
+	Handler http.Handler
+	// MaxRequests and ColdRequests are its bounds.
+	MaxRequests  int
+	ColdRequests int
+	// Deduplicates says that it recognises idempotency keys.
+	Deduplicates bool
+}
+
+// Options describe a deployment.
+type Options struct {
+	Zones     []string
+	Upstreams []Upstream
+	// Routers is the number of routers, spread over the zones.
+	Routers int
+	// Members maps guild members to their shares.
+	Members map[string]float64
+	// Idempotent marks completions as safe to repeat.
+	Idempotent bool
+	// Log takes the log lines of all processes; nil drops them.
+	Log io.Writer
+	// ExtraConfig is added as a last file.
+	ExtraConfig string
+}
+
+// Deployment is a running pool.
+type Deployment struct {
+	Config  *confservice.Service
+	Routers []*Node
+	Agents  []*Node
+
+	options   Options
+	authority *devcert.Authority
+	servers   []*http.Server
+	confURL   string
+	files     map[string]string
+}
+
+// Node is one process of the deployment.
+type Node struct {
+	Name     string
+	Zone     string
+	Process  *daemon.Process
+	Settings *api.Settings
+	// URL serves callers, on a router.
+	URL string
+	// Admin serves metrics.
+	Admin string
+	// Engine is the URL of an agent's upstream.
+	Engine string
+}
+
+// Start brings a deployment up and waits until each router has a link to each
+// upstream.
+func Start(ctx context.Context, o Options) (*Deployment, error) {
+	authority, err := devcert.NewAuthority()
+	if err != nil {
+		return nil, err
+	}
+	d := &Deployment{options: o, authority: authority, Config: confservice.New(confservice.Options{Clock: kernel.BootClock{}})}
+	if d.confURL, err = d.serve(d.Config.Replica(0)); err != nil {
+		return nil, err
+	}
+	if err := d.startAll(ctx); err != nil {
+		_ = d.Stop(ctx)
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) startAll(ctx context.Context) error {
+	for _, u := range d.options.Upstreams {
+		if err := d.startAgent(ctx, u); err != nil {
+			return err
+		}
+	}
+	if err := d.publishInitial(); err != nil {
+		return err
+	}
+	for i := range d.options.Routers {
+		if err := d.startRouter(ctx, i); err != nil {
+			return err
+		}
+	}
+	return d.waitLinked(ctx)
+}
+
+// serve starts an HTTP server on loopback and returns its URL.
+func (d *Deployment) serve(h http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h}
+	d.servers = append(d.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return "http://" + listener.Addr().String(), nil
+}
+
+func (d *Deployment) startAgent(ctx context.Context, u Upstream) error {
+	engineURL, err := d.serve(u.Handler)
+	if err != nil {
+		return err
+	}
+	s := d.settings("vm-"+u.Name, u.Zone)
+	s.Upstream = u.Name
+	s.Engine.URL = engineURL
+	node, err := d.start(ctx, daemon.AgentServices(), s, api.RoleAgent)
+	if err != nil {
+		return err
+	}
+	node.Engine = engineURL
+	d.Agents = append(d.Agents, node)
+	return nil
+}
+
+func (d *Deployment) startRouter(ctx context.Context, i int) error {
+	zone := d.options.Zones[i%len(d.options.Zones)]
+	s := d.settings(fmt.Sprintf("router-%d", i+1), zone)
+	s.Listen.HTTP = loopback
+	node, err := d.start(ctx, daemon.RouterServices(), s, api.RoleRouter)
+	if err != nil {
+		return err
+	}
+	address, err := node.Process.Address(api.ServiceFrontendHTTP)
+	if err != nil {
+		return err
+	}
+	node.URL = "http://" + address
+	d.Routers = append(d.Routers, node)
+	return nil
+}
+
+func (d *Deployment) settings(node, zone string) *api.Settings {
+	return &api.Settings{
+		Node:   node,
+		Zone:   zone,
+		Listen: api.Listen{Link: loopback, Admin: loopback},
+		Config: api.ConfigFrom{Service: d.confURL},
+		Limits: api.Limits{
+			HeaderBytes:    settings.DefaultHeaderBytes,
+			BodyBytes:      settings.DefaultBodyBytes,
+			ReadTimeout:    api.Duration(settings.DefaultReadTimeout),
+			RequestTimeout: api.Duration(settings.DefaultRequestTimeout),
+			Streams:        routerStreams,
+		},
+		StopDeadline: api.Duration(stopDeadline),
+	}
+}
+
+func (d *Deployment) start(ctx context.Context, names []string, s *api.Settings, role string) (*Node, error) {
+	name := s.Node
+	if role == api.RoleAgent {
+		name = s.Upstream
+	}
+	cert, err := d.authority.Issue(role, name)
+	if err != nil {
+		return nil, err
+	}
+	out := d.options.Log
+	if out == nil {
+		out = io.Discard
+	}
+	p, err := daemon.Start(ctx, names, s, &trust.Material{Certificate: cert, Roots: d.authority.Roots}, &log.Output{Writer: out})
+	if err != nil {
+		return nil, err
+	}
+	admin, err := p.Address(api.ServiceAdminHTTP)
+	if err != nil {
+		return nil, err
+	}
+	return &Node{Name: s.Node, Zone: s.Zone, Process: p, Settings: s, Admin: admin}, nil
+}
+
+// Token returns the bearer token of a guild member.
+func Token(member string) string { return "token-of-" + member }
+
+func (d *Deployment) publishInitial() error {
+	var b strings.Builder
+	for _, zone := range d.options.Zones {
+		fmt.Fprintf(&b, "[zones.%s]\nregion = \"home\"\nstate = \"in\"\n", zone)
+	}
+	for member, share := range d.options.Members {
+		hash := sha256.Sum256([]byte(Token(member)))
+		fmt.Fprintf(&b, "[members.%s]\nshare = %g\ntoken_hashes = [%q]\n", member, share, hex.EncodeToString(hash[:]))
+	}
+	fmt.Fprintf(&b, "[models.%s]\nversion = \"1\"\nidempotent = %t\nsize_mb = 1000\n", Model, d.options.Idempotent)
+	plain := false
+	for i, u := range d.options.Upstreams {
+		if err := d.describe(&b, u, d.Agents[i]); err != nil {
+			return err
+		}
+		plain = plain || u.Plain
+	}
+	if plain {
+		fmt.Fprintf(&b, "[services.%s]\nnon_idempotent = [\"POST /visits\"]\nidempotent = [\"GET /schedule\"]\n", Service)
+	}
+	d.files = map[string]string{"90-extra.toml": d.options.ExtraConfig}
+	return d.Publish("10-pool.toml", b.String())
+}
+
+func (d *Deployment) describe(b *strings.Builder, u Upstream, node *Node) error {
+	address, err := node.Process.Address(api.ServiceTransportServer)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(b, "[upstreams.%s]\nzone = %q\nvm = %q\nagent = %q\n", u.Name, u.Zone, node.Name, address)
+	fmt.Fprintf(b, "max_requests = %d\ncold_requests = %d\ndeduplicates = %t\n", u.MaxRequests, max(u.ColdRequests, 1), u.Deduplicates)
+	if u.Plain {
+		fmt.Fprintf(b, "kind = \"plain\"\nservice = %q\n", Service)
+		return nil
+	}
+	fmt.Fprintf(b, "kind = \"model\"\nmodels = [%q]\n", Model)
+	return nil
+}
+
+// Publish puts a file into the published configuration as a new revision.
+func (d *Deployment) Publish(name, content string) error {
+	d.files[name] = content
+	_, err := d.Config.Publish(d.files)
+	return err
+}
+
+func (d *Deployment) waitLinked(ctx context.Context) error {
+	for _, node := range d.Routers {
+		if err := node.Process.WaitConfigured(ctx); err != nil {
+			return err
+		}
+		if err := node.Process.WaitLinked(ctx); err != nil {
+			return err
+		}
+	}
+	for _, node := range d.Agents {
+		if err := node.Process.WaitConfigured(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Stop stops routers, then agents, then the stand-ins.
+func (d *Deployment) Stop(ctx context.Context) error {
+	var first error
+	for _, nodes := range [][]*Node{d.Routers, d.Agents} {
+		for _, n := range nodes {
+			if err := n.Process.Stop(ctx); err != nil && first == nil {
+				first = err
+			}
+		}
+	}
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+	return first
+}
--- a/service/configsource/configsource.go
+++ b/service/configsource/configsource.go
@@ -94,6 +94,9 @@
 	wait := firstRetry
 	for ctx.Err() == nil {
 		raw, changed, err := s.poll(ctx, after)
+		if ctx.Err() != nil {
+			return
+		}
 		health(err)
 		if err == nil {
 			wait = firstRetry
--- /dev/null
+++ b/service/metrics/metrics_test.go
@@ -0,0 +1,61 @@
+package metrics_test
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/mulberryfork/mulberryfork/service/metrics"
+)
+
+// Guards against a page that lacks a metric or describes one that is gone.
+func TestPageFollowsTheTable(t *testing.T) {
+	g := goldie.New(t, goldie.WithFixtureDir("../../docs"), goldie.WithNameSuffix(".md"))
+	g.Assert(t, "metrics", []byte(metrics.Page()))
+}
+
+// Guards against a published histogram that loses its tail.
+func TestHistogramKeepsItsTail(t *testing.T) {
+	s := metrics.New()
+	for range 999 {
+		s.Observe("first_chunk", "desk", time.Millisecond)
+	}
+	s.Observe("first_chunk", "desk", 9*time.Second)
+	var out map[string]map[string]struct {
+		Count int64
+		HDR   string
+	}
+	if err := json.Unmarshal([]byte(s.JSON()), &out); err != nil {
+		t.Fatal(err)
+	}
+	packed, err := base64.StdEncoding.DecodeString(out["first_chunk"]["desk"].HDR)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, err := hdrhistogram.Decode(packed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if h.TotalCount() != 1000 || h.Max() < 8_900_000 {
+		t.Errorf("count %d, max %d us", h.TotalCount(), h.Max())
+	}
+}
+
+// Guards against label values without bound, such as names that callers make up.
+func TestLabelsAreBounded(t *testing.T) {
+	s := metrics.New()
+	for i := range 3000 {
+		s.Counter("failures", string(rune('a'+i%26))+string(rune(0x4e00+i))).Add(1)
+	}
+	var out map[string]map[string]int64
+	if err := json.Unmarshal([]byte(s.JSON()), &out); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(out["failures"]); n > 1025 {
+		t.Errorf("%d labels", n)
+	}
+}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -12,7 +12,7 @@
 
 const (
 	// MessageBytes bounds one message on a link.
-	MessageBytes = 8 << 20
+	MessageBytes = 16 << 20
 	// HeartbeatInterval is the longest time that an agent stays silent on a link.
 	HeartbeatInterval = 2 * time.Second
 	// SilenceLimit is when a router gives a link up.
