Bound the time of a merge of hostile or broken files

The TOML decoder compares each key with its siblings, so the time grows with the square of the keys in one table, and looking for similar names costs the product of wrong and defined names. A table has at most 2,048 keys in one file, and the first 100 problems of each pass get a suggestion; all are still reported.

--- a/decide/config/checker.go
+++ b/decide/config/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"regexp"
 
 	"github.com/mulberryfork/mulberryfork/api"
@@ -38,6 +39,30 @@
 type checker struct {
 	tomltree.Checker
 	config *api.Config
+	// servers counts the upstreams that list a model.
+	servers map[string]int
+	// hosted has the upstreams that hold a part of a model, as hosts of a group.
+	hosted map[hosting]bool
+}
+
+type hosting struct{ upstream, model string }
+
+func newChecker(config *api.Config, tree *tomltree.Node) *checker {
+	c := &checker{
+		Checker: tomltree.Checker{Tree: tree}, config: config,
+		servers: map[string]int{}, hosted: map[hosting]bool{},
+	}
+	for _, u := range config.Upstreams {
+		for _, m := range u.Models {
+			c.servers[m]++
+		}
+	}
+	for _, g := range config.Groups {
+		for _, u := range g.Upstreams {
+			c.hosted[hosting{u, g.Model}] = true
+		}
+	}
+	return c
 }
 
 var name = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,62}$`)
@@ -63,10 +88,6 @@
 	if _, ok := table[value]; ok {
 		return true
 	}
-	message := fmt.Sprintf("%q is not defined", value)
-	if near := tomltree.Nearest(value, sortedNames(table)); near != "" {
-		message += fmt.Sprintf("; did you mean %q?", near)
-	}
-	c.Fail(kind, message, path...)
+	c.Fail(kind, fmt.Sprintf("%q is not defined", value)+c.Suggest(value, maps.Keys(table)), path...)
 	return false
 }
--- a/decide/config/config_test.go
+++ b/decide/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"flag"
+	"fmt"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -125,6 +126,22 @@
 	}
 }
 
+// Guards against a broken revision that occupies every process: looking for
+// similar names costs the product of wrong and defined names.
+func TestSuggestionsAreBounded(t *testing.T) {
+	var text strings.Builder
+	for i := range 2 * tomltree.MaxSuggestions {
+		fmt.Fprintf(&text, "[zones.zone-%03d]\n[members.member-%03d]\nzones = [\"zone_%03d\"]\n", i, i, i)
+	}
+	_, errs := config.Merge(map[string][]byte{"a": []byte(text.String())})
+	if errs == nil || len(errs.All) != 2*tomltree.MaxSuggestions {
+		t.Fatalf("got %v", errs)
+	}
+	if n := strings.Count(errs.Error(), "did you mean"); n != tomltree.MaxSuggestions {
+		t.Errorf("%d suggestions", n)
+	}
+}
+
 // Guards against a digest that ignores names or the border between files.
 func TestDigestCoversNamesAndContents(t *testing.T) {
 	sets := []map[string][]byte{
--- a/decide/config/validate.go
+++ b/decide/config/validate.go
@@ -35,7 +35,7 @@
 )
 
 func validate(config *api.Config, tree *tomltree.Node) []*Error {
-	c := &checker{Checker: tomltree.Checker{Tree: tree}, config: config}
+	c := newChecker(config, tree)
 	c.pool()
 	for _, n := range sortedNames(config.Zones) {
 		c.zone(n)
@@ -125,8 +125,12 @@
 	c.name(n, "services", n)
 	c.routes(n, "idempotent", p.Idempotent)
 	c.routes(n, "non_idempotent", p.NonIdempotent)
+	idempotent := map[string]bool{}
+	for _, r := range p.Idempotent {
+		idempotent[r] = true
+	}
 	for _, r := range p.NonIdempotent {
-		if slices.Contains(p.Idempotent, r) {
+		if idempotent[r] {
 			c.Fail(RouteConflict, fmt.Sprintf("%q is also listed as idempotent", r), "services", n, "non_idempotent")
 		}
 	}
--- a/decide/config/validate_upstream.go
+++ b/decide/config/validate_upstream.go
@@ -88,7 +88,7 @@
 		for _, a := range model.Adapters {
 			adapters[a] = true
 		}
-		if model.SizeMB > u.MemoryMB && !c.inGroup(n, m) {
+		if model.SizeMB > u.MemoryMB && !c.hosted[hosting{n, m}] {
 			c.Fail(MemoryExceeded, fmt.Sprintf("model %q needs %d MB, memory_mb is %d", m, model.SizeMB, u.MemoryMB),
 				"upstreams", n, "models")
 		}
@@ -98,17 +98,6 @@
 	}
 }
 
-// inGroup is true if the upstream holds only its part of the model, as one of
-// several hosts of a group.
-func (c *checker) inGroup(upstream, model string) bool {
-	for _, g := range c.config.Groups {
-		if g.Model == model && slices.Contains(g.Upstreams, upstream) {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *checker) model(n string) {
 	m := c.config.Models[n]
 	c.modelName(n, "models", n)
@@ -125,13 +114,7 @@
 		c.Fail(ExceedsLimit, fmt.Sprintf("%d is more than context_tokens (%d)", m.MaxOutputTokens, m.ContextTokens),
 			"models", n, "max_output_tokens")
 	}
-	served := 0
-	for _, u := range c.config.Upstreams {
-		if slices.Contains(u.Models, n) {
-			served++
-		}
-	}
-	if served < m.MinUpstreams {
+	if served := c.servers[n]; served < m.MinUpstreams {
 		c.Fail(TooFewUpstreams, fmt.Sprintf("%d upstreams may serve the model, min_upstreams is %d", served, m.MinUpstreams),
 			"models", n, "min_upstreams")
 	}
--- a/decide/tomltree/check.go
+++ b/decide/tomltree/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"math"
 	"net/netip"
 	"slices"
@@ -20,6 +21,14 @@
 type Checker struct {
 	Tree *Node
 	Errs []*Error
+
+	hints hints
+}
+
+// Suggest returns the end of a message that names the candidate closest to a
+// value, or "" if there is none.
+func (c *Checker) Suggest(value string, candidates iter.Seq[string]) string {
+	return c.hints.suggest(value, candidates)
 }
 
 // Fail reports a problem at a key, or at the closest table that a file has.
@@ -71,10 +80,7 @@
 		return true
 	}
 	message := fmt.Sprintf("%q is not one of %q", value, allowed)
-	if near := Nearest(value, allowed); near != "" {
-		message += fmt.Sprintf("; did you mean %q?", near)
-	}
-	c.Fail(UnknownValue, message, path...)
+	c.Fail(UnknownValue, message+c.Suggest(value, slices.Values(allowed)), path...)
 	return false
 }
 
--- a/decide/tomltree/decode.go
+++ b/decide/tomltree/decode.go
@@ -37,8 +37,9 @@
 }
 
 type decoder struct {
-	errs []*Error
-	bad  [][]string
+	errs  []*Error
+	bad   [][]string
+	hints hints
 }
 
 func (d *decoder) fail(n *Node, path []string, k Kind, message string) {
@@ -97,11 +98,7 @@
 		inner := append(path[:len(path):len(path)], key)
 		i, ok := fields[key]
 		if !ok {
-			message := "no such key"
-			if near := Nearest(key, slices.Sorted(maps.Keys(fields))); near != "" {
-				message = fmt.Sprintf("no such key; did you mean %q?", near)
-			}
-			d.fail(n.Table[key], inner, UnknownKey, message)
+			d.fail(n.Table[key], inner, UnknownKey, "no such key"+d.hints.suggest(key, maps.Keys(fields)))
 			continue
 		}
 		d.value(n.Table[key], v.Field(i), inner)
--- a/decide/tomltree/nearest.go
+++ b/decide/tomltree/nearest.go
@@ -1,5 +1,29 @@
 package tomltree
 
+import (
+	"fmt"
+	"iter"
+	"slices"
+)
+
+// MaxSuggestions bounds the problems for which similar names are looked for,
+// since the cost grows with the product of wrong and defined names.
+const MaxSuggestions = 100
+
+// hints counts the suggestions made so far.
+type hints struct{ made int }
+
+func (h *hints) suggest(value string, candidates iter.Seq[string]) string {
+	h.made++
+	if h.made > MaxSuggestions {
+		return ""
+	}
+	if near := Nearest(value, slices.Sorted(candidates)); near != "" {
+		return fmt.Sprintf("; did you mean %q?", near)
+	}
+	return ""
+}
+
 // maxSuggestionEdits is the edit distance up to which a name is suggested.
 const maxSuggestionEdits = 2
 
--- a/decide/tomltree/parse.go
+++ b/decide/tomltree/parse.go
@@ -18,6 +18,10 @@
 // MaxKeyBytes bounds one part of a key.
 const MaxKeyBytes = 256
 
+// MaxTableKeys bounds the keys of one table in one file. The time of the TOML
+// decoder grows with the square of it: 40,000 keys take seconds.
+const MaxTableKeys = 2048
+
 // Origin is the place that set a key.
 type Origin struct {
 	File string
@@ -80,15 +84,17 @@
 const pathSeparator = "\x00"
 
 type lineIndex struct {
+	file     string
 	lines    map[string]int
+	children map[string]int
 	newlines []int
 	prefix   []string
 }
 
-// scanLines records the line of each key, and refuses deep nesting before
-// anything recursive sees it.
+// scanLines records the line of each key, and refuses what exceeds the bounds
+// before the decoder sees it.
 func scanLines(file string, data []byte) (map[string]int, *Error) {
-	x := lineIndex{lines: map[string]int{}}
+	x := lineIndex{file: file, lines: map[string]int{}, children: map[string]int{}}
 	for i, c := range data {
 		if c == '\n' {
 			x.newlines = append(x.newlines, i)
@@ -97,70 +103,69 @@
 	var p unstable.Parser
 	p.Reset(data)
 	for p.NextExpression() {
-		if line := x.expression(p.Expression()); line > 0 {
-			return nil, &Error{
-				File: file, Line: line, Kind: TooDeep,
-				Message: fmt.Sprintf("tables are nested deeper than %d, or a key is longer than %d bytes", MaxDepth, MaxKeyBytes),
-			}
+		if failure := x.expression(p.Expression()); failure != nil {
+			return nil, failure
 		}
 	}
 	// A parser error is reported by the decoder, which knows the position.
 	return x.lines, nil
 }
 
-// expression records the keys of an expression. It returns the line of a key
-// that is too deep, or 0.
-func (x *lineIndex) expression(n *unstable.Node) int {
+func (x *lineIndex) expression(n *unstable.Node) (failure *Error) {
 	switch n.Kind {
 	case unstable.Table, unstable.ArrayTable:
-		x.prefix = nil
-		path, deep := x.record(nil, n.Key())
-		x.prefix = path
-		return deep
+		x.prefix, failure = x.record(nil, n.Key())
 	case unstable.KeyValue:
-		return x.keyValue(x.prefix, n)
+		failure = x.keyValue(x.prefix, n)
 	}
-	return 0
+	return failure
 }
 
-func (x *lineIndex) keyValue(prefix []string, n *unstable.Node) int {
-	path, deep := x.record(prefix, n.Key())
-	if deep > 0 {
-		return deep
+func (x *lineIndex) keyValue(prefix []string, n *unstable.Node) *Error {
+	path, failure := x.record(prefix, n.Key())
+	if failure != nil {
+		return failure
 	}
 	return x.inside(path, n.Value())
 }
 
 // inside records the keys of inline tables, also of those in arrays.
-func (x *lineIndex) inside(path []string, n *unstable.Node) int {
-	deep := 0
+func (x *lineIndex) inside(path []string, n *unstable.Node) (failure *Error) {
 	if n.Kind != unstable.InlineTable && n.Kind != unstable.Array {
-		return deep
+		return nil
 	}
-	for it := n.Children(); it.Next() && deep == 0; {
+	for it := n.Children(); it.Next() && failure == nil; {
 		if it.Node().Kind == unstable.KeyValue {
-			deep = x.keyValue(path, it.Node())
+			failure = x.keyValue(path, it.Node())
 			continue
 		}
-		deep = x.inside(path, it.Node())
+		failure = x.inside(path, it.Node())
 	}
-	return deep
+	return failure
 }
 
-func (x *lineIndex) record(prefix []string, keys unstable.Iterator) (path []string, deep int) {
+func (x *lineIndex) record(prefix []string, keys unstable.Iterator) (path []string, failure *Error) {
 	path = append(path, prefix...)
 	for keys.Next() {
 		line := x.lineAt(int(keys.Node().Raw.Offset))
 		if len(path) == MaxDepth || len(keys.Node().Data) > MaxKeyBytes {
-			return path, line
+			message := fmt.Sprintf("tables are nested deeper than %d, or a key is longer than %d bytes", MaxDepth, MaxKeyBytes)
+			return path, &Error{File: x.file, Line: line, Kind: TooDeep, Message: message}
 		}
+		parent := strings.Join(path, pathSeparator)
 		path = append(path, string(keys.Node().Data))
 		name := strings.Join(path, pathSeparator)
-		if _, ok := x.lines[name]; !ok {
-			x.lines[name] = line
+		if _, ok := x.lines[name]; ok {
+			continue
+		}
+		x.lines[name] = line
+		x.children[parent]++
+		if x.children[parent] > MaxTableKeys {
+			message := fmt.Sprintf("one table has more than %d keys in this file", MaxTableKeys)
+			return path, &Error{File: x.file, Line: line, Key: Join(path[:len(path)-1]), Kind: TooLarge, Message: message}
 		}
 	}
-	return path, 0
+	return path, nil
 }
 
 func (x *lineIndex) lineAt(offset int) int {
