Date sends on the agent's clock and report waiting cost

Cause: an agent cannot tell a delayed copy of a send from a fresh one, and a router cannot tell a member that is held back from one that asks for little. Change: Order carries the agent's elapsed time as last heard and a share factor, OutcomeQuery repeats what the order carried, Load lists the cost that waits for each member. All fields are new, so older builds ignore them.

--- a/api/request.go
+++ b/api/request.go
@@ -33,6 +33,11 @@
 	// zero incarnation accepts any.
 	Upstream    string
 	Incarnation Incarnation
+	// AgentElapsed is the agent's elapsed time as the router last heard it
+	// before this send. It dates the send on the agent's own clock.
+	AgentElapsed time.Duration
+	// ShareFactor multiplies the member's share at this agent, zero for 1.
+	ShareFactor float64
 	// Revision is the configuration revision the router acted on.
 	Revision uint64
 	// DeadlineLeft is the time the caller still waits, from the moment of sending.
@@ -111,6 +116,9 @@
 	// Send is set by a router that lost its link. The agent then makes sure
 	// that a send it has not seen will never start.
 	Send *SendID
+	// Incarnation and AgentElapsed repeat what the order of that send carried.
+	Incarnation  Incarnation
+	AgentElapsed time.Duration
 }
 
 // Load is what an agent says about its upstream.
@@ -139,6 +147,9 @@
 	FirstToken time.Duration
 	// Served lists the cost served for each member since the agent started.
 	Served map[string]uint64
+	// Waiting lists the cost of each member's queued requests, so that a
+	// member that wants more is told from one that asks for little.
+	Waiting map[string]uint64
 	// PrefixAdded and PrefixDropped are cache events since the last report.
 	PrefixAdded   []uint64
 	PrefixDropped []uint64
