--- /dev/null
+++ b/decide/idemkey/errors.go
@@ -0,0 +1,41 @@
+package idemkey
+
+import "fmt"
+
+// LengthError reports a key that is empty or too long.
+type LengthError struct{ Bytes int }
+
+func (e *LengthError) Error() string {
+	return fmt.Sprintf("a key has 1 to %d bytes, this one has %d", MaxKeyBytes, e.Bytes)
+}
+
+// CharacterError reports a byte that a key may not contain.
+type CharacterError struct{ Offset int }
+
+func (e *CharacterError) Error() string {
+	return fmt.Sprintf("byte %d of the key is not a visible ASCII character", e.Offset)
+}
+
+// VersionError reports an issued key of another version.
+type VersionError struct{ Version string }
+
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("key version %q is not supported", e.Version)
+}
+
+// FieldCountError reports an issued key with missing or additional fields.
+type FieldCountError struct{ Got int }
+
+func (e *FieldCountError) Error() string {
+	return fmt.Sprintf("an issued key has %d fields, this one has %d", boundFields, e.Got)
+}
+
+// FieldError reports a field of an issued key that cannot be read.
+type FieldError struct {
+	Field string
+	Text  string
+}
+
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("field %s of the key is invalid: %q", e.Field, e.Text)
+}
--- /dev/null
+++ b/decide/idemkey/key.go
@@ -0,0 +1,190 @@
+package idemkey
+
+import (
+	"encoding/hex"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
+
+const (
+	// prefix starts every issued key, whatever its version.
+	prefix = "mfk"
+	// version is the only version of the text form so far.
+	version = "1"
+	// separator stands between the fields of an issued key.
+	separator = ":"
+
+	// MaxKeyBytes bounds the text of a key.
+	MaxKeyBytes = 255
+	// MaxUpstreamBytes bounds the upstream name in an issued key.
+	MaxUpstreamBytes = 64
+	// RandomBytes is the length of the random part.
+	RandomBytes = 16
+
+	boundFields  = 5
+	wordHexBytes = 16
+)
+
+// Bound is a key issued for one incarnation of one upstream's agent.
+type Bound struct {
+	Upstream    string
+	Incarnation api.Incarnation
+	// Issued is the agent's elapsed time as known to the issuing router. It
+	// is never later than the moment of issue on the agent's clock.
+	Issued time.Duration
+	Random [RandomBytes]byte
+}
+
+// String returns the one text form of the key.
+func (b Bound) String() string {
+	return strings.Join([]string{
+		prefix + version,
+		b.Upstream,
+		word(uint64(b.Incarnation)),
+		word(uint64(b.Issued)),
+		hex.EncodeToString(b.Random[:]),
+	}, separator)
+}
+
+// New returns a bound key, or a FieldError for values that have no text form.
+func New(upstream string, i api.Incarnation, issued time.Duration, random [RandomBytes]byte) (Bound, error) {
+	b := Bound{Upstream: upstream, Incarnation: i, Issued: issued, Random: random}
+	return b, b.check()
+}
+
+// Key is a parsed key of either kind.
+type Key struct {
+	Text string
+	// Bound is nil for a key that the caller made.
+	Bound *Bound
+}
+
+// Parse reads a key as callers send it. Texts that begin like an issued key
+// must be one, so that a damaged issued key never passes for a caller's own.
+func Parse(text string) (Key, error) {
+	if err := checkText(text); err != nil {
+		return Key{}, err
+	}
+	if !issued(text) {
+		return Key{Text: text}, nil
+	}
+	b, err := ParseBound(text)
+	if err != nil {
+		return Key{}, err
+	}
+	return Key{Text: text, Bound: &b}, nil
+}
+
+// ParseBound reads an issued key. It accepts exactly the texts that String writes.
+func ParseBound(text string) (Bound, error) {
+	if err := checkText(text); err != nil {
+		return Bound{}, err
+	}
+	fields := strings.Split(text, separator)
+	if v, ok := strings.CutPrefix(fields[0], prefix); !ok || v != version {
+		return Bound{}, &VersionError{Version: fields[0]}
+	}
+	if len(fields) != boundFields {
+		return Bound{}, &FieldCountError{Got: len(fields)}
+	}
+	incarnation, err := parseWord("incarnation", fields[2])
+	if err != nil {
+		return Bound{}, err
+	}
+	at, err := parseWord("issued", fields[3])
+	if err != nil {
+		return Bound{}, err
+	}
+	b := Bound{Upstream: fields[1], Incarnation: api.Incarnation(incarnation), Issued: time.Duration(at)}
+	if !lowerHex(fields[4], hex.EncodedLen(RandomBytes)) {
+		return Bound{}, &FieldError{Field: "random", Text: fields[4]}
+	}
+	if _, err := hex.Decode(b.Random[:], []byte(fields[4])); err != nil {
+		return Bound{}, &FieldError{Field: "random", Text: fields[4]}
+	}
+	return b, b.check()
+}
+
+// issued reports whether a text begins like an issued key of any version.
+func issued(text string) bool {
+	head, _, found := strings.Cut(text, separator)
+	v, ours := strings.CutPrefix(head, prefix)
+	if !found || !ours || v == "" {
+		return false
+	}
+	for _, c := range []byte(v) {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+func (b Bound) check() error {
+	if b.Upstream == "" || len(b.Upstream) > MaxUpstreamBytes {
+		return &FieldError{Field: "upstream", Text: b.Upstream}
+	}
+	for _, c := range []byte(b.Upstream) {
+		if !nameByte(c) {
+			return &FieldError{Field: "upstream", Text: b.Upstream}
+		}
+	}
+	if b.Incarnation == 0 {
+		return &FieldError{Field: "incarnation", Text: word(0)}
+	}
+	if b.Issued < 0 {
+		return &FieldError{Field: "issued", Text: word(uint64(b.Issued))}
+	}
+	return nil
+}
+
+func checkText(text string) error {
+	if text == "" || len(text) > MaxKeyBytes {
+		return &LengthError{Bytes: len(text)}
+	}
+	for i, c := range []byte(text) {
+		if c <= ' ' || c > '~' {
+			return &CharacterError{Offset: i}
+		}
+	}
+	return nil
+}
+
+func nameByte(c byte) bool {
+	switch {
+	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		return true
+	}
+	return c == '-' || c == '_' || c == '.'
+}
+
+func word(v uint64) string {
+	text := strconv.FormatUint(v, 16)
+	return strings.Repeat("0", wordHexBytes-len(text)) + text
+}
+
+func parseWord(field, text string) (uint64, error) {
+	if !lowerHex(text, wordHexBytes) {
+		return 0, &FieldError{Field: field, Text: text}
+	}
+	v, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, &FieldError{Field: field, Text: text}
+	}
+	return v, nil
+}
+
+func lowerHex(text string, length int) bool {
+	if len(text) != length {
+		return false
+	}
+	for _, c := range []byte(text) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/decide/idemkey/key_test.go
@@ -0,0 +1,123 @@
+package idemkey_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/idemkey"
+)
+
+const good = "mfk1:booking-1:00000000000000ab:000000000000000c:000102030405060708090a0b0c0d0e0f"
+
+// A parser that accepts a damaged key could bind it to another agent or age.
+func TestParseRefusesDamagedKeys(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		want any
+	}{
+		"empty":             {"", new(*idemkey.LengthError)},
+		"too long":          {strings.Repeat("k", idemkey.MaxKeyBytes+1), new(*idemkey.LengthError)},
+		"control character": {"order\n1", new(*idemkey.CharacterError)},
+		"space":             {"order 1", new(*idemkey.CharacterError)},
+		"later version":     {"mfk2" + good[4:], new(*idemkey.VersionError)},
+		"padded version":    {"mfk01" + good[4:], new(*idemkey.VersionError)},
+		"missing field":     {good[:len(good)-33], new(*idemkey.FieldCountError)},
+		"additional field":  {good + ":", new(*idemkey.FieldCountError)},
+		"upper-case hex":    {strings.Replace(good, "0ab", "0AB", 1), new(*idemkey.FieldError)},
+		"zero incarnation":  {strings.Replace(good, "ab:", "00:", 1), new(*idemkey.FieldError)},
+		"negative time":     {strings.Replace(good, ":000000000000000c", ":f00000000000000c", 1), new(*idemkey.FieldError)},
+		"short random":      {good[:len(good)-1], new(*idemkey.FieldError)},
+		"no upstream":       {strings.Replace(good, "booking-1", "", 1), new(*idemkey.FieldError)},
+		"foreign name":      {strings.Replace(good, "booking-1", "a/b", 1), new(*idemkey.FieldError)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if _, err := idemkey.Parse(c.text); !errors.As(err, c.want) {
+				t.Errorf("got %v, want %T", err, c.want)
+			}
+		})
+	}
+	for _, text := range []string{"order-1", "mfk", "mfk1", "mfkey:1", "mfk:x"} {
+		if k, err := idemkey.Parse(text); err != nil || k.Bound != nil {
+			t.Errorf("%q: %v, want a caller-made key", text, err)
+		}
+	}
+}
+
+// Two texts for one key would be two entries in the ledger.
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Add("order-1")
+	f.Add("mfk1::::")
+	f.Fuzz(func(t *testing.T, text string) {
+		k, err := idemkey.Parse(text)
+		if err == nil && k.Bound != nil && k.Bound.String() != text {
+			t.Errorf("%q parsed, but is written %q", text, k.Bound)
+		}
+	})
+}
+
+func TestIssuedKeysSurviveTheText(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var random [idemkey.RandomBytes]byte
+		copy(random[:], rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "random"))
+		b, err := idemkey.New(
+			rapid.StringMatching(`[A-Za-z0-9._-]{1,64}`).Draw(t, "upstream"),
+			api.Incarnation(rapid.Uint64Min(1).Draw(t, "incarnation")),
+			time.Duration(rapid.Int64Min(0).Draw(t, "issued")), random)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if k, err := idemkey.Parse(b.String()); err != nil || *k.Bound != b {
+			t.Errorf("%q read back as %v, %v", b, k.Bound, err)
+		}
+	})
+}
+
+// A change of the list must move only the keys whose home it concerns.
+func TestHomeMovesOnlyForTheChangedUpstream(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,6}`), 2, 12, rapid.ID).Draw(t, "list")
+		key := rapid.StringMatching(`[a-z0-9]{1,12}`).Draw(t, "key")
+		home, _ := idemkey.Home("m", key, list)
+		if again, _ := idemkey.Home("m", key, rapid.Permutation(list).Draw(t, "order")); again != home {
+			t.Fatalf("home depends on the order: %s, %s", home, again)
+		}
+		if next, _ := idemkey.Home("m", key, list[1:]); next != home && home != list[0] {
+			t.Errorf("home moved from %s to %s though %s left", home, next, list[0])
+		}
+	})
+	if _, ok := idemkey.Home("m", "k", nil); ok {
+		t.Error("an empty list has a home")
+	}
+}
+
+func TestEvidence(t *testing.T) {
+	full := idemkey.Evidence{
+		IncarnationAge: time.Hour, ListAge: time.Hour + time.Minute, ConfirmedAge: time.Minute,
+		ResendWindow: time.Hour, ListLag: time.Minute,
+	}
+	cases := map[string]struct {
+		change func(*idemkey.Evidence)
+		want   bool
+	}{
+		"all old enough":      {func(*idemkey.Evidence) {}, true},
+		"young incarnation":   {func(e *idemkey.Evidence) { e.IncarnationAge-- }, false},
+		"young list":          {func(e *idemkey.Evidence) { e.ListAge-- }, false},
+		"unconfirmed list":    {func(e *idemkey.Evidence) { e.ConfirmedAge++ }, false},
+		"no window set":       {func(e *idemkey.Evidence) { e.ResendWindow = 0 }, false},
+		"upstream recognises": {func(e *idemkey.Evidence) { *e = idemkey.Evidence{Deduplicates: true} }, true},
+	}
+	for name, c := range cases {
+		e := full
+		c.change(&e)
+		if e.RulesOut() != c.want {
+			t.Errorf("%s: got %v", name, e.RulesOut())
+		}
+	}
+}
