--- /dev/null
+++ b/decide/reassembly/assembler_test.go
@@ -0,0 +1,146 @@
+package reassembly_test
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/reassembly"
+)
+
+const limit = 400
+
+// stream is the sender side: the messages of each attempt, in any order.
+type stream struct {
+	whole     []byte
+	assembler *reassembly.Assembler
+	attempt   uint32
+	got       []byte
+	sent      []any
+}
+
+func (s *stream) id(attempt uint32) api.SendID { return api.SendID{Request: "r", Attempt: attempt} }
+
+// emit puts the messages of an attempt on the wire.
+func (s *stream) emit(from uint64) {
+	for i := from; i < uint64(len(s.whole)); i++ {
+		s.sent = append(s.sent, api.Chunk{Send: s.id(s.attempt), Seq: i + 1, Payload: s.whole[i : i+1]})
+	}
+	s.sent = append(s.sent, api.End{Send: s.id(s.attempt), Chunks: uint64(len(s.whole))})
+}
+
+func (s *stream) receive(t *rapid.T, m any) {
+	if end, ok := m.(api.End); ok {
+		s.assembler.End(end)
+		return
+	}
+	for _, c := range s.assembler.Chunk(m.(api.Chunk)) {
+		s.got = append(s.got, c.Payload...)
+	}
+}
+
+// check guards against answers with a hole, a repetition or a missing end.
+func (s *stream) check(t *rapid.T) {
+	if len(s.got) > len(s.whole) || !slices.Equal(s.got, s.whole[:len(s.got)]) {
+		t.Fatalf("delivered %v of %v", s.got, s.whole)
+	}
+	if s.assembler.Status() == reassembly.Complete && len(s.got) != len(s.whole) {
+		t.Fatalf("complete after %d of %d chunks", len(s.got), len(s.whole))
+	}
+	if s.assembler.Held() > limit || s.assembler.Delivered() != uint64(len(s.got)) {
+		t.Fatalf("held %d bytes, delivered %d", s.assembler.Held(), s.assembler.Delivered())
+	}
+}
+
+func TestDeliversAPrefixOfTheConcatenation(t *testing.T) {
+	completed := 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := &stream{whole: rapid.SliceOfN(rapid.Byte(), 0, 12).Draw(t, "whole"), attempt: 1}
+		s.assembler = reassembly.New(s.id(1), 0, limit)
+		s.emit(0)
+		pick := func() int { return rapid.IntRange(0, len(s.sent)-1).Draw(t, "message") }
+		t.Repeat(map[string]func(*rapid.T){
+			"": s.check,
+			"first": func(t *rapid.T) {
+				s.receive(t, s.sent[0])
+				if len(s.sent) > 1 {
+					s.sent = s.sent[1:]
+				}
+			},
+			"any": func(t *rapid.T) { s.receive(t, s.sent[pick()]) },
+			"lose": func(t *rapid.T) {
+				if i := pick(); len(s.sent) > 1 {
+					s.sent = slices.Delete(s.sent, i, i+1)
+				}
+			},
+			"foreign": func(t *rapid.T) {
+				s.assembler.Chunk(api.Chunk{Send: api.SendID{Request: "q", Attempt: s.attempt}, Seq: s.assembler.Delivered() + 1})
+			},
+			"unsent": func(t *rapid.T) {
+				s.assembler.End(api.End{Send: s.id(s.attempt + 1), Chunks: s.assembler.Delivered()})
+			},
+			"link lost": func(t *rapid.T) { s.assembler.Break(api.Fail(api.CodeLinkLost, api.Unknown, "")) },
+			"resume": func(t *rapid.T) {
+				if from, ok := s.assembler.Resume(s.attempt + 1); ok {
+					s.attempt++
+					s.emit(from)
+				}
+			},
+		})
+		if s.assembler.Status() == reassembly.Complete {
+			completed++
+		}
+	})
+	if completed == 0 {
+		t.Error("no answer was ever complete")
+	}
+}
+
+func TestEndDecides(t *testing.T) {
+	id := api.SendID{Request: "r", Attempt: 1}
+	chunk := func(seq uint64) api.Chunk { return api.Chunk{Send: id, Seq: seq, Payload: make([]byte, 100)} }
+	cases := map[string]struct {
+		chunks []uint64
+		end    api.End
+		want   reassembly.Status
+	}{
+		"empty answer":        {nil, api.End{Send: id}, reassembly.Complete},
+		"missing chunk":       {[]uint64{1}, api.End{Send: id, Chunks: 2}, reassembly.Open},
+		"chunk after the end": {[]uint64{1, 3}, api.End{Send: id, Chunks: 2}, reassembly.Broken},
+		"too few stated":      {[]uint64{1, 2}, api.End{Send: id, Chunks: 1}, reassembly.Broken},
+		"failure":             {[]uint64{1}, api.End{Send: id, Chunks: 1, Failure: &api.Failure{}}, reassembly.Broken},
+		"gap over the bound":  {[]uint64{2, 3, 4, 5}, api.End{Send: id, Chunks: 5}, reassembly.Broken},
+	}
+	for name, c := range cases {
+		a := reassembly.New(id, 0, limit)
+		for _, seq := range c.chunks {
+			a.Chunk(chunk(seq))
+		}
+		a.End(c.end)
+		if a.Status() != c.want {
+			t.Errorf("%s: status %d, want %d", name, a.Status(), c.want)
+		}
+	}
+}
+
+func TestDropsAreCountedByKind(t *testing.T) {
+	id := api.SendID{Request: "r", Attempt: 2}
+	a := reassembly.New(id, 0, limit)
+	if !a.Head(api.Head{Send: id}) || a.Head(api.Head{Send: id}) {
+		t.Error("the head must be delivered once")
+	}
+	a.Chunk(api.Chunk{Send: api.SendID{Request: "q", Attempt: 2}, Seq: 1})
+	a.Chunk(api.Chunk{Send: api.SendID{Request: "r", Attempt: 1}, Seq: 1})
+	a.Chunk(api.Chunk{Send: api.SendID{Request: "r", Attempt: 3}, Seq: 1})
+	a.End(api.End{Send: id})
+	a.End(api.End{Send: id})
+	want := reassembly.Drops{Foreign: 1, Late: 1, Unsent: 1, Duplicate: 1, Closed: 1}
+	if a.Drops() != want {
+		t.Errorf("drops %+v, want %+v", a.Drops(), want)
+	}
+	if _, ok := a.Resume(3); ok {
+		t.Error("a whole answer was resumed")
+	}
+}
