Add the choice of upstream as a pure decision

Cause: routers need one place that weighs prefix affinity, outstanding work and zone, without counting own sends twice under lagging load reports. Change: decide/route with the work estimate, the prefix index and the restrictions; decide/hash for seeded ties and rendezvous hashing. api gets RouteChoice.Ticket and RouteResult.Ticket, Unsent and Cache, so that a result closes the choice that it belongs to. Conclusion: a rapid state machine with loss, delay, duplicates and restarts finds the estimate exact once all frames have arrived.

--- a/api/request.go
+++ b/api/request.go
@@ -165,6 +165,7 @@
 	// PrefixAdded and PrefixDropped are cache events since the last report.
 	PrefixAdded   []uint64
 	PrefixDropped []uint64
-	// CacheSeq numbers the cache events so that a gap shows.
+	// CacheSeq is the number of cache events of the engine so far, including
+	// those of this report, so that a gap shows.
 	CacheSeq uint64
 }
--- a/api/services.go
+++ b/api/services.go
@@ -139,11 +139,29 @@
 	Incarnation Incarnation
 	Elapsed     time.Duration
 	Revision    uint64
+	// Ticket names this choice in the RouteResult that closes it.
+	Ticket uint64
 }
 
+// CacheUse says whether an engine served a prompt from its prefix cache.
+type CacheUse uint8
+
+// Kinds of cache use. CacheUnknown is for engines that do not tell.
+const (
+	CacheUnknown CacheUse = iota
+	CacheHit
+	CacheMiss
+)
+
 // RouteResult tells the routing service how a send ended.
 type RouteResult struct {
-	Upstream   string
+	Upstream string
+	// Ticket is the one of the RouteChoice.
+	Ticket uint64
+	// Unsent is true if the order never left the router, so that the agent
+	// will not count it in Load.SeenOrders.
+	Unsent     bool
+	Cache      CacheUse
 	CostTokens uint32
 	Failure    *Failure
 	FirstChunk time.Duration
--- /dev/null
+++ b/decide/route/choose.go
@@ -0,0 +1,197 @@
+package route
+
+import (
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
+
+// candidate is an upstream that may take the request.
+type candidate struct {
+	up    *upstream
+	saved float64
+	// load is the outstanding work, weighted by the upstream's bound.
+	load  float64
+	score float64
+	tie   uint64
+}
+
+// Choose picks an upstream and counts the request as work on it at once. Each
+// choice must be closed by Done with its ticket.
+func (s *State) Choose(now time.Duration, q api.RouteQuery) (api.RouteChoice, *api.Failure) {
+	if s.snapshot == nil {
+		s.counters.Refusals++
+		return api.RouteChoice{}, refuse(notServing)
+	}
+	s.serial++
+	deepest := s.index.lookup(now, q.Prefix, s.serial)
+	found, best := s.candidates(&q)
+	if len(found) == 0 {
+		s.counters.Refusals++
+		return api.RouteChoice{}, refuse(best)
+	}
+	chosen := s.pick(now, &q, found, deepest)
+	return s.take(now, &q, chosen), nil
+}
+
+// candidates returns the upstreams to compare, or the best verdict if there
+// are none. Ejected upstreams serve only if nothing else can.
+func (s *State) candidates(q *api.RouteQuery) ([]candidate, verdict) {
+	best := notServing
+	for _, u := range s.ordered {
+		best = max(best, s.judge(u, q))
+	}
+	if best < avoided {
+		return nil, best
+	}
+	found := s.scratch[:0]
+	var largest float64
+	for _, u := range s.ordered {
+		if s.judge(u, q) == best {
+			found = append(found, candidate{up: u, tie: s.tie(u)})
+			largest = max(largest, u.limitTokens())
+		}
+	}
+	s.scratch = found
+	for i := range found {
+		s.score(&found[i], q, largest)
+	}
+	return s.sampled(found), best
+}
+
+// score prices an upstream in tokens of prefill: what is outstanding there,
+// scaled to its bound, and the zone, less what its cache saves. Work above the
+// bound has to wait in full.
+func (s *State) score(c *candidate, q *api.RouteQuery, largest float64) {
+	u := c.up
+	_, tokens := u.work()
+	limit := u.limitTokens()
+	c.load = float64(tokens) * largest / limit
+	excess := max(float64(tokens)+float64(q.CostTokens)-limit, 0) * largest / limit
+	if u.match.serial == s.serial {
+		c.saved = float64(u.match.blocks * s.o.BlockTokens)
+		if u.match.stale {
+			c.saved *= u.cache.trust
+		}
+	}
+	c.score = c.load*s.o.WorkWeight + excess - c.saved
+	if u.conf.Zone != s.o.Zone {
+		c.score += s.o.ZonePenaltyTokens
+	}
+}
+
+// sampled keeps the upstreams with affinity and a few others, drawn by the
+// seeded hash, so that routers with the same late reports do not all choose
+// the same upstream.
+func (s *State) sampled(found []candidate) []candidate {
+	if s.o.Sample <= 0 || len(found) <= s.o.Sample {
+		return found
+	}
+	ties := make([]uint64, 0, s.o.Sample)
+	for i := range found {
+		ties = insertSmallest(ties, found[i].tie, s.o.Sample)
+	}
+	bound := ties[len(ties)-1]
+	kept := found[:0]
+	for _, c := range found {
+		if c.saved > 0 || c.tie <= bound {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+// insertSmallest keeps the n smallest values in ascending order.
+func insertSmallest(values []uint64, v uint64, n int) []uint64 {
+	if len(values) < n {
+		values = append(values, v)
+	} else if v < values[n-1] {
+		values[n-1] = v
+	}
+	for i := len(values) - 1; i > 0 && values[i] < values[i-1]; i-- {
+		values[i], values[i-1] = values[i-1], values[i]
+	}
+	return values
+}
+
+func (s *State) pick(now time.Duration, q *api.RouteQuery, found []candidate, deepest *block) *upstream {
+	best := lowest(found, func(c *candidate) bool { return true })
+	if deepest == nil || s.o.SpreadPart < 0 {
+		return best.up
+	}
+	heat := deepest.heated(now, float64(q.CostTokens))
+	wanted := 1 + int(heat/(s.o.SpreadPart*best.up.limitTokens()))
+	depth := 0
+	for i := range found {
+		depth = max(depth, found[i].depth(s.serial))
+	}
+	if depth == 0 || count(found, s.serial, depth) >= wanted {
+		return best.up
+	}
+	other := lowest(found, func(c *candidate) bool { return c.depth(s.serial) < depth })
+	if other == nil || other.load >= best.load {
+		return best.up
+	}
+	s.counters.Spread++
+	return other.up
+}
+
+func (c *candidate) depth(serial uint64) int {
+	if c.up.match.serial != serial {
+		return 0
+	}
+	return c.up.match.blocks
+}
+
+func count(found []candidate, serial uint64, depth int) int {
+	n := 0
+	for i := range found {
+		if found[i].depth(serial) >= depth {
+			n++
+		}
+	}
+	return n
+}
+
+// lowest returns the candidate with the lowest score among those that qualify.
+func lowest(found []candidate, qualifies func(*candidate) bool) *candidate {
+	var best *candidate
+	for i := range found {
+		c := &found[i]
+		if !qualifies(c) {
+			continue
+		}
+		if best == nil || c.score < best.score || (c.score == best.score && c.tie < best.tie) {
+			best = c
+		}
+	}
+	return best
+}
+
+// take records the choice. The blocks of the prompt will be in the cache of
+// the upstream, so the index has them at once.
+func (s *State) take(now time.Duration, q *api.RouteQuery, u *upstream) api.RouteChoice {
+	ticket := s.serial
+	hit := u.match.serial == s.serial
+	if hit {
+		s.counters.AffinityHit++
+	}
+	u.sends.add(send{
+		ticket: ticket,
+		cost:   q.CostTokens,
+		stale:  hit && u.match.stale,
+		prefix: q.Prefix,
+	})
+	s.tickets[ticket] = u
+	for _, h := range q.Prefix {
+		s.index.put(now, h, u, ticket)
+	}
+	s.counters.Choices++
+	return api.RouteChoice{
+		Upstream:    u.name,
+		Incarnation: u.link.Incarnation,
+		Elapsed:     max(u.link.Elapsed, u.load.Elapsed),
+		Revision:    s.snapshot.Revision,
+		Ticket:      ticket,
+	}
+}
--- /dev/null
+++ b/decide/route/eligible.go
@@ -0,0 +1,133 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
+
+// Health is the mark of outlier detection on an upstream.
+type Health uint8
+
+const (
+	// Healthy upstreams take work.
+	Healthy Health = iota
+	// Probing upstreams take one request at a time.
+	Probing
+	// Ejected upstreams take work only if no other upstream can.
+	Ejected
+)
+
+// verdict says why an upstream cannot take a request. A higher value is
+// nearer to being usable, and the highest one explains a refusal.
+type verdict uint8
+
+const (
+	notServing verdict = iota
+	notAllowed
+	inOutZone
+	leaving
+	linkDown
+	alreadyTried
+	notAccepting
+	coldFull
+	avoided
+	usable
+)
+
+// retryAfterRefusal is the advice where a wait may help.
+const retryAfterRefusal = time.Second
+
+// refusals gives the failure for the best verdict that was found.
+var refusals = map[verdict]api.Failure{
+	notServing:   {Code: api.CodeNoUpstream, Detail: "no upstream serves this model or service"},
+	notAllowed:   {Code: api.CodeForbidden, Detail: "the member may not use the upstreams that serve this"},
+	inOutZone:    {Code: api.CodeZoneOut, Detail: "the availability zone is out of service", RetryAfter: retryAfterRefusal},
+	leaving:      {Code: api.CodeLeaving, Detail: "the upstream is leaving", RetryAfter: retryAfterRefusal},
+	linkDown:     {Code: api.CodeUpstreamUnreached, Detail: "no link to an upstream that serves this", RetryAfter: retryAfterRefusal},
+	alreadyTried: {Code: api.CodeNoUpstream, Detail: "every usable upstream was tried", RetryAfter: retryAfterRefusal},
+	notAccepting: {Code: api.CodeOverloaded, Detail: "no upstream accepts work", RetryAfter: retryAfterRefusal},
+	coldFull:     {Code: api.CodeColdUpstream, Detail: "upstreams in cold start are at their bound", RetryAfter: retryAfterRefusal},
+}
+
+func refuse(v verdict) *api.Failure {
+	f := refusals[v]
+	f.Run = api.NotRun
+	return &f
+}
+
+// judge says whether an upstream can take a request.
+func (s *State) judge(u *upstream, q *api.RouteQuery) verdict {
+	switch {
+	case !serves(&u.conf, q) || (q.Only != "" && q.Only != u.name):
+		return notServing
+	case !s.allows(u, q.Member):
+		return notAllowed
+	case u.zoneOut:
+		return inOutZone
+	case u.conf.Leaving:
+		return leaving
+	case !u.up:
+		return linkDown
+	case slices.Contains(q.Exclude, u.name):
+		return alreadyTried
+	case u.reported && !u.load.Accepting:
+		return notAccepting
+	}
+	requests, _ := u.work()
+	if bound, cold := u.coldBound(); cold && requests >= bound {
+		return coldFull
+	}
+	own, _ := u.sends.own()
+	if u.health == Ejected || (u.health == Probing && own > 0) {
+		return avoided
+	}
+	return usable
+}
+
+func serves(c *api.Upstream, q *api.RouteQuery) bool {
+	if q.Service != "" {
+		return c.Kind == api.KindPlain && c.Service == q.Service
+	}
+	if c.Kind == api.KindPlain {
+		return false
+	}
+	return slices.Contains(c.Models, q.Model) || slices.Contains(c.Adapters, q.Model)
+}
+
+func (s *State) allows(u *upstream, name string) bool {
+	m, ok := s.snapshot.Config.Members[name]
+	if !ok {
+		return false
+	}
+	zone := len(m.Zones) == 0 || slices.Contains(m.Zones, u.conf.Zone)
+	return zone && (len(m.Upstreams) == 0 || slices.Contains(m.Upstreams, u.name))
+}
+
+// coldBound returns the bound of requests in cold start. An upstream counts
+// as cold until its first report says otherwise.
+func (u *upstream) coldBound() (bound uint64, cold bool) {
+	if u.reported {
+		return uint64(u.load.LimitRequests), u.load.Cold
+	}
+	if u.conf.ColdRequests > 0 {
+		return uint64(u.conf.ColdRequests), true
+	}
+	return DefaultColdRequests, true
+}
+
+// work estimates the requests and tokens outstanding on an upstream.
+func (u *upstream) work() (requests, tokens uint64) {
+	return u.sends.estimate(uint64(u.load.Running)+uint64(u.load.Queued), u.load.Tokens)
+}
+
+func (u *upstream) limitTokens() float64 {
+	switch {
+	case u.reported && u.load.LimitTokens > 0:
+		return float64(u.load.LimitTokens)
+	case u.conf.MaxTokens > 0:
+		return float64(u.conf.MaxTokens)
+	}
+	return DefaultLimitTokens
+}
--- /dev/null
+++ b/decide/route/index.go
@@ -0,0 +1,186 @@
+package route
+
+import (
+	"math"
+	"time"
+)
+
+// maxHolders bounds the upstreams remembered for one block.
+const maxHolders = 32
+
+// heatHalfLife is the time in which the measured use of a prefix halves.
+const heatHalfLife = 10 * time.Second
+
+// index maps block hashes to the upstreams that are expected to hold the
+// block. The blocks least recently written are evicted first.
+type index struct {
+	maxPairs int
+	pairs    int
+	evicted  uint64
+	blocks   map[uint64]*block
+	// recent is the head of a ring, most recently written block first.
+	recent block
+}
+
+type block struct {
+	hash       uint64
+	holders    []holder
+	heat       float64
+	heatAt     time.Duration
+	prev, next *block
+}
+
+// holder is one upstream of a block.
+type holder struct {
+	up         *upstream
+	generation uint32
+	at         time.Duration
+	// ticket is the send that added the entry, 0 once an event confirmed it.
+	ticket uint64
+}
+
+// match is the longest known prefix of the present choice on an upstream.
+type match struct {
+	serial uint64
+	blocks int
+	stale  bool
+}
+
+func newIndex(maxPairs int) index {
+	return index{maxPairs: maxPairs, blocks: make(map[uint64]*block)}
+}
+
+// put adds or confirms an entry. The ticket is 0 for an event of the engine.
+func (x *index) put(now time.Duration, h uint64, u *upstream, ticket uint64) {
+	b := x.blocks[h]
+	if b == nil {
+		b = &block{hash: h}
+		x.blocks[h] = b
+	} else {
+		b.unlink()
+	}
+	x.pushFront(b)
+	b.put(now, u, ticket, &x.pairs)
+	for x.pairs > x.maxPairs {
+		x.evict(x.recent.prev)
+	}
+}
+
+func (b *block) put(now time.Duration, u *upstream, ticket uint64, pairs *int) {
+	entry := holder{up: u, generation: u.cache.generation, at: now, ticket: ticket}
+	oldest := 0
+	for i := range b.holders {
+		if b.holders[i].up == u {
+			if b.holders[i].valid(now) && ticket != 0 {
+				// A refused send must not retract what an earlier one added.
+				entry.ticket = b.holders[i].ticket
+			}
+			b.holders[i] = entry
+			return
+		}
+		if b.holders[i].at < b.holders[oldest].at {
+			oldest = i
+		}
+	}
+	if len(b.holders) >= maxHolders {
+		b.holders[oldest] = entry
+		return
+	}
+	b.holders = append(b.holders, entry)
+	*pairs++
+}
+
+// valid says whether an entry may still be served.
+func (h *holder) valid(now time.Duration) bool {
+	c := &h.up.cache
+	if h.up.removed || h.generation < c.oldest {
+		return false
+	}
+	return h.generation == c.generation || now-h.at < staleTTL
+}
+
+// remove deletes an entry that the engine dropped.
+func (x *index) remove(h uint64, u *upstream) {
+	if b := x.blocks[h]; b != nil {
+		x.removeIf(b, func(e *holder) bool { return e.up == u })
+	}
+}
+
+// retract deletes the entries that a send added which then did not run.
+func (x *index) retract(prefix []uint64, u *upstream, ticket uint64) {
+	for _, h := range prefix {
+		if b := x.blocks[h]; b != nil {
+			x.removeIf(b, func(e *holder) bool { return e.up == u && e.ticket == ticket })
+		}
+	}
+}
+
+func (x *index) removeIf(b *block, drop func(*holder) bool) {
+	kept := b.holders[:0]
+	for i := range b.holders {
+		if !drop(&b.holders[i]) {
+			kept = append(kept, b.holders[i])
+		}
+	}
+	x.pairs -= len(b.holders) - len(kept)
+	clear(b.holders[len(kept):])
+	b.holders = kept
+	if len(kept) == 0 {
+		b.unlink()
+		delete(x.blocks, b.hash)
+	}
+}
+
+// lookup sets the match of each upstream that holds a part of the prefix and
+// returns the deepest block that is held anywhere. Hashes are chained, so a
+// block implies those before it.
+func (x *index) lookup(now time.Duration, prefix []uint64, serial uint64) *block {
+	var deepest *block
+	for i := len(prefix) - 1; i >= 0; i-- {
+		b := x.blocks[prefix[i]]
+		if b == nil {
+			continue
+		}
+		for j := range b.holders {
+			h := &b.holders[j]
+			if h.up.match.serial == serial || !h.valid(now) {
+				continue
+			}
+			stale := h.generation != h.up.cache.generation
+			h.up.match = match{serial: serial, blocks: i + 1, stale: stale}
+			if deepest == nil {
+				deepest = b
+			}
+		}
+	}
+	return deepest
+}
+
+// heated adds the cost of a request to a block and returns its decayed use.
+func (b *block) heated(now time.Duration, cost float64) float64 {
+	age := float64(now-b.heatAt) / float64(heatHalfLife)
+	b.heat = b.heat*math.Exp2(-age) + cost
+	b.heatAt = now
+	return b.heat
+}
+
+func (x *index) evict(b *block) {
+	x.pairs -= len(b.holders)
+	x.evicted += uint64(len(b.holders))
+	b.unlink()
+	delete(x.blocks, b.hash)
+}
+
+func (x *index) pushFront(b *block) {
+	head := &x.recent
+	if head.next == nil {
+		head.prev, head.next = head, head
+	}
+	b.prev, b.next = head, head.next
+	b.next.prev, head.next = b, b
+}
+
+func (b *block) unlink() {
+	b.prev.next, b.next.prev = b.next, b.prev
+	b.prev, b.next = nil, nil
+}
--- /dev/null
+++ b/decide/route/machine_test.go
@@ -0,0 +1,204 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"pgregory.net/rapid"
+)
+
+// agentModel is the truth about one upstream: orders it received in order,
+// those that still run, and reports under way to the router.
+type agentModel struct {
+	received uint64
+	running  map[uint64]uint32
+	foreign  uint64
+	elapsed  time.Duration
+	reports  []api.Load
+}
+
+func (a *agentModel) tokens() uint64 {
+	sum := a.foreign
+	for _, cost := range a.running {
+		sum += uint64(cost)
+	}
+	return sum
+}
+
+func (a *agentModel) report(incarnation api.Incarnation) api.Load {
+	a.elapsed += time.Millisecond
+	return api.Load{
+		Upstream: "u0", Incarnation: incarnation, Elapsed: a.elapsed, Accepting: true,
+		Running: uint32(len(a.running)), Tokens: a.tokens(), SeenOrders: a.received,
+	}
+}
+
+// routerMachine drives one link with loss, delay, refusals and restarts.
+type routerMachine struct {
+	s           *State
+	a           agentModel
+	incarnation api.Incarnation
+	now         time.Duration
+	// queued are orders that left the choice and have not reached the agent.
+	queued []api.RouteChoice
+	costs  map[uint64]uint32
+	open   []uint64
+}
+
+func (m *routerMachine) choose(t *rapid.T) {
+	cost := rapid.Uint32Range(1, 100).Draw(t, "cost")
+	prefix := rapid.SliceOfN(rapid.Uint64Range(1, 40), 0, 6).Draw(t, "prefix")
+	c, f := m.s.Choose(m.now, api.RouteQuery{Member: "a", Model: testModel, Only: "u0", CostTokens: cost, Prefix: prefix})
+	if f != nil {
+		t.Fatalf("refused: %v", f)
+	}
+	m.queued = append(m.queued, c)
+	m.costs[c.Ticket] = cost
+}
+
+func (m *routerMachine) deliverOrder(t *rapid.T) {
+	if len(m.queued) == 0 {
+		t.Skip("no order under way")
+	}
+	c := m.queued[0]
+	m.queued = m.queued[1:]
+	m.a.received++
+	m.a.running[c.Ticket] = m.costs[c.Ticket]
+	m.open = append(m.open, c.Ticket)
+}
+
+func (m *routerMachine) loseOrder(t *rapid.T) {
+	if len(m.queued) == 0 {
+		t.Skip("no order under way")
+	}
+	c := m.queued[0]
+	m.queued = m.queued[1:]
+	m.s.Done(m.now, api.RouteResult{Ticket: c.Ticket, Unsent: true})
+}
+
+// end finishes an order. Frames keep their order on a link, so reports sent
+// before arrive first.
+func (m *routerMachine) end(t *rapid.T) {
+	if len(m.open) == 0 {
+		t.Skip("nothing runs")
+	}
+	i := rapid.IntRange(0, len(m.open)-1).Draw(t, "which")
+	ticket := m.open[i]
+	m.open = append(m.open[:i], m.open[i+1:]...)
+	m.deliverReports()
+	delete(m.a.running, ticket)
+	r := api.RouteResult{Ticket: ticket}
+	if rapid.Bool().Draw(t, "refused") {
+		r.Failure = api.Fail(api.CodeQueueFull, api.NotRun, "")
+	}
+	m.s.Done(m.now, r)
+	m.s.Done(m.now, r)
+}
+
+func (m *routerMachine) sendReport(t *rapid.T) {
+	l := m.a.report(m.incarnation)
+	n := rapid.IntRange(0, 4).Draw(t, "events")
+	for range n {
+		l.PrefixAdded = append(l.PrefixAdded, rapid.Uint64Range(1, 40).Draw(t, "block"))
+	}
+	l.CacheSeq = rapid.Uint64Range(0, 50).Draw(t, "seq")
+	m.a.reports = append(m.a.reports, l)
+}
+
+func (m *routerMachine) deliverReports() {
+	for _, l := range m.a.reports {
+		m.s.Load(m.now, l)
+	}
+	m.a.reports = nil
+}
+
+func (m *routerMachine) duplicateReport(t *rapid.T) {
+	if len(m.a.reports) == 0 {
+		t.Skip("no report under way")
+	}
+	m.a.reports = append([]api.Load{m.a.reports[0]}, m.a.reports...)
+}
+
+func (m *routerMachine) restartLink(*rapid.T) {
+	m.s.LinkDown("u0")
+	for _, ticket := range m.open {
+		m.s.Done(m.now, api.RouteResult{Ticket: ticket})
+	}
+	m.incarnation++
+	*m = routerMachine{s: m.s, incarnation: m.incarnation, now: m.now, costs: m.costs}
+	m.a.running = make(map[uint64]uint32)
+	m.s.LinkUp("u0", api.LinkState{Up: true, Incarnation: m.incarnation})
+	m.s.Load(m.now, m.a.report(m.incarnation))
+}
+
+// check compares the estimate with the truth: the router's own orders always
+// count, and once all frames have arrived the estimate is exact.
+func (m *routerMachine) check(t *rapid.T) {
+	m.now += time.Millisecond
+	u := m.s.upstreams["u0"]
+	_, tokens := u.work()
+	var own uint64
+	for _, ticket := range m.open {
+		own += uint64(m.costs[ticket])
+	}
+	for _, c := range m.queued {
+		own += uint64(m.costs[c.Ticket])
+	}
+	if tokens < own {
+		t.Fatalf("estimate %d below own work %d", tokens, own)
+	}
+	if m.s.IndexPairs() > 30 || m.s.IndexPairs() < 0 {
+		t.Fatalf("%d pairs in an index of 30", m.s.IndexPairs())
+	}
+	if len(m.s.tickets) != len(m.queued)+len(m.open) {
+		t.Fatalf("%d tickets for %d orders", len(m.s.tickets), len(m.queued)+len(m.open))
+	}
+	if len(m.a.reports) > 0 {
+		return
+	}
+	m.s.Load(m.now, m.a.report(m.incarnation))
+	requests, tokens := u.work()
+	if want := own + m.a.foreign; tokens != want || requests != uint64(len(m.open)+len(m.queued)) {
+		t.Fatalf("estimate %d requests, %d tokens, want %d, %d", requests, tokens, len(m.open)+len(m.queued), want)
+	}
+}
+
+// TestWorkEstimate guards against own sends that are counted twice or not at
+// all, whatever is lost, delayed, duplicated or restarted.
+func TestWorkEstimate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &routerMachine{s: ready(Options{MaxPairs: 30}, config(1)), costs: make(map[uint64]uint32)}
+		m.restartLink(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"":             m.check,
+			"choose":       m.choose,
+			"deliver":      m.deliverOrder,
+			"lose":         m.loseOrder,
+			"end":          m.end,
+			"report":       m.sendReport,
+			"duplicate":    m.duplicateReport,
+			"arrive":       func(*rapid.T) { m.deliverReports() },
+			"foreign work": func(*rapid.T) { m.a.foreign += 10 },
+			"restart":      m.restartLink,
+			"pause":        func(*rapid.T) { m.now += staleTTL },
+		})
+	})
+}
+
+// TestChoiceIsDeterministic guards against map order that leaks into choices.
+func TestChoiceIsDeterministic(t *testing.T) {
+	run := func() (all string) {
+		s := ready(Options{Seed: 7, Sample: 2}, config(9))
+		for i := range 200 {
+			q := api.RouteQuery{Member: "a", Model: testModel, CostTokens: 50, Prefix: []uint64{uint64(i % 5), uint64(10 + i%7)}}
+			c, _ := s.Choose(time.Duration(i), q)
+			all += fmt.Sprint(c.Upstream, " ")
+		}
+		return all
+	}
+	if first, second := run(), run(); first != second {
+		t.Errorf("two runs differ:\n%s\n%s", first, second)
+	}
+}
--- /dev/null
+++ b/decide/route/route_test.go
@@ -0,0 +1,175 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
+
+const testModel = "m"
+
+func config(n int) *api.Config {
+	c := &api.Config{
+		Members:   map[string]api.Member{"a": {}, "z2": {Zones: []string{"z2"}}, "u1": {Upstreams: []string{"u1"}}},
+		Zones:     map[string]api.Zone{"z1": {State: api.ZoneIn}, "z2": {State: api.ZoneIn}},
+		Upstreams: map[string]api.Upstream{"p0": {Kind: api.KindPlain, Zone: "z1", Service: "book", ColdRequests: 2}},
+	}
+	for i := range n {
+		c.Upstreams[fmt.Sprintf("u%d", i)] = api.Upstream{
+			Kind: api.KindModel, Zone: fmt.Sprintf("z%d", 1+i%2), Models: []string{testModel}, MaxTokens: 1000,
+		}
+	}
+	return c
+}
+
+func ready(o Options, c *api.Config) *State {
+	s := New(o)
+	s.Configure(&api.Snapshot{Revision: 1, Config: c})
+	for name := range c.Upstreams {
+		s.LinkUp(name, api.LinkState{Up: true, Incarnation: 1})
+		s.Load(0, api.Load{Upstream: name, Incarnation: 1, Accepting: true, LimitTokens: 1000, LimitRequests: 10})
+	}
+	return s
+}
+
+func chooseOK(t *testing.T, s *State, now time.Duration, q api.RouteQuery) api.RouteChoice {
+	t.Helper()
+	c, f := s.Choose(now, q)
+	if f != nil {
+		t.Fatalf("refused: %v", f)
+	}
+	return c
+}
+
+// TestRestrictions guards against work that reaches an upstream that must not
+// have it, and against a refusal that names the wrong reason.
+func TestRestrictions(t *testing.T) {
+	model := api.RouteQuery{Member: "a", Model: testModel, CostTokens: 10}
+	cases := []struct {
+		name   string
+		change func(*State, *api.Config, *api.RouteQuery)
+		want   string
+		code   api.Code
+	}{
+		{"zone of member", func(_ *State, _ *api.Config, q *api.RouteQuery) { q.Member = "z2" }, "u1", ""},
+		{"upstream of member", func(_ *State, _ *api.Config, q *api.RouteQuery) { q.Member = "u1" }, "u1", ""},
+		{"unknown member", func(_ *State, _ *api.Config, q *api.RouteQuery) { q.Member = "x" }, "", api.CodeForbidden},
+		{"unknown model", func(_ *State, _ *api.Config, q *api.RouteQuery) { q.Model = "x" }, "", api.CodeNoUpstream},
+		{"plain service", func(_ *State, _ *api.Config, q *api.RouteQuery) { q.Service = "book" }, "p0", ""},
+		{"excluded", func(_ *State, _ *api.Config, q *api.RouteQuery) { q.Exclude = []string{"u0"} }, "u1", ""},
+		{"all excluded", func(_ *State, _ *api.Config, q *api.RouteQuery) { q.Exclude = []string{"u0", "u1"} }, "", api.CodeNoUpstream},
+		{"zone out", func(_ *State, c *api.Config, _ *api.RouteQuery) { c.Zones["z1"] = api.Zone{State: api.ZoneOut} }, "u1", ""},
+		{"only in zone out", func(_ *State, c *api.Config, q *api.RouteQuery) {
+			c.Zones["z1"] = api.Zone{State: api.ZoneOut}
+			q.Only = "u0"
+		}, "", api.CodeZoneOut},
+		{"leaving", func(_ *State, c *api.Config, _ *api.RouteQuery) {
+			u := c.Upstreams["u0"]
+			u.Leaving = true
+			c.Upstreams["u0"] = u
+		}, "u1", ""},
+		{"link down", func(s *State, _ *api.Config, _ *api.RouteQuery) { s.LinkDown("u0") }, "u1", ""},
+		{"not accepting", func(s *State, _ *api.Config, _ *api.RouteQuery) {
+			s.Load(0, api.Load{Upstream: "u0", Incarnation: 1})
+		}, "u1", ""},
+		{"ejected", func(s *State, _ *api.Config, _ *api.RouteQuery) { s.SetHealth("u0", Ejected) }, "u1", ""},
+		{"ejected but alone", func(s *State, _ *api.Config, q *api.RouteQuery) {
+			s.SetHealth("u0", Ejected)
+			q.Only = "u0"
+		}, "u0", ""},
+		{"cold and full", func(s *State, _ *api.Config, q *api.RouteQuery) {
+			s.Load(0, api.Load{Upstream: "u0", Incarnation: 1, Accepting: true, Cold: true, LimitRequests: 1, Running: 1})
+			q.Only = "u0"
+		}, "", api.CodeColdUpstream},
+		{"no report yet", func(s *State, _ *api.Config, q *api.RouteQuery) {
+			s.LinkUp("u0", api.LinkState{Incarnation: 2})
+			_, _ = s.Choose(0, api.RouteQuery{Member: "a", Model: testModel, Only: "u0"})
+			q.Only = "u0"
+		}, "", api.CodeColdUpstream},
+	}
+	for _, c := range cases {
+		conf, q := config(2), model
+		s := ready(Options{Zone: "z1"}, conf)
+		c.change(s, conf, &q)
+		s.Configure(&api.Snapshot{Revision: 2, Config: conf})
+		got, f := s.Choose(0, q)
+		if (f == nil) != (c.code == "") || got.Upstream != c.want || (f != nil && (f.Code != c.code || f.Run != api.NotRun)) {
+			t.Errorf("%s: chose %q, failure %v", c.name, got.Upstream, f)
+		}
+	}
+}
+
+// TestGapRules guards against an index that is trusted without end, or thrown
+// away, contrary to its rule after a gap in cache events.
+func TestGapRules(t *testing.T) {
+	prefix := []uint64{1, 2, 3, 4}
+	cases := []struct {
+		name    string
+		rule    GapRule
+		seq     uint64
+		after   time.Duration
+		misses  int
+		wantHit bool
+	}{
+		{"no gap", GapDrop, 5, 0, 0, true},
+		{"late report", GapDrop, 3, 0, 0, true},
+		{"gap, dropped", GapDrop, 9, 0, 0, false},
+		{"gap, stale kept", GapKeepStale, 9, 0, 0, true},
+		{"gap, stale expired", GapKeepStale, 9, staleTTL, 0, false},
+		{"gap, distrusted after misses", GapKeepStale, 9, 0, 12, false},
+	}
+	for _, c := range cases {
+		s := ready(Options{Zone: "z1", Gap: c.rule}, config(2))
+		load := api.Load{Upstream: "u1", Incarnation: 1, Accepting: true, LimitTokens: 1000, PrefixAdded: prefix, CacheSeq: 4}
+		s.Load(0, load)
+		load.PrefixAdded, load.CacheSeq = []uint64{99}, c.seq
+		s.Load(0, load)
+		for range c.misses {
+			s.upstreams["u1"].cache.observe(api.CacheMiss, true)
+		}
+		got := chooseOK(t, s, c.after, api.RouteQuery{Member: "a", Model: testModel, CostTokens: 10, Prefix: prefix})
+		if (got.Upstream == "u1") != c.wantHit {
+			t.Errorf("%s: chose %s", c.name, got.Upstream)
+		}
+	}
+}
+
+// TestHotPrefixIsSpread guards against one upstream that takes all requests
+// of a popular prompt while others are idle.
+func TestHotPrefixIsSpread(t *testing.T) {
+	for _, part := range []float64{0, -1} {
+		s := ready(Options{Zone: "z1", SpreadPart: part, WorkWeight: 0.001}, config(4))
+		used := make(map[string]bool)
+		for range 20 {
+			q := api.RouteQuery{Member: "a", Model: testModel, CostTokens: 100, Prefix: []uint64{1, 2, 3, 4, 5}}
+			c := chooseOK(t, s, 0, q)
+			used[c.Upstream] = true
+			if s.upstreams[c.Upstream].load.Tokens == 0 && part < 0 {
+				s.Done(0, api.RouteResult{Ticket: c.Ticket})
+			}
+		}
+		if (len(used) > 1) != (part == 0) {
+			t.Errorf("spread part %v: used %v", part, used)
+		}
+	}
+}
+
+// TestRefusedSendIsRetracted guards against index entries of sends that never
+// ran, while those of a send that ran before must stay.
+func TestRefusedSendIsRetracted(t *testing.T) {
+	s := ready(Options{}, config(1))
+	q := api.RouteQuery{Member: "a", Model: testModel, Prefix: []uint64{1, 2}}
+	refused := chooseOK(t, s, 0, q)
+	s.Done(0, api.RouteResult{Ticket: refused.Ticket, Failure: api.Fail(api.CodeQueueFull, api.NotRun, "")})
+	if s.IndexPairs() != 0 {
+		t.Errorf("%d entries of a refused send", s.IndexPairs())
+	}
+	s.Done(0, api.RouteResult{Ticket: chooseOK(t, s, 0, q).Ticket})
+	again := chooseOK(t, s, 0, q)
+	s.Done(0, api.RouteResult{Ticket: again.Ticket, Unsent: true})
+	if s.IndexPairs() != 2 {
+		t.Errorf("%d entries, want those of the send that ran", s.IndexPairs())
+	}
+}
