--- /dev/null
+++ b/decide/limit/limit_test.go
@@ -0,0 +1,162 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"pgregory.net/rapid"
+)
+
+func usage(step time.Duration, tokens uint32) api.Usage {
+	first := 10 * step
+	return api.Usage{GeneratedTokens: tokens, FirstChunk: first, Total: first + time.Duration(tokens-1)*step}
+}
+
+// settle runs a closed loop against an engine whose step time grows with the
+// batch, and returns the bound of requests in the end.
+func settle(s *State, base, perRequest time.Duration) int {
+	const tokens = 20
+	type running struct{ started, ends time.Duration }
+	var batch []running
+	for now := time.Duration(0); now < 5*time.Minute; now += 10 * time.Millisecond {
+		kept := batch[:0]
+		for _, r := range batch {
+			if r.ends > now {
+				kept = append(kept, r)
+				continue
+			}
+			step := (r.ends - r.started) / (tokens + 9)
+			s.End(now, Completion{Started: r.started, Cost: 100, Usage: usage(step, tokens)})
+		}
+		batch = kept
+		for s.Fits(100) {
+			s.Start(100)
+			step := base + time.Duration(len(batch)+1)*perRequest
+			batch = append(batch, running{now, now + (tokens+9)*step})
+		}
+	}
+	return s.Bounds().Requests
+}
+
+// TestBoundsSettleBelowTarget guards against bounds that stay at a ceiling
+// the engine cannot carry, and against bounds that collapse.
+func TestBoundsSettleBelowTarget(t *testing.T) {
+	const ms = time.Millisecond
+	cases := []struct {
+		name    string
+		o       Options
+		perReq  time.Duration
+		least   int
+		largest int
+	}{
+		{"engine carries the ceiling", Options{MaxRequests: 64, MaxTokens: 6400, StepTarget: 49 * ms}, ms / 4, 64, 64},
+		{"target at 29 requests", Options{MaxRequests: 64, MaxTokens: 6400, StepTarget: 49 * ms}, ms, 20, 31},
+		{"first token at 10 requests", Options{MaxRequests: 64, MaxTokens: 6400, StepTarget: 49 * ms, FirstTokenTarget: 300 * ms}, ms, 6, 12},
+		{"fixed", Options{MaxRequests: 64, MaxTokens: 6400, StepTarget: 49 * ms, Fixed: true}, ms, 64, 64},
+	}
+	for _, c := range cases {
+		if got := settle(New(c.o), 20*ms, c.perReq); got < c.least || got > c.largest {
+			t.Errorf("%s: %d requests, want %d to %d", c.name, got, c.least, c.largest)
+		}
+	}
+}
+
+// TestRefusal guards against requests that wait for a deadline they must
+// miss, and against refusals of those that would meet it.
+func TestRefusal(t *testing.T) {
+	cases := []struct {
+		name     string
+		running  int
+		a        Arrival
+		code     api.Code
+		retryMin time.Duration
+	}{
+		{"idle accepts anything", 0, Arrival{Cost: 100, DeadlineLeft: time.Millisecond}, "", 0},
+		{"fits", 4, Arrival{Cost: 100, OutputTokens: 10, DeadlineLeft: 300 * time.Millisecond}, "", 0},
+		{"shorter than service", 4, Arrival{Cost: 100, OutputTokens: 10, DeadlineLeft: 100 * time.Millisecond}, api.CodeDeadlineExceeded, 0},
+		{"queue in time", 10, Arrival{Cost: 100, OutputTokens: 10, QueuedRequests: 9, QueuedTokens: 900, DeadlineLeft: 500 * time.Millisecond}, "", 0},
+		{"queue too long", 10, Arrival{Cost: 100, OutputTokens: 10, QueuedRequests: 99, QueuedTokens: 9900, DeadlineLeft: 500 * time.Millisecond}, api.CodeOverloaded, time.Second},
+		{"few large ones ahead", 10, Arrival{Cost: 100, OutputTokens: 10, QueuedRequests: 2, QueuedTokens: 99000, DeadlineLeft: 500 * time.Millisecond}, api.CodeOverloaded, 10 * time.Second},
+	}
+	for _, c := range cases {
+		s := New(Options{MaxRequests: 10, MaxTokens: 1000, StepTarget: time.Second})
+		s.Start(100)
+		s.End(0, Completion{Cost: 100, Usage: usage(10*time.Millisecond, 11)})
+		for range c.running {
+			s.Start(100)
+		}
+		f := s.Refuse(c.a, 0)
+		if (f == nil) != (c.code == "") || (f != nil && (f.Code != c.code || f.Run != api.NotRun || f.RetryAfter < c.retryMin)) {
+			t.Errorf("%s: %+v", c.name, f)
+		}
+	}
+}
+
+// TestAccounting guards against work that is counted wrongly or admitted
+// above the bounds, and against bounds that leave their range or move the
+// wrong way, whatever completes, fails or is refused by the engine.
+func TestAccounting(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := Options{MaxRequests: rapid.IntRange(1, 20).Draw(t, "requests"), MaxTokens: 500, StepTarget: 50 * time.Millisecond}
+		s := New(o)
+		var now time.Duration
+		var running []Completion
+		sum := func() (tokens uint64) {
+			for _, r := range running {
+				tokens += uint64(r.Cost)
+			}
+			return tokens
+		}
+		end := func(t *rapid.T, change func(*Completion)) {
+			if len(running) == 0 {
+				t.Skip("nothing runs")
+			}
+			c := running[0]
+			running = running[1:]
+			change(&c)
+			s.End(now, c)
+		}
+		before, bad := s.Bounds(), false
+		t.Repeat(map[string]func(*rapid.T){
+			"start": func(t *rapid.T) {
+				cost := rapid.Uint32Range(1, 600).Draw(t, "cost")
+				b := s.Bounds()
+				want := len(running) == 0 || (len(running) < b.Requests && sum()+uint64(cost) <= b.Tokens)
+				if s.Fits(cost) != want {
+					t.Fatalf("fits %v with %d running, %d tokens, bounds %v", !want, len(running), sum(), b)
+				}
+				if want {
+					s.Start(cost)
+					running = append(running, Completion{Started: now, Cost: cost})
+				}
+			},
+			"good": func(t *rapid.T) {
+				end(t, func(c *Completion) { c.Usage = usage(40*time.Millisecond, 5) })
+				if s.Bounds().Tokens < before.Tokens && !bad {
+					t.Fatalf("cut by good completions only: %v to %v", before, s.Bounds())
+				}
+			},
+			"slow": func(t *rapid.T) {
+				bad = true
+				end(t, func(c *Completion) { c.Usage = usage(time.Second, 5) })
+			},
+			"fail": func(t *rapid.T) { end(t, func(c *Completion) { c.Failed = true }) },
+			"refuse": func(t *rapid.T) {
+				bad = true
+				end(t, func(c *Completion) { c.Refused = true })
+			},
+			"pause": func(*rapid.T) { now += time.Second },
+			"": func(t *rapid.T) {
+				b := s.Bounds()
+				if b.Requests < 1 || b.Requests > o.MaxRequests || b.Tokens < 1 || b.Tokens > o.MaxTokens {
+					t.Fatalf("bounds %v out of range", b)
+				}
+				if got := s.InFlight(); got.Requests != len(running) || got.Tokens != sum() {
+					t.Fatalf("in flight %v, want %d, %d", got, len(running), sum())
+				}
+				before, bad = b, bad && s.window.n > 0
+			},
+		})
+	})
+}
