--- /dev/null
+++ b/decide/retrybudget/retrybudget_test.go
@@ -0,0 +1,119 @@
+package retrybudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"pgregory.net/rapid"
+)
+
+// TestBudgetBound guards against retries above the stated part of first
+// sends, for a member or in total, and against a member without credit that
+// spends another's.
+func TestBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ratio := rapid.Float64Range(0.01, 0.5).Draw(t, "ratio")
+		members := []string{"a", "b", "c"}
+		s := New(ratio, members)
+		sends, spent := map[string]int{}, map[string]int{}
+		name := rapid.SampledFrom([]string{"a", "b", "c", "stranger"})
+		spend := func(t *rapid.T, take func(string) bool) {
+			if m := name.Draw(t, "member"); take(m) {
+				spent[m]++
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"first send": func(t *rapid.T) {
+				m := name.Draw(t, "member")
+				s.FirstSend(m)
+				sends[m]++
+			},
+			"retry": func(t *rapid.T) { spend(t, s.Retry) },
+			"hedge": func(t *rapid.T) {
+				spend(t, func(m string) bool { return s.Hedge(m, true, time.Second, time.Millisecond) })
+			},
+			"unsafe hedge": func(t *rapid.T) {
+				if s.Hedge("a", false, time.Hour, 0) || s.Hedge("a", true, time.Second, time.Hour) {
+					t.Fatal("hedged a request that must not be")
+				}
+			},
+			"configure": func(*rapid.T) { s.Configure(ratio, members) },
+			"": func(t *rapid.T) {
+				total, allSends := 0, 0
+				for m, n := range spent {
+					total += n
+					allSends += sends[m]
+					if float64(n) > memberBurst+ratio*float64(sends[m])+1e-6 {
+						t.Fatalf("%s: %d retries of %d sends", m, n, sends[m])
+					}
+				}
+				for m, n := range sends {
+					if _, ok := spent[m]; !ok {
+						allSends += n
+					}
+				}
+				if spent["stranger"] > 0 || float64(total) > processBurst+ratio*float64(allSends)+1e-6 {
+					t.Fatalf("%d retries of %d sends, strangers %d", total, allSends, spent["stranger"])
+				}
+			},
+		})
+	})
+}
+
+// TestNoRatioNoRetry guards against a burst that survives a ratio set to none.
+func TestNoRatioNoRetry(t *testing.T) {
+	s := New(0, []string{"a"})
+	if !s.Retry("a") {
+		t.Error("no burst at the default ratio")
+	}
+	s.Configure(-1, []string{"a"})
+	s.FirstSend("a")
+	if s.Retry("a") {
+		t.Error("a retry without a ratio")
+	}
+}
+
+// TestRetryable guards against a second run of a non-idempotent request.
+func TestRetryable(t *testing.T) {
+	cases := []struct {
+		code       api.Code
+		run        api.RunState
+		idempotent bool
+		want       bool
+	}{
+		{api.CodeOverloaded, api.NotRun, false, true},
+		{api.CodeLinkLost, api.Unknown, false, false},
+		{api.CodeUpstreamFailed, api.Ran, false, false},
+		{api.CodeUpstreamFailed, api.Ran, true, true},
+		{api.CodeBadRequest, api.NotRun, true, false},
+		{api.CodeSuspect, api.NotRun, true, false},
+		{api.CodeDeadlineExceeded, api.NotRun, true, false},
+	}
+	for _, c := range cases {
+		if got := Retryable(api.Fail(c.code, c.run, ""), c.idempotent); got != c.want {
+			t.Errorf("%s, %s, idempotent %v: %v", c.code, c.run, c.idempotent, got)
+		}
+	}
+}
+
+// TestBackoff guards against waits that ignore advice, leave their range or
+// overflow at a high attempt.
+func TestBackoff(t *testing.T) {
+	cases := []struct {
+		attempt int
+		after   time.Duration
+		random  float64
+		want    time.Duration
+	}{
+		{1, 0, 0.5, 25 * time.Millisecond},
+		{3, 0, 0.5, 100 * time.Millisecond},
+		{1000, 0, 0.5, backoffMax / 2},
+		{-1, time.Second, 0, time.Second},
+	}
+	for _, c := range cases {
+		if got := Backoff(c.attempt, c.after, c.random); got != c.want {
+			t.Errorf("attempt %d: %v, want %v", c.attempt, got, c.want)
+		}
+	}
+}
