Add the handling of poison requests as a pure decision

Cause: a request that crashes each upstream that runs it must be stopped after two upstreams, without refusing innocents of the same batch for good.

--- /dev/null
+++ b/api/suspicion.go
@@ -0,0 +1,24 @@
+package api
+
+import "time"
+
+// Crash is one crash of an upstream while it ran a request.
+type Crash struct {
+	// ID is equal in all reports of one crash.
+	ID       uint64
+	Upstream string
+	// Age is the time since the crash, as the sender knows it. Ages need no
+	// synchronised clocks.
+	Age time.Duration
+	// Alone is true if nothing else ran.
+	Alone bool
+	// Cleared is true once the request has completed in isolation since.
+	Cleared bool
+}
+
+// Suspicion is what a process knows of a request that was running during
+// crashes. Processes merge what they hear, in any order and any number of times.
+type Suspicion struct {
+	Fingerprint uint64
+	Crashes     []Crash
+}
--- a/decide/outlier/main_test.go
+++ b/decide/outlier/main_test.go
@@ -7,8 +7,9 @@
 )
 
 func TestMain(m *testing.M) {
-	// Set before the command line is parsed, which may override both.
+	// Set before the command line is parsed, which may override them.
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.checks", "200")
+	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
--- /dev/null
+++ b/decide/poison/poison.go
@@ -0,0 +1,301 @@
+// Package poison finds requests that crash the upstreams that run them. A
+// request that was running during a crash becomes a suspect and then runs
+// only in isolation, at an upstream that it may have crashed already. Two
+// crashes in isolation condemn it; a completed run clears it.
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
+
+const (
+	// DefaultMaxRecords bounds the requests remembered.
+	DefaultMaxRecords = 4096
+	// maxCrashes bounds the crashes remembered for one request.
+	maxCrashes = 8
+	// evidenceTTL is how long a crash counts.
+	evidenceTTL = 30 * time.Minute
+	// tellTTL is how long a crash is told to others. It is shorter than
+	// evidenceTTL, or two processes would renew each other's memory for ever.
+	tellTTL = 25 * time.Minute
+	// condemnFor is how long a condemned request is refused. After that it is
+	// a suspect again and gets one more run in isolation.
+	condemnFor = 10 * time.Minute
+	// condemnCrashes are the crashes in isolation that condemn.
+	condemnCrashes = 2
+	// maxForeignCrashes bounds what is accepted in one message for a request.
+	maxForeignCrashes = 16
+)
+
+// Status is the standing of a request.
+type Status uint8
+
+// Standings of a request.
+const (
+	Clean Status = iota
+	Suspect
+	Condemned
+)
+
+// Counters are totals since the state was made.
+type Counters struct {
+	Crashes   uint64
+	Learned   uint64
+	Cleared   uint64
+	Evicted   uint64
+	Condemned uint64
+}
+
+// State is what one process, router or agent, knows of suspects. It is soft
+// state: losing it costs at most further crashes, never a promise.
+type State struct {
+	max      int
+	records  map[uint64]*record
+	cursor   uint64
+	counters Counters
+}
+
+type record struct {
+	fingerprint uint64
+	crashes     []crash
+}
+
+type crash struct {
+	id       uint64
+	upstream string
+	at       time.Duration
+	alone    bool
+	cleared  bool
+}
+
+// New returns a state without records.
+func New(maxRecords int) *State {
+	if maxRecords <= 0 {
+		maxRecords = DefaultMaxRecords
+	}
+	return &State{max: maxRecords, records: make(map[uint64]*record)}
+}
+
+// Counters returns the totals.
+func (s *State) Counters() Counters { return s.counters }
+
+// Len returns the number of requests remembered.
+func (s *State) Len() int { return len(s.records) }
+
+// Crashed records the crash of an upstream and the requests that it ran, and
+// returns the news for other processes. The id must differ between crashes of
+// the fleet, such as a hash of upstream, incarnation and a count.
+func (s *State) Crashed(now time.Duration, upstream string, id uint64, running []uint64) []api.Suspicion {
+	s.counters.Crashes++
+	unique := slices.Clone(running)
+	slices.Sort(unique)
+	unique = slices.Compact(unique)
+	var news []api.Suspicion
+	for _, fp := range unique {
+		c := crash{id: id, upstream: upstream, at: now, alone: len(running) == 1}
+		if s.merge(now, fp, []crash{c}) {
+			news = append(news, s.tell(now, s.records[fp]))
+		}
+	}
+	return news
+}
+
+// Completed records that a request completed in isolation. It clears the
+// crashes known here; a crash that is not yet known still counts later.
+func (s *State) Completed(now time.Duration, fp uint64) []api.Suspicion {
+	r := s.records[fp]
+	if r == nil {
+		return nil
+	}
+	s.counters.Cleared++
+	for i := range r.crashes {
+		r.crashes[i].cleared = true
+	}
+	return []api.Suspicion{s.tell(now, r)}
+}
+
+// Learn merges what another process knows and returns what was new here, to
+// be passed on. Nothing new means that nothing is passed on, so news stop.
+func (s *State) Learn(now time.Duration, heard []api.Suspicion) []api.Suspicion {
+	var news []api.Suspicion
+	for _, h := range heard {
+		foreign := make([]crash, 0, len(h.Crashes))
+		for _, c := range h.Crashes[:min(len(h.Crashes), maxForeignCrashes)] {
+			if c.Age >= 0 && c.Age < tellTTL {
+				foreign = append(foreign, crash{c.ID, c.Upstream, now - c.Age, c.Alone, c.Cleared})
+			}
+		}
+		if s.merge(now, h.Fingerprint, foreign) {
+			s.counters.Learned++
+			news = append(news, s.tell(now, s.records[h.Fingerprint]))
+		}
+	}
+	return news
+}
+
+// Status returns the standing of a request.
+func (s *State) Status(now time.Duration, fp uint64) Status {
+	status, _ := s.standing(now, fp)
+	return status
+}
+
+// standing also returns how long a condemned request is still refused.
+func (s *State) standing(now time.Duration, fp uint64) (Status, time.Duration) {
+	r := s.records[fp]
+	if r == nil {
+		return Clean, 0
+	}
+	open, alone, last := 0, 0, time.Duration(0)
+	for _, c := range r.crashes {
+		if !c.counts(now) {
+			continue
+		}
+		open++
+		if c.alone {
+			alone++
+			last = max(last, c.at)
+		}
+	}
+	switch left := last + condemnFor - now; {
+	case open == 0:
+		return Clean, 0
+	case alone >= condemnCrashes && left > 0:
+		return Condemned, left
+	}
+	return Suspect, 0
+}
+
+func (c *crash) counts(now time.Duration) bool { return !c.cleared && now-c.at < evidenceTTL }
+
+// Digest returns up to n records for the periodic exchange, a different part
+// each time, so that news lost on the way arrive later.
+func (s *State) Digest(now time.Duration, n int) []api.Suspicion {
+	s.Expire(now)
+	keys := s.sortedKeys()
+	start, _ := slices.BinarySearch(keys, s.cursor)
+	var out []api.Suspicion
+	for i := range min(n, len(keys)) {
+		fp := keys[(start+i)%len(keys)]
+		s.cursor = fp + 1
+		if told := s.tell(now, s.records[fp]); len(told.Crashes) > 0 {
+			out = append(out, told)
+		}
+	}
+	return out
+}
+
+func (s *State) sortedKeys() []uint64 {
+	keys := make([]uint64, 0, len(s.records))
+	for fp := range s.records {
+		keys = append(keys, fp)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Expire forgets crashes that no longer count.
+func (s *State) Expire(now time.Duration) {
+	for fp, r := range s.records {
+		r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return now-c.at >= evidenceTTL })
+		if len(r.crashes) == 0 {
+			delete(s.records, fp)
+		}
+	}
+}
+
+func (s *State) tell(now time.Duration, r *record) api.Suspicion {
+	told := api.Suspicion{Fingerprint: r.fingerprint}
+	for _, c := range r.crashes {
+		if age := now - c.at; age < tellTTL {
+			told.Crashes = append(told.Crashes, api.Crash{
+				ID: c.id, Upstream: c.upstream, Age: age, Alone: c.alone, Cleared: c.cleared,
+			})
+		}
+	}
+	return told
+}
+
+// merge adds crashes to a record and says whether anything was new. The
+// result does not depend on the order of merges.
+func (s *State) merge(now time.Duration, fp uint64, add []crash) bool {
+	if len(add) == 0 {
+		return false
+	}
+	before := s.Status(now, fp)
+	r := s.records[fp]
+	if r == nil {
+		s.makeRoom(now)
+		r = &record{fingerprint: fp}
+		s.records[fp] = r
+	}
+	changed := false
+	for _, c := range add {
+		changed = r.add(c) || changed
+	}
+	if before != Condemned && s.Status(now, fp) == Condemned {
+		s.counters.Condemned++
+	}
+	return changed
+}
+
+// add returns true for a crash, or the clearing of one, that was not known.
+// The earliest time wins, because each way of the news only makes it later.
+func (r *record) add(c crash) bool {
+	for i := range r.crashes {
+		known := &r.crashes[i]
+		if known.id != c.id {
+			continue
+		}
+		known.at = min(known.at, c.at)
+		changed := c.cleared && !known.cleared
+		known.cleared = known.cleared || c.cleared
+		return changed
+	}
+	r.crashes = append(r.crashes, c)
+	if len(r.crashes) <= maxCrashes {
+		return true
+	}
+	// Crashes that were cleared go first, then the oldest.
+	slices.SortFunc(r.crashes, func(a, b crash) int {
+		if a.cleared != b.cleared {
+			if a.cleared {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id))
+	})
+	dropped := r.crashes[0].id
+	r.crashes = slices.Delete(r.crashes, 0, 1)
+	return dropped != c.id
+}
+
+// makeRoom evicts one record if there is no room: a cleared one before a
+// suspect, a suspect before a condemned one, and the oldest of its kind.
+func (s *State) makeRoom(now time.Duration) {
+	if len(s.records) < s.max {
+		return
+	}
+	var victim *record
+	var worst Status
+	for _, fp := range s.sortedKeys() {
+		r, status := s.records[fp], s.Status(now, fp)
+		if victim == nil || status < worst || (status == worst && r.last() < victim.last()) {
+			victim, worst = r, status
+		}
+	}
+	delete(s.records, victim.fingerprint)
+	s.counters.Evicted++
+}
+
+func (r *record) last() time.Duration {
+	var last time.Duration
+	for _, c := range r.crashes {
+		last = max(last, c.at)
+	}
+	return last
+}
