Carry news of crashes in messages

Cause: suspicion has to reach routers and agents at once, and an order has to say that it must run alone.

--- a/api/request.go
+++ b/api/request.go
@@ -57,6 +57,8 @@
 	ResumeFrom uint64
 	// WindowBytes is the first flow-control credit.
 	WindowBytes uint32
+	// Isolate asks the agent to run nothing else beside the request.
+	Isolate bool
 }
 
 // Head starts an answer.
@@ -168,4 +170,6 @@
 	// CacheSeq is the number of cache events of the engine so far, including
 	// those of this report, so that a gap shows.
 	CacheSeq uint64
+	// Suspicions are news of crashes, to be passed on.
+	Suspicions []Suspicion
 }
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -207,6 +207,9 @@
 	if u == nil || !u.up {
 		return
 	}
+	if u.link.Incarnation == 0 {
+		u.link.Incarnation = l.Incarnation
+	}
 	old := u.reported && l.Elapsed < u.load.Elapsed
 	if old || l.Incarnation != u.link.Incarnation {
 		s.counters.StaleLoads++
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -42,6 +42,7 @@
 		Body:           o.Body,
 		ResumeFrom:     o.ResumeFrom,
 		WindowBytes:    o.WindowBytes,
+		Isolate:        o.Isolate,
 	}
 }
 
@@ -67,6 +68,7 @@
 		Body:         m.GetBody(),
 		ResumeFrom:   m.GetResumeFrom(),
 		WindowBytes:  m.GetWindowBytes(),
+		Isolate:      m.GetIsolate(),
 	}
 }
 
@@ -241,6 +243,7 @@
 		PrefixAdded:   l.PrefixAdded,
 		PrefixDropped: l.PrefixDropped,
 		CacheSeq:      l.CacheSeq,
+		Suspicions:    FromSuspicions(l.Suspicions),
 	}
 }
 
@@ -265,6 +268,7 @@
 		PrefixAdded:   m.GetPrefixAdded(),
 		PrefixDropped: m.GetPrefixDropped(),
 		CacheSeq:      m.GetCacheSeq(),
+		Suspicions:    ToSuspicions(m.GetSuspicions()),
 	}
 }
 
--- /dev/null
+++ b/wire/suspicion.go
@@ -0,0 +1,41 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
+
+// FromSuspicions encodes news of crashes.
+func FromSuspicions(all []api.Suspicion) []*Suspicion {
+	var out []*Suspicion
+	for _, s := range all {
+		m := &Suspicion{Fingerprint: s.Fingerprint}
+		for _, c := range s.Crashes {
+			m.Crashes = append(m.Crashes, &Crash{
+				Id: c.ID, Upstream: c.Upstream, AgeNs: nanos(c.Age), Alone: c.Alone, Cleared: c.Cleared,
+			})
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// ToSuspicions decodes news of crashes.
+func ToSuspicions(all []*Suspicion) []api.Suspicion {
+	var out []api.Suspicion
+	for _, m := range all {
+		s := api.Suspicion{Fingerprint: m.GetFingerprint()}
+		for _, c := range m.GetCrashes() {
+			s.Crashes = append(s.Crashes, api.Crash{
+				ID:       c.GetId(),
+				Upstream: c.GetUpstream(),
+				Age:      time.Duration(c.GetAgeNs()),
+				Alone:    c.GetAlone(),
+				Cleared:  c.GetCleared(),
+			})
+		}
+		out = append(out, s)
+	}
+	return out
+}
