Name prefix-cache blocks of the stand-in engine as routers do

The stand-in hashed blocks of 64 bytes of the joined prompt, routers hash blocks of 256 bytes of the prompt's JSON, so no cache event matched a request. The test now asks the engine for the blocks that decide/prompt computes.

--- a/standin/modelengine/answer.go
+++ b/standin/modelengine/answer.go
@@ -31,16 +31,21 @@
 }
 
 // BlockBytes is the size of a block of the prefix cache.
-const BlockBytes = 64
+const BlockBytes = 256
 
-// BlockHashes returns the hashes of the whole blocks of a prompt. Each covers
-// the model and all blocks before it, so equal hashes mean equal prefixes.
-func BlockHashes(model, prompt string) []uint64 {
-	h := xxhash.Sum64String(model)
+// BlockHashes returns the hashes of the whole blocks of a prompt, as the JSON of
+// "prompt" or "messages" in the request. Each covers the model and all blocks
+// before it, so equal hashes mean equal prefixes. Routers compute the same ones.
+func BlockHashes(model string, prompt []byte) []uint64 {
+	chain := xxhash.Sum64String(model)
 	hashes := make([]uint64, 0, len(prompt)/BlockBytes)
 	for i := 0; i+BlockBytes <= len(prompt); i += BlockBytes {
-		h = mix(h, xxhash.Sum64String(prompt[i:i+BlockBytes]))
-		hashes = append(hashes, h)
+		link := binary.LittleEndian.AppendUint64(make([]byte, 0, wordBytes+BlockBytes), chain)
+		chain = xxhash.Sum64(append(link, prompt[i:i+BlockBytes]...))
+		hashes = append(hashes, chain)
 	}
 	return hashes
 }
+
+// wordBytes is the size of a hash.
+const wordBytes = 8
--- a/standin/modelengine/completions.go
+++ b/standin/modelengine/completions.go
@@ -31,11 +31,11 @@
 }
 
 type completionRequest struct {
-	Model     string    `json:"model"`
-	Prompt    string    `json:"prompt"`
-	Messages  []message `json:"messages"`
-	MaxTokens int       `json:"max_tokens"`
-	Stream    bool      `json:"stream"`
+	Model     string          `json:"model"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  json.RawMessage `json:"messages"`
+	MaxTokens int             `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
 }
 
 // ChatPrompt joins messages in the way that Answer expects. The arguments are
@@ -48,15 +48,24 @@
 	return b.String()
 }
 
-func (r *completionRequest) text(chat bool) string {
+// text returns the prompt as the engine reads it and as the request has it. It
+// is empty if the request has none.
+func (r *completionRequest) text(chat bool) (prompt string, raw []byte) {
 	if !chat {
-		return r.Prompt
+		if json.Unmarshal(r.Prompt, &prompt) != nil {
+			return "", nil
+		}
+		return prompt, r.Prompt
+	}
+	var messages []message
+	if json.Unmarshal(r.Messages, &messages) != nil {
+		return "", nil
 	}
 	var pairs []string
-	for _, m := range r.Messages {
+	for _, m := range messages {
 		pairs = append(pairs, m.Role, m.Content)
 	}
-	return ChatPrompt(pairs...)
+	return ChatPrompt(pairs...), r.Messages
 }
 
 func (e *Engine) complete(chat bool) http.HandlerFunc {
@@ -84,7 +93,7 @@
 
 func (e *Engine) newJob(w http.ResponseWriter, r *http.Request, q *completionRequest, chat bool) (*job, bool) {
 	tokens := orDefault(q.MaxTokens, defaultMaxTokens)
-	prompt := q.text(chat)
+	prompt, raw := q.text(chat)
 	from, err := number(r, HeaderResumeFrom)
 	if err != nil || tokens < 0 || tokens > maxAnswerTokens || from < 0 || prompt == "" {
 		fail(w, http.StatusBadRequest, "invalid_request")
@@ -106,7 +115,7 @@
 		model: q.Model, prompt: prompt, priority: priority,
 		key: r.Header.Get(HeaderKey), requestID: r.Header.Get(HeaderRequestID),
 		tokens: Answer(q.Model, prompt, tokens), first: min(from, tokens), next: min(from, tokens),
-		blocks: BlockHashes(q.Model, prompt), out: make(chan string, tokens),
+		blocks: BlockHashes(q.Model, raw), out: make(chan string, tokens),
 	}, true
 }
 
--- a/standin/modelengine/engine_test.go
+++ b/standin/modelengine/engine_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/mulberryfork/mulberryfork/decide/prompt"
 	"github.com/mulberryfork/mulberryfork/kernel"
 	"github.com/mulberryfork/mulberryfork/standin/modelengine"
 )
@@ -39,7 +40,7 @@
 	return result{status: w.Code, body: w.Body.String()}
 }
 
-func prompt(text string, tokens int) string {
+func body(text string, tokens int) string {
 	return fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":%d,"stream":true}`, text, tokens)
 }
 
@@ -79,8 +80,8 @@
 	defer e.Close()
 	server := httptest.NewServer(e)
 	defer server.Close()
-	body := `{"model":"m","max_tokens":5,"messages":[{"role":"user","content":"hello"}]}`
-	answer, err := http.Post(server.URL+"/v1/chat/completions", "application/json", strings.NewReader(body))
+	chat := `{"model":"m","max_tokens":5,"messages":[{"role":"user","content":"hello"}]}`
+	answer, err := http.Post(server.URL+"/v1/chat/completions", "application/json", strings.NewReader(chat))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -105,7 +106,7 @@
 	in(t, modelengine.Options{}, func(t *testing.T, e *modelengine.Engine) {
 		want := modelengine.Answer("m", "p", 6)
 		for from := range 8 {
-			r := call(t, e, "POST", "/v1/completions", prompt("p", 6), modelengine.HeaderResumeFrom, fmt.Sprint(from))
+			r := call(t, e, "POST", "/v1/completions", body("p", 6), modelengine.HeaderResumeFrom, fmt.Sprint(from))
 			got, done := texts(t, r.body)
 			if !done || strings.Join(got, "") != strings.Join(want[min(from, 6):], "") {
 				t.Errorf("from %d: %q, done %v", from, got, done)
@@ -122,7 +123,7 @@
 		burst := func(n int) (whole int) {
 			results := make(chan result, n)
 			for i := range n {
-				go func() { results <- call(t, e, "POST", "/v1/completions", prompt(fmt.Sprint(i), 4)) }()
+				go func() { results <- call(t, e, "POST", "/v1/completions", body(fmt.Sprint(i), 4)) }()
 			}
 			for range n {
 				if _, done := texts(t, (<-results).body); done {
@@ -147,7 +148,7 @@
 		ended := make(chan any)
 		go func() {
 			defer func() { ended <- recover() }()
-			q := httptest.NewRequestWithContext(ctx, "POST", "/v1/completions", strings.NewReader(prompt("long", 1000)))
+			q := httptest.NewRequestWithContext(ctx, "POST", "/v1/completions", strings.NewReader(body("long", 1000)))
 			e.ServeHTTP(httptest.NewRecorder(), q)
 		}()
 		synctest.Wait()
@@ -156,7 +157,7 @@
 			t.Errorf("ended with %v", reason)
 		}
 		start := time.Now()
-		call(t, e, "POST", "/v1/completions", prompt("short", 2))
+		call(t, e, "POST", "/v1/completions", body("short", 2))
 		if waited := time.Since(start); waited > 4*step {
 			t.Errorf("the next request took %v", waited)
 		}
@@ -169,7 +170,7 @@
 		order := make(chan string, 3)
 		start := func(name, priority string, tokens int) {
 			go func() {
-				call(t, e, "POST", "/v1/completions", prompt(name, tokens), modelengine.HeaderPriority, priority)
+				call(t, e, "POST", "/v1/completions", body(name, tokens), modelengine.HeaderPriority, priority)
 				order <- name
 			}()
 			synctest.Wait()
@@ -190,11 +191,11 @@
 	in(t, o, func(t *testing.T, e *modelengine.Engine) {
 		harmless := make(chan result, 1)
 		go func() {
-			harmless <- call(t, e, "POST", "/v1/completions", prompt("a", 50), modelengine.HeaderKey, "k")
+			harmless <- call(t, e, "POST", "/v1/completions", body("a", 50), modelengine.HeaderKey, "k")
 		}()
 		synctest.Wait()
 		first := e.Incarnation()
-		r := call(t, e, "POST", "/v1/completions", prompt("POISON", 1), modelengine.HeaderRequestID, "r")
+		r := call(t, e, "POST", "/v1/completions", body("POISON", 1), modelengine.HeaderRequestID, "r")
 		if _, done := texts(t, (<-harmless).body); done || r.status != 0 || e.Incarnation() == first {
 			t.Errorf("harmless done %v, poison %+v", done, r)
 		}
@@ -211,13 +212,13 @@
 	})
 }
 
-// Guards against a cache feed that is early, hides its gaps, or a cache that
-// grows without bound.
+// Guards against a cache feed that is early, hides its gaps, or names blocks by
+// other hashes than routers, and against a cache that grows without bound.
 func TestCacheEventsComeLateWithGaps(t *testing.T) {
 	o := modelengine.Options{Seed: 1, CacheBlocks: 4, CacheEventLag: time.Second, CacheEventLoss: 0.3}
 	in(t, o, func(t *testing.T, e *modelengine.Engine) {
 		text := strings.Repeat("x", 10*modelengine.BlockBytes)
-		call(t, e, "POST", "/v1/completions", prompt(text, 1))
+		call(t, e, "POST", "/v1/completions", body(text, 1))
 		feed := func(query string) (f modelengine.CacheFeed) {
 			if err := json.Unmarshal([]byte(call(t, e, "GET", "/internal/cache-events?"+query, "").body), &f); err != nil {
 				t.Fatal(err)
@@ -232,7 +233,7 @@
 		if n := len(late.Events); n == 0 || n >= 16 {
 			t.Errorf("%d events", n)
 		}
-		blocks, _ := json.Marshal(modelengine.Blocks{Blocks: modelengine.BlockHashes("m", text)})
+		blocks, _ := json.Marshal(modelengine.Blocks{Blocks: prompt.Prefixes("m", []byte(`"`+text+`"`))})
 		var held modelengine.Blocks
 		r := call(t, e, "POST", "/internal/kv/export", string(blocks))
 		if err := json.Unmarshal([]byte(r.body), &held); err != nil || len(held.Blocks) != 4 {
@@ -279,7 +280,7 @@
 		}
 		measure := func() time.Duration {
 			start := time.Now()
-			call(t, e, "POST", "/v1/completions", prompt("p", 1))
+			call(t, e, "POST", "/v1/completions", body("p", 1))
 			return time.Since(start)
 		}
 		even := measure()
