Let the agent decide with ledger, fair queue, limits, cold start and isolation

The work service kept a plain list and a fixed bound. It now enters each non-idempotent order into the ledger, queues by weighted fair queueing, starts within the cold limit and the adaptive bounds, runs suspects in isolation, returns queued orders as not run when the zone goes out, the upstream leaves or the agent drains, and checks gate and deadline again after every wait. Orders made under an older configuration are refused; the router waits for that revision and sends again.

--- a/api/services.go
+++ b/api/services.go
@@ -16,6 +16,9 @@
 	Subscribe(func(now time.Duration, s *Snapshot))
 	// Ready is closed once a first snapshot is in force.
 	Ready() <-chan struct{}
+	// WaitRevision waits until a revision or a newer one is in force and
+	// returns false if ctx ends first.
+	WaitRevision(ctx context.Context, revision uint64) bool
 }
 
 // ConfigSource delivers raw configuration as the platform publishes it.
--- a/cmd/mulberryfork/demo.go
+++ b/cmd/mulberryfork/demo.go
@@ -145,7 +145,8 @@
 	return nil
 }
 
-// book makes one booking under a key of the system.
+// book makes one booking, sends it again under its key through another router,
+// and shows that it ran once.
 func (c demoClient) book(ctx context.Context) error {
 	key, err := c.key(ctx)
 	if err != nil {
@@ -155,7 +156,15 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(c.out, "booking: %s\n", strings.TrimSpace(first))
+	again, err := c.visit(ctx, 1, key)
+	if err != nil {
+		return err
+	}
+	if first != again {
+		return &DemoError{What: "repeated booking", Got: fmt.Sprintf("%q after %q", again, first)}
+	}
+	fmt.Fprintf(c.out, "booking: %s\nbooking sent again through another router: the recorded answer, not a second run\n",
+		strings.TrimSpace(first))
 	return nil
 }
 
--- a/decide/poison/isolation.go
+++ b/decide/poison/isolation.go
@@ -107,3 +107,8 @@
 		i.running = nil
 	}
 }
+
+// Waits says whether a suspect waits for its run.
+func (i *Isolation) Waits(send api.SendID) bool {
+	return slices.ContainsFunc(i.waiting, func(w Waiting) bool { return w.Send == send })
+}
--- a/kernel/layout_test.go
+++ b/kernel/layout_test.go
@@ -14,7 +14,7 @@
 	"api":     {},
 	"wire":    {"api", "kernel"},
 	"decide":  {"api", "decide"},
-	"service": {"api", "kernel", "decide", "wire"},
+	"service": {"api", "kernel", "decide", "wire", "confdir"},
 	"standin": {"api", "standin", "kernel"},
 }
 
--- a/service/configsource/configsource.go
+++ b/service/configsource/configsource.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/confdir"
 	"github.com/mulberryfork/mulberryfork/kernel"
 )
 
@@ -83,7 +84,7 @@
 // Watch delivers each revision seen until ctx ends.
 func (s *service) Watch(ctx context.Context, deliver func(api.RawConfig), health func(error)) {
 	if s.settings.Config.Folder != "" {
-		raw, err := ReadFolder(s.settings.Config.Folder)
+		raw, err := readFolder(s.settings.Config.Folder)
 		health(err)
 		if err == nil {
 			deliver(raw)
@@ -149,39 +150,19 @@
 	return raw, true, nil
 }
 
-// FolderError reports a configuration folder that cannot be read.
-type FolderError struct {
-	Path string
-	Err  error
-}
-
-func (e *FolderError) Error() string { return "read " + e.Path + ": " + e.Err.Error() }
-
-// Unwrap returns the cause.
-func (e *FolderError) Unwrap() error { return e.Err }
-
-// ReadFolder reads the TOML files of a folder. The newest change time stands
-// for the revision.
-func ReadFolder(path string) (api.RawConfig, error) {
-	entries, err := os.ReadDir(path)
+// readFolder reads the files of a folder. The newest change time stands for the
+// revision.
+func readFolder(path string) (api.RawConfig, error) {
+	files, err := confdir.Read(path)
 	if err != nil {
-		return api.RawConfig{}, &FolderError{Path: path, Err: err}
+		return api.RawConfig{}, err
 	}
-	raw := api.RawConfig{Files: make(map[string][]byte)}
-	for _, entry := range entries {
-		if entry.IsDir() || filepath.Ext(entry.Name()) != ".toml" {
-			continue
-		}
-		file := filepath.Join(path, entry.Name())
-		content, err := os.ReadFile(file)
-		if err != nil {
-			return api.RawConfig{}, &FolderError{Path: file, Err: err}
-		}
-		info, err := entry.Info()
+	raw := api.RawConfig{Files: files}
+	for name := range files {
+		info, err := os.Stat(filepath.Join(path, name))
 		if err != nil {
-			return api.RawConfig{}, &FolderError{Path: file, Err: err}
+			return api.RawConfig{}, &confdir.ReadError{Path: filepath.Join(path, name), Err: err}
 		}
-		raw.Files[entry.Name()] = content
 		raw.Revision = max(raw.Revision, uint64(info.ModTime().UnixNano()))
 	}
 	return raw, nil
--- a/service/configstore/configstore.go
+++ b/service/configstore/configstore.go
@@ -38,7 +38,9 @@
 	offers *kernel.Mailbox[offer]
 	health *kernel.Mailbox[error]
 
-	current     atomic.Pointer[api.Snapshot]
+	current atomic.Pointer[api.Snapshot]
+	// changed holds a channel that is closed by the next change.
+	changed     atomic.Pointer[chan struct{}]
 	refused     atomic.Pointer[RefusedError]
 	sourceDown  error
 	subscribers []func(now time.Duration, s *api.Snapshot)
@@ -81,6 +83,8 @@
 		return err
 	}
 	s.ready = make(chan struct{})
+	changed := make(chan struct{})
+	s.changed.Store(&changed)
 	s.offers = kernel.NewMailbox(c.Loop(), "config.offer", offerMailbox, kernel.Wait, s.accept)
 	s.health = kernel.NewMailbox(c.Loop(), "config.health", healthMailbox, kernel.Latest, s.noteHealth)
 	s.counts = counters{
@@ -150,6 +154,21 @@
 // Ready is closed once a first snapshot is in force.
 func (s *service) Ready() <-chan struct{} { return s.ready }
 
+// WaitRevision waits for a revision to be in force.
+func (s *service) WaitRevision(ctx context.Context, revision uint64) bool {
+	for {
+		changed := *s.changed.Load()
+		if snap := s.current.Load(); snap != nil && snap.Revision >= revision {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 func (s *service) accept(now time.Duration, o offer) {
 	current := s.current.Load()
 	if current != nil && !newer(o, current) {
@@ -166,6 +185,8 @@
 	}
 	s.refused.Store(nil)
 	s.current.Store(o.snapshot)
+	next := make(chan struct{})
+	close(*s.changed.Swap(&next))
 	s.counts.accepted.Add(1)
 	s.log.Change("configuration in force", api.Fields{"revision": o.snapshot.Revision})
 	for _, f := range s.subscribers {
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -18,6 +18,8 @@
 	// reattachWait bounds the wait for a lost link before the outcome of a
 	// non-idempotent request is given as unknown.
 	reattachWait = 10 * time.Second
+	// revisionWait bounds the wait for a configuration that an agent has.
+	revisionWait = 3 * time.Second
 )
 
 // delivery is one request on its way to a whole answer.
@@ -111,9 +113,21 @@
 	if d.delivered > 0 {
 		d.service.counts.resumes.Add(1)
 	}
+	if f.Code == api.CodeStaleRevision && !d.awaitRevision(ctx, f.Revision) {
+		return false
+	}
 	return d.home == "" || d.awaitHome(ctx)
 }
 
+// awaitRevision waits for the configuration that an agent has already. The
+// upstream is not at fault, so it may be chosen again.
+func (d *delivery) awaitRevision(ctx context.Context, revision uint64) bool {
+	wait, cancel := context.WithTimeout(ctx, revisionWait)
+	defer cancel()
+	d.exclude = nil
+	return d.service.store.WaitRevision(wait, revision)
+}
+
 func (d *delivery) repeatable(f *api.Failure) bool {
 	if !retryable(f.Code) {
 		return false
@@ -127,6 +141,9 @@
 	if f.Run == api.NotRun && !d.uncertain {
 		// The send is known not to have run. A key of the caller's stays bound
 		// to its upstream, so sending it there again at once is of no use.
+		if f.Code == api.CodeStaleRevision {
+			return true
+		}
 		if d.request.Key != "" {
 			return false
 		}
@@ -170,6 +187,7 @@
 	a := &attempt{delivery: d, done: make(chan api.End, 1)}
 	order, failure := d.order(choice)
 	if failure != nil {
+		d.finish(choice, d.service.clock.Now(), a, failure, true)
 		return api.End{Failure: failure}, false
 	}
 	a.send = order.Send
@@ -177,20 +195,22 @@
 	exchange, err := d.service.links.Send(ctx, order, a)
 	if err != nil {
 		failure := asFailure(err, api.NotRun)
-		d.finish(choice, began, a, failure)
+		d.finish(choice, began, a, failure, true)
 		return api.End{Failure: failure}, false
 	}
 	end := a.wait(ctx, exchange, d.request.Idempotent)
-	d.finish(choice, began, a, end.Failure)
+	d.finish(choice, began, a, end.Failure, false)
 	return end, true
 }
 
-func (d *delivery) finish(choice api.RouteChoice, began time.Duration, a *attempt, f *api.Failure) {
+func (d *delivery) finish(choice api.RouteChoice, began time.Duration, a *attempt, f *api.Failure, unsent bool) {
 	if f != nil {
 		d.exclude = append(d.exclude, choice.Upstream)
 	}
 	d.service.routing.Done(api.RouteResult{
 		Upstream:   choice.Upstream,
+		Ticket:     choice.Ticket,
+		Unsent:     unsent,
 		CostTokens: d.request.CostTokens,
 		Failure:    f,
 		FirstChunk: a.firstChunk,
@@ -244,6 +264,7 @@
 		Idempotent:   r.Idempotent,
 		Upstream:     choice.Upstream,
 		Incarnation:  incarnation,
+		AgentElapsed: choice.Elapsed,
 		Revision:     choice.Revision,
 		DeadlineLeft: left,
 		Priority:     r.Priority,
--- a/service/dispatch/dispatch.go
+++ b/service/dispatch/dispatch.go
@@ -79,7 +79,7 @@
 	if failure != nil {
 		return "", failure
 	}
-	s.routing.Done(api.RouteResult{Upstream: choice.Upstream})
+	s.routing.Done(api.RouteResult{Upstream: choice.Upstream, Ticket: choice.Ticket, Unsent: true})
 	key, failure := s.mint(choice)
 	if failure != nil {
 		return "", failure
@@ -101,12 +101,12 @@
 
 // Outcome asks the agent that a key belongs to.
 func (s *service) Outcome(ctx context.Context, member, service, key string) (api.Outcome, *api.Failure) {
-	upstream, _, failure := s.home(member, service, "", key)
+	upstream, incarnation, failure := s.home(member, service, "", key)
 	if failure != nil {
 		return api.Outcome{Run: api.Unknown}, failure
 	}
 	s.counts.queries.Add(1)
-	o, err := s.links.Query(ctx, api.OutcomeQuery{Upstream: upstream, Member: member, Key: key})
+	o, err := s.links.Query(ctx, api.OutcomeQuery{Upstream: upstream, Member: member, Key: key, Incarnation: incarnation})
 	if err != nil {
 		return api.Outcome{Run: api.Unknown}, asFailure(err, api.Unknown)
 	}
--- /dev/null
+++ b/service/work/control.go
@@ -0,0 +1,250 @@
+package work
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/coldstart"
+	"github.com/mulberryfork/mulberryfork/decide/fairqueue"
+	"github.com/mulberryfork/mulberryfork/decide/ledger"
+	"github.com/mulberryfork/mulberryfork/decide/limit"
+	"github.com/mulberryfork/mulberryfork/decide/poison"
+	"github.com/mulberryfork/mulberryfork/kernel"
+)
+
+const (
+	// expiryInterval is how often waiting orders are checked for their deadline.
+	expiryInterval = 100 * time.Millisecond
+	// ageStep, maxPriority and advantageTokens say what priorities are worth.
+	ageStep         = time.Second
+	maxPriority     = 9
+	advantageTokens = 256
+	// memberEntryPart and memberTombstones bound what one member may take of
+	// the ledger.
+	memberEntryPart  = 4
+	memberTombstones = 4096
+	joinedSends      = 64
+	// ledgerBytesPart bounds all recorded answers to that many of the largest.
+	ledgerBytesPart = 1024
+	sendAge         = 30 * time.Second
+	// listLag is how long a change of configuration takes to be in force
+	// everywhere.
+	listLag = 10 * time.Second
+)
+
+// waiter is an order that was not granted yet.
+type waiter struct {
+	order    api.Order
+	call     kernel.Call[api.Order, grant]
+	deadline time.Duration
+}
+
+// active is an order that runs.
+type active struct {
+	order    api.Order
+	ticket   coldstart.Ticket
+	started  time.Duration
+	isolated bool
+}
+
+// control is the agent's state. The control loop owns it; times are the
+// agent's own elapsed time.
+type control struct {
+	service   *service
+	upstream  api.Upstream
+	snap      *api.Snapshot
+	draining  bool
+	ledger    *ledger.Ledger
+	queue     *fairqueue.Queue[*waiter]
+	cold      *coldstart.State
+	limit     *limit.State
+	suspects  *poison.State
+	isolation *poison.Isolation
+	// waiters are queued, isolated or joined to another send.
+	waiters map[api.SendID]*waiter
+	running map[api.SendID]*active
+	served  map[string]uint64
+	crashes uint64
+	// crashedAt is the time of the last crash; runs that began before it
+	// failed with it.
+	crashedAt time.Duration
+	news      []api.Suspicion
+	step      time.Duration
+	first     time.Duration
+	counts    counters
+}
+
+type counters struct {
+	crashes, isolated, repeats, tombstones api.Counter
+}
+
+func newControl(s *service) *control {
+	id := ledger.Identity{Upstream: s.settings.Upstream, Incarnation: s.incarnation}
+	c := &control{
+		service:   s,
+		ledger:    ledger.New(0, id, ledger.Limits{}),
+		queue:     fairqueue.New[*waiter](fairqueue.Config{AgeStep: ageStep, MaxPriority: maxPriority, AdvantageTokens: advantageTokens}),
+		cold:      coldstart.New(coldstart.Params{}),
+		limit:     limit.New(limit.Options{}),
+		suspects:  poison.New(0),
+		isolation: poison.NewIsolation(0),
+		waiters:   make(map[api.SendID]*waiter),
+		running:   make(map[api.SendID]*active),
+		served:    make(map[string]uint64),
+		crashedAt: -1,
+		counts: counters{
+			crashes:    s.metrics.Counter("work_crashes", ""),
+			isolated:   s.metrics.Counter("work_isolated", ""),
+			repeats:    s.metrics.Counter("ledger_repeats", ""),
+			tombstones: s.metrics.Counter("ledger_tombstones", ""),
+		},
+	}
+	published := func(read func(l api.Load) int64) func() int64 {
+		return func() int64 { return read(s.report.Load().load) }
+	}
+	s.metrics.Gauge("work_running", published(func(l api.Load) int64 { return int64(l.Running) }))
+	s.metrics.Gauge("work_queued", published(func(l api.Load) int64 { return int64(l.Queued) }))
+	s.metrics.Gauge("work_limit", published(func(l api.Load) int64 { return int64(l.LimitRequests) }))
+	s.metrics.Gauge("work_cold", published(func(l api.Load) int64 {
+		if l.Cold {
+			return 1
+		}
+		return 0
+	}))
+	return c
+}
+
+// configure takes a new configuration. Orders that may no longer start here
+// are returned as not run.
+func (c *control) configure(now time.Duration, snap *api.Snapshot) {
+	c.snap = snap
+	c.upstream = snap.Config.Upstreams[c.service.settings.Upstream]
+	u := c.upstream
+	c.cold.Configure(coldstart.Params{ColdRequests: u.ColdRequests, MaxRequests: u.MaxRequests, MaxTokens: u.MaxTokens})
+	c.limit.Configure(limit.Options{MaxRequests: u.MaxRequests, MaxTokens: tokenCeiling(u)})
+	c.configureLedger(now, snap)
+	for name, m := range snap.Config.Members {
+		c.queue.SetMember(name, m.Share, m.QueueRequests)
+	}
+	for name := range c.served {
+		if _, ok := snap.Config.Members[name]; !ok {
+			c.queue.RemoveMember(name)
+			delete(c.served, name)
+		}
+	}
+	if f := c.closed(); f != nil {
+		c.returnQueued(now, f)
+	}
+	c.pump(now)
+}
+
+// tokenCeiling is the bound of tokens; an upstream without one is bounded in
+// requests only.
+func tokenCeiling(u api.Upstream) uint64 {
+	if u.MaxTokens > 0 {
+		return uint64(u.MaxTokens)
+	}
+	return 1 << 40
+}
+
+func (c *control) configureLedger(now time.Duration, snap *api.Snapshot) {
+	pool, plain := snap.Config.Pool, snap.Config.Services[c.upstream.Service]
+	c.ledger.SetLimits(ledger.Limits{
+		Entries:          pool.LedgerEntries,
+		MemberEntries:    max(pool.LedgerEntries/memberEntryPart, 1),
+		MemberTombstones: memberTombstones,
+		JoinedSends:      joinedSends,
+		Bytes:            pool.LedgerAnswerBytes * ledgerBytesPart,
+		AnswerBytes:      pool.LedgerAnswerBytes,
+		Retention:        time.Duration(pool.OutcomeRetention),
+		SendAge:          sendAge,
+		ResendWindow:     time.Duration(plain.ResendWindow),
+		ListLag:          listLag,
+		Deduplicates:     c.upstream.Deduplicates,
+	})
+	c.service.answerBytes.Store(int64(pool.LedgerAnswerBytes))
+	var list []string
+	for name, u := range snap.Config.Upstreams {
+		if u.Service != "" && u.Service == c.upstream.Service {
+			list = append(list, name)
+		}
+	}
+	slices.Sort(list)
+	c.ledger.SetList(now, list)
+}
+
+// closed says why the upstream takes no new work, nil if it does.
+func (c *control) closed() *api.Failure {
+	switch {
+	case c.draining:
+		return api.Fail(api.CodeShuttingDown, api.NotRun, "the agent is shutting down")
+	case c.snap == nil:
+		return api.Fail(api.CodeNotReady, api.NotRun, "the agent has no configuration yet")
+	case c.upstream.Zone == "":
+		return api.Fail(api.CodeWrongUpstream, api.NotRun, "the upstream is not in the configuration")
+	case c.snap.Config.Zones[c.upstream.Zone].State == api.ZoneOut:
+		return api.Fail(api.CodeZoneOut, api.NotRun, "availability zone "+c.upstream.Zone+" is out")
+	case c.upstream.Leaving:
+		return api.Fail(api.CodeLeaving, api.NotRun, "the upstream is leaving")
+	}
+	return nil
+}
+
+// gate decides whether an order may start here now. It is asked again after
+// every wait.
+func (c *control) gate(o api.Order) *api.Failure {
+	if f := c.closed(); f != nil {
+		return f
+	}
+	if o.Upstream != c.service.settings.Upstream {
+		return api.Fail(api.CodeWrongUpstream, api.NotRun, "the order is for another upstream")
+	}
+	if o.Incarnation != 0 && o.Incarnation != c.service.incarnation {
+		return api.Fail(api.CodeWrongIncarnation, api.NotRun, "the order is for another incarnation")
+	}
+	m, ok := c.snap.Config.Members[o.Member]
+	if !ok || !permits(m.Zones, c.upstream.Zone) || !permits(m.Upstreams, o.Upstream) {
+		return api.Fail(api.CodeForbidden, api.NotRun, "the guild member may not use this upstream")
+	}
+	return nil
+}
+
+// permits treats an empty list as everything.
+func permits(list []string, name string) bool {
+	return len(list) == 0 || slices.Contains(list, name)
+}
+
+// stale refuses an order made under an older configuration, whose router may
+// not know that a zone is out or an upstream is leaving.
+func (c *control) stale(o api.Order) *api.Failure {
+	if c.snap == nil || o.Revision >= c.snap.Revision {
+		return nil
+	}
+	f := api.Fail(api.CodeStaleRevision, api.NotRun, "the order was made under an older configuration")
+	f.Revision = c.snap.Revision
+	return f
+}
+
+func (c *control) drain(now time.Duration) {
+	c.draining = true
+	c.returnQueued(now, c.closed())
+	c.publish()
+}
+
+// returnQueued gives every waiting order back as not run, so that its router
+// can send it elsewhere.
+func (c *control) returnQueued(now time.Duration, f *api.Failure) {
+	for _, e := range c.queue.Drain() {
+		c.refuse(now, e.Value, f)
+	}
+	for send, w := range c.waiters {
+		if c.isolation.Waits(send) {
+			c.isolation.Remove(send)
+			c.refuse(now, w, f)
+		}
+	}
+}
+
+func random() float64 { return rand.Float64() }
--- a/service/work/work.go
+++ b/service/work/work.go
@@ -1,5 +1,5 @@
-// Package work is the agent's sole entry point to its upstream. It decides on
-// the control loop which orders start, and runs them on traffic goroutines.
+// Package work is the agent's sole entry point to its upstream. The control
+// loop decides which orders start; traffic goroutines run them.
 package work
 
 import (
@@ -10,12 +10,18 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/ledger"
 	"github.com/mulberryfork/mulberryfork/kernel"
 )
 
 const (
 	arrivalMailbox = 4096
 	finishMailbox  = 4096
+	cancelMailbox  = 4096
+	queryMailbox   = 256
+	// longestRun bounds a run that no router can cancel, so that an upstream
+	// that never answers does not hold its place for good.
+	longestRun = 10 * time.Minute
 )
 
 // Register adds the service under its name.
@@ -35,34 +41,49 @@
 
 	arrivals *kernel.Mailbox[kernel.Call[api.Order, grant]]
 	finishes *kernel.Mailbox[finish]
+	cancels  *kernel.Mailbox[api.SendID]
+	queries  *kernel.Mailbox[kernel.Call[api.OutcomeQuery, api.Outcome]]
 	drains   *kernel.Mailbox[struct{}]
 
-	// The control loop owns the fields below.
-	running  int
-	limit    int
-	waiting  []kernel.Call[api.Order, grant]
-	upstream api.Upstream
-	draining bool
-
-	report atomic.Pointer[report]
+	control *control
+	report  atomic.Pointer[report]
+	// answerBytes is the bound of one recorded answer.
+	answerBytes atomic.Int64
 }
 
+// report is the published load and the channel closed by the next one.
 type report struct {
 	load    api.Load
 	changed chan struct{}
 }
 
+// verdict says what Execute does with its order.
+type verdict int
+
+const (
+	refuse verdict = iota
+	run
+	repeat
+	drop
+)
+
 // grant is the answer to an arrival.
 type grant struct {
+	verdict verdict
 	failure *api.Failure
-	// expires is when the grant must not be used any more.
+	outcome api.Outcome
+	// expires is when a grant to run must not be used any more, on the clock
+	// of the process.
 	expires time.Duration
 }
 
+// finish tells the control loop how a run ended.
 type finish struct {
 	send    api.SendID
 	usage   api.Usage
 	failure *api.Failure
+	// answer is set for a whole answer to a non-idempotent request.
+	answer *ledger.Answer
 }
 
 func (s *service) Provision(c *kernel.Context) (err error) {
@@ -81,20 +102,36 @@
 	s.clock = c.Clock()
 	s.started = s.clock.Now()
 	s.incarnation = newIncarnation()
-	s.arrivals = kernel.NewMailbox(c.Loop(), "work.arrival", arrivalMailbox, kernel.Wait, s.arrive)
-	s.finishes = kernel.NewMailbox(c.Loop(), "work.finish", finishMailbox, kernel.Wait, s.finish)
-	s.drains = kernel.NewMailbox(c.Loop(), "work.drain", 1, kernel.Latest, s.drain)
-	s.store.Subscribe(s.configure)
 	s.report.Store(&report{changed: make(chan struct{}), load: api.Load{
 		Upstream:    s.settings.Upstream,
 		Incarnation: s.incarnation,
 	}})
+	s.control = newControl(s)
+	s.mailboxes(c.Loop())
 	return nil
 }
 
+func (s *service) mailboxes(l *kernel.Loop) {
+	ctl := s.control
+	s.arrivals = kernel.NewMailbox(l, "work.arrival", arrivalMailbox, kernel.Wait,
+		func(now time.Duration, c kernel.Call[api.Order, grant]) { ctl.arrive(now-s.started, c) })
+	s.finishes = kernel.NewMailbox(l, "work.finish", finishMailbox, kernel.Wait,
+		func(now time.Duration, f finish) { ctl.finish(now-s.started, f) })
+	s.cancels = kernel.NewMailbox(l, "work.cancel", cancelMailbox, kernel.Wait,
+		func(now time.Duration, send api.SendID) { ctl.cancel(now-s.started, send) })
+	s.queries = kernel.NewMailbox(l, "work.query", queryMailbox, kernel.Wait,
+		func(now time.Duration, c kernel.Call[api.OutcomeQuery, api.Outcome]) {
+			c.Reply(ctl.ledger.Query(now-s.started, c.Query))
+		})
+	s.drains = kernel.NewMailbox(l, "work.drain", 1, kernel.Latest,
+		func(now time.Duration, _ struct{}) { ctl.drain(now - s.started) })
+	l.Every(expiryInterval, func(now time.Duration) { ctl.pump(now - s.started) })
+	s.store.Subscribe(func(now time.Duration, snap *api.Snapshot) { ctl.configure(now-s.started, snap) })
+}
+
 func newIncarnation() api.Incarnation {
 	var b [8]byte
-	// crypto/rand.Read never fails.
+	// crypto/rand.Read never fails. Zero means any incarnation, so it is avoided.
 	_, _ = rand.Read(b[:])
 	return api.Incarnation(binary.LittleEndian.Uint64(b[:]) | 1)
 }
@@ -114,87 +151,75 @@
 // Drain stops new work.
 func (s *service) Drain() { _ = s.drains.Post(context.Background(), struct{}{}) }
 
-// Execute runs an order or refuses it.
-func (s *service) Execute(ctx context.Context, o api.Order, sink api.Sink) {
-	g, err := kernel.Ask(ctx, s.arrivals, o)
-	if err != nil {
-		sink.End(api.End{Failure: &api.Failure{Code: api.CodeCanceled, Run: api.Unknown, Err: err}})
-		return
-	}
-	if g.failure != nil {
-		sink.End(api.End{Failure: g.failure})
-		return
+// Ready reports whether the agent knows its upstream.
+func (s *service) Ready() error {
+	if load := s.report.Load().load; !load.Accepting {
+		return &NotAcceptingError{Upstream: s.settings.Upstream}
 	}
-	usage, failure := s.start(ctx, o, g, sink)
-	_ = s.finishes.Post(context.Background(), finish{send: o.Send, usage: usage, failure: failure})
-	sink.End(api.End{Chunks: usage.Chunks, Failure: failure})
+	return nil
 }
 
-// start checks the grant once more, since this goroutine may have been paused
-// since it was given.
-func (s *service) start(ctx context.Context, o api.Order, g grant, sink api.Sink) (api.Usage, *api.Failure) {
-	if s.clock.Now() >= g.expires {
-		return api.Usage{}, api.Fail(api.CodeDeadlineExceeded, api.NotRun, "the deadline passed before the start")
-	}
-	return s.engine.Run(ctx, o, sink)
-}
+// NotAcceptingError reports an agent that takes no new work.
+type NotAcceptingError struct{ Upstream string }
 
-// Outcome answers a query.
-func (s *service) Outcome(context.Context, api.OutcomeQuery) api.Outcome {
-	return api.Outcome{Run: api.Unknown}
+func (e *NotAcceptingError) Error() string {
+	return "upstream " + e.Upstream + " takes no new work"
 }
 
-func (s *service) configure(_ time.Duration, snap *api.Snapshot) {
-	s.upstream = snap.Config.Upstreams[s.settings.Upstream]
-	s.limit = s.upstream.MaxRequests
-	s.publish()
+// Outcome answers a query from the ledger.
+func (s *service) Outcome(ctx context.Context, q api.OutcomeQuery) api.Outcome {
+	o, err := kernel.Ask(ctx, s.queries, q)
+	if err != nil {
+		return api.Outcome{Run: api.Unknown, Failure: &api.Failure{Code: api.CodeCanceled, Run: api.Unknown, Err: err}}
+	}
+	return o
 }
 
-func (s *service) arrive(now time.Duration, c kernel.Call[api.Order, grant]) {
-	if s.draining {
-		c.Reply(grant{failure: api.Fail(api.CodeShuttingDown, api.NotRun, "the agent is shutting down")})
-		return
+// Execute runs an order, answers it from the ledger, or refuses it. Once it
+// has arrived, a non-idempotent order no longer depends on its router.
+func (s *service) Execute(ctx context.Context, o api.Order, sink api.Sink) {
+	if !o.Idempotent {
+		ctx = context.WithoutCancel(ctx)
 	}
-	if s.running >= s.limit {
-		s.waiting = append(s.waiting, c)
-		s.publish()
+	g, err := kernel.Ask(ctx, s.arrivals, o)
+	if err != nil {
+		_ = s.cancels.Post(context.Background(), o.Send)
+		sink.End(api.End{Failure: &api.Failure{Code: api.CodeCanceled, Run: api.Unknown, Err: err}})
 		return
 	}
-	s.grant(now, c)
-}
-
-func (s *service) grant(now time.Duration, c kernel.Call[api.Order, grant]) {
-	s.running++
-	c.Reply(grant{expires: now + c.Query.DeadlineLeft})
-	s.publish()
-}
-
-func (s *service) finish(now time.Duration, _ finish) {
-	s.running--
-	if len(s.waiting) > 0 {
-		next := s.waiting[0]
-		s.waiting = s.waiting[1:]
-		s.grant(now, next)
-		return
+	switch g.verdict {
+	case run:
+		sink.End(s.run(ctx, o, g, sink))
+	case repeat:
+		sink.End(replay(o, g.outcome, sink))
+	case refuse:
+		sink.End(api.End{Failure: g.failure})
 	}
-	s.publish()
 }
 
-func (s *service) drain(time.Duration, struct{}) {
-	s.draining = true
-	s.publish()
+// run sends the order to the upstream and tells the control loop, which records
+// the outcome before the caller learns of the end.
+func (s *service) run(ctx context.Context, o api.Order, g grant, sink api.Sink) api.End {
+	f := finish{send: o.Send}
+	if o.Idempotent {
+		f.usage, f.failure = s.start(ctx, o, g, sink)
+	} else {
+		limited, cancel := context.WithTimeout(ctx, longestRun)
+		defer cancel()
+		ctx = limited
+		r := &recorder{next: sink, bound: int(s.answerBytes.Load())}
+		f.usage, f.failure = s.start(ctx, o, g, r)
+		f.answer = &r.answer
+	}
+	_ = s.finishes.Post(context.Background(), f)
+	return api.End{Chunks: f.usage.Chunks, Failure: f.failure}
 }
 
-func (s *service) publish() {
-	old := s.report.Load()
-	load := old.load
-	load.Running = uint32(s.running)
-	load.Queued = uint32(len(s.waiting))
-	load.LimitRequests = uint32(s.limit)
-	load.Accepting = !s.draining
-	if snap := s.store.Current(); snap != nil {
-		load.Revision = snap.Revision
+// start checks the grant once more, since this goroutine may have been paused
+// since it was given.
+func (s *service) start(ctx context.Context, o api.Order, g grant, sink api.Sink) (api.Usage, *api.Failure) {
+	if s.clock.Now() >= g.expires {
+		return api.Usage{}, api.Fail(api.CodeDeadlineExceeded, api.NotRun, "the deadline passed before the start")
 	}
-	s.report.Store(&report{load: load, changed: make(chan struct{})})
-	close(old.changed)
+	return s.engine.Run(ctx, o, sink)
 }
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -43,6 +43,8 @@
 		ResumeFrom:     o.ResumeFrom,
 		WindowBytes:    o.WindowBytes,
 		Isolate:        o.Isolate,
+		AgentElapsedNs: nanos(o.AgentElapsed),
+		ShareFactor:    o.ShareFactor,
 	}
 }
 
@@ -69,6 +71,8 @@
 		ResumeFrom:   m.GetResumeFrom(),
 		WindowBytes:  m.GetWindowBytes(),
 		Isolate:      m.GetIsolate(),
+		AgentElapsed: time.Duration(m.GetAgentElapsedNs()),
+		ShareFactor:  m.GetShareFactor(),
 	}
 }
 
@@ -205,7 +209,14 @@
 
 // FromQuery encodes a query.
 func FromQuery(id uint64, q api.OutcomeQuery) *Query {
-	m := &Query{Id: id, Upstream: q.Upstream, Member: q.Member, Key: q.Key}
+	m := &Query{
+		Id:             id,
+		Upstream:       q.Upstream,
+		Member:         q.Member,
+		Key:            q.Key,
+		Incarnation:    uint64(q.Incarnation),
+		AgentElapsedNs: nanos(q.AgentElapsed),
+	}
 	if q.Send != nil {
 		m.Request, m.Attempt = q.Send.Request, q.Send.Attempt
 	}
@@ -214,7 +225,13 @@
 
 // ToQuery decodes a query.
 func ToQuery(m *Query) api.OutcomeQuery {
-	q := api.OutcomeQuery{Upstream: m.GetUpstream(), Member: m.GetMember(), Key: m.GetKey()}
+	q := api.OutcomeQuery{
+		Upstream:     m.GetUpstream(),
+		Member:       m.GetMember(),
+		Key:          m.GetKey(),
+		Incarnation:  api.Incarnation(m.GetIncarnation()),
+		AgentElapsed: time.Duration(m.GetAgentElapsedNs()),
+	}
 	if m.GetRequest() != "" {
 		send := sendID(m)
 		q.Send = &send
@@ -240,6 +257,7 @@
 		StepTimeNs:    nanos(l.StepTime),
 		FirstTokenNs:  nanos(l.FirstToken),
 		Served:        l.Served,
+		Waiting:       l.Waiting,
 		PrefixAdded:   l.PrefixAdded,
 		PrefixDropped: l.PrefixDropped,
 		CacheSeq:      l.CacheSeq,
@@ -265,6 +283,7 @@
 		StepTime:      time.Duration(m.GetStepTimeNs()),
 		FirstToken:    time.Duration(m.GetFirstTokenNs()),
 		Served:        m.GetServed(),
+		Waiting:       m.GetWaiting(),
 		PrefixAdded:   m.GetPrefixAdded(),
 		PrefixDropped: m.GetPrefixDropped(),
 		CacheSeq:      m.GetCacheSeq(),
