Follow the engine's load and prefix cache from the agent

The agent knew its upstream only by its answers. It now reads the load report at an interval and the cache changes by long poll, takes a new incarnation as a crash of whatever still runs, and passes on cache changes to each link, at most 32 in one report so that control traffic stays bounded.

--- a/api/metrics.go
+++ b/api/metrics.go
@@ -74,5 +74,6 @@
 	{"ledger_repeats", MetricCounter, "requests", "", "agent", "requests answered from the ledger"},
 	{"ledger_tombstones", MetricCounter, "sends", "", "agent", "sends that were promised not to start"},
 	{"engine_runs", MetricCounter, "requests", "", "agent", "requests sent to the upstream"},
+	{"engine_feed_failures", MetricCounter, "calls", "", "agent", "reads of the engine's reports that failed"},
 	{"engine_failures", MetricCounter, "requests", "code", "agent", "requests that the upstream did not answer whole"},
 }
--- a/api/names.go
+++ b/api/names.go
@@ -15,6 +15,7 @@
 	ServiceFrontendHTTP    = "frontend.http"
 	ServiceWork            = "work"
 	ServiceEngine          = "engine"
+	ServiceEngineFeed      = "engine.feed"
 	ServiceExperts         = "experts"
 	ServiceMetrics         = "metrics"
 	ServiceAdminHTTP       = "admin.http"
--- a/api/services.go
+++ b/api/services.go
@@ -221,6 +221,9 @@
 	// Load returns the present report and a channel that is closed once a newer
 	// one is published.
 	Load() (Load, <-chan struct{})
+	// CacheChanges returns the last changes of the engine's prefix cache. The
+	// slice must not be changed.
+	CacheChanges() []CacheChange
 	// Incarnation returns the incarnation of this process.
 	Incarnation() Incarnation
 	// Elapsed returns the agent's own elapsed time, as bound keys embed it.
@@ -242,6 +245,9 @@
 	GeneratedTokens uint32
 	FirstChunk      time.Duration
 	Total           time.Duration
+	// EngineIncarnation is that of the upstream that answered, 0 if it does
+	// not say.
+	EngineIncarnation uint64
 }
 
 // Counter counts events since the start of the process.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/mulberryfork/mulberryfork/service/configstore"
 	"github.com/mulberryfork/mulberryfork/service/dispatch"
 	"github.com/mulberryfork/mulberryfork/service/engine"
+	"github.com/mulberryfork/mulberryfork/service/enginefeed"
 	"github.com/mulberryfork/mulberryfork/service/frontend"
 	"github.com/mulberryfork/mulberryfork/service/links"
 	"github.com/mulberryfork/mulberryfork/service/linkserver"
@@ -50,6 +51,7 @@
 func AgentServices() []string {
 	return append(append([]string(nil), common...),
 		api.ServiceEngine,
+		api.ServiceEngineFeed,
 		api.ServiceWork,
 		api.ServiceTransportServer,
 	)
@@ -65,6 +67,7 @@
 		configstore.Register,
 		dispatch.Register,
 		engine.Register,
+		enginefeed.Register,
 		frontend.Register,
 		links.Register,
 		linkserver.Register,
--- a/service/engine/engine.go
+++ b/service/engine/engine.go
@@ -29,6 +29,8 @@
 	headerPriority  = "X-Priority"
 	headerRequestID = "X-Request-Id"
 	headerKey       = "Idempotency-Key"
+	// headerIncarnation of an answer changes when the upstream restarts.
+	headerIncarnation = "X-Incarnation"
 )
 
 type service struct {
@@ -106,6 +108,7 @@
 		failure = r.bytes(resp.Body)
 	}
 	r.usage.Chunks = r.seq
+	r.usage.EngineIncarnation, _ = strconv.ParseUint(resp.Header.Get(headerIncarnation), 10, 64)
 	return r.usage, failure
 }
 
--- a/service/linkserver/link.go
+++ b/service/linkserver/link.go
@@ -17,6 +17,9 @@
 	batchBytes  = 256 << 10
 	// reportInterval is the shortest time between two load reports on a link.
 	reportInterval = 100 * time.Millisecond
+	// reportedChanges bounds the changes of the prefix cache in one report, so
+	// that control traffic stays within its budget.
+	reportedChanges = 32
 	// defaultWindow is the credit of an order that names none.
 	defaultWindow = 256 << 10
 )
@@ -30,6 +33,8 @@
 	cancel   context.CancelFunc
 	outbound chan *wire.AgentFrame
 	seen     atomic.Uint64
+	// cacheSeq is the last reported change of the prefix cache; the writer owns it.
+	cacheSeq uint64
 
 	mu     sync.Mutex
 	orders map[api.SendID]*order
@@ -219,9 +224,35 @@
 	load, _ := l.server.work.Load()
 	load.SeenOrders = l.seen.Load()
 	load.Elapsed = l.server.work.Elapsed()
+	l.addCacheChanges(&load)
 	return &wire.AgentFrame{Body: &wire.AgentFrame_Load{Load: wire.FromLoad(load)}}
 }
 
+// addCacheChanges adds the changes that this link has not reported yet, as far
+// as one report may hold them. What is left out shows as a gap in CacheSeq.
+func (l *link) addCacheChanges(load *api.Load) {
+	changes := l.server.work.CacheChanges()
+	if n := len(changes); n > 0 && changes[n-1].Seq < l.cacheSeq {
+		// The engine restarted and counts from the beginning.
+		l.cacheSeq = 0
+	}
+	for _, c := range changes {
+		if c.Seq <= l.cacheSeq {
+			continue
+		}
+		if len(load.PrefixAdded)+len(load.PrefixDropped) == reportedChanges {
+			break
+		}
+		l.cacheSeq = c.Seq
+		if c.Dropped {
+			load.PrefixDropped = append(load.PrefixDropped, c.Block)
+		} else {
+			load.PrefixAdded = append(load.PrefixAdded, c.Block)
+		}
+	}
+	load.CacheSeq = l.cacheSeq
+}
+
 // order is the sink of one order: it turns the answer into frames and holds
 // the engine back while the router has granted no credit.
 type order struct {
--- a/service/work/control.go
+++ b/service/work/control.go
@@ -70,10 +70,14 @@
 	// crashedAt is the time of the last crash; runs that began before it
 	// failed with it.
 	crashedAt time.Duration
-	news      []api.Suspicion
-	step      time.Duration
-	first     time.Duration
-	counts    counters
+	// engineIs and engineWas are the last two incarnations of the upstream.
+	engineIs, engineWas uint64
+	// cacheOf is the incarnation that the kept cache changes belong to.
+	cacheOf uint64
+	news    []api.Suspicion
+	step    time.Duration
+	first   time.Duration
+	counts  counters
 }
 
 type counters struct {
--- /dev/null
+++ b/service/work/observe.go
@@ -0,0 +1,68 @@
+package work
+
+import (
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
+
+// keptChanges bounds the changes of the prefix cache that links can still
+// report.
+const keptChanges = 512
+
+// EngineReport takes the engine's own report. A new incarnation shows a
+// restart that no request has noticed yet.
+func (c *control) EngineReport(now time.Duration, r api.EngineReport) {
+	elapsed := now - c.service.started
+	c.engineIncarnation(elapsed, r.Incarnation)
+	c.noteFall(func() { c.cold.StepTime(r.Running, r.Step) })
+	c.pump(elapsed)
+}
+
+// CacheChanges keeps the last changes of the prefix cache for the links.
+func (c *control) CacheChanges(_ time.Duration, incarnation uint64, changes []api.CacheChange) {
+	var old []api.CacheChange
+	if incarnation == c.cacheOf {
+		old = c.service.CacheChanges()
+	}
+	c.cacheOf = incarnation
+	kept := append(append(make([]api.CacheChange, 0, len(old)+len(changes)), old...), changes...)
+	kept = kept[max(len(kept)-keptChanges, 0):]
+	c.service.cache.Store(&kept)
+	c.publish()
+}
+
+// engineIncarnation takes the incarnation that the engine states, in a report
+// or with an answer. What still runs when it changes ran during a crash. A
+// report that lags behind an answer is recognised by its old incarnation.
+func (c *control) engineIncarnation(now time.Duration, id uint64) {
+	if id == 0 || id == c.engineIs || id == c.engineWas {
+		return
+	}
+	restarted := c.engineIs != 0
+	c.engineWas, c.engineIs = c.engineIs, id
+	if restarted && c.startedBefore(now) {
+		c.crash(now)
+	}
+	c.noteFall(func() { c.cold.Incarnation(id) })
+}
+
+// startedBefore reports whether anything runs that began before the last crash
+// was noticed, so that it was part of another one.
+func (c *control) startedBefore(now time.Duration) bool {
+	for _, a := range c.running {
+		if a.started > c.crashedAt && a.started < now {
+			return true
+		}
+	}
+	return false
+}
+
+// noteFall counts a return to the cold limit, if the observation causes one.
+func (c *control) noteFall(observe func()) {
+	before := c.cold.Falls()
+	observe()
+	if c.cold.Falls() != before {
+		c.service.metrics.Counter("work_cold_falls", string(c.cold.Reason())).Add(1)
+	}
+}
--- a/service/work/pump.go
+++ b/service/work/pump.go
@@ -96,10 +96,11 @@
 	if !ok {
 		return
 	}
-	if crashed(f.failure) {
-		c.crash(now, a)
+	if crashed(f.failure) && a.started > c.crashedAt {
+		c.crash(now)
 	}
 	delete(c.running, f.send)
+	c.engineIncarnation(now, f.usage.EngineIncarnation)
 	c.account(now, a, f)
 	if a.isolated {
 		c.isolation.Ended(f.send)
@@ -120,7 +121,7 @@
 		c.lostState()
 	}
 	if whole && f.usage.GeneratedTokens > 0 {
-		c.cold.FirstToken(a.ticket, int(a.order.CostTokens), f.usage.FirstChunk)
+		c.noteFall(func() { c.cold.FirstToken(a.ticket, int(a.order.CostTokens), f.usage.FirstChunk) })
 		c.first = smooth(c.first, f.usage.FirstChunk)
 	}
 	if n := f.usage.GeneratedTokens; whole && n > 1 {
@@ -181,16 +182,16 @@
 
 // crash takes everything that runs as a suspect. The runs of one crash fail
 // one after the other; only the first of them counts.
-func (c *control) crash(now time.Duration, a *active) {
-	if a.started <= c.crashedAt {
-		return
-	}
+func (c *control) crash(now time.Duration) {
+	before := c.crashedAt
 	c.crashedAt = now
 	c.crashes++
 	c.counts.crashes.Add(1)
 	var fingerprints []uint64
 	for _, r := range c.running {
-		fingerprints = append(fingerprints, r.order.Fingerprint)
+		if r.started > before {
+			fingerprints = append(fingerprints, r.order.Fingerprint)
+		}
 	}
 	c.news = c.suspects.Crashed(now, c.service.settings.Upstream, c.crashID(), fingerprints)
 	c.lostState()
@@ -199,8 +200,7 @@
 // lostState takes the upstream as cold: whatever comes back after a crash or a
 // refused connection has lost its state.
 func (c *control) lostState() {
-	c.cold.StateLost()
-	c.service.metrics.Counter("work_cold_falls", string(c.cold.Reason())).Add(1)
+	c.noteFall(c.cold.StateLost)
 }
 
 // crashID differs between the crashes of all upstreams and incarnations.
--- a/service/work/work.go
+++ b/service/work/work.go
@@ -47,6 +47,7 @@
 
 	control *control
 	report  atomic.Pointer[report]
+	cache   atomic.Pointer[[]api.CacheChange]
 	// answerBytes is the bound of one recorded answer.
 	answerBytes atomic.Int64
 }
@@ -106,7 +107,15 @@
 		Upstream:    s.settings.Upstream,
 		Incarnation: s.incarnation,
 	}})
+	s.cache.Store(new([]api.CacheChange))
 	s.control = newControl(s)
+	feed, present, err := kernel.LookupOptional[api.EngineFeed](c, api.ServiceEngineFeed)
+	if err != nil {
+		return err
+	}
+	if present {
+		feed.Follow(s.control)
+	}
 	s.mailboxes(c.Loop())
 	return nil
 }
@@ -148,6 +157,9 @@
 	return r.load, r.changed
 }
 
+// CacheChanges returns the last changes of the engine's prefix cache.
+func (s *service) CacheChanges() []api.CacheChange { return *s.cache.Load() }
+
 // Drain stops new work.
 func (s *service) Drain() { _ = s.drains.Post(context.Background(), struct{}{}) }
 
