Test the agent's decisions through the work service

Each test guards a promise where it is kept: one run for all sends of a key, a booking that outlives its router, queued work returned when a zone goes out or the agent drains, the cold limit, and isolation of suspects.

--- /dev/null
+++ b/service/work/work_test.go
@@ -0,0 +1,339 @@
+package work_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/idemkey"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/service/metrics"
+	"github.com/mulberryfork/mulberryfork/service/work"
+)
+
+// store is a configuration store that a test changes by hand.
+type store struct {
+	box     *kernel.Mailbox[*api.Snapshot]
+	current *api.Snapshot
+	follow  []func(time.Duration, *api.Snapshot)
+}
+
+func (s *store) Provision(c *kernel.Context) error {
+	s.box = kernel.NewMailbox(c.Loop(), "store", 4, kernel.Wait, func(now time.Duration, snap *api.Snapshot) {
+		s.current = snap
+		for _, f := range s.follow {
+			f(now, snap)
+		}
+	})
+	return nil
+}
+func (s *store) Current() *api.Snapshot                         { return s.current }
+func (s *store) Subscribe(f func(time.Duration, *api.Snapshot)) { s.follow = append(s.follow, f) }
+func (s *store) Ready() <-chan struct{}                         { return nil }
+func (s *store) WaitRevision(context.Context, uint64) bool      { return true }
+func (s *store) set(t *testing.T, revision uint64, change func(*api.Config)) {
+	t.Helper()
+	c := &api.Config{
+		Pool:  api.Pool{OutcomeRetention: api.Duration(time.Hour), LedgerEntries: 100, LedgerAnswerBytes: 1 << 10},
+		Zones: map[string]api.Zone{"za": {State: api.ZoneIn}},
+		Members: map[string]api.Member{
+			"desk":  {Share: 1, QueueRequests: 50},
+			"crews": {Share: 1, QueueRequests: 50},
+		},
+		Upstreams: map[string]api.Upstream{"b1": {
+			Kind: api.KindPlain, Zone: "za", Service: "booking", MaxRequests: 4, ColdRequests: 2,
+		}},
+		Services: map[string]api.Plain{"booking": {}},
+	}
+	if change != nil {
+		change(c)
+	}
+	if err := s.box.Post(t.Context(), &api.Snapshot{Revision: revision, Config: c}); err != nil {
+		t.Fatal(err)
+	}
+	synctest.Wait()
+}
+
+// upstream runs each order until the test releases it.
+type upstream struct {
+	started chan api.Order
+	release chan *api.Failure
+}
+
+func (u *upstream) Run(ctx context.Context, o api.Order, s api.Sink) (api.Usage, *api.Failure) {
+	u.started <- o
+	select {
+	case f := <-u.release:
+		if f != nil {
+			return api.Usage{}, f
+		}
+	case <-ctx.Done():
+		return api.Usage{}, api.Fail(api.CodeCanceled, api.Unknown, "canceled")
+	}
+	_ = s.Head(api.Head{Status: 201})
+	_ = s.Chunk(api.Chunk{Seq: 1, Payload: []byte("booked " + o.Key)})
+	return api.Usage{Chunks: 1}, nil
+}
+
+// answer is a sink that keeps what it gets.
+type answer struct {
+	body string
+	head api.Head
+	end  *api.End
+}
+
+func (a *answer) Head(h api.Head) error   { a.head = h; return nil }
+func (a *answer) Chunk(c api.Chunk) error { a.body += string(c.Payload); return nil }
+func (a *answer) End(e api.End)           { a.end = &e }
+
+type bed struct {
+	t        *testing.T
+	store    *store
+	upstream *upstream
+	work     api.Work
+	sends    int
+}
+
+// run starts an agent's work service on a synthetic clock.
+func run(t *testing.T, test func(t *testing.T, b *bed)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bed{t: t, store: &store{}, upstream: &upstream{
+			started: make(chan api.Order, 100), release: make(chan *api.Failure, 100),
+		}}
+		r := kernel.NewRegistry()
+		for name, f := range map[string]kernel.Factory{
+			api.ServiceConfigStore: func() any { return b.store },
+			api.ServiceEngine:      func() any { return b.upstream },
+			api.ServiceMetrics:     func() any { return metrics.New() },
+		} {
+			if err := r.Register(name, f); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := work.Register(r); err != nil {
+			t.Fatal(err)
+		}
+		host := kernel.NewHost(r, r.Names(), kernel.Options{
+			Clock:  kernel.NewRuntimeClock(),
+			Values: []any{&api.Settings{Upstream: "b1"}},
+		})
+		if err := host.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = host.Stop(context.Background()) }()
+		var err error
+		if b.work, err = kernel.Find[api.Work](host, api.ServiceWork); err != nil {
+			t.Fatal(err)
+		}
+		b.store.set(t, 1, nil)
+		time.Sleep(time.Second)
+		test(t, b)
+	})
+}
+
+func (b *bed) key() string {
+	k, err := idemkey.New("b1", b.work.Incarnation(), b.work.Elapsed(), [idemkey.RandomBytes]byte{byte(b.sends + 1)})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return k.String()
+}
+
+func (b *bed) order(key string) api.Order {
+	b.sends++
+	return api.Order{
+		Send: api.SendID{Request: fmt.Sprintf("r%d", b.sends), Attempt: 1}, Member: "desk", Key: key,
+		Idempotent: key == "", Upstream: "b1", Incarnation: b.work.Incarnation(), AgentElapsed: b.work.Elapsed(),
+		Revision: 1, DeadlineLeft: time.Minute, CostTokens: 1, Fingerprint: uint64(b.sends), Method: "POST", Path: "/visits",
+	}
+}
+
+// send executes an order and returns its answer, which fills in later.
+func (b *bed) send(ctx context.Context, o api.Order) *answer {
+	a := &answer{}
+	go b.work.Execute(ctx, o, a)
+	synctest.Wait()
+	return a
+}
+
+func (b *bed) finish(f *api.Failure) { b.upstream.release <- f; synctest.Wait() }
+
+func wantFailure(t *testing.T, a *answer, code api.Code, run api.RunState) {
+	t.Helper()
+	if a.end == nil || a.end.Failure == nil || a.end.Failure.Code != code || a.end.Failure.Run != run {
+		t.Errorf("end %+v, want %s and %s", a.end, code, run)
+	}
+}
+
+// A resend that reaches the agent while the first send runs, or after it, must
+// get that answer and not run again.
+func TestResendsShareOneRun(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		key := b.key()
+		first := b.send(t.Context(), b.order(key))
+		joined := b.send(t.Context(), b.order(key))
+		b.finish(nil)
+		later := b.send(t.Context(), b.order(key))
+		for i, a := range []*answer{first, joined, later} {
+			if a.end == nil || a.end.Failure != nil || a.body != "booked "+key || a.head.Status != 201 {
+				t.Errorf("answer %d: %+v", i, a)
+			}
+		}
+		if n := len(b.upstream.started); n != 1 {
+			t.Errorf("%d runs", n)
+		}
+	})
+}
+
+// A caller or router that goes away must not cut off a booking that was accepted.
+func TestLostRouterDoesNotStopBooking(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		key := b.key()
+		ctx, cancel := context.WithCancel(t.Context())
+		b.send(ctx, b.order(key))
+		cancel()
+		synctest.Wait()
+		b.finish(nil)
+		if o := b.work.Outcome(t.Context(), api.OutcomeQuery{Upstream: "b1", Member: "desk", Key: key}); o.Run != api.Ran || !o.Done {
+			t.Errorf("outcome %+v", o)
+		}
+	})
+}
+
+// Work queued when a zone goes out must come back as not run, and what runs
+// must end whole.
+func TestZoneOutReturnsQueuedWork(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		running := []*answer{b.send(t.Context(), b.order(b.key())), b.send(t.Context(), b.order(""))}
+		queued := []*answer{b.send(t.Context(), b.order(b.key())), b.send(t.Context(), b.order(""))}
+		b.store.set(t, 2, func(c *api.Config) { c.Zones["za"] = api.Zone{State: api.ZoneOut} })
+		for _, a := range queued {
+			wantFailure(t, a, api.CodeZoneOut, api.NotRun)
+		}
+		o := b.order("")
+		o.Revision = 2
+		wantFailure(t, b.send(t.Context(), o), api.CodeZoneOut, api.NotRun)
+		b.finish(nil)
+		b.finish(nil)
+		for i, a := range running {
+			if a.end == nil || a.end.Failure != nil {
+				t.Errorf("running %d ended %+v", i, a.end)
+			}
+		}
+	})
+}
+
+// A cold upstream must not get more than it bears, however many ask.
+func TestColdLimitHolds(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		for range 20 {
+			b.send(t.Context(), b.order(""))
+		}
+		if n := len(b.upstream.started); n != 2 {
+			t.Errorf("%d started on a cold upstream that bears 2", n)
+		}
+	})
+}
+
+// Time alone must not warm an upstream; an engine failure must make it cold again.
+func TestCompletionsEarnTheLimitAndACrashLosesIt(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		time.Sleep(time.Hour)
+		for range 40 {
+			b.send(t.Context(), b.order(""))
+		}
+		for range 20 {
+			b.finish(nil)
+		}
+		load, _ := b.work.Load()
+		if load.LimitRequests != 4 || load.Running != 4 {
+			t.Fatalf("warm load %+v", load)
+		}
+		b.finish(api.Fail(api.CodeUpstreamFailed, api.Unknown, "connection lost"))
+		if load, _ = b.work.Load(); load.LimitRequests != 2 || !load.Cold {
+			t.Errorf("load after a crash %+v", load)
+		}
+	})
+}
+
+// An order made under an older configuration may miss that a zone is out.
+func TestStaleAndForeignOrdersAreRefused(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		b.store.set(t, 2, nil)
+		wantFailure(t, b.send(t.Context(), b.order("")), api.CodeStaleRevision, api.NotRun)
+		o := b.order("")
+		o.Revision, o.Incarnation = 2, 12345
+		wantFailure(t, b.send(t.Context(), o), api.CodeWrongIncarnation, api.NotRun)
+		o = b.order("")
+		o.Revision, o.Member = 2, "stranger"
+		wantFailure(t, b.send(t.Context(), o), api.CodeForbidden, api.NotRun)
+		o = b.order(b.key())
+		o.Revision, o.Incarnation = 2, 12345
+		wantFailure(t, b.send(t.Context(), o), api.CodeWrongIncarnation, api.Unknown)
+	})
+}
+
+// A request that waited past its deadline must not start.
+func TestDeadlinePassesInTheQueue(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		b.send(t.Context(), b.order(""))
+		b.send(t.Context(), b.order(""))
+		o := b.order(b.key())
+		o.DeadlineLeft = time.Second
+		late := b.send(t.Context(), o)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		wantFailure(t, late, api.CodeDeadlineExceeded, api.NotRun)
+		b.finish(nil)
+		if n := len(b.upstream.started); n != 2 {
+			t.Errorf("%d started", n)
+		}
+	})
+}
+
+// A request that crashed the upstream must not run beside others again.
+func TestSuspectsRunAlone(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		poison := b.order("")
+		b.send(t.Context(), poison)
+		b.finish(api.Fail(api.CodeUpstreamFailed, api.Unknown, "connection lost"))
+		b.send(t.Context(), b.order(""))
+		again := poison
+		again.Send.Attempt = 2
+		b.send(t.Context(), again)
+		innocent := b.send(t.Context(), b.order(""))
+		if n := len(b.upstream.started); n != 2 {
+			t.Fatalf("%d started, the suspect must wait for the running request", n)
+		}
+		b.finish(nil)
+		if n := len(b.upstream.started); n != 3 {
+			t.Fatalf("%d started, the suspect must run alone", n)
+		}
+		b.finish(nil)
+		b.finish(nil)
+		if innocent.end == nil || innocent.end.Failure != nil {
+			t.Errorf("innocent request ended %+v", innocent.end)
+		}
+	})
+}
+
+// Requests that are refused at shutdown must come back as not run at once.
+func TestDrainReturnsQueuedWork(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		first := b.send(t.Context(), b.order(""))
+		b.send(t.Context(), b.order(""))
+		queued := b.send(t.Context(), b.order(b.key()))
+		b.work.(interface{ Drain() }).Drain()
+		synctest.Wait()
+		wantFailure(t, queued, api.CodeShuttingDown, api.NotRun)
+		wantFailure(t, b.send(t.Context(), b.order("")), api.CodeShuttingDown, api.NotRun)
+		b.finish(nil)
+		if first.end == nil || first.end.Failure != nil {
+			t.Errorf("running request ended %+v", first.end)
+		}
+		b.finish(nil)
+	})
+}
