Reassemble answers with the pure decision, and word not_run by proof

The dispatcher kept its own count of chunks. It now uses decide/reassembly, counts what is dropped by kind, and tells the caller the key of its request. A failure is worded not_run for a caller's own key only if the agent that the key belongs to said so: an earlier send may have gone through another router.

--- /dev/null
+++ b/service/dispatch/attempt.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
+
+// attempt is the sink of one send. The mutex keeps a sink that was given up
+// from writing to the caller while the next one does.
+type attempt struct {
+	delivery   *delivery
+	send       api.SendID
+	exchange   api.Exchange
+	done       chan api.End
+	firstChunk time.Duration
+
+	mu       sync.Mutex
+	detached bool
+}
+
+// Bind receives the exchange before any answer.
+func (a *attempt) Bind(x api.Exchange) { a.exchange = x }
+
+// DetachedError reports an answer to an attempt that was given up.
+type DetachedError struct{}
+
+func (*DetachedError) Error() string { return "the attempt was given up" }
+
+// Head passes the head of the first attempt that gets one.
+func (a *attempt) Head(h api.Head) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.detached {
+		return &DetachedError{}
+	}
+	d := a.delivery
+	if !d.assembly.Head(h) {
+		return nil
+	}
+	d.headSent, d.resumable = true, isEventStream(h)
+	if d.key != "" {
+		h.Headers = append(h.Headers, api.Header{Name: keyHeader, Value: d.key})
+	}
+	return d.sink.Head(h)
+}
+
+func isEventStream(h api.Head) bool {
+	for _, header := range h.Headers {
+		if header.Name == "Content-Type" {
+			return len(header.Value) >= len(eventStream) && header.Value[:len(eventStream)] == eventStream
+		}
+	}
+	return false
+}
+
+const (
+	eventStream = "text/event-stream"
+	// keyHeader tells a caller the key of its request.
+	keyHeader = "Idempotency-Key"
+)
+
+// Chunk passes on the chunks that are next in order.
+func (a *attempt) Chunk(c api.Chunk) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.detached {
+		a.delivery.service.counts.late.Add(1)
+		return &DetachedError{}
+	}
+	d := a.delivery
+	if a.firstChunk == 0 {
+		a.firstChunk = d.service.clock.Now() - d.begin
+	}
+	for _, next := range d.assembly.Chunk(c) {
+		if err := d.sink.Chunk(next); err != nil {
+			return err
+		}
+		a.exchange.Consumed(uint32(len(next.Payload)))
+	}
+	if f := d.assembly.Failure(); f != nil {
+		return f
+	}
+	return nil
+}
+
+// Flush passes on that nothing more is at hand.
+func (a *attempt) Flush() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if f, ok := a.delivery.sink.(api.Flusher); ok && !a.detached {
+		f.Flush()
+	}
+}
+
+// End closes the attempt. A whole answer must have all its chunks, and a link
+// delivers in order, so a chunk that is missing now will not come.
+func (a *attempt) End(e api.End) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.detached {
+		return
+	}
+	assembly := a.delivery.assembly
+	assembly.End(e)
+	assembly.Break(api.Fail(api.CodeStreamBroken, api.Unknown, "chunks of the answer are missing"))
+	a.done <- api.End{Chunks: assembly.Delivered(), Failure: assembly.Failure()}
+}
+
+// wait returns the end of the attempt. If the caller goes away, an idempotent
+// request is cancelled; any other runs on at its agent.
+func (a *attempt) wait(ctx context.Context, x api.Exchange, cancel bool) api.End {
+	select {
+	case e := <-a.done:
+		return e
+	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	a.detached = true
+	a.mu.Unlock()
+	if cancel {
+		x.Cancel()
+	}
+	if f, ok := context.Cause(ctx).(*api.Failure); ok {
+		return api.End{Failure: f}
+	}
+	return api.End{Failure: &api.Failure{Code: api.CodeCanceled, Run: api.Unknown, Err: context.Cause(ctx)}}
+}
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/reassembly"
 )
 
 const (
@@ -35,8 +35,8 @@
 	key         string
 	attempt     uint32
 	exclude     []string
-	// delivered counts the chunks that the caller has.
-	delivered uint64
+	// assembly puts chunks in order and knows how many the caller has.
+	assembly  *reassembly.Assembler
 	headSent  bool
 	resumable bool
 	// uncertain is set once a send may have run.
@@ -67,7 +67,7 @@
 			d.uncertain = true
 		}
 		if !d.again(ctx, end.Failure) {
-			return d.conclude(end)
+			return d.conclude(end, sent)
 		}
 	}
 }
@@ -75,28 +75,18 @@
 // conclude words the failure for the caller. A key that the caller brought may
 // have been run by an earlier send through another router, so only the agent
 // that the key belongs to can say that it was not run.
-func (d *delivery) conclude(end api.End) api.End {
+func (d *delivery) conclude(end api.End, sent bool) api.End {
 	f := *end.Failure
-	if f.Run == api.NotRun && (d.uncertain || d.request.Key != "" && localRefusal(f.Code)) {
+	if f.Run == api.NotRun && (d.uncertain || d.headSent || d.request.Key != "" && !sent) {
 		f.Run = api.Unknown
 	}
-	if f.Run == api.NotRun && d.headSent {
-		f.Run = api.Unknown
+	if f.Run != api.NotRun && f.BoundKey == "" && !d.request.Idempotent {
+		f.BoundKey = d.key
 	}
 	end.Failure = &f
 	return end
 }
 
-// localRefusal reports whether a code stems from this process rather than from
-// the agent.
-func localRefusal(code api.Code) bool {
-	switch code {
-	case api.CodeUpstreamUnreached, api.CodeNoUpstream, api.CodeNotReady, api.CodeCanceled, api.CodeInternal:
-		return true
-	}
-	return false
-}
-
 // again decides whether another send follows, and waits for it to be possible.
 func (d *delivery) again(ctx context.Context, f *api.Failure) bool {
 	if ctx.Err() != nil || d.attempt >= maxSends || d.attempt == 0 {
@@ -110,7 +100,7 @@
 		return false
 	}
 	d.service.counts.retries.Add(1)
-	if d.delivered > 0 {
+	if d.assembly.Delivered() > 0 {
 		d.service.counts.resumes.Add(1)
 	}
 	if f.Code == api.CodeStaleRevision && !d.awaitRevision(ctx, f.Revision) {
@@ -184,6 +174,7 @@
 		return api.End{Failure: failure}, false
 	}
 	d.attempt++
+	d.assembly.Resume(d.attempt)
 	a := &attempt{delivery: d, done: make(chan api.End, 1)}
 	order, failure := d.order(choice)
 	if failure != nil {
@@ -275,118 +266,7 @@
 		Path:         r.Path,
 		Headers:      r.Headers,
 		Body:         r.Body,
-		ResumeFrom:   d.delivered,
+		ResumeFrom:   d.assembly.Delivered(),
 		WindowBytes:  windowBytes,
 	}, nil
 }
-
-// attempt is the sink of one send. The mutex keeps a sink that was given up
-// from writing to the caller while the next one does.
-type attempt struct {
-	delivery   *delivery
-	send       api.SendID
-	exchange   api.Exchange
-	done       chan api.End
-	firstChunk time.Duration
-
-	mu       sync.Mutex
-	detached bool
-}
-
-// Bind receives the exchange before any answer.
-func (a *attempt) Bind(x api.Exchange) { a.exchange = x }
-
-// DetachedError reports an answer to an attempt that was given up.
-type DetachedError struct{}
-
-func (*DetachedError) Error() string { return "the attempt was given up" }
-
-// Head passes the head of the first attempt that gets one.
-func (a *attempt) Head(h api.Head) error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.detached {
-		return &DetachedError{}
-	}
-	d := a.delivery
-	if d.headSent {
-		return nil
-	}
-	d.headSent, d.resumable = true, isEventStream(h)
-	return d.sink.Head(h)
-}
-
-func isEventStream(h api.Head) bool {
-	for _, header := range h.Headers {
-		if header.Name == "Content-Type" {
-			return len(header.Value) >= len(eventStream) && header.Value[:len(eventStream)] == eventStream
-		}
-	}
-	return false
-}
-
-const eventStream = "text/event-stream"
-
-// Chunk passes the next chunk in sequence.
-func (a *attempt) Chunk(c api.Chunk) error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.detached {
-		a.delivery.service.counts.late.Add(1)
-		return &DetachedError{}
-	}
-	d := a.delivery
-	if c.Seq <= d.delivered {
-		d.service.counts.duplicate.Add(1)
-		return nil
-	}
-	if c.Seq != d.delivered+1 {
-		return &DetachedError{}
-	}
-	if a.firstChunk == 0 {
-		a.firstChunk = d.service.clock.Now() - d.begin
-	}
-	d.delivered = c.Seq
-	err := d.sink.Chunk(c)
-	if err == nil {
-		a.exchange.Consumed(uint32(len(c.Payload)))
-	}
-	return err
-}
-
-// Flush passes on that nothing more is at hand.
-func (a *attempt) Flush() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if f, ok := a.delivery.sink.(api.Flusher); ok && !a.detached {
-		f.Flush()
-	}
-}
-
-// End closes the attempt. A whole answer must have all its chunks.
-func (a *attempt) End(e api.End) {
-	if e.Failure == nil && e.Chunks != a.delivery.delivered {
-		e.Failure = api.Fail(api.CodeStreamBroken, api.Ran, "chunks of the answer are missing")
-	}
-	a.done <- e
-}
-
-// wait returns the end of the attempt. If the caller goes away, an idempotent
-// request is cancelled; any other runs on at its agent.
-func (a *attempt) wait(ctx context.Context, x api.Exchange, cancel bool) api.End {
-	select {
-	case e := <-a.done:
-		return e
-	case <-ctx.Done():
-	}
-	a.mu.Lock()
-	a.detached = true
-	a.mu.Unlock()
-	if cancel {
-		x.Cancel()
-	}
-	if f, ok := context.Cause(ctx).(*api.Failure); ok {
-		return api.End{Failure: f}
-	}
-	return api.End{Failure: &api.Failure{Code: api.CodeCanceled, Run: api.Unknown, Err: context.Cause(ctx)}}
-}
--- a/service/dispatch/dispatch.go
+++ b/service/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/idemkey"
+	"github.com/mulberryfork/mulberryfork/decide/reassembly"
 	"github.com/mulberryfork/mulberryfork/kernel"
 )
 
@@ -65,12 +66,23 @@
 
 // Dispatch answers one request through its sink.
 func (s *service) Dispatch(ctx context.Context, r api.Request, sink api.Sink) {
-	d := &delivery{service: s, request: r, sink: sink, begin: s.clock.Now(), delivered: r.ResumeFrom}
+	d := &delivery{
+		service:  s,
+		request:  r,
+		sink:     sink,
+		begin:    s.clock.Now(),
+		assembly: reassembly.New(api.SendID{Request: r.ID}, r.ResumeFrom, windowBytes),
+	}
 	if failure := d.bind(); failure != nil {
 		sink.End(api.End{Failure: failure})
 		return
 	}
-	sink.End(d.run(ctx))
+	end := d.run(ctx)
+	drops := d.assembly.Drops()
+	s.counts.duplicate.Add(int64(drops.Duplicate))
+	s.counts.foreign.Add(int64(drops.Foreign + drops.Unsent))
+	s.counts.late.Add(int64(drops.Late + drops.Closed))
+	sink.End(end)
 }
 
 // IssueKey binds a new key to an upstream.
