Route by affinity, work, outliers and suspicions, and bound retries by budget

The routing service took the upstream with the fewest requests of its own. It now runs decide/route, decide/outlier and decide/poison on the control loop, sends suspects to one place for a run in isolation and passes news of crashes on to all agents. Retries are paid from the budgets of member and process and wait with jitter; after a crash they wait until the agent's news has arrived.

--- a/api/services.go
+++ b/api/services.go
@@ -87,6 +87,8 @@
 	Query(ctx context.Context, q OutcomeQuery) (Outcome, error)
 	// State returns what is known of the link to an upstream's agent.
 	State(upstream string) LinkState
+	// Tell passes news of crashes to all agents; it does not wait for them.
+	Tell(news []Suspicion)
 	// WaitUp returns the state of a link once it is up, or false if ctx ends first.
 	WaitUp(ctx context.Context, upstream string) (LinkState, bool)
 }
@@ -116,7 +118,7 @@
 	// once when the request has ended.
 	Enter(ctx context.Context, member string, costTokens uint32) (release func(), failure *Failure)
 	// SpendRetry takes one retry from the budgets of the member and the process.
-	SpendRetry(member string) bool
+	SpendRetry(ctx context.Context, member string) bool
 }
 
 // RouteQuery asks for an upstream.
@@ -132,6 +134,8 @@
 	Exclude []string
 	// Only restricts the choice to one upstream, for bound keys.
 	Only string
+	// Fingerprint identifies the content across resends.
+	Fingerprint uint64
 	// Leaving allows an upstream that takes no new work, to reach a recorded answer.
 	Leaving bool
 }
@@ -144,6 +148,8 @@
 	Revision    uint64
 	// Ticket names this choice in the RouteResult that closes it.
 	Ticket uint64
+	// Isolate asks for a run with nothing beside it.
+	Isolate bool
 }
 
 // CacheUse says whether an engine served a prompt from its prefix cache.
@@ -221,6 +227,8 @@
 	// Load returns the present report and a channel that is closed once a newer
 	// one is published.
 	Load() (Load, <-chan struct{})
+	// Learn takes news of crashes from a router.
+	Learn(news []Suspicion)
 	// CacheChanges returns the last changes of the engine's prefix cache. The
 	// slice must not be changed.
 	CacheChanges() []CacheChange
--- /dev/null
+++ b/decide/route/candidates.go
@@ -0,0 +1,23 @@
+package route
+
+import "github.com/mulberryfork/mulberryfork/api"
+
+// Candidate is an upstream that serves a request.
+type Candidate struct {
+	Name string
+	// Usable is true if it can take the request now.
+	Usable bool
+}
+
+// Candidates lists the upstreams that serve a request, in order of name.
+func (s *State) Candidates(q api.RouteQuery) []Candidate {
+	var all []Candidate
+	for _, u := range s.ordered {
+		v := s.judge(u, &q)
+		if v == notServing || v == notAllowed {
+			continue
+		}
+		all = append(all, Candidate{Name: u.name, Usable: v == usable || v == avoided})
+	}
+	return all
+}
--- a/decide/route/eligible.go
+++ b/decide/route/eligible.go
@@ -64,6 +64,9 @@
 		return notServing
 	case !s.allows(u, q.Member):
 		return notAllowed
+	case q.Leaving && u.up:
+		// The agent answers from its ledger and starts nothing.
+		return usable
 	case u.zoneOut:
 		return inOutZone
 	case u.conf.Leaving:
--- a/service/admission/admission.go
+++ b/service/admission/admission.go
@@ -6,16 +6,23 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/retrybudget"
 	"github.com/mulberryfork/mulberryfork/kernel"
 )
 
-const retryAfterBusy = time.Second
+const (
+	retryAfterBusy = time.Second
+	firstMailbox   = 4096
+	retryMailbox   = 1024
+)
 
 // Register adds the service under its name.
 func Register(r *kernel.Registry) error {
@@ -28,6 +35,10 @@
 	refused  api.Counter
 	members  atomic.Pointer[table]
 	streams  atomic.Int64
+	firsts   *kernel.Mailbox[string]
+	retries  *kernel.Mailbox[kernel.Call[string, bool]]
+	// budget belongs to the control loop.
+	budget *retrybudget.State
 }
 
 // table is derived from one snapshot and never changed.
@@ -56,6 +67,12 @@
 	s.refused = metrics.Counter("streams_refused", "")
 	metrics.Gauge("streams", s.streams.Load)
 	s.members.Store(&table{})
+	s.budget = retrybudget.New(0, nil)
+	// A first send that is not counted only makes the budget smaller.
+	s.firsts = kernel.NewMailbox(c.Loop(), "admission.first", firstMailbox, kernel.Drop,
+		func(_ time.Duration, member string) { s.budget.FirstSend(member) })
+	s.retries = kernel.NewMailbox(c.Loop(), "admission.retry", retryMailbox, kernel.Wait,
+		func(_ time.Duration, call kernel.Call[string, bool]) { call.Reply(s.budget.Retry(call.Query)) })
 	s.store.Subscribe(s.configure)
 	return nil
 }
@@ -85,6 +102,7 @@
 		next.limiters[name] = rate.NewLimiter(rate.Limit(m.RequestsPerSecond), burst)
 	}
 	s.members.Store(next)
+	s.budget.Configure(snap.Config.Pool.RetryRatio, slices.Sorted(maps.Keys(snap.Config.Members)))
 }
 
 // Authenticate compares the token's hash with every configured one, so that
@@ -105,7 +123,7 @@
 
 // Enter admits a request while the process has room for it and the member's
 // rate allows it.
-func (s *service) Enter(_ context.Context, member string, _ uint32) (func(), *api.Failure) {
+func (s *service) Enter(ctx context.Context, member string, _ uint32) (func(), *api.Failure) {
 	if limiter := s.members.Load().limiters[member]; limiter != nil && !limiter.Allow() {
 		return nil, &api.Failure{
 			Code:       api.CodeRateLimited,
@@ -124,8 +142,12 @@
 			RetryAfter: retryAfterBusy,
 		}
 	}
+	_ = s.firsts.Post(ctx, member)
 	return func() { s.streams.Add(-1) }, nil
 }
 
 // SpendRetry takes one retry from the budgets.
-func (s *service) SpendRetry(string) bool { return true }
+func (s *service) SpendRetry(ctx context.Context, member string) bool {
+	granted, err := kernel.Ask(ctx, s.retries, member)
+	return err == nil && granted
+}
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/poison"
 	"github.com/mulberryfork/mulberryfork/decide/reassembly"
+	"github.com/mulberryfork/mulberryfork/decide/retrybudget"
 )
 
 const (
@@ -18,6 +21,10 @@
 	// reattachWait bounds the wait for a lost link before the outcome of a
 	// non-idempotent request is given as unknown.
 	reattachWait = 10 * time.Second
+	// crashPause exceeds the time between an agent's load reports.
+	crashPause = 150 * time.Millisecond
+	// longestBackoff bounds the advice of a refusal that a router waits for.
+	longestBackoff = time.Second
 	// revisionWait bounds the wait for a configuration that an agent has.
 	revisionWait = 3 * time.Second
 )
@@ -67,6 +74,11 @@
 			d.uncertain = true
 		}
 		if !d.again(ctx, end.Failure) {
+			if crashed(end.Failure) {
+				// A caller that resends on this answer then reaches routers that
+				// have heard of the crash.
+				pause(ctx, poison.HoldAnswer)
+			}
 			return d.conclude(end, sent)
 		}
 	}
@@ -95,7 +107,7 @@
 	if !d.repeatable(f) {
 		return false
 	}
-	if !d.service.admission.SpendRetry(d.request.Member) {
+	if !d.service.admission.SpendRetry(ctx, d.request.Member) {
 		d.service.counts.denied.Add(1)
 		return false
 	}
@@ -103,10 +115,40 @@
 	if d.assembly.Delivered() > 0 {
 		d.service.counts.resumes.Add(1)
 	}
-	if f.Code == api.CodeStaleRevision && !d.awaitRevision(ctx, f.Revision) {
+	if f.Code == api.CodeStaleRevision {
+		return d.awaitRevision(ctx, f.Revision)
+	}
+	return pause(ctx, d.backoff(f)) && (d.home == "" || d.awaitHome(ctx))
+}
+
+// backoff spreads retries out. After a crash of the upstream it also leaves
+// time for the agent's news of it, so that the request is routed as a suspect.
+func (d *delivery) backoff(f *api.Failure) time.Duration {
+	if crashed(f) {
+		return crashPause
+	}
+	if f.Run == api.NotRun && f.RetryAfter == 0 {
+		// Another upstream can take the request at once.
+		return 0
+	}
+	return retrybudget.Backoff(int(d.attempt), min(f.RetryAfter, longestBackoff), rand.Float64())
+}
+
+func crashed(f *api.Failure) bool {
+	return f.Code == api.CodeUpstreamFailed || f.Code == api.CodeStreamBroken
+}
+
+// pause waits and returns false if ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
 		return false
 	}
-	return d.home == "" || d.awaitHome(ctx)
 }
 
 // awaitRevision waits for the configuration that an agent has already. The
@@ -212,15 +254,16 @@
 func (d *delivery) route(ctx context.Context) (api.RouteChoice, *api.Failure) {
 	r := d.request
 	choice, failure := d.service.routing.Route(ctx, api.RouteQuery{
-		Member:     r.Member,
-		Model:      r.Model,
-		Service:    r.Service,
-		Prefix:     r.Prefix,
-		CostTokens: r.CostTokens,
-		Priority:   r.Priority,
-		Exclude:    d.exclusions(),
-		Only:       d.home,
-		Leaving:    d.home != "",
+		Member:      r.Member,
+		Model:       r.Model,
+		Service:     r.Service,
+		Prefix:      r.Prefix,
+		CostTokens:  r.CostTokens,
+		Priority:    r.Priority,
+		Exclude:     d.exclusions(),
+		Only:        d.home,
+		Leaving:     d.home != "",
+		Fingerprint: r.Fingerprint,
 	})
 	if failure != nil || r.Idempotent || d.key != "" {
 		return choice, failure
@@ -261,6 +304,7 @@
 		Priority:     r.Priority,
 		CostTokens:   r.CostTokens,
 		Fingerprint:  r.Fingerprint,
+		Isolate:      choice.Isolate,
 		Model:        r.Model,
 		Method:       r.Method,
 		Path:         r.Path,
--- a/service/links/links.go
+++ b/service/links/links.go
@@ -10,6 +10,7 @@
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/wire"
 )
 
 const (
@@ -168,6 +169,24 @@
 	return *l.state.Load()
 }
 
+// Tell passes news of crashes to all agents. A link whose queue is full misses
+// it; the agent then hears it from another router.
+func (s *service) Tell(news []api.Suspicion) {
+	frame := &wire.RouterFrame{Body: &wire.RouterFrame_Suspicions{
+		Suspicions: &wire.Suspicions{Suspicions: wire.FromSuspicions(news)},
+	}}
+	for _, l := range *s.links.Load() {
+		current := l.session.Load()
+		if current == nil {
+			continue
+		}
+		select {
+		case current.outbound <- frame:
+		default:
+		}
+	}
+}
+
 // WaitUp waits for a link to come up.
 func (s *service) WaitUp(ctx context.Context, upstream string) (api.LinkState, bool) {
 	for {
--- a/service/linkserver/link.go
+++ b/service/linkserver/link.go
@@ -35,6 +35,8 @@
 	seen     atomic.Uint64
 	// cacheSeq is the last reported change of the prefix cache; the writer owns it.
 	cacheSeq uint64
+	// told is the last news of crashes that was reported.
+	told []api.Suspicion
 
 	mu     sync.Mutex
 	orders map[api.SendID]*order
@@ -90,6 +92,8 @@
 		if o := l.find(body.Credit.GetRequest(), body.Credit.GetAttempt()); o != nil {
 			o.grant(int64(body.Credit.GetBytes()))
 		}
+	case *wire.RouterFrame_Suspicions:
+		l.server.work.Learn(wire.ToSuspicions(body.Suspicions.GetSuspicions()))
 	case *wire.RouterFrame_Query:
 		go l.query(body.Query)
 	}
@@ -174,7 +178,7 @@
 			}
 		case <-changed:
 			changed = nil
-			timer.Reset(max(reportInterval-time.Since(last), 0))
+			timer.Reset(l.reportWait(time.Since(last)))
 		case <-timer.C:
 			if !l.flush(l.report()) {
 				return
@@ -186,6 +190,17 @@
 	}
 }
 
+// reportWait is the time until the next report. News of a crash goes out at
+// once, before the request that caused it can be routed again.
+func (l *link) reportWait(since time.Duration) time.Duration {
+	load, _ := l.server.work.Load()
+	if n := len(load.Suspicions); n > 0 && (n != len(l.told) || &load.Suspicions[0] != &l.told[0]) {
+		l.told = load.Suspicions
+		return 0
+	}
+	return max(reportInterval-since, 0)
+}
+
 func (l *link) flush(frames ...*wire.AgentFrame) bool {
 	return l.stream.Send(&wire.AgentBatch{Frames: frames}) == nil
 }
--- a/service/routing/routing.go
+++ b/service/routing/routing.go
@@ -1,18 +1,23 @@
-// Package routing chooses the upstream of each request on the control loop.
+// Package routing chooses the upstream of each request on the control loop,
+// from prefix affinity, estimated work, outlier marks and suspicions.
 package routing
 
 import (
 	"context"
-	"slices"
+	"hash/fnv"
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/outlier"
+	"github.com/mulberryfork/mulberryfork/decide/poison"
+	"github.com/mulberryfork/mulberryfork/decide/route"
 	"github.com/mulberryfork/mulberryfork/kernel"
 )
 
 const (
 	queryMailbox  = 4096
 	resultMailbox = 4096
+	tickInterval  = time.Second
 )
 
 // Register adds the service under its name.
@@ -25,37 +30,64 @@
 	failure *api.Failure
 }
 
-// target is what the router knows of one upstream.
-type target struct {
-	state    api.LinkState
-	load     api.Load
-	inFlight int
-}
-
 type service struct {
 	store   api.ConfigStore
-	feed    api.LinkFeed
+	links   api.Links
+	metrics api.Metrics
+	log     api.Logger
+	ejected api.Counter
 	queries *kernel.Mailbox[kernel.Call[api.RouteQuery, answer]]
 	results *kernel.Mailbox[api.RouteResult]
 
 	// The control loop owns the fields below.
-	targets map[string]*target
+	state    *route.State
+	outliers *outlier.State
+	suspects *poison.State
 }
 
 func (s *service) Provision(c *kernel.Context) (err error) {
+	settings, err := kernel.Value[*api.Settings](c)
+	if err != nil {
+		return err
+	}
 	if s.store, err = kernel.Lookup[api.ConfigStore](c, api.ServiceConfigStore); err != nil {
 		return err
 	}
-	if s.feed, err = kernel.Lookup[api.LinkFeed](c, api.ServiceTransportLinks); err != nil {
+	if s.links, err = kernel.Lookup[api.Links](c, api.ServiceTransportLinks); err != nil {
 		return err
 	}
-	s.targets = make(map[string]*target)
+	feed, err := kernel.Lookup[api.LinkFeed](c, api.ServiceTransportLinks)
+	if err != nil {
+		return err
+	}
+	if s.metrics, err = kernel.Lookup[api.Metrics](c, api.ServiceMetrics); err != nil {
+		return err
+	}
+	if s.log, err = kernel.Lookup[api.Logger](c, api.ServiceLog); err != nil {
+		return err
+	}
+	s.ejected = s.metrics.Counter("route_ejected", "")
+	s.state = route.New(route.Options{Zone: settings.Zone, Seed: seed(settings.Node)})
+	s.outliers = outlier.New()
+	s.suspects = poison.New(0)
 	s.queries = kernel.NewMailbox(c.Loop(), "routing.query", queryMailbox, kernel.Wait, s.answer)
 	s.results = kernel.NewMailbox(c.Loop(), "routing.result", resultMailbox, kernel.Wait, s.settle)
-	s.feed.Follow(s)
+	s.store.Subscribe(s.configure)
+	feed.Follow(s)
+	c.Loop().Every(tickInterval, func(now time.Duration) {
+		s.apply(s.outliers.Tick(now))
+		s.suspects.Expire(now)
+	})
 	return nil
 }
 
+// seed makes routers break ties differently.
+func seed(node string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(node))
+	return h.Sum64()
+}
+
 // Route chooses an upstream.
 func (s *service) Route(ctx context.Context, q api.RouteQuery) (api.RouteChoice, *api.Failure) {
 	a, err := kernel.Ask(ctx, s.queries, q)
@@ -70,66 +102,102 @@
 
 // LinkUp notes a link that came up.
 func (s *service) LinkUp(_ time.Duration, upstream string, state api.LinkState) {
-	s.targets[upstream] = &target{state: state, load: api.Load{Accepting: true}}
+	s.state.LinkUp(upstream, state)
 }
 
 // LinkDown notes a link that was lost.
-func (s *service) LinkDown(_ time.Duration, upstream string) { delete(s.targets, upstream) }
+func (s *service) LinkDown(_ time.Duration, upstream string) { s.state.LinkDown(upstream) }
+
+// LoadReport notes what an agent says of its upstream, and passes news of
+// crashes on to the agents that have not heard them.
+func (s *service) LoadReport(now time.Duration, l api.Load) {
+	s.state.Load(now, l)
+	if news := s.suspects.Learn(now, l.Suspicions); len(news) > 0 {
+		s.links.Tell(news)
+	}
+}
 
-// LoadReport notes what an agent says of its upstream.
-func (s *service) LoadReport(_ time.Duration, l api.Load) {
-	t, ok := s.targets[l.Upstream]
-	if !ok {
-		return
+func (s *service) configure(_ time.Duration, snap *api.Snapshot) {
+	s.state.Configure(snap)
+	pools := make(map[string]string, len(snap.Config.Upstreams))
+	for name, u := range snap.Config.Upstreams {
+		pools[name] = poolOf(u)
 	}
-	t.load = l
-	t.state.Elapsed, t.state.Revision, t.state.Incarnation = l.Elapsed, l.Revision, l.Incarnation
+	s.apply(s.outliers.Configure(pools))
 }
 
-func (s *service) answer(_ time.Duration, c kernel.Call[api.RouteQuery, answer]) {
-	snap := s.store.Current()
-	if snap == nil {
-		c.Reply(answer{failure: api.Fail(api.CodeNotReady, api.NotRun, "no configuration yet")})
-		return
+// poolOf groups upstreams that can be compared: those of one plain service,
+// or those that serve the same first model.
+func poolOf(u api.Upstream) string {
+	if u.Kind == api.KindPlain {
+		return "service/" + u.Service
 	}
-	var best string
-	for name, t := range s.targets {
-		u, ok := snap.Config.Upstreams[name]
-		if !ok || !serves(u, c.Query) || !t.load.Accepting || slices.Contains(c.Query.Exclude, name) {
-			continue
-		}
-		if best == "" || s.less(name, best) {
-			best = name
-		}
+	if len(u.Models) > 0 {
+		return "model/" + u.Models[0]
 	}
-	if best == "" {
-		c.Reply(answer{failure: api.Fail(api.CodeNoUpstream, api.NotRun, "no upstream can take the request")})
-		return
+	return "model/"
+}
+
+var healths = map[outlier.Status]route.Health{
+	outlier.In:      route.Healthy,
+	outlier.Probing: route.Probing,
+	outlier.Out:     route.Ejected,
+}
+
+var healthNames = map[outlier.Status]string{
+	outlier.In:      "in",
+	outlier.Probing: "probing",
+	outlier.Out:     "ejected",
+}
+
+func (s *service) apply(actions []outlier.Action) {
+	for _, a := range actions {
+		s.state.SetHealth(a.Upstream, healths[a.Status])
+		if a.Status == outlier.Out {
+			s.ejected.Add(1)
+		}
+		s.log.Change("upstream health", api.Fields{"upstream": a.Upstream, "state": healthNames[a.Status]})
 	}
-	t := s.targets[best]
-	t.inFlight++
-	c.Reply(answer{choice: api.RouteChoice{
-		Upstream:    best,
-		Incarnation: t.state.Incarnation,
-		Elapsed:     t.state.Elapsed,
-		Revision:    snap.Revision,
-	}})
 }
 
-func serves(u api.Upstream, q api.RouteQuery) bool {
-	if q.Service != "" {
-		return u.Kind == api.KindPlain && u.Service == q.Service
+func (s *service) answer(now time.Duration, c kernel.Call[api.RouteQuery, answer]) {
+	q := c.Query
+	isolate, failure := s.place(now, &q)
+	if failure != nil {
+		c.Reply(answer{failure: failure})
+		return
 	}
-	return u.Kind == api.KindModel && slices.Contains(u.Models, q.Model)
+	choice, failure := s.state.Choose(now, q)
+	choice.Isolate = isolate
+	c.Reply(answer{choice: choice, failure: failure})
 }
 
-func (s *service) less(a, b string) bool {
-	x, y := s.targets[a].inFlight, s.targets[b].inFlight
-	return x < y || x == y && a < b
+// place sends a suspect to the upstream where it does the least harm. A
+// request that is bound to an upstream by its key is judged by the agent.
+func (s *service) place(now time.Duration, q *api.RouteQuery) (isolate bool, failure *api.Failure) {
+	if q.Fingerprint == 0 || q.Only != "" {
+		return false, nil
+	}
+	var candidates []poison.Candidate
+	if s.suspects.Status(now, q.Fingerprint) == poison.Suspect {
+		anywhere := *q
+		anywhere.Exclude = nil
+		for _, c := range s.state.Candidates(anywhere) {
+			candidates = append(candidates, poison.Candidate{Name: c.Name, Usable: c.Usable})
+		}
+	}
+	p := s.suspects.Place(now, q.Fingerprint, candidates)
+	if p.Failure != nil || !p.Isolate {
+		return false, p.Failure
+	}
+	q.Only, q.Exclude = p.Upstream, nil
+	return true, nil
 }
 
-func (s *service) settle(_ time.Duration, r api.RouteResult) {
-	if t, ok := s.targets[r.Upstream]; ok && t.inFlight > 0 {
-		t.inFlight--
+func (s *service) settle(now time.Duration, r api.RouteResult) {
+	s.state.Done(now, r)
+	if r.Unsent {
+		return
 	}
+	s.apply(s.outliers.Observe(now, outlier.Result{Upstream: r.Upstream, Failure: r.Failure, FirstChunk: r.FirstChunk}))
 }
--- a/service/work/work.go
+++ b/service/work/work.go
@@ -19,6 +19,7 @@
 	finishMailbox  = 4096
 	cancelMailbox  = 4096
 	queryMailbox   = 256
+	learnMailbox   = 64
 	// longestRun bounds a run that no router can cancel, so that an upstream
 	// that never answers does not hold its place for good.
 	longestRun = 10 * time.Minute
@@ -44,6 +45,7 @@
 	cancels  *kernel.Mailbox[api.SendID]
 	queries  *kernel.Mailbox[kernel.Call[api.OutcomeQuery, api.Outcome]]
 	drains   *kernel.Mailbox[struct{}]
+	learns   *kernel.Mailbox[[]api.Suspicion]
 
 	control *control
 	report  atomic.Pointer[report]
@@ -134,6 +136,8 @@
 		})
 	s.drains = kernel.NewMailbox(l, "work.drain", 1, kernel.Latest,
 		func(now time.Duration, _ struct{}) { ctl.drain(now - s.started) })
+	s.learns = kernel.NewMailbox(l, "work.learn", learnMailbox, kernel.Drop,
+		func(now time.Duration, news []api.Suspicion) { ctl.suspects.Learn(now-s.started, news) })
 	l.Every(expiryInterval, func(now time.Duration) { ctl.pump(now - s.started) })
 	s.store.Subscribe(func(now time.Duration, snap *api.Snapshot) { ctl.configure(now-s.started, snap) })
 }
@@ -160,6 +164,9 @@
 // CacheChanges returns the last changes of the engine's prefix cache.
 func (s *service) CacheChanges() []api.CacheChange { return *s.cache.Load() }
 
+// Learn takes news of crashes from a router.
+func (s *service) Learn(news []api.Suspicion) { _ = s.learns.Post(context.Background(), news) }
+
 // Drain stops new work.
 func (s *service) Drain() { _ = s.drains.Post(context.Background(), struct{}{}) }
 
