Do not take short calls that slow down with the machine as overload

A learned target is now at least 20 ms, and agents of model engines take the target from the objectives. The caller also gets the refusal of the agent instead of the news that no upstream is left.

--- a/bench/load.go
+++ b/bench/load.go
@@ -49,14 +49,41 @@
 }
 
 type loadResult struct {
-	latency  *latencies
-	sent     int
-	failures int64
+	latency *latencies
+	sent    int
+	// failed is nil if all requests succeeded.
+	failed error
+}
+
+// failures counts failed requests and keeps the first.
+type failures struct {
+	mu    sync.Mutex
+	count int64
+	first error
+}
+
+func (f *failures) note(err error) {
+	if err == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.count++
+	if f.first == nil {
+		f.first = err
+	}
+}
+
+func (f *failures) err() error {
+	if f.count == 0 {
+		return nil
+	}
+	return &FailedRequestsError{Count: f.count, First: f.first}
 }
 
 func (o openLoop) run(ctx context.Context) loadResult {
 	r := loadResult{latency: newLatencies()}
-	var failures atomic.Int64
+	var failed failures
 	var running sync.WaitGroup
 	begin := time.Now()
 	interval := time.Duration(float64(time.Second) / o.perSecond)
@@ -70,21 +97,20 @@
 		}
 		r.sent++
 		running.Go(func() {
-			if o.send(ctx, i) != nil {
-				failures.Add(1)
-			}
+			failed.note(o.send(ctx, i))
 			r.latency.record(time.Since(due))
 		})
 	}
 	running.Wait()
-	r.failures = failures.Load()
+	r.failed = failed.err()
 	return r
 }
 
 // closedLoop keeps a number of requests under way, which shows the most that
 // a path can carry.
-func closedLoop(ctx context.Context, workers, requests int, send func(ctx context.Context, i int) error) (perSecond float64, failures int64) {
-	var next, failed atomic.Int64
+func closedLoop(ctx context.Context, workers, requests int, send func(ctx context.Context, i int) error) (perSecond float64, err error) {
+	var next atomic.Int64
+	var failed failures
 	var running sync.WaitGroup
 	begin := time.Now()
 	for range workers {
@@ -94,12 +120,10 @@
 				if i > requests {
 					return
 				}
-				if send(ctx, i) != nil {
-					failed.Add(1)
-				}
+				failed.note(send(ctx, i))
 			}
 		})
 	}
 	running.Wait()
-	return float64(requests) / time.Since(begin).Seconds(), failed.Load()
+	return float64(requests) / time.Since(begin).Seconds(), failed.err()
 }
--- a/bench/path.go
+++ b/bench/path.go
@@ -55,9 +55,12 @@
 }
 
 // StatusError reports an answer with an unexpected status.
-type StatusError struct{ Status int }
+type StatusError struct {
+	Status int
+	Body   string
+}
 
-func (e *StatusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
 
 func (c caller) send(ctx context.Context, i int) error {
 	body := fmt.Sprintf(`{"model":%q,"max_tokens":4,"messages":[{"role":"user","content":"short request %d"}]}`, deployment.Model, i)
@@ -76,7 +79,7 @@
 		return eris.Wrap(err, "read an answer")
 	}
 	if resp.StatusCode != http.StatusOK || len(got) != len(shortAnswer) {
-		return &StatusError{Status: resp.StatusCode}
+		return &StatusError{Status: resp.StatusCode, Body: strings.TrimSpace(string(got))}
 	}
 	return nil
 }
@@ -102,26 +105,31 @@
 	defer func() { _ = pool.Stop(context.WithoutCancel(ctx)) }()
 	routed, direct := newCaller(pool.Routers[0].URL), newCaller(pool.Agents[0].Engine)
 	for _, c := range []caller{direct, routed} {
-		if _, failed := closedLoop(ctx, pathWorkers, pathWarmUp, c.send); failed > 0 {
-			return Result{}, &FailedRequestsError{Count: failed}
+		if _, err := closedLoop(ctx, pathWorkers, pathWarmUp, c.send); err != nil {
+			return Result{}, err
 		}
 	}
 	fmt.Fprintf(p.Progress, "path: %d requests/s for %s, direct and routed\n", pathRate, pathLength)
 	baseline := openLoop{perSecond: pathRate, length: pathLength, send: direct.send}.run(ctx)
 	measured := openLoop{perSecond: pathRate, length: pathLength, send: routed.send}.run(ctx)
-	if n := baseline.failures + measured.failures; n > 0 {
-		return Result{}, &FailedRequestsError{Count: n}
+	for _, r := range []loadResult{baseline, measured} {
+		if r.failed != nil {
+			return Result{}, r.failed
+		}
 	}
 	return pathThroughput(ctx, p, routed, direct, baseline, measured)
 }
 
 func pathThroughput(ctx context.Context, p Params, routed, direct caller, baseline, measured loadResult) (Result, error) {
 	fmt.Fprintf(p.Progress, "path: %d requests over %d connections, direct and routed\n", pathRequests, pathWorkers)
-	directRate, directFailed := closedLoop(ctx, pathWorkers, pathRequests, direct.send)
+	directRate, err := closedLoop(ctx, pathWorkers, pathRequests, direct.send)
+	if err != nil {
+		return Result{}, err
+	}
 	before := usage(direct, routed)
-	rate, failed := closedLoop(ctx, pathWorkers, pathRequests, routed.send)
-	if failed+directFailed > 0 {
-		return Result{}, &FailedRequestsError{Count: failed + directFailed}
+	rate, err := closedLoop(ctx, pathWorkers, pathRequests, routed.send)
+	if err != nil {
+		return Result{}, err
 	}
 	after := usage(direct, routed)
 	return Result{Figures: []Figure{
@@ -141,9 +149,18 @@
 }
 
 // FailedRequestsError reports an experiment whose requests must all succeed.
-type FailedRequestsError struct{ Count int64 }
+type FailedRequestsError struct {
+	Count int64
+	// First is one of the failures.
+	First error
+}
+
+func (e *FailedRequestsError) Error() string {
+	return fmt.Sprintf("%d requests failed, one of them: %v", e.Count, e.First)
+}
 
-func (e *FailedRequestsError) Error() string { return fmt.Sprintf("%d requests failed", e.Count) }
+// Unwrap returns one of the failures.
+func (e *FailedRequestsError) Unwrap() error { return e.First }
 
 type resources struct{ goroutines, heap int }
 
--- a/bench/relay.go
+++ b/bench/relay.go
@@ -133,21 +133,20 @@
 	c := newCaller(url)
 	defer c.client.CloseIdleConnections()
 	r := relayResult{gaps: newLatencies(), first: newLatencies()}
-	var tokens, failed atomic.Int64
+	var tokens atomic.Int64
+	var failed failures
 	var running sync.WaitGroup
 	before := cpuSeconds()
 	for range relayStreams {
 		running.Go(func() {
 			n, err := c.stream(ctx, r)
 			tokens.Add(n)
-			if err != nil {
-				failed.Add(1)
-			}
+			failed.note(err)
 		})
 	}
 	running.Wait()
-	if n := failed.Load(); n > 0 {
-		return r, &FailedRequestsError{Count: n}
+	if err := failed.err(); err != nil {
+		return r, err
 	}
 	r.cpuPerToken = (cpuSeconds() - before) / float64(tokens.Load())
 	return r, nil
--- a/decide/limit/limit.go
+++ b/decide/limit/limit.go
@@ -28,6 +28,9 @@
 	// learnedFactor is the slowdown against the baseline that counts as
 	// overload where no target is configured.
 	learnedFactor = 2.0
+	// leastTarget is the least learned target. Shorter times are no overload
+	// that a caller can notice; a call of 0.2 ms doubles with any other load.
+	leastTarget = 20 * time.Millisecond
 	// largestRatio bounds one sample, so that a single slow answer does not
 	// outweigh a window. A refusal by the engine counts as much.
 	largestRatio = 1 / largestCut
@@ -171,7 +174,7 @@
 		if s.baseline == 0 {
 			s.baseline = step
 		}
-		target = time.Duration(float64(s.baseline) * learnedFactor)
+		target = max(time.Duration(float64(s.baseline)*learnedFactor), leastTarget)
 	}
 	ratio := float64(step) / float64(max(target, 1))
 	if s.o.FirstTokenTarget > 0 {
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -46,6 +46,10 @@
 	assembly  *reassembly.Assembler
 	headSent  bool
 	resumable bool
+	// last is the failure of the last send. exhausted is set once no upstream
+	// is left to try.
+	last      *api.Failure
+	exhausted bool
 	// uncertain is set once a send may have run.
 	uncertain bool
 }
@@ -101,7 +105,7 @@
 
 // again decides whether another send follows, and waits for it to be possible.
 func (d *delivery) again(ctx context.Context, f *api.Failure) bool {
-	if ctx.Err() != nil || d.attempt >= maxSends || d.attempt == 0 {
+	if ctx.Err() != nil || d.attempt >= maxSends || d.attempt == 0 || d.exhausted {
 		return false
 	}
 	if !d.repeatable(f) {
@@ -212,6 +216,12 @@
 // send makes one attempt. The second result is false if nothing left this process.
 func (d *delivery) send(ctx context.Context) (api.End, bool) {
 	choice, failure := d.route(ctx)
+	if failure != nil && d.last != nil {
+		// That no further upstream is left says less than why the last one did
+		// not answer.
+		d.exhausted = true
+		return api.End{Failure: d.last}, true
+	}
 	if failure != nil {
 		return api.End{Failure: failure}, false
 	}
@@ -239,6 +249,7 @@
 func (d *delivery) finish(choice api.RouteChoice, began time.Duration, a *attempt, f *api.Failure, unsent bool) {
 	if f != nil {
 		d.exclude = append(d.exclude, choice.Upstream)
+		d.last = f
 	}
 	d.service.routing.Done(api.RouteResult{
 		Upstream:   choice.Upstream,
--- a/service/work/control.go
+++ b/service/work/control.go
@@ -127,7 +127,12 @@
 	c.upstream = snap.Config.Upstreams[c.service.settings.Upstream]
 	u := c.upstream
 	c.cold.Configure(coldstart.Params{ColdRequests: u.ColdRequests, MaxRequests: u.MaxRequests, MaxTokens: u.MaxTokens})
-	c.limit.Configure(limit.Options{MaxRequests: u.MaxRequests, MaxTokens: tokenCeiling(u)})
+	c.limit.Configure(limit.Options{
+		MaxRequests:      u.MaxRequests,
+		MaxTokens:        tokenCeiling(u),
+		StepTarget:       target(snap.Config, u, api.ObjectiveTokenGap),
+		FirstTokenTarget: target(snap.Config, u, api.ObjectiveFirstToken),
+	})
 	c.configureLedger(now, snap)
 	for name, m := range snap.Config.Members {
 		c.queue.SetMember(name, m.Share, m.QueueRequests)
@@ -144,6 +149,22 @@
 	c.pump(now)
 }
 
+// target is the strictest objective of a kind that applies to an upstream,
+// zero if there is none.
+func target(config *api.Config, u api.Upstream, kind api.ObjectiveKind) time.Duration {
+	var strictest time.Duration
+	for _, o := range config.Objectives {
+		applies := u.Kind == api.KindModel && (o.Model == "" || slices.Contains(u.Models, o.Model))
+		if o.Kind != kind || !applies || o.Threshold <= 0 {
+			continue
+		}
+		if t := time.Duration(o.Threshold); strictest == 0 || t < strictest {
+			strictest = t
+		}
+	}
+	return strictest
+}
+
 // tokenCeiling is the bound of tokens; an upstream without one is bounded in
 // requests only.
 func tokenCeiling(u api.Upstream) uint64 {
