Measure fairness over the pool and correct concentrated members

Cause: fairness at each agent says nothing of a member whose work is confined to few upstreams, and lent room made members within their shares wait. Change: experiment fairness, decide/sharecorrect, and headroom in decide/fairqueue that members above their share leave to the others.

--- /dev/null
+++ b/bench/fairness.go
@@ -0,0 +1,142 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+)
+
+func init() {
+	register(Experiment{
+		Name: "fairness",
+		Asks: "Does each guild member get its share of the pool, and is it shielded from a member at 100 times its share?",
+		Run:  runFairness,
+	})
+}
+
+const (
+	fairLength = 5 * time.Minute
+	fairWarmup = time.Minute
+	// fairBacklog is the offered load that keeps every member waiting.
+	fairBacklog = 2.0
+	// fairWithin is the offered load of a member that stays within its share.
+	fairWithin = 0.85
+	// fairQuiet is the offered load of members that leave much of their share.
+	fairQuiet = 0.3
+	fairFlood = 100.0
+	// fairHeadroom is that of fairqueue.Config. 0 makes others wait for lent
+	// room, 1 leaves more of the pool unused for no gain.
+	fairHeadroom = 0.5
+	// flooder is the index of the member at 100 times its share, a small one.
+	flooder = fairLargeMembers
+)
+
+// fairMembers returns 3 large and 7 small members with equal relative load.
+func fairMembers(load float64) []fairMember {
+	members := make([]fairMember, 0, fairLargeMembers+fairSmallMembers)
+	for i := range fairLargeMembers + fairSmallMembers {
+		m := fairMember{name: fmt.Sprintf("member-%d", i), share: 1, load: load, size: 1}
+		if i < fairLargeMembers {
+			m.share = fairLargeShare
+		}
+		members = append(members, m)
+	}
+	return members
+}
+
+func runFairness(ctx context.Context, p Params) (Result, error) {
+	backlogged := func(s fairScenario) fairScenario {
+		s.members = fairMembers(fairBacklog)
+		for i := range s.members {
+			// Sizes differ by up to 3 so that counting requests would be unfair.
+			s.members[i].size = 0.5 + 0.5*float64(i%3)
+		}
+		s.members[flooder].load = fairFlood
+		return s
+	}
+	concentrated := func(s fairScenario) fairScenario {
+		s.members = fairMembers(fairBacklog)
+		s.members[0].upstreams = []int{0, 1, 2, 3, 4, 5}
+		s.members[9].upstreams = []int{6, 7}
+		return s
+	}
+	run := func(s fairScenario) []fairOutcome {
+		s.seed, s.length, s.warmup = p.Seed, fairLength, fairWarmup
+		return newFairPool(s).run()
+	}
+	members := fairMembers(1)
+	jain := func(s fairScenario) float64 { return jainIndex(members, run(s)) }
+	flood, rejected := floodRatio(run, fairScenario{correct: true, headroom: fairHeadroom})
+	lent, _ := floodRatio(run, fairScenario{correct: true})
+	floodFIFO, rejectedFIFO := floodRatio(run, fairScenario{fifo: true})
+	figures := []Figure{
+		Bounded("jain_index", jain(backlogged(fairScenario{correct: true, headroom: fairHeadroom})), "1", AtLeast, 0.99),
+		Plain("jain_index_fifo", jain(backlogged(fairScenario{fifo: true})), "1"),
+		Bounded("flood_ttft_p95_ratio", flood, "1", AtMost, 1.10),
+		Plain("flood_ttft_p95_ratio_no_headroom", lent, "1"),
+		Plain("flood_ttft_p95_ratio_fifo", floodFIFO, "1"),
+		Plain("flood_rejected_others", rejected, "1"),
+		Plain("flood_rejected_others_fifo", rejectedFIFO, "1"),
+		Plain("headroom_served_part_busy", headroomCost(run, fairWithin), "1"),
+		Plain("headroom_served_part_quiet", headroomCost(run, fairQuiet), "1"),
+		Bounded("jain_index_concentrated", jain(concentrated(fairScenario{correct: true, headroom: fairHeadroom})), "1", AtLeast, 0.99),
+		Plain("jain_index_concentrated_uncorrected", jain(concentrated(fairScenario{headroom: fairHeadroom})), "1"),
+		Plain("jain_index_concentrated_fifo", jain(concentrated(fairScenario{fifo: true})), "1"),
+	}
+	return Result{Figures: figures}, ctx.Err()
+}
+
+// floodRatio compares the members within their shares with and without the
+// flood. It returns the worst ratio of p95 times to first token and the part
+// of their requests that the flood made the agents reject.
+func floodRatio(run func(fairScenario) []fairOutcome, s fairScenario) (ratio, rejected float64) {
+	s.members = fairMembers(fairWithin)
+	calm := run(s)
+	s.members = fairMembers(fairWithin)
+	s.members[flooder].load = fairFlood
+	flooded := run(s)
+	offered := 0
+	for i := range calm {
+		if i == flooder {
+			continue
+		}
+		ratio = max(ratio, float64(percentile95(flooded[i].ttft))/float64(percentile95(calm[i].ttft)))
+		rejected += float64(flooded[i].rejected)
+		offered += flooded[i].offered
+	}
+	return ratio, rejected / float64(offered)
+}
+
+// headroomCost returns what the pool serves during a flood with headroom, as a
+// part of what it serves without, while the other members offer a given load.
+func headroomCost(run func(fairScenario) []fairOutcome, load float64) float64 {
+	total := func(headroom float64) (served float64) {
+		s := fairScenario{members: fairMembers(load), correct: true, headroom: headroom}
+		s.members[flooder].load = fairFlood
+		for _, o := range run(s) {
+			served += o.served
+		}
+		return served
+	}
+	return total(fairHeadroom) / total(0)
+}
+
+func percentile95(d []time.Duration) time.Duration {
+	if len(d) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(d)
+	slices.Sort(sorted)
+	return sorted[len(sorted)*95/100]
+}
+
+// jainIndex is the weighted Jain index of the cost that members were served.
+func jainIndex(members []fairMember, outcomes []fairOutcome) float64 {
+	var sum, squares float64
+	for i, o := range outcomes {
+		x := o.served / members[i].share
+		sum, squares = sum+x, squares+x*x
+	}
+	return sum * sum / (float64(len(outcomes)) * squares)
+}
--- /dev/null
+++ b/bench/fairness_model.go
@@ -0,0 +1,379 @@
+package bench
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/fairqueue"
+	"github.com/mulberryfork/mulberryfork/decide/sharecorrect"
+)
+
+// Sizes and times of the modelled pool.
+const (
+	fairUpstreams     = 12
+	fairRouters       = 3
+	fairSlots         = 48
+	fairStep          = 25 * time.Millisecond
+	fairPromptRate    = 4000.0 // tokens a second
+	fairPromptMean    = 600
+	fairOutputMean    = 100
+	fairOutputMax     = 600
+	fairOutputGuess   = 200
+	fairNetwork       = 5 * time.Millisecond
+	fairMemberQueue   = 32
+	fairReportEvery   = 500 * time.Millisecond
+	fairCorrectEvery  = 5 * time.Second
+	fairDeadline      = time.Hour
+	fairLargeMembers  = 3
+	fairLargeShare    = 4
+	fairSmallMembers  = 7
+	fairHorizon       = 30 * time.Second
+	fairBorrow        = 1.5
+	fairRequestsASlot = float64(time.Second) / float64(fairOutputMean*fairStep+fairPromptMean*time.Second/4000)
+)
+
+// fairMember is a guild member and its offered load.
+type fairMember struct {
+	name  string
+	share float64
+	// load is the offered load as a multiple of the member's share of the pool.
+	load float64
+	// upstreams restricts where its work may run; nil allows all.
+	upstreams []int
+	// size multiplies its prompts and answers.
+	size float64
+}
+
+// fairScenario is one run of the model.
+type fairScenario struct {
+	members []fairMember
+	fifo    bool
+	correct bool
+	// headroom is that of fairqueue.Config.
+	headroom float64
+	length   time.Duration
+	warmup   time.Duration
+	seed     uint64
+}
+
+// fairOutcome is what a member got.
+type fairOutcome struct {
+	served   float64
+	ttft     []time.Duration
+	offered  int
+	rejected int
+}
+
+type fairJob struct {
+	id         api.SendID
+	member     int
+	router     int
+	upstream   int
+	arrived    time.Duration
+	prompt     int
+	output     int
+	cost       uint32
+	actualCost uint32
+	factor     float64
+}
+
+func (j *fairJob) service() time.Duration {
+	return j.prefill() + time.Duration(j.output)*fairStep
+}
+
+func (j *fairJob) prefill() time.Duration {
+	return time.Duration(float64(j.prompt) / fairPromptRate * float64(time.Second))
+}
+
+// fairAgent is one upstream with its queue.
+type fairAgent struct {
+	queue   discipline
+	running int
+	served  map[string]uint64
+}
+
+// discipline is the order in which an agent takes requests.
+type discipline interface {
+	push(now time.Duration, j *fairJob, m fairMember) bool
+	pop(now time.Duration, free int) *fairJob
+	done(now time.Duration, j *fairJob, m fairMember)
+	waiting(m fairMember) uint64
+}
+
+// weighted is the discipline under test.
+type weighted struct{ q *fairqueue.Queue[*fairJob] }
+
+func (w weighted) push(now time.Duration, j *fairJob, m fairMember) bool {
+	w.q.SetMember(m.name, m.share*j.factor, fairMemberQueue)
+	return w.q.Push(now, fairqueue.Entry[*fairJob]{
+		ID: j.id, Member: m.name, Cost: j.cost, Deadline: now + fairDeadline, Value: j,
+	}) == nil
+}
+
+func (w weighted) pop(now time.Duration, free int) *fairJob {
+	e, ok := w.q.Pop(now, free)
+	if !ok {
+		return nil
+	}
+	return e.Value
+}
+
+func (w weighted) done(now time.Duration, j *fairJob, m fairMember) {
+	w.q.Finish(now, m.name, j.cost, j.actualCost)
+}
+
+func (w weighted) waiting(m fairMember) uint64 { return w.q.Waiting(m.name) }
+
+// firstIn is the baseline: one queue with room for as many requests.
+type firstIn struct {
+	jobs  []*fairJob
+	limit int
+}
+
+func (f *firstIn) push(_ time.Duration, j *fairJob, _ fairMember) bool {
+	if len(f.jobs) >= f.limit {
+		return false
+	}
+	f.jobs = append(f.jobs, j)
+	return true
+}
+
+func (f *firstIn) pop(time.Duration, int) *fairJob {
+	if len(f.jobs) == 0 {
+		return nil
+	}
+	j := f.jobs[0]
+	f.jobs = f.jobs[1:]
+	return j
+}
+
+func (f *firstIn) done(time.Duration, *fairJob, fairMember) {}
+
+func (f *firstIn) waiting(fairMember) uint64 { return 0 }
+
+// fairPool is the state of one run.
+type fairPool struct {
+	scenario  fairScenario
+	now       time.Duration
+	events    modelEvents
+	agents    []*fairAgent
+	inFlight  [fairRouters][fairUpstreams]int
+	corrector *sharecorrect.Corrector
+	arrivals  []*rand.Rand
+	choices   *rand.Rand
+	outcomes  []fairOutcome
+	jobs      uint64
+}
+
+func newFairPool(s fairScenario) *fairPool {
+	p := &fairPool{
+		scenario:  s,
+		outcomes:  make([]fairOutcome, len(s.members)),
+		choices:   rand.New(rand.NewPCG(s.seed, 1)),
+		corrector: sharecorrect.New(sharecorrect.Config{Gain: 0.5, MaxFactor: 64}),
+	}
+	for range fairUpstreams {
+		a := &fairAgent{served: make(map[string]uint64)}
+		a.queue = weighted{fairqueue.New[*fairJob](fairqueue.Config{
+			AgeStep: time.Second, MaxPriority: 2, AdvantageTokens: 500,
+			Headroom: s.headroom, UsageHorizon: fairHorizon, BorrowFactor: fairBorrow,
+		})}
+		for _, m := range s.members {
+			a.queue.(weighted).q.SetMember(m.name, m.share, fairMemberQueue)
+		}
+		if s.fifo {
+			a.queue = &firstIn{limit: fairMemberQueue * len(s.members)}
+		}
+		p.agents = append(p.agents, a)
+	}
+	for i := range s.members {
+		p.arrivals = append(p.arrivals, rand.New(rand.NewPCG(s.seed, uint64(i+2))))
+		p.scheduleArrival(i)
+	}
+	if s.correct {
+		p.events.at(fairReportEvery, p.report)
+		p.events.at(fairCorrectEvery, p.step)
+	}
+	return p
+}
+
+// run executes the scenario and returns the outcomes after the warm-up.
+func (p *fairPool) run() []fairOutcome {
+	for {
+		e, ok := p.events.next()
+		if !ok || e.due > p.scenario.length {
+			return p.outcomes
+		}
+		p.now = e.due
+		e.run()
+	}
+}
+
+func (p *fairPool) scheduleArrival(i int) {
+	m, r := p.scenario.members[i], p.arrivals[i]
+	var shares float64
+	for _, other := range p.scenario.members {
+		shares += other.share
+	}
+	rate := m.load * m.share / shares * fairUpstreams * fairSlots * fairRequestsASlot / m.size
+	wait := time.Duration(r.ExpFloat64() / rate * float64(time.Second))
+	p.events.at(p.now+wait, func() {
+		p.arrive(i)
+		p.scheduleArrival(i)
+	})
+}
+
+func (p *fairPool) arrive(i int) {
+	m, r := p.scenario.members[i], p.arrivals[i]
+	p.jobs++
+	j := &fairJob{
+		id:      api.SendID{Request: fmt.Sprint(p.jobs), Attempt: 1},
+		member:  i,
+		router:  r.IntN(fairRouters),
+		arrived: p.now,
+		prompt:  1 + int(m.size*fairPromptMean*(0.5+r.Float64())),
+		output:  1 + int(m.size*min(r.ExpFloat64()*fairOutputMean, fairOutputMax)),
+		factor:  p.corrector.Factor(m.name),
+	}
+	j.cost = uint32(j.prompt) + uint32(m.size*fairOutputGuess)
+	j.actualCost = uint32(j.prompt + j.output)
+	j.upstream = p.choose(j.router, m)
+	p.events.at(p.now+fairNetwork, func() { p.deliver(j) })
+	p.inFlight[j.router][j.upstream]++
+}
+
+// choose takes the upstream with the least work of this router in flight.
+func (p *fairPool) choose(router int, m fairMember) int {
+	allowed := m.upstreams
+	if allowed == nil {
+		allowed = allUpstreams
+	}
+	best := allowed[p.choices.IntN(len(allowed))]
+	for _, u := range allowed {
+		if p.inFlight[router][u] < p.inFlight[router][best] {
+			best = u
+		}
+	}
+	return best
+}
+
+var allUpstreams = func() []int {
+	all := make([]int, fairUpstreams)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}()
+
+func (p *fairPool) measured(j *fairJob) bool { return j.arrived >= p.scenario.warmup }
+
+func (p *fairPool) deliver(j *fairJob) {
+	a, m := p.agents[j.upstream], p.scenario.members[j.member]
+	o := &p.outcomes[j.member]
+	if p.measured(j) {
+		o.offered++
+	}
+	if !a.queue.push(p.now, j, m) {
+		p.inFlight[j.router][j.upstream]--
+		if p.measured(j) {
+			o.rejected++
+		}
+		return
+	}
+	p.fill(a)
+}
+
+// fill starts requests while the upstream has room.
+func (p *fairPool) fill(a *fairAgent) {
+	for a.running < fairSlots {
+		j := a.queue.pop(p.now, fairSlots-a.running)
+		if j == nil {
+			return
+		}
+		a.running++
+		if p.measured(j) {
+			o := &p.outcomes[j.member]
+			o.ttft = append(o.ttft, p.now+j.prefill()+fairNetwork-j.arrived)
+		}
+		p.events.at(p.now+j.service(), func() { p.complete(a, j) })
+	}
+}
+
+func (p *fairPool) complete(a *fairAgent, j *fairJob) {
+	m := p.scenario.members[j.member]
+	a.running--
+	a.served[m.name] += uint64(j.actualCost)
+	p.inFlight[j.router][j.upstream]--
+	if p.now >= p.scenario.warmup {
+		p.outcomes[j.member].served += float64(j.actualCost)
+	}
+	a.queue.done(p.now, j, m)
+	p.fill(a)
+}
+
+// report sends the load of each agent to the routers, which act alike.
+func (p *fairPool) report() {
+	for i, a := range p.agents {
+		l := api.Load{
+			Upstream: fmt.Sprint(i), Incarnation: 1,
+			Served: make(map[string]uint64), Waiting: make(map[string]uint64),
+		}
+		for _, m := range p.scenario.members {
+			l.Served[m.name], l.Waiting[m.name] = a.served[m.name], a.queue.waiting(m)
+		}
+		p.corrector.Report(l)
+	}
+	p.events.at(p.now+fairReportEvery, p.report)
+}
+
+func (p *fairPool) step() {
+	shares := make(map[string]float64)
+	for _, m := range p.scenario.members {
+		shares[m.name] = m.share
+	}
+	p.corrector.Step(shares)
+	p.events.at(p.now+fairCorrectEvery, p.step)
+}
+
+// modelEvents is the calendar of a model: functions in order of their time.
+type modelEvents struct {
+	heap  eventHeap
+	count uint64
+}
+
+type modelEvent struct {
+	due   time.Duration
+	order uint64
+	run   func()
+}
+
+func (m *modelEvents) at(due time.Duration, run func()) {
+	m.count++
+	heap.Push(&m.heap, modelEvent{due: due, order: m.count, run: run})
+}
+
+func (m *modelEvents) next() (modelEvent, bool) {
+	if len(m.heap) == 0 {
+		return modelEvent{}, false
+	}
+	return heap.Pop(&m.heap).(modelEvent), true
+}
+
+type eventHeap []modelEvent
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].due < h[j].due || (h[i].due == h[j].due && h[i].order < h[j].order)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(modelEvent)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = modelEvent{}
+	*h = old[:len(old)-1]
+	return last
+}
--- a/decide/fairqueue/doc.go
+++ b/decide/fairqueue/doc.go
@@ -6,5 +6,9 @@
 // is next, so that an idle member's share goes to the others and is not saved
 // up. Priority reorders a member's own queue, where waiting time makes up for
 // it, and moves a member ahead of others by a bounded number of tokens, which
-// its tags still pay for. All operations take O(log n).
+// its tags still pay for.
+//
+// A request that has started cannot be taken back, so lent room would make a
+// member within its share wait for the next completion. Members that used more
+// than their share therefore leave some headroom while others run. All operations take O(log n).
 package fairqueue
--- a/decide/fairqueue/queue.go
+++ b/decide/fairqueue/queue.go
@@ -15,6 +15,14 @@
 	MaxPriority int32
 	// AdvantageTokens is how far one level moves a member ahead of others.
 	AdvantageTokens float64
+	// Headroom keeps room for members within their shares: a borrower starts
+	// only if more than Headroom times the square root of the running requests
+	// of the others could start after it. Zero lends all idle room.
+	Headroom float64
+	// UsageHorizon is the period over which a member's usage is weighed.
+	UsageHorizon time.Duration
+	// BorrowFactor is the multiple of its share above which a member borrows.
+	BorrowFactor float64
 }
 
 // Entry is a request that waits.
@@ -33,11 +41,16 @@
 	config  Config
 	members map[string]*member[T]
 	entries map[api.SendID]*item[T]
-	// backlog orders the members that have entries, due all entries.
-	backlog ordered[*member[T]]
-	due     ordered[*item[T]]
-	virtual float64
-	arrived uint64
+	// within and borrowing order the members that have entries, due all entries.
+	within    ordered[*member[T]]
+	borrowing ordered[*member[T]]
+	due       ordered[*item[T]]
+	virtual   float64
+	arrived   uint64
+	usage     usage
+	weights   float64
+	// running counts the running requests of members that do not borrow.
+	running int
 }
 
 type member[T any] struct {
@@ -49,6 +62,10 @@
 	tag     float64
 	rank    float64
 	waiting uint64
+	usage   float64
+	running int
+	// borrows says which of the two heaps the member belongs to.
+	borrows bool
 	removed bool
 	place   int
 }
@@ -70,11 +87,11 @@
 		members: make(map[string]*member[T]),
 		entries: make(map[api.SendID]*item[T]),
 	}
-	q.backlog = ordered[*member[T]]{
-		less: func(a, b *member[T]) bool {
+	for _, h := range []*ordered[*member[T]]{&q.within, &q.borrowing} {
+		h.less = func(a, b *member[T]) bool {
 			return a.rank < b.rank || (a.rank == b.rank && a.name < b.name)
-		},
-		place: func(m *member[T]) *int { return &m.place },
+		}
+		h.place = func(m *member[T]) *int { return &m.place }
 	}
 	q.due = ordered[*item[T]]{
 		less: func(a, b *item[T]) bool {
@@ -98,7 +115,9 @@
 		m.queue = ordered[*item[T]]{less: sooner[T], place: func(i *item[T]) *int { return &i.place }}
 		q.members[name] = m
 	}
+	q.weights -= m.weight
 	m.weight, m.limit, m.removed = max(weight, minWeight), limit, false
+	q.weights += m.weight
 	q.rerank(m)
 }
 
@@ -113,7 +132,9 @@
 }
 
 func (q *Queue[T]) forget(m *member[T]) {
-	if m.removed && m.queue.Len() == 0 {
+	if m.removed && m.queue.Len() == 0 && m.running == 0 {
+		q.weights -= m.weight
+		q.usage.total -= m.usage
 		delete(q.members, m.name)
 	}
 }
@@ -133,6 +154,7 @@
 	case now >= e.Deadline:
 		return api.Fail(api.CodeDeadlineExceeded, api.NotRun, "the deadline passed before the request was queued")
 	case m.queue.Len() >= m.limit:
+		q.rerank(m)
 		return api.Fail(api.CodeQueueFull, api.NotRun, "the member's queue is full")
 	}
 	e.Cost = max(e.Cost, 1)
@@ -151,35 +173,49 @@
 }
 
 // Peek returns the request that Pop would take.
-func (q *Queue[T]) Peek() (Entry[T], bool) {
-	if q.backlog.Len() == 0 {
+func (q *Queue[T]) Peek(free int) (Entry[T], bool) {
+	m := q.next(free)
+	if m == nil {
 		return Entry[T]{}, false
 	}
-	return q.backlog.items[0].queue.items[0].entry, true
+	return m.queue.items[0].entry, true
 }
 
-// Pop takes the next request and charges its cost to the member.
-func (q *Queue[T]) Pop() (Entry[T], bool) {
-	if q.backlog.Len() == 0 {
+// Pop takes the next request and charges its cost to the member. The upstream
+// has room to start free more requests.
+func (q *Queue[T]) Pop(now time.Duration, free int) (Entry[T], bool) {
+	m := q.next(free)
+	if m == nil {
 		return Entry[T]{}, false
 	}
-	m := q.backlog.items[0]
 	i := m.queue.items[0]
 	q.virtual = max(q.virtual, m.tag)
 	m.tag += float64(i.entry.Cost) / m.weight
+	m.running++
+	if !m.borrows {
+		q.running++
+	}
+	q.charge(now, m, float64(i.entry.Cost))
 	q.take(i)
 	return i.entry, true
 }
 
-// Correct replaces the estimated cost of a request that was popped by the
+// Finish ends a request that was popped and replaces its estimated cost by the
 // actual one.
-func (q *Queue[T]) Correct(name string, estimated, actual uint32) {
+func (q *Queue[T]) Finish(now time.Duration, name string, estimated, actual uint32) {
 	m, ok := q.members[name]
-	if !ok {
+	if !ok || m.running == 0 {
 		return
 	}
-	m.tag += (float64(max(actual, 1)) - float64(max(estimated, 1))) / m.weight
+	m.running--
+	if !m.borrows {
+		q.running--
+	}
+	correction := float64(max(actual, 1)) - float64(max(estimated, 1))
+	m.tag += correction / m.weight
+	q.charge(now, m, correction)
 	q.rerank(m)
+	q.forget(m)
 }
 
 // Cancel removes a request that waits.
@@ -243,20 +279,22 @@
 	q.forget(m)
 }
 
-// rerank puts a member where its tag and the priority of its next request
-// belong, or takes it out of the backlog.
+// rerank puts a member where its tag, its usage and the priority of its next
+// request belong, or takes it out if nothing waits.
 func (q *Queue[T]) rerank(m *member[T]) {
+	q.classify(m)
+	h := q.heapOf(m)
 	if m.queue.Len() == 0 {
-		q.backlog.remove(m)
+		h.remove(m)
 		return
 	}
 	level := q.level(m.queue.items[0].entry.Priority)
 	m.rank = m.tag - float64(level)*q.config.AdvantageTokens/m.weight
 	if m.place == absent {
-		q.backlog.add(m)
+		h.add(m)
 		return
 	}
-	q.backlog.update(m)
+	h.update(m)
 }
 
 func (q *Queue[T]) level(priority int32) int32 {
--- a/decide/fairqueue/queue_test.go
+++ b/decide/fairqueue/queue_test.go
@@ -94,7 +94,7 @@
 			q.SetMember(m, o.weight[m], 4)
 		}
 		var now time.Duration
-		n := 0
+		n, running := 0, map[string]int{}
 		member := rapid.SampledFrom([]string{"a", "b", "c"})
 		t.Repeat(map[string]func(*rapid.T){
 			"advance": func(t *rapid.T) { now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond },
@@ -111,16 +111,21 @@
 				}
 			},
 			"pop": func(t *rapid.T) {
-				peeked, _ := q.Peek()
-				got, ok := q.Pop()
+				peeked, _ := q.Peek(1)
+				got, ok := q.Pop(now, 1)
 				want, found := o.pop()
+				running[got.Member]++
 				if ok != found || got != want || peeked != got {
 					t.Fatalf("popped %+v, want %+v", got, want)
 				}
 			},
 			"correct": func(t *rapid.T) {
 				m, actual := member.Draw(t, "member"), rapid.Uint32Range(1, 200).Draw(t, "actual")
-				q.Correct(m, 100, actual)
+				if running[m] == 0 {
+					return
+				}
+				running[m]--
+				q.Finish(now, m, 100, actual)
 				o.tag[m] += (float64(actual) - 100) / o.weight[m]
 			},
 			"cancel": func(t *rapid.T) {
@@ -181,10 +186,10 @@
 			weight += w
 		}
 		for total < 20*maxSize*weight {
-			e, _ := q.Pop()
+			e, _ := q.Pop(0, 1)
 			total += float64(sizes[e.Value])
 			served[e.Value] += float64(sizes[e.Value]) / weights[e.Value]
-			q.Correct(e.Member, e.Cost, sizes[e.Value])
+			q.Finish(0, e.Member, e.Cost, sizes[e.Value])
 			push(e.Value)
 		}
 		var sum, squares float64
@@ -208,7 +213,7 @@
 	for n := 1; n < 20; n++ {
 		now := time.Duration(n) * time.Second
 		push(now, n, 2)
-		if e, _ := q.Pop(); e.Value == 0 {
+		if e, _ := q.Pop(now, 1); e.Value == 0 {
 			if now > 5*time.Second {
 				t.Errorf("served after %v", now)
 			}
@@ -231,7 +236,46 @@
 	if f := q.Push(0, e); f == nil || f.Code != api.CodeForbidden {
 		t.Errorf("push after removal: %v", f)
 	}
-	if _, ok := q.Pop(); !ok || q.Len() != 0 {
+	if _, ok := q.Pop(0, 1); !ok || q.Len() != 0 {
 		t.Error("what waited was not served")
 	}
 }
+
+// Headroom must keep room from a borrower only while others run, and never
+// from a member within its share.
+func TestBorrowerLeavesHeadroom(t *testing.T) {
+	q := fairqueue.New[int](fairqueue.Config{Headroom: 1, UsageHorizon: time.Minute, BorrowFactor: 1.5})
+	n := 0
+	push := func(member string) {
+		n++
+		e := entry{ID: api.SendID{Request: fmt.Sprint(n)}, Member: member, Cost: 100, Deadline: time.Hour}
+		if f := q.Push(0, e); f != nil {
+			t.Fatal(f)
+		}
+	}
+	for _, m := range []string{"a", "b", "c", "d"} {
+		q.SetMember(m, 1, 100)
+	}
+	for range 10 {
+		push("a")
+	}
+	for range 8 {
+		if _, ok := q.Pop(0, 1); !ok {
+			t.Fatal("idle room was not lent")
+		}
+	}
+	push("b")
+	if e, ok := q.Pop(0, 1); !ok || e.Member != "b" {
+		t.Fatalf("got %+v, want the member within its share", e)
+	}
+	if _, ok := q.Pop(0, 1); ok {
+		t.Error("a borrower took the last room while another runs")
+	}
+	if e, ok := q.Pop(0, 2); !ok || e.Member != "a" {
+		t.Error("a borrower did not get what is left beside the headroom")
+	}
+	q.Finish(0, "b", 100, 100)
+	if _, ok := q.Pop(0, 1); !ok {
+		t.Error("room was held back though nobody else runs")
+	}
+}
--- a/decide/ledger/arrive.go
+++ b/decide/ledger/arrive.go
@@ -32,6 +32,9 @@
 func (l *Ledger) arriveFirst(now time.Duration, a Arrival, c claim) Decision {
 	if f := l.disprove(now, c); f != nil {
 		if f.Code == api.CodeKeyNotBound {
+			// The caller may go on with the fresh key, so that no late copy of
+			// this send may run once the evidence is better.
+			l.bury(now, tombstone{scope: c.scope, key: c.key, send: a.Send, stamp: c.stamp()})
 			f.BoundKey = l.freshKey(now, a.Random)
 		}
 		return refuse(f)
