Measure at-most-once under faults of messages and processes

Cause: the ledger's rules have to hold for many routers and agents at once. Change: experiment once runs decide/idemkey, decide/ledger and decide/reassembly under loss, duplication, delay, pause, restart, partition and changes of the list. A copy of a send that the entry answers already is dropped: its replay, cut into other chunks, could end the answer that is under way too early. Conclusion: bound keys need no assumption about time; caller-made keys rely on the bound of the list lag.

--- /dev/null
+++ b/bench/once.go
@@ -0,0 +1,64 @@
+package bench
+
+import (
+	"context"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
+
+func init() {
+	register(Experiment{
+		Name: "once",
+		Asks: "Does a non-idempotent request run at most once, and is every claim about it true, under faults of messages and processes?",
+		Run:  runOnce,
+	})
+}
+
+// onceStaleLag is a list lag beyond the bound that the rule for caller-made
+// keys relies on, as when a partition separates processes for minutes.
+const onceStaleLag = 10 * time.Minute
+
+func runOnce(ctx context.Context, p Params) (Result, error) {
+	run := func(s onceScenario) *onceWorld {
+		s.seed = p.Seed
+		w := newOnceWorld(s)
+		w.run()
+		return w
+	}
+	w := run(onceScenario{listLag: onceLimits.ListLag})
+	plain := run(onceScenario{listLag: onceLimits.ListLag, plain: true})
+	stale := run(onceScenario{listLag: onceStaleLag})
+	unknown, ran := onceStates(w)
+	unknownPlain, _ := onceStates(plain)
+	a := w.audit
+	return Result{Figures: []Figure{
+		Bounded("duplicate_runs", float64(a.duplicateRuns), "runs", Exactly, 0),
+		Plain("duplicate_runs_plain", float64(plain.audit.duplicateRuns), "runs"),
+		Bounded("false_not_run", float64(a.falseNotRun), "claims", Exactly, 0),
+		Plain("false_not_run_plain", float64(plain.audit.falseNotRun), "claims"),
+		Bounded("accepted_lost", float64(a.lost), "requests", Exactly, 0),
+		Bounded("wrong_or_short_answers", float64(a.wrongAnswers), "answers", Exactly, 0),
+		Plain("unknown_share", unknown, "1"),
+		Plain("unknown_share_plain", unknownPlain, "1"),
+		Plain("requests", onceRequests, "requests"),
+		Plain("requests_run", ran, "requests"),
+		Plain("whole_answers", float64(a.answers), "answers"),
+		Plain("caller_made_keys_accepted", float64(a.callerMade), "keys"),
+		Plain("duplicate_runs_list_lag_exceeded", float64(stale.audit.duplicateRuns), "runs"),
+	}}, ctx.Err()
+}
+
+// onceStates returns the part of callers that do not know whether their
+// request ran, and the number of requests that ran.
+func onceStates(w *onceWorld) (unknown, ran float64) {
+	for i, c := range w.callers {
+		if c.state == api.Unknown {
+			unknown++
+		}
+		if w.audit.runs[i] > 0 {
+			ran++
+		}
+	}
+	return unknown / float64(len(w.callers)), ran
+}
--- /dev/null
+++ b/bench/once_audit.go
@@ -0,0 +1,92 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/idemkey"
+)
+
+// onceAudit is the oracle of the experiment: it sees every run and every claim.
+type onceAudit struct {
+	runs []int
+	// told holds the sends that were told not_run.
+	told map[api.SendID]bool
+	// open holds accepted entries by agent process that neither ran nor were refused.
+	open map[*onceProcess]map[api.SendID]bool
+
+	duplicateRuns int
+	falseNotRun   int
+	wrongAnswers  int
+	answers       int
+	lost          int
+	// callerMade counts the accepted entries under keys that callers made.
+	callerMade int
+}
+
+func newOnceAudit(requests int) *onceAudit {
+	return &onceAudit{
+		runs: make([]int, requests),
+		told: make(map[api.SendID]bool),
+		open: make(map[*onceProcess]map[api.SendID]bool),
+	}
+}
+
+func (a *onceAudit) accepted(p *onceProcess, owner api.SendID, key string) {
+	if _, err := idemkey.ParseBound(key); err != nil {
+		a.callerMade++
+	}
+	if a.open[p] == nil {
+		a.open[p] = make(map[api.SendID]bool)
+	}
+	a.open[p][owner] = true
+}
+
+// settled notes that an accepted entry was answered for.
+func (a *onceAudit) settled(p *onceProcess, owner api.SendID) { delete(a.open[p], owner) }
+
+// ended forgets the entries of a process that was killed: its keys are bound
+// to a lost incarnation and their outcome is unknown, which callers are told.
+func (a *onceAudit) ended(p *onceProcess) { delete(a.open, p) }
+
+func (a *onceAudit) ran(request int, sends []onceWaiter) {
+	a.runs[request]++
+	if a.runs[request] > 1 {
+		a.duplicateRuns++
+	}
+	for _, w := range sends {
+		if a.told[w.send] {
+			a.falseNotRun++
+		}
+	}
+}
+
+// notRun checks a claim of an agent. A router's claim that a send never left
+// it concerns that send only, not what other sends of the key did.
+func (a *onceAudit) notRun(request int, send api.SendID, byAgent bool) {
+	if byAgent && a.runs[request] > 0 && !a.told[send] {
+		a.falseNotRun++
+	}
+	a.told[send] = true
+}
+
+func (a *onceAudit) answered(got, want string) {
+	a.answers++
+	if got != want {
+		a.wrongAnswers++
+	}
+}
+
+// close counts what was accepted by an agent that still lives and has had
+// time to settle it.
+func (a *onceAudit) close() {
+	for _, entries := range a.open {
+		a.lost += len(entries)
+	}
+}
+
+// onceProcess is a process that can be paused and killed.
+type onceProcess struct {
+	pausedUntil time.Duration
+	killed      bool
+}
--- /dev/null
+++ b/bench/once_plain.go
@@ -0,0 +1,70 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/ledger"
+)
+
+// plainLedger is the baseline: outcomes by key alone, forgotten on restart.
+type plainLedger struct {
+	entries map[string]*plainEntry
+	keys    map[api.SendID]string
+}
+
+type plainEntry struct {
+	owner   api.SendID
+	outcome api.Outcome
+}
+
+func newPlainLedger() *plainLedger {
+	return &plainLedger{entries: make(map[string]*plainEntry), keys: make(map[api.SendID]string)}
+}
+
+func (l *plainLedger) Arrive(_ time.Duration, a ledger.Arrival) ledger.Decision {
+	e, ok := l.entries[a.Key]
+	switch {
+	case !ok:
+		l.entries[a.Key] = &plainEntry{owner: a.Send}
+		l.keys[a.Send] = a.Key
+		return ledger.Decision{Verdict: ledger.Queue, Owner: a.Send}
+	case e.outcome.Done:
+		return ledger.Decision{Verdict: ledger.Replay, Owner: e.owner, Outcome: e.outcome}
+	case e.owner == a.Send:
+		return ledger.Decision{Verdict: ledger.Duplicate, Owner: e.owner}
+	}
+	return ledger.Decision{Verdict: ledger.Join, Owner: e.owner}
+}
+
+func (l *plainLedger) Start(time.Duration, api.SendID) ledger.Start { return ledger.Start{Run: true} }
+
+func (l *plainLedger) Refuse(_ time.Duration, owner api.SendID, f api.Failure) ledger.Release {
+	f.Run = api.NotRun
+	delete(l.entries, l.keys[owner])
+	return ledger.Release{Failure: &f}
+}
+
+func (l *plainLedger) Complete(_ time.Duration, owner api.SendID, a ledger.Answer) ledger.Release {
+	l.entries[l.keys[owner]].outcome = api.Outcome{Run: api.Ran, Done: true, Status: a.Status, Body: a.Body, BodyKept: true}
+	return ledger.Release{}
+}
+
+func (l *plainLedger) Fail(now time.Duration, owner api.SendID, f api.Failure) ledger.Release {
+	if f.Run == api.NotRun {
+		return l.Refuse(now, owner, f)
+	}
+	l.entries[l.keys[owner]].outcome = api.Outcome{Run: f.Run, Done: true, Failure: &f}
+	return ledger.Release{Failure: &f}
+}
+
+func (l *plainLedger) Query(_ time.Duration, q api.OutcomeQuery) api.Outcome {
+	if e, ok := l.entries[q.Key]; ok {
+		return e.outcome
+	}
+	return api.Outcome{Run: api.NotRun, Done: true, Failure: api.Fail(api.CodeNotFound, api.NotRun, "")}
+}
+
+func (l *plainLedger) SetList(time.Duration, []string) {}
+
+func (l *plainLedger) ConfirmList(time.Duration) {}
--- /dev/null
+++ b/bench/requests_test.go
@@ -0,0 +1,42 @@
+package bench
+
+import (
+	"io"
+	"reflect"
+	"testing"
+	"time"
+)
+
+// A model that depends on map order or the clock gives figures that nobody can
+// repeat.
+func TestOnceIsRepeatableAndMeetsItsTargets(t *testing.T) {
+	run := func() Result {
+		r, err := runOnce(t.Context(), Params{Seed: 1, Progress: io.Discard})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	first := run()
+	if second := run(); !reflect.DeepEqual(first, second) {
+		t.Errorf("two runs with one seed differ:\n%v\n%v", first, second)
+	}
+	for _, f := range first.Figures {
+		if !f.Met() {
+			t.Errorf("%s is %v, target %v", f.Name, f.Value, f.Target)
+		}
+	}
+}
+
+// A corrected weight must outweigh the concentration of a member.
+func TestCorrectionOutweighsConcentration(t *testing.T) {
+	run := func(correct bool) float64 {
+		s := fairScenario{members: fairMembers(fairBacklog), correct: correct, headroom: fairHeadroom, seed: 1, length: 90 * time.Second, warmup: 30 * time.Second}
+		s.members[9].upstreams = []int{6, 7}
+		return jainIndex(s.members, newFairPool(s).run())
+	}
+	plain, corrected := run(false), run(true)
+	if plain > 0.98 || corrected < 0.99 {
+		t.Errorf("Jain index %.3f uncorrected, %.3f corrected", plain, corrected)
+	}
+}
--- a/decide/ledger/arrive.go
+++ b/decide/ledger/arrive.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
@@ -74,7 +75,7 @@
 
 // arriveAgain handles a key that has an entry.
 func (l *Ledger) arriveAgain(now time.Duration, a Arrival, c claim, e *entry) Decision {
-	if l.open[a.Send] == e && a.BodyHash == e.bodyHash {
+	if e.answers(a.Send) && a.BodyHash == e.bodyHash {
 		return Decision{Verdict: Duplicate, Owner: e.sends[0].send}
 	}
 	if a.BodyHash != e.bodyHash {
@@ -91,6 +92,13 @@
 	return Decision{Verdict: Join, Owner: e.sends[0].send}
 }
 
+// answers reports whether the answer of the entry went or will go to a send. A
+// copy of such a send gets no replay, because the recorded answer is cut into
+// other chunks than the one that is under way.
+func (e *entry) answers(send api.SendID) bool {
+	return slices.ContainsFunc(e.sends, func(w waiting) bool { return w.send == send })
+}
+
 // mayJoin refuses sends that must not keep an entry alive. A send that could
 // not open an entry may be a copy of one whose tombstone was evicted.
 func (l *Ledger) mayJoin(now time.Duration, a Arrival, c claim, e *entry) *api.Failure {
--- a/decide/ledger/run.go
+++ b/decide/ledger/run.go
@@ -107,9 +107,7 @@
 	l.bytes += size - e.bytes
 	e.bytes, e.phase, e.outcome, e.closed = size, done, o, now
 	l.retain(record{expires: now + l.limits.keep(e.key), closed: now, entry: e})
-	sends := l.detach(e)
-	e.sends = e.sends[:1]
-	return Release{Sends: sends, Failure: o.Failure}
+	return Release{Sends: l.detach(e), Failure: o.Failure}
 }
 
 // release frees the key of an entry that did not run and buries its sends.
--- a/decide/ledger/types.go
+++ b/decide/ledger/types.go
@@ -75,7 +75,7 @@
 	Join
 	// Replay answers the send with the recorded outcome.
 	Replay
-	// Duplicate drops a copy of a send that is queued or running.
+	// Duplicate drops a copy of a send that the entry answers already.
 	Duplicate
 )
 
