Decide the spread of the configuration

Cause: the platform's service allows about 2,000 reads/s over all readers and may be down or stale, so processes cannot all read it. Change: add decide/rendezvous and decide/spread: watchers per zone, neighbours, accept rule ordered by revision and digest, fetch from peers with deltas, start and wake, and the order check at agent and router. Conclusion: a state machine of six processes with faults neither reverts nor accepts invalid content, and converges once the faults end.

--- /dev/null
+++ b/decide/rendezvous/rendezvous.go
@@ -0,0 +1,80 @@
+// Package rendezvous implements highest-random-weight hashing. Processes that
+// hold the same list of candidates make the same choice without talking to
+// each other, and a candidate that comes or goes changes only the choices
+// that involve it.
+package rendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key is the hash of what a candidate is chosen for.
+type Key uint64
+
+// separator keeps ("ab", "c") and ("a", "bc") apart.
+const separator = "\x00"
+
+// KeyOf returns the key of a list of words.
+func KeyOf(words ...string) Key {
+	d := xxhash.New()
+	for _, w := range words {
+		// A digest never fails to write.
+		_, _ = d.WriteString(w)
+		_, _ = d.WriteString(separator)
+	}
+	return Key(d.Sum64())
+}
+
+// Score returns the weight of a candidate for the key.
+func (k Key) Score(candidate string) uint64 {
+	return mix(uint64(k) ^ mix(xxhash.Sum64String(candidate)))
+}
+
+// Fraction maps the score of a candidate to the range from 0 up to 1.
+func (k Key) Fraction(candidate string) float64 {
+	const bits = 53
+	return float64(k.Score(candidate)>>(64-bits)) / (1 << bits)
+}
+
+// Top returns the n candidates of highest weight, best first.
+func (k Key) Top(n int, candidates []string) []string {
+	if n <= 0 {
+		return nil
+	}
+	type scored struct {
+		score uint64
+		name  string
+	}
+	best := make([]scored, 0, n+1)
+	for _, c := range candidates {
+		s := scored{k.Score(c), c}
+		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int {
+			if c := cmp.Compare(b.score, a.score); c != 0 {
+				return c
+			}
+			return cmp.Compare(a.name, b.name)
+		})
+		if at >= n {
+			continue
+		}
+		best = slices.Insert(best, at, s)
+		best = best[:min(len(best), n)]
+	}
+	names := make([]string, len(best))
+	for i, b := range best {
+		names[i] = b.name
+	}
+	return names
+}
+
+// mix is the finalizer of splitmix64. XXH64 of two short strings combined by
+// exclusive or alone would give symmetric, correlated weights.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/decide/spread/catchup.go
@@ -0,0 +1,109 @@
+package spread
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// AskPeers processes are asked for the highest accepted version at once.
+	AskPeers = 5
+	// AskWait bounds the wait for the answers of one round.
+	AskWait = time.Second
+	// AskRounds bounds the rounds in which nobody answers. After them a
+	// process goes on with the last version it holds, if any: it is cut off,
+	// or the fleet is fresh and nobody else is there.
+	AskRounds = 3
+	// CatchUpLimit bounds the wait for content that a peer claims to have.
+	CatchUpLimit = 4 * time.Second
+	// SourceReadRounds separates direct reads of the service by a process that
+	// is no watcher and that found no peer with a version.
+	SourceReadRounds = 4
+)
+
+// catchUp is the search for the highest accepted version, after a start or a
+// pause. No work is taken while it is active.
+type catchUp struct {
+	active bool
+	// fresh is true after a start, when nothing is in force yet.
+	fresh    bool
+	began    time.Duration
+	deadline time.Duration
+	rounds   uint64
+	asked    []string
+	pending  []string
+	answers  int
+}
+
+func (c *catchUp) answer(peer string) {
+	if at := slices.Index(c.pending, peer); at >= 0 {
+		c.pending = slices.Delete(c.pending, at, at+1)
+		c.answers++
+	}
+}
+
+func (c *catchUp) fail(peer string) {
+	c.pending = slices.DeleteFunc(c.pending, func(p string) bool { return p == peer })
+}
+
+// wake notices a suspension by the time between two events and starts a new
+// search before anything else is decided.
+func (s *State) wake(now time.Duration) []Action {
+	gap := now - s.last
+	s.last = now
+	if gap < PauseGap {
+		return nil
+	}
+	s.counters.Pauses++
+	var out []Action
+	if s.ready {
+		s.ready = false
+		out = append(out, Readiness{Ready: false})
+	}
+	// Claims from before the pause do not count as answers.
+	clear(s.claims)
+	s.fetch = fetching{}
+	s.catch = catchUp{active: true, fresh: s.accepted.Zero(), began: now}
+	return append(out, s.ask(now)...)
+}
+
+// ask starts a round of questions.
+func (s *State) ask(now time.Duration) []Action {
+	s.catch.deadline = now + AskWait
+	s.catch.rounds++
+	s.catch.asked = s.topo.sample(s.self, s.round+s.catch.rounds, AskPeers)
+	s.catch.pending = slices.Clone(s.catch.asked)
+	var out []Action
+	for _, p := range s.catch.asked {
+		out = append(out, s.exchange(p))
+	}
+	if !s.topo.Watcher && s.accepted.Zero() && s.catch.rounds%SourceReadRounds == 0 {
+		out = append(out, ReadSource{})
+	}
+	return out
+}
+
+// settle ends the search when the highest known version is in force and enough
+// peers were heard, or starts another round.
+func (s *State) settle(now time.Duration) []Action {
+	c := &s.catch
+	if !c.active {
+		return nil
+	}
+	waiting := len(c.pending) > 0 && now < c.deadline
+	if waiting {
+		return nil
+	}
+	heard := c.answers > 0 || c.rounds >= AskRounds || s.listed && len(s.topo.names) == 0
+	current := s.highestClaim().Zero() && len(s.validating) == 0
+	late := now-c.began >= CatchUpLimit
+	if !s.accepted.Zero() && heard && (current || late) {
+		*c = catchUp{}
+		s.ready = true
+		return []Action{Readiness{Ready: true}}
+	}
+	if now < c.deadline {
+		return nil
+	}
+	return s.ask(now)
+}
--- /dev/null
+++ b/decide/spread/fetch.go
@@ -0,0 +1,145 @@
+package spread
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/decide/rendezvous"
+)
+
+const (
+	// FetchTimeout bounds one fetch before another peer is asked.
+	FetchTimeout = time.Second
+	// FetchPause separates rounds in which every peer was tried in vain.
+	FetchPause = time.Second
+)
+
+// fetching is the fetch under way, if Peer is set, and the peers that failed.
+type fetching struct {
+	peer  string
+	want  Version
+	due   time.Duration
+	tried []string
+	// wholeOnly is set after a delta gave content with another digest.
+	wholeOnly bool
+	resume    time.Duration
+}
+
+// fetchNext fetches the highest version that a peer claims, if it is wanted
+// and no fetch is under way.
+func (s *State) fetchNext(now time.Duration) []Action {
+	if s.fetch.peer != "" || now < s.fetch.resume {
+		return nil
+	}
+	want := s.highestClaim()
+	if want.Zero() || slices.Contains(s.validating, want) {
+		return nil
+	}
+	if want != s.fetch.want {
+		s.fetch = fetching{want: want}
+	}
+	peer, ok := s.holder(want)
+	if !ok {
+		s.fetch.tried = nil
+		s.fetch.resume = now + FetchPause
+		return nil
+	}
+	s.fetch.peer, s.fetch.due = peer, now+FetchTimeout
+	base := s.accepted
+	if s.fetch.wholeOnly {
+		base = Version{}
+	}
+	return []Action{Fetch{Peer: peer, Want: want, Base: base}}
+}
+
+// highestClaim returns the highest version claimed by a peer that could come
+// into force here. A claim without digest comes from traffic and cannot be
+// fetched.
+func (s *State) highestClaim() Version {
+	var best Version
+	for _, v := range s.claims {
+		if v.Digest != 0 && v.Above(best) && s.wanted(v) {
+			best = v
+		}
+	}
+	return best
+}
+
+// holder chooses a peer that claims the version and was not tried, in the own
+// zone if there is one. The hash spreads the load of a popular version.
+func (s *State) holder(want Version) (string, bool) {
+	var near, far []string
+	for _, p := range slices.Sorted(maps.Keys(s.claims)) {
+		switch {
+		case s.claims[p] != want || slices.Contains(s.fetch.tried, p):
+		case slices.Contains(s.topo.zones[s.self.Zone], p):
+			near = append(near, p)
+		default:
+			far = append(far, p)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return "", false
+	}
+	return rendezvous.KeyOf("fetch", s.self.Name).Top(1, near)[0], true
+}
+
+// Fetched takes the content that a peer sent: the version that it says it is,
+// and the digest computed from the bytes. The peer may have moved on to a
+// higher version than the one wanted.
+func (s *State) Fetched(now time.Duration, peer string, claimed Version, computed uint64) []Action {
+	out := s.wake(now)
+	if claimed.Digest != computed {
+		s.counters.Mismatches++
+		whole := s.fetch.wholeOnly
+		if peer == s.fetch.peer && !whole {
+			// The base of the delta may be at fault: ask the same peer for all.
+			s.fetch.wholeOnly, s.fetch.peer = true, ""
+			return append(out, s.fetchNext(now)...)
+		}
+		return append(out, s.fetchFailed(now, peer)...)
+	}
+	if peer == s.fetch.peer {
+		s.fetch = fetching{}
+	}
+	if s.claims[peer].Compare(claimed) < 0 {
+		s.claims[peer] = claimed
+	}
+	out = append(out, s.consider(claimed)...)
+	out = append(out, s.fetchNext(now)...)
+	return append(out, s.settle(now)...)
+}
+
+// FetchFailed takes the failure of a fetch.
+func (s *State) FetchFailed(now time.Duration, peer string) []Action {
+	out := s.wake(now)
+	return append(out, s.fetchFailed(now, peer)...)
+}
+
+func (s *State) fetchFailed(now time.Duration, peer string) []Action {
+	s.counters.FetchFailures++
+	if peer != s.fetch.peer {
+		return nil
+	}
+	s.fetch.tried = append(s.fetch.tried, peer)
+	s.fetch.peer = ""
+	return append(s.fetchNext(now), s.settle(now)...)
+}
+
+// fetchTick gives up on a fetch that takes too long and resumes after a pause.
+func (s *State) fetchTick(now time.Duration) []Action {
+	if s.fetch.peer != "" && now >= s.fetch.due {
+		return s.fetchFailed(now, s.fetch.peer)
+	}
+	return s.fetchNext(now)
+}
+
+// startOffset spreads processes that start together over one interval.
+func startOffset(name string) time.Duration {
+	f := rendezvous.KeyOf("offset").Fraction(name)
+	return time.Duration(f * float64(ExchangeInterval))
+}
--- /dev/null
+++ b/decide/spread/fleet_test.go
@@ -0,0 +1,244 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+type message struct {
+	from, to  string
+	exchange  bool
+	reply     bool
+	v, base   Version
+	incarnate int
+}
+
+// fleet runs real states over a network that rapid controls.
+type fleet struct {
+	t     *rapid.T
+	nodes []Node
+	state map[string]*State
+	lives map[string]int
+	now   time.Duration
+	// paused nodes get no event until they resume.
+	paused map[string]bool
+	cut    bool
+	net    []message
+	// valid is the oracle: the verdict on each published version.
+	valid     map[Version]bool
+	published []Version
+	floor     map[string]Version
+}
+
+func newFleet(t *rapid.T) *fleet {
+	f := &fleet{t: t, state: map[string]*State{}, lives: map[string]int{}, now: time.Hour,
+		paused: map[string]bool{}, valid: map[Version]bool{}, floor: map[string]Version{}}
+	for i := range 6 {
+		f.nodes = append(f.nodes, Node{Name: fmt.Sprintf("n%d", i), Zone: fmt.Sprintf("z%d", i%2)})
+	}
+	for _, n := range f.nodes {
+		f.start(n)
+	}
+	return f
+}
+
+func (f *fleet) start(n Node) {
+	f.lives[n.Name]++
+	f.floor[n.Name] = Version{}
+	f.paused[n.Name] = false
+	s := New(n, nil)
+	f.state[n.Name] = s
+	f.run(n.Name, s.Start(f.now))
+	f.run(n.Name, s.Members(f.now, f.nodes))
+}
+
+func (f *fleet) send(m message) {
+	m.incarnate = f.lives[m.from]
+	f.net = append(f.net, m)
+}
+
+// run carries out actions and checks the promises after each of them.
+func (f *fleet) run(name string, actions []Action) {
+	s := f.state[name]
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Exchange:
+			f.send(message{from: name, to: a.Peer, exchange: true, v: s.Accepted()})
+		case Fetch:
+			f.send(message{from: name, to: a.Peer, v: a.Want, base: a.Base})
+		case Validate:
+			f.run(name, s.Validated(f.now, a.Version, f.valid[a.Version]))
+		}
+	}
+	f.check(name)
+}
+
+func (f *fleet) check(name string) {
+	s := f.state[name]
+	v := s.Accepted()
+	if f.floor[name].Above(v) {
+		f.t.Fatalf("%s went back from %v to %v", name, f.floor[name], v)
+	}
+	f.floor[name] = v
+	if !v.Zero() && !f.valid[v] {
+		f.t.Fatalf("%s has %v in force, which does not validate", name, v)
+	}
+	if s.Ready() && v.Zero() {
+		f.t.Fatalf("%s takes work without a configuration", name)
+	}
+}
+
+func (f *fleet) crossing(m message) bool {
+	return f.cut && f.zone(m.from) != f.zone(m.to)
+}
+
+func (f *fleet) zone(name string) string { return f.nodes[name[1]-'0'].Zone }
+
+// deliver hands over one message, or its failure to the sender.
+func (f *fleet) deliver(m message, lose bool) {
+	if f.paused[m.to] || f.crossing(m) || lose {
+		f.fail(m)
+		return
+	}
+	to := f.state[m.to]
+	switch {
+	case m.exchange && !m.reply:
+		f.run(m.to, to.Heard(f.now, m.from, m.v))
+		f.send(message{from: m.to, to: m.from, exchange: true, reply: true, v: to.Accepted()})
+	case m.exchange:
+		f.run(m.to, to.Heard(f.now, m.from, m.v))
+	case !m.reply:
+		f.send(message{from: m.to, to: m.from, reply: true, v: to.Accepted()})
+	default:
+		f.run(m.to, to.Fetched(f.now, m.from, m.v, m.v.Digest))
+	}
+}
+
+func (f *fleet) fail(m message) {
+	if m.reply || f.paused[m.from] || m.incarnate != f.lives[m.from] {
+		return
+	}
+	if m.exchange {
+		f.run(m.from, f.state[m.from].ExchangeFailed(f.now, m.to))
+		return
+	}
+	f.run(m.from, f.state[m.from].FetchFailed(f.now, m.to))
+}
+
+func (f *fleet) tick(d time.Duration) {
+	f.now += d
+	for _, n := range f.nodes {
+		if !f.paused[n.Name] {
+			f.run(n.Name, f.state[n.Name].Tick(f.now))
+		}
+	}
+}
+
+func (f *fleet) node() string {
+	return f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(f.t, "node")].Name
+}
+
+// quiet heals everything and lets the fleet run without faults.
+func (f *fleet) quiet() {
+	f.cut = false
+	clear(f.paused)
+	for range 120 {
+		f.tick(TickInterval)
+		for range 6 {
+			pending := f.net
+			f.net = nil
+			for _, m := range pending {
+				f.deliver(m, false)
+			}
+		}
+	}
+}
+
+func (f *fleet) commands() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"publish": func(t *rapid.T) {
+			v := Version{uint64(len(f.published)/2 + 1), rapid.Uint64Range(1, 1000).Draw(t, "digest")}
+			if _, again := f.valid[v]; !again {
+				f.published = append(f.published, v)
+				f.valid[v] = rapid.IntRange(0, 3).Draw(t, "verdict") > 0
+			}
+		},
+		// A replica of any age answers, whether or not the node watches.
+		"read": func(t *rapid.T) {
+			n := f.node()
+			if len(f.published) > 0 && !f.paused[n] {
+				v := rapid.SampledFrom(f.published).Draw(t, "version")
+				f.run(n, f.state[n].Delivered(f.now, v))
+			}
+		},
+		"deliver":   func(t *rapid.T) { f.next(t, false, false) },
+		"deliver2":  func(t *rapid.T) { f.next(t, false, false) },
+		"duplicate": func(t *rapid.T) { f.next(t, false, true) },
+		"lose":      func(t *rapid.T) { f.next(t, true, false) },
+		"tick":      func(*rapid.T) { f.tick(TickInterval) },
+		"pause":     func(*rapid.T) { f.paused[f.node()] = true },
+		"resume":    func(*rapid.T) { f.paused[f.node()] = false },
+		"restart":   func(t *rapid.T) { f.start(f.nodes[rapid.IntRange(0, 5).Draw(t, "node")]) },
+		"cut":       func(*rapid.T) { f.cut = !f.cut },
+		"order":     func(t *rapid.T) { f.order(t) },
+	}
+}
+
+func (f *fleet) next(t *rapid.T, lose, keep bool) {
+	if len(f.net) == 0 {
+		return
+	}
+	at := rapid.IntRange(0, len(f.net)-1).Draw(t, "message")
+	m := f.net[at]
+	if !keep {
+		f.net = append(f.net[:at:at], f.net[at+1:]...)
+	}
+	f.deliver(m, lose)
+}
+
+// order checks that an agent never runs an order under an older revision.
+func (f *fleet) order(t *rapid.T) {
+	n := f.node()
+	if f.paused[n] {
+		return
+	}
+	s := f.state[n]
+	revision := rapid.Uint64Range(0, 12).Draw(t, "revision")
+	verdict, actions := s.CheckOrder(f.now, f.now, f.nodes[0].Name, revision, false)
+	f.run(n, actions)
+	if verdict == OrderRun && (!s.Ready() || revision != s.Accepted().Revision) {
+		t.Fatalf("%s runs an order under %d with %v in force", n, revision, s.Accepted())
+	}
+}
+
+// A fleet that reverts, that puts invalid content in force, or whose processes
+// keep different contents after all faults ended, breaks promise P9.
+func TestFleetNeverRevertsAndConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t)
+		t.Repeat(f.commands())
+		// One watcher reads everything in the end; the others learn from peers.
+		for _, v := range f.published {
+			clear(f.paused)
+			f.run("n0", f.state["n0"].Delivered(f.now, v))
+		}
+		f.quiet()
+		var best Version
+		for v, ok := range f.valid {
+			if ok && v.Above(best) {
+				best = v
+			}
+		}
+		for _, n := range f.nodes {
+			if got := f.state[n.Name].Accepted(); got != best {
+				t.Errorf("%s ends with %v, want %v", n.Name, got, best)
+			}
+			if f.state[n.Name].Ready() == best.Zero() {
+				t.Errorf("%s ready %v with %v in force", n.Name, f.state[n.Name].Ready(), best)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/decide/spread/spread_test.go
@@ -0,0 +1,212 @@
+package spread
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+func list(zones, perZone int) []Node {
+	var all []Node
+	for z := range zones {
+		for i := range perZone {
+			all = append(all, Node{Name: fmt.Sprintf("z%d-%d", z, i), Zone: fmt.Sprintf("z%d", z)})
+		}
+	}
+	return all
+}
+
+// A disconnected exchange graph would leave processes on an old revision, and
+// too many watchers or neighbours would exceed the limits of service and node.
+func TestTopologyIsConnectedAndBounded(t *testing.T) {
+	for _, size := range []struct{ zones, perZone int }{{1, 1}, {1, 2}, {3, 1}, {3, 6}, {6, 168}} {
+		all := list(size.zones, size.perZone)
+		watchers, links := map[string]int{}, map[string][]string{}
+		for _, n := range all {
+			topo := Derive(n, all)
+			if topo.Watcher {
+				watchers[n.Zone]++
+			}
+			if bound := ZoneNeighbours + 1 + size.zones; len(topo.Neighbours) > bound {
+				t.Errorf("%v: %s has %d neighbours", size, n.Name, len(topo.Neighbours))
+			}
+			for _, p := range topo.Neighbours {
+				links[n.Name] = append(links[n.Name], p)
+				links[p] = append(links[p], n.Name)
+			}
+		}
+		for z, w := range watchers {
+			if w != min(WatchersPerZone, size.perZone) {
+				t.Errorf("%v: %d watchers in %s", size, w, z)
+			}
+		}
+		if got := reach(links, all[0].Name); got != len(all) {
+			t.Errorf("%v: %d of %d nodes connected", size, got, len(all))
+		}
+	}
+}
+
+func reach(links map[string][]string, from string) int {
+	seen, queue := map[string]bool{from: true}, []string{from}
+	for len(queue) > 0 {
+		for _, n := range links[queue[0]] {
+			if !seen[n] {
+				seen[n] = true
+				queue = append(queue, n)
+			}
+		}
+		queue = queue[1:]
+	}
+	return len(seen)
+}
+
+func TestLeavingNodesCarryNoRole(t *testing.T) {
+	all := list(1, 4)
+	for i := range all {
+		all[i].Leaving = i > 0
+	}
+	if topo := Derive(all[0], all); !topo.Watcher || len(topo.Neighbours) != 0 {
+		t.Errorf("got %+v", topo)
+	}
+}
+
+func ready(t *testing.T, v Version) *State {
+	t.Helper()
+	s := New(Node{Name: "a", Zone: "z"}, nil)
+	s.Start(0)
+	s.Members(0, nil)
+	s.Delivered(0, v)
+	s.Validated(0, v, true)
+	s.Tick(AskWait)
+	if !s.Ready() {
+		t.Fatal("a sole process with a configuration is not ready")
+	}
+	return s
+}
+
+// An order that runs under an older revision could start in a zone that is
+// out; one that is refused for good under a newer one loses the upstream.
+func TestCheckOrder(t *testing.T) {
+	at := AskWait
+	cases := []struct {
+		name       string
+		revision   uint64
+		waited     time.Duration
+		idempotent bool
+		want       OrderVerdict
+	}{
+		{"older", 4, 0, true, OrderRefuse},
+		{"same", 5, 0, false, OrderRun},
+		{"newer", 6, 0, true, OrderHold},
+		{"newer, held for too long", 6, HoldWait, true, OrderRefuse},
+		{"refused here, idempotent", 7, 0, true, OrderRun},
+		{"refused here, not idempotent", 7, 0, false, OrderRefuse},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := ready(t, Version{5, 1})
+			s.Delivered(at, Version{7, 1})
+			s.Validated(at, Version{7, 1}, false)
+			got, actions := s.CheckOrder(at, at-c.waited, "router", c.revision, c.idempotent)
+			if got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+			asks := slices.Contains(actions, Action(Exchange{Peer: "router"}))
+			if asks != (c.want == OrderHold) {
+				t.Errorf("actions %v", actions)
+			}
+		})
+	}
+}
+
+// A router that gives up on a refusal, or resends at once under the revision
+// that was refused, turns each change of the configuration into failures.
+func TestCheckResend(t *testing.T) {
+	cases := []struct {
+		name         string
+		sent, theirs uint64
+		waited       time.Duration
+		want         ResendVerdict
+	}{
+		{"agent ahead", 5, 6, 0, ResendHold},
+		{"agent ahead for too long", 5, 6, StaleWait, ResendGiveUp},
+		{"caught up since", 4, 5, 0, ResendNow},
+		{"agent behind", 5, 4, 0, ResendElsewhere},
+		{"agent was behind", 5, 5, 0, ResendElsewhere},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := ready(t, Version{5, 1})
+			got, _ := s.CheckResend(AskWait, AskWait-c.waited, "agent", c.sent, c.theirs)
+			if got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// A process that acts after a pause without asking would act on a revision
+// that the others left behind.
+func TestPauseWithdrawsReadiness(t *testing.T) {
+	s := ready(t, Version{5, 1})
+	s.Members(AskWait, list(1, 4))
+	if got, _ := s.CheckOrder(time.Minute, time.Minute, "router", 5, true); got != OrderHold {
+		t.Fatalf("order right after a pause: %v", got)
+	}
+	s.Heard(time.Minute, "z0-1", Version{6, 1})
+	var fetches int
+	for _, a := range s.Tick(time.Minute + AskWait) {
+		if _, ok := a.(Fetch); ok {
+			fetches++
+		}
+	}
+	if s.Ready() || fetches > 0 {
+		t.Errorf("ready %v before the claimed revision arrived, %d more fetches", s.Ready(), fetches)
+	}
+}
+
+// Content that differs from its digest must not come into force, and a faulty
+// delta must not make a healthy peer useless.
+func TestMismatchFetchesTheWholeThenAnotherPeer(t *testing.T) {
+	s := ready(t, Version{5, 1})
+	s.Members(AskWait, list(1, 4))
+	want := Version{6, 9}
+	first := s.Heard(AskWait, "z0-1", want)
+	s.Heard(AskWait, "z0-2", want)
+	if !slices.Contains(first, Action(Fetch{"z0-1", want, Version{5, 1}})) {
+		t.Fatalf("no fetch with a base: %v", first)
+	}
+	second, ok := fetchIn(s.Fetched(AskWait, "z0-1", want, 8))
+	if !ok || !second.Base.Zero() {
+		t.Fatalf("no fetch of the whole: %v", second)
+	}
+	third, ok := fetchIn(s.Fetched(AskWait, second.Peer, want, 8))
+	if !ok || third.Peer == second.Peer || !third.Base.Zero() {
+		t.Fatalf("no fetch from another peer: %v", third)
+	}
+	if s.Accepted() != (Version{5, 1}) {
+		t.Errorf("%v is in force", s.Accepted())
+	}
+}
+
+func fetchIn(actions []Action) (Fetch, bool) {
+	for _, a := range actions {
+		if f, ok := a.(Fetch); ok {
+			return f, true
+		}
+	}
+	return Fetch{}, false
+}
+
+func TestDeltaGivesTheContent(t *testing.T) {
+	base := Files{"a.toml": []byte("1"), "b.toml": []byte("2"), "c.toml": []byte("3")}
+	next := Files{"a.toml": []byte("1"), "b.toml": []byte("9"), "d.toml": []byte("4")}
+	d := Diff(base, next)
+	if len(d.Changed) != 2 || !slices.Equal(d.Removed, []string{"c.toml"}) {
+		t.Errorf("delta %v", d)
+	}
+	if d.Apply(base).Digest() != next.Digest() || base.Digest() == next.Digest() {
+		t.Error("the delta does not lead from one content to the other")
+	}
+}
--- /dev/null
+++ b/decide/spread/state.go
@@ -0,0 +1,244 @@
+package spread
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// TickInterval is how often the owner calls Tick.
+	TickInterval = 500 * time.Millisecond
+	// PauseGap between two events means that the process was suspended: Tick
+	// alone makes an event every TickInterval.
+	PauseGap = 2 * time.Second
+	// ExchangeInterval separates regular exchanges. At two neighbours' worth
+	// of traffic it costs about a quarter of a kilobyte each second.
+	ExchangeInterval = 2 * time.Second
+	// FarEvery is the number of regular exchanges per exchange with a process
+	// outside the neighbours, which heals a list that differs between processes.
+	FarEvery = 8
+	// RefusedKept bounds the refused versions that are remembered.
+	RefusedKept = 64
+)
+
+// State is what one process knows about the spread of the configuration.
+type State struct {
+	self     Node
+	topo     Topology
+	accepted Version
+	// refused holds versions above the accepted one that do not validate, in
+	// ascending order.
+	refused    []Version
+	validating []Version
+	// claims is the version that each peer last said is in force there.
+	claims map[string]Version
+	fetch  fetching
+	catch  catchUp
+	// retry lists peers to which the push of the present version failed.
+	retry []string
+
+	last         time.Duration
+	nextExchange time.Duration
+	round        uint64
+	// listed is set once the membership list was seen.
+	listed   bool
+	ready    bool
+	counters Counters
+}
+
+// New returns the state of a process that has just started. Peers come from
+// its settings and serve until the membership list arrives.
+func New(self Node, peers []Node) *State {
+	return &State{self: self, topo: Derive(self, peers), claims: map[string]Version{}}
+}
+
+// Start begins to learn the highest accepted version. Nothing else may be
+// called before.
+func (s *State) Start(now time.Duration) []Action {
+	s.last = now
+	// The first regular exchanges of processes started together are spread
+	// over one interval.
+	s.nextExchange = now + startOffset(s.self.Name)
+	var out []Action
+	if s.topo.Watcher {
+		out = append(out, Watch{On: true})
+	}
+	s.catch = catchUp{active: true, fresh: true, began: now}
+	return append(out, s.ask(now)...)
+}
+
+// Accepted returns the version in force, zero before the first.
+func (s *State) Accepted() Version { return s.accepted }
+
+// Ready says whether the process may take work.
+func (s *State) Ready() bool { return s.ready }
+
+// Counters returns the totals.
+func (s *State) Counters() Counters { return s.counters }
+
+// Topology returns the present watch role and neighbours.
+func (s *State) Topology() Topology { return s.topo }
+
+// Members takes a new membership list.
+func (s *State) Members(now time.Duration, members []Node) []Action {
+	out := s.wake(now)
+	before := s.topo.Watcher
+	s.listed = true
+	s.topo = Derive(s.self, members)
+	for peer := range s.claims {
+		if _, ok := slices.BinarySearch(s.topo.names, peer); !ok {
+			delete(s.claims, peer)
+		}
+	}
+	if s.topo.Watcher != before {
+		out = append(out, Watch{On: s.topo.Watcher})
+	}
+	return append(out, s.settle(now)...)
+}
+
+// Delivered takes a version read from the platform's service.
+func (s *State) Delivered(now time.Duration, v Version) []Action {
+	out := s.wake(now)
+	if s.accepted.Above(v) {
+		s.counters.Stale++
+	}
+	return append(out, s.consider(v)...)
+}
+
+// consider asks for the verdict on content that could come into force.
+func (s *State) consider(v Version) []Action {
+	if v.Revision == s.accepted.Revision && v.Digest != s.accepted.Digest {
+		s.counters.Conflicts++
+	}
+	if !s.wanted(v) || slices.Contains(s.validating, v) {
+		return nil
+	}
+	s.validating = append(s.validating, v)
+	return []Action{Validate{Version: v}}
+}
+
+// wanted says whether a version could come into force.
+func (s *State) wanted(v Version) bool {
+	return v.Above(s.accepted) && !s.isRefused(v)
+}
+
+func (s *State) isRefused(v Version) bool {
+	_, found := slices.BinarySearchFunc(s.refused, v, Version.Compare)
+	return found
+}
+
+// Validated takes the verdict on content.
+func (s *State) Validated(now time.Duration, v Version, valid bool) []Action {
+	out := s.wake(now)
+	s.validating = slices.DeleteFunc(s.validating, func(w Version) bool { return w == v })
+	if !s.wanted(v) {
+		return append(out, s.settle(now)...)
+	}
+	if !valid {
+		return append(out, s.refuse(now, v)...)
+	}
+	s.accepted = v
+	s.counters.Adopted++
+	s.refused = slices.DeleteFunc(s.refused, v.Above)
+	out = append(out, Adopt{Version: v})
+	out = append(out, s.push()...)
+	out = append(out, s.fetchNext(now)...)
+	return append(out, s.settle(now)...)
+}
+
+// refuse remembers a version by its digest, so that it is not fetched again.
+func (s *State) refuse(now time.Duration, v Version) []Action {
+	s.counters.Refused++
+	at, _ := slices.BinarySearchFunc(s.refused, v, Version.Compare)
+	s.refused = slices.Insert(s.refused, at, v)
+	if len(s.refused) > RefusedKept {
+		// The lowest is the first to be overtaken by an accepted version.
+		s.refused = slices.Delete(s.refused, 0, 1)
+	}
+	out := append([]Action{Refuse{Version: v}}, s.fetchNext(now)...)
+	return append(out, s.settle(now)...)
+}
+
+// push offers the version in force to the neighbours that lack it.
+func (s *State) push() []Action {
+	var out []Action
+	s.retry = s.retry[:0]
+	for _, n := range s.topo.Neighbours {
+		if s.accepted.Above(s.claims[n]) {
+			out = append(out, s.exchange(n))
+		}
+	}
+	return out
+}
+
+func (s *State) exchange(peer string) Action {
+	s.counters.Exchanges++
+	return Exchange{Peer: peer}
+}
+
+// Heard takes the version that a peer says is in force there, from its digest
+// or its reply to the own one.
+func (s *State) Heard(now time.Duration, peer string, v Version) []Action {
+	out := s.wake(now)
+	s.claims[peer] = v
+	if v.Revision == s.accepted.Revision && v.Digest != s.accepted.Digest {
+		s.counters.Conflicts++
+	}
+	s.catch.answer(peer)
+	out = append(out, s.fetchNext(now)...)
+	return append(out, s.settle(now)...)
+}
+
+// ExchangeFailed takes the failure of an exchange.
+func (s *State) ExchangeFailed(now time.Duration, peer string) []Action {
+	out := s.wake(now)
+	delete(s.claims, peer)
+	s.catch.fail(peer)
+	if slices.Contains(s.topo.Neighbours, peer) && !slices.Contains(s.retry, peer) {
+		s.retry = append(s.retry, peer)
+	}
+	return append(out, s.settle(now)...)
+}
+
+// SeenOnTraffic takes the revision carried by a message of a peer. It names
+// no content, so a higher one leads to an exchange.
+func (s *State) SeenOnTraffic(now time.Duration, peer string, revision uint64) []Action {
+	out := s.wake(now)
+	if revision <= max(s.accepted.Revision, s.claims[peer].Revision) {
+		return out
+	}
+	// The claim keeps further messages from causing further exchanges.
+	s.claims[peer] = Version{Revision: revision}
+	return append(out, s.exchange(peer))
+}
+
+// Tick drives what depends on time alone.
+func (s *State) Tick(now time.Duration) []Action {
+	out := s.wake(now)
+	out = append(out, s.fetchTick(now)...)
+	if now >= s.nextExchange {
+		s.nextExchange = now + ExchangeInterval
+		out = append(out, s.regular()...)
+	}
+	return append(out, s.settle(now)...)
+}
+
+// regular exchanges with the next neighbour, with those whose push failed and
+// sometimes with a process outside the neighbours.
+func (s *State) regular() []Action {
+	s.round++
+	peers := slices.Clone(s.retry)
+	s.retry = s.retry[:0]
+	if n := len(s.topo.Neighbours); n > 0 {
+		peers = append(peers, s.topo.Neighbours[s.round%uint64(n)])
+	}
+	if s.round%FarEvery == 0 {
+		peers = append(peers, s.topo.sample(s.self, s.round, 2)...)
+	}
+	slices.Sort(peers)
+	var out []Action
+	for _, p := range slices.Compact(peers) {
+		out = append(out, s.exchange(p))
+	}
+	return out
+}
