Measure the spread of the configuration

Cause: the promise of seconds and of no revert had no run behind it. Change: add the experiment config, which runs decide/spread for 21, 505 and 1,010 processes in modelled time with faults, beside a fleet that polls.

--- /dev/null
+++ b/bench/config.go
@@ -0,0 +1,301 @@
+package bench
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	configSpan = 6 * time.Minute
+	// configQuiet at the end lets the last revisions arrive.
+	configQuiet = 30 * time.Second
+	// configChange is the mean time between changes: nine times the rate of
+	// 3,200 a day.
+	configChange   = 3 * time.Second
+	configPauses   = 40
+	configRestarts = 40
+	configReplaces = 12
+
+	configZoneCut      = 190 * time.Second
+	configZoneCutFor   = 30 * time.Second
+	configRegionCut    = 230 * time.Second
+	configRegionCutFor = 50 * time.Second
+	configZoneLost     = 290 * time.Second
+	configZoneLostFor  = 15 * time.Second
+)
+
+func init() {
+	register(Experiment{
+		Name: "config",
+		Asks: "Is an accepted configuration in force everywhere in time, without reverting, within the service's read limit?",
+		Run:  runConfig,
+	})
+}
+
+var (
+	configToday = configShape{zones: 3, regions: 1, nodes: 21,
+		zoneDelay: 1100 * time.Microsecond, validation: 2 * time.Millisecond}
+	configFull = configShape{zones: 6, regions: 2, nodes: 1010,
+		zoneDelay: 1100 * time.Microsecond, validation: 30 * time.Millisecond}
+	// configHalf shows how the load on the service grows with the fleet.
+	configHalf = configShape{zones: 6, regions: 2, nodes: 505,
+		zoneDelay: 1100 * time.Microsecond, validation: 30 * time.Millisecond}
+	configSizes = []configSize{{"_today", configToday}, {"_half", configHalf}, {"_full", configFull}}
+)
+
+type configSize struct {
+	suffix string
+	shape  configShape
+}
+
+// configPair holds the runs of the change and of the baseline.
+type configPair struct{ change, polling *configSim }
+
+// runConfig runs the sizes side by side; each run has its own random numbers.
+func runConfig(ctx context.Context, p Params) (Result, error) {
+	pairs := make([]configPair, len(configSizes))
+	var g errgroup.Group
+	g.SetLimit(2)
+	for i := range slices.Backward(configSizes) {
+		run := func(into **configSim, plain bool) {
+			g.Go(func() error {
+				*into = newConfigSim(configSizes[i].shape, p.Seed, plain)
+				(*into).schedule()
+				(*into).tl.Run(configSpan)
+				return ctx.Err()
+			})
+		}
+		run(&pairs[i].change, false)
+		run(&pairs[i].polling, true)
+	}
+	if err := g.Wait(); err != nil {
+		return Result{}, err
+	}
+	figures := configTotals(pairs)
+	for i, size := range configSizes {
+		figures = append(figures, configFigures(size.suffix, pairs[i].change)...)
+		figures = append(figures, configBaseline(size.suffix, pairs[i].polling)...)
+	}
+	return Result{Figures: figures}, nil
+}
+
+// configTotals holds the figures over all sizes.
+func configTotals(pairs []configPair) []Figure {
+	var reverts, wrong int
+	for _, p := range pairs {
+		reverts += p.change.reverts
+		wrong += p.change.wrongAccepts
+	}
+	half, full := pairs[1].change.service, pairs[2].change.service
+	growth := full.meanReads(configSpan) - half.meanReads(configSpan)
+	return []Figure{
+		Bounded("reverts", float64(reverts), "count", Exactly, 0),
+		Bounded("wrong_accepts", float64(wrong), "count", Exactly, 0),
+		Bounded("service_reads_per_s", full.peakReads(), "1/s", AtMost, 2000),
+		Plain("service_reads_growth_per_1000_nodes", growth*1000/float64(configFull.nodes-configHalf.nodes), "1/s"),
+	}
+}
+
+func configFigures(suffix string, s *configSim) []Figure {
+	times, missing := s.spreadTimes(configSpan - configQuiet)
+	p99, limit, name := quantile(times, 0.99), 10.0, "spread_p99_s"+suffix
+	if suffix == "_today" {
+		limit, name = 3, "spread_p99_s"
+	}
+	return []Figure{
+		Bounded(name, p99, "s", AtMost, limit),
+		Plain("spread_p50_s"+suffix, quantile(times, 0.5), "s"),
+		Plain("spread_max_s"+suffix, quantile(times, 1), "s"),
+		Bounded("spread_missing"+suffix, float64(missing), "count", Exactly, 0),
+		Plain("spread_pairs"+suffix, float64(len(times)), "count"),
+		Plain("start_to_ready_p99_s"+suffix, quantile(s.readyTimes, 0.99), "s"),
+		Plain("service_reads_peak_per_s"+suffix, s.service.peakReads(), "1/s"),
+		Plain("service_reads_mean_per_s"+suffix, s.service.meanReads(configSpan), "1/s"),
+		Plain("exchanges_per_s_per_node"+suffix, s.exchangeRate(), "1/s"),
+	}
+}
+
+func configBaseline(suffix string, s *configSim) []Figure {
+	times, missing := s.spreadTimes(configSpan - configQuiet)
+	return []Figure{
+		Plain("polling_reverts"+suffix, float64(s.reverts), "count"),
+		Plain("polling_spread_p99_s"+suffix, quantile(times, 0.99), "s"),
+		Plain("polling_spread_missing"+suffix, float64(missing), "count"),
+		Plain("polling_service_reads_peak_per_s"+suffix, s.service.peakReads(), "1/s"),
+		Plain("polling_service_reads_mean_per_s"+suffix, s.service.meanReads(configSpan), "1/s"),
+	}
+}
+
+func (s *configSim) exchangeRate() float64 {
+	var sum uint64
+	for _, n := range s.nodes {
+		if n.state != nil {
+			sum += n.state.Counters().Exchanges
+		}
+	}
+	return float64(sum) / configSpan.Seconds() / float64(len(s.nodes))
+}
+
+// quantile returns the value below which a part of the values lies.
+func quantile(values []float64, part float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(values)
+	slices.Sort(sorted)
+	return sorted[int(part*float64(len(sorted)-1))]
+}
+
+// schedule lays out changes and faults. Each fault happens at the same time
+// for the change and the baseline.
+func (s *configSim) schedule() {
+	for _, n := range s.nodes {
+		n.start()
+	}
+	for at := time.Second; at < configSpan-configQuiet; {
+		s.tl.At(at, s.service.publish)
+		at += time.Duration((0.5 + s.rng.Float64()) * float64(configChange))
+	}
+	s.between(60*time.Second, 100*time.Second, s.service.setDown)
+	s.between(120*time.Second, 180*time.Second, func(on bool) { s.service.freeze(0, on) })
+	s.between(140*time.Second, 170*time.Second, func(on bool) { s.service.freeze(1, on) })
+	s.between(configZoneCut, configZoneCut+configZoneCutFor, s.cutZone)
+	s.between(configRegionCut, configRegionCut+configRegionCutFor, s.cutRegion)
+	s.between(configZoneLost, configZoneLost+configZoneLostFor, s.loseZone)
+	for range configPauses {
+		s.tl.At(s.part(configSpan-2*configQuiet), s.pauseOne)
+	}
+	for range configRestarts {
+		s.tl.At(s.part(configSpan-2*configQuiet), s.restartOne)
+	}
+	for range configReplaces {
+		s.tl.At(s.part(configSpan-2*configQuiet), s.replaceOne)
+	}
+}
+
+func (s *configSim) between(from, to time.Duration, set func(on bool)) {
+	s.tl.At(from, func() { set(true) })
+	s.tl.At(to, func() { set(false) })
+}
+
+func (s *configSim) cutZone(on bool) {
+	s.zoneCut = ""
+	if on {
+		s.zoneCut = "z1"
+		s.blockAll(configZoneCutFor, func(n *configNode) bool { return n.node.Zone == "z1" })
+	}
+}
+
+func (s *configSim) cutRegion(on bool) {
+	s.regionCut = on && s.shape.regions > 1
+	if s.regionCut {
+		s.blockAll(configRegionCutFor, func(n *configNode) bool { return n.region > 0 })
+	}
+}
+
+func (s *configSim) blockAll(d time.Duration, in func(*configNode) bool) {
+	s.cutUntil = s.tl.Now() + d
+	for _, n := range s.nodes {
+		if in(n) {
+			n.block(s.tl.Now(), s.tl.Now()+d)
+		}
+	}
+}
+
+// loseZone ends every process of a zone and starts them again together.
+func (s *configSim) loseZone(on bool) {
+	for _, n := range s.nodes {
+		if n.node.Zone != "z2" || n.gone {
+			continue
+		}
+		if on {
+			n.up, n.life = false, n.life+1
+			n.block(s.tl.Now(), s.tl.Now()+configZoneLostFor)
+		} else if !n.up {
+			n.start()
+		}
+	}
+}
+
+// any returns a process that runs, or nil.
+func (s *configSim) any() *configNode {
+	n := s.nodes[s.rng.IntN(len(s.nodes))]
+	if !n.up || n.paused {
+		return nil
+	}
+	return n
+}
+
+func (s *configSim) pauseOne() {
+	n := s.any()
+	if n == nil {
+		return
+	}
+	d, life := 3*time.Second+s.part(20*time.Second), n.life
+	n.paused = true
+	n.block(s.tl.Now(), s.tl.Now()+d)
+	s.tl.After(d, func() {
+		if n.life == life {
+			n.resume()
+		}
+	})
+}
+
+func (n *configNode) resume() {
+	waiting := n.inbox
+	n.paused, n.inbox, n.began = false, nil, n.sim.tl.Now()
+	for _, f := range waiting {
+		f()
+	}
+}
+
+func (s *configSim) restartOne() {
+	n := s.any()
+	if n == nil {
+		return
+	}
+	d := time.Second + s.part(3*time.Second)
+	n.up, n.life = false, n.life+1
+	n.block(s.tl.Now(), s.tl.Now()+d)
+	life := n.life
+	s.tl.After(d, func() {
+		if n.life == life {
+			n.start()
+		}
+	})
+}
+
+// replaceOne ends a VM for good. The list follows later, and so does a new VM.
+func (s *configSim) replaceOne() {
+	n := s.any()
+	if n == nil {
+		return
+	}
+	n.up, n.gone, n.life = false, true, n.life+1
+	s.tl.After(configListLag, func() {
+		zone := int(n.node.Zone[1] - '0')
+		fresh := s.add(zone)
+		s.relist()
+		fresh.start()
+		s.announce()
+	})
+}
+
+// announce gives every process the list, at slightly different times.
+func (s *configSim) announce() {
+	list := s.list
+	for _, n := range s.nodes {
+		if n.state == nil {
+			continue
+		}
+		life := n.life
+		s.tl.After(s.part(time.Second), func() {
+			if n.life == life {
+				n.do(func() { n.run(n.state.Members(s.tl.Now(), list)) })
+			}
+		})
+	}
+}
--- /dev/null
+++ b/bench/config_service.go
@@ -0,0 +1,202 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/bench/timeline"
+	"github.com/mulberryfork/mulberryfork/decide/spread"
+)
+
+const (
+	configReplicas  = 3
+	configReadDelay = 4 * time.Millisecond
+	// configReplicaLag is the mean time until a replica has a new revision.
+	configReplicaLag = 50 * time.Millisecond
+	// One revision in these numbers is invalid, or published twice with
+	// different content.
+	configInvalidEvery = 13
+	configRaceEvery    = 17
+)
+
+// publication is one content that operators published.
+type publication struct {
+	version spread.Version
+	valid   bool
+	// readable is when a replica first had it while the service was up.
+	readable time.Duration
+	seen     bool
+}
+
+// configService models the platform's service: replicas of different age that
+// may be frozen, and calls that fail while it is down.
+type configService struct {
+	tl       *timeline.Timeline
+	rng      *rand.Rand
+	down     bool
+	frozen   [configReplicas]bool
+	pending  [configReplicas][]spread.Version
+	have     [configReplicas]spread.Version
+	waiters  [configReplicas][]*watchCall
+	history  []*publication
+	index    map[spread.Version]*publication
+	reads    []int
+	revision uint64
+}
+
+type watchCall struct {
+	above uint64
+	done  bool
+	reply func(v spread.Version, ok bool)
+}
+
+func newConfigService(tl *timeline.Timeline, rng *rand.Rand) *configService {
+	return &configService{tl: tl, rng: rng, index: map[spread.Version]*publication{}}
+}
+
+// publish adds a revision; some are invalid, some raced by a second operator
+// whose content reaches one replica only.
+func (s *configService) publish() {
+	s.revision++
+	v := spread.Version{Revision: s.revision, Digest: s.rng.Uint64()>>1 + 1}
+	s.record(v, s.revision%configInvalidEvery != 0)
+	raced := -1
+	if s.revision%configRaceEvery == 0 {
+		raced = s.rng.IntN(configReplicas)
+		other := spread.Version{Revision: s.revision, Digest: s.rng.Uint64()>>1 + 1}
+		s.record(other, true)
+		s.arrive(raced, other)
+	}
+	for r := range configReplicas {
+		if r != raced {
+			s.arrive(r, v)
+		}
+	}
+}
+
+func (s *configService) record(v spread.Version, valid bool) {
+	p := &publication{version: v, valid: valid}
+	s.history = append(s.history, p)
+	s.index[v] = p
+}
+
+func (s *configService) arrive(r int, v spread.Version) {
+	lag := time.Duration(s.rng.ExpFloat64() * float64(configReplicaLag))
+	s.tl.After(lag, func() {
+		s.pending[r] = append(s.pending[r], v)
+		s.advance(r)
+	})
+}
+
+// advance lets a replica that is not frozen take what has arrived.
+func (s *configService) advance(r int) {
+	if s.frozen[r] {
+		return
+	}
+	for _, v := range s.pending[r] {
+		if v.Revision > s.have[r].Revision {
+			s.have[r] = v
+		}
+	}
+	s.pending[r] = nil
+	if s.down {
+		return
+	}
+	s.markReadable(r)
+	waiting := s.waiters[r]
+	s.waiters[r] = nil
+	for _, w := range waiting {
+		s.answer(r, w)
+	}
+}
+
+// markReadable notes every publication that a reader could now have learned,
+// directly or by a higher one.
+func (s *configService) markReadable(r int) {
+	if p, ok := s.index[s.have[r]]; ok && !p.seen {
+		p.seen, p.readable = true, s.tl.Now()
+	}
+}
+
+func (s *configService) setDown(down bool) {
+	s.down = down
+	for r := range configReplicas {
+		waiting := s.waiters[r]
+		s.waiters[r] = nil
+		if !down {
+			s.advance(r)
+		}
+		for _, w := range waiting {
+			s.finish(w, spread.Version{}, false)
+		}
+	}
+}
+
+func (s *configService) freeze(r int, frozen bool) {
+	s.frozen[r] = frozen
+	s.advance(r)
+}
+
+// call counts one read in the second in which it happens.
+func (s *configService) call() {
+	second := int(s.tl.Now() / time.Second)
+	for len(s.reads) <= second {
+		s.reads = append(s.reads, 0)
+	}
+	s.reads[second]++
+}
+
+// read asks a replica that the caller cannot choose.
+func (s *configService) read(reply func(v spread.Version, ok bool)) {
+	s.call()
+	r := s.rng.IntN(configReplicas)
+	s.tl.After(configReadDelay, func() { reply(s.have[r], !s.down) })
+}
+
+// watch answers once a replica has a revision above the caller's, or with
+// nothing at the end of WatchRenew.
+func (s *configService) watch(above uint64, reply func(v spread.Version, ok bool)) {
+	s.call()
+	w := &watchCall{above: above, reply: reply}
+	if s.down {
+		s.finish(w, spread.Version{}, false)
+		return
+	}
+	s.answer(s.rng.IntN(configReplicas), w)
+	s.tl.After(spread.WatchRenew, func() { s.finish(w, spread.Version{}, true) })
+}
+
+func (s *configService) answer(r int, w *watchCall) {
+	if s.have[r].Revision > w.above {
+		s.finish(w, s.have[r], true)
+		return
+	}
+	if !w.done {
+		s.waiters[r] = append(s.waiters[r], w)
+	}
+}
+
+func (s *configService) finish(w *watchCall, v spread.Version, ok bool) {
+	if w.done {
+		return
+	}
+	w.done = true
+	s.tl.After(configReadDelay, func() { w.reply(v, ok) })
+}
+
+// peakReads and meanReads describe the load on the service.
+func (s *configService) peakReads() float64 {
+	peak := 0
+	for _, n := range s.reads {
+		peak = max(peak, n)
+	}
+	return float64(peak)
+}
+
+func (s *configService) meanReads(span time.Duration) float64 {
+	sum := 0
+	for _, n := range s.reads {
+		sum += n
+	}
+	return float64(sum) / span.Seconds()
+}
--- /dev/null
+++ b/bench/config_sim.go
@@ -0,0 +1,214 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/bench/timeline"
+	"github.com/mulberryfork/mulberryfork/decide/spread"
+)
+
+const (
+	configCallTimeout = time.Second
+	configListLag     = 10 * time.Second
+	// configLoss is the part of calls that fail by themselves, configCorrupt
+	// the part of transfers whose bytes do not match their digest.
+	configLoss    = 0.002
+	configCorrupt = 0.005
+	// configTransfer is the time to move a full content between VMs.
+	configTransfer = 5 * time.Millisecond
+)
+
+// configShape is the size of a modelled fleet.
+type configShape struct {
+	zones, regions, nodes int
+	zoneDelay             time.Duration
+	validation            time.Duration
+}
+
+// configSim runs the real decisions of many processes in modelled time.
+type configSim struct {
+	shape      configShape
+	plain      bool
+	tl         *timeline.Timeline
+	rng        *rand.Rand
+	service    *configService
+	nodes      []*configNode
+	byName     map[string]*configNode
+	list       []spread.Node
+	validation time.Duration
+	zoneCut    string
+	regionCut  bool
+	cutUntil   time.Duration
+
+	reverts, wrongAccepts int
+	readyTimes            []float64
+}
+
+func newConfigSim(shape configShape, seed uint64, plain bool) *configSim {
+	rng := rand.New(rand.NewPCG(seed, uint64(shape.nodes)))
+	tl := &timeline.Timeline{}
+	s := &configSim{shape: shape, plain: plain, tl: tl, rng: rng, validation: shape.validation,
+		service: newConfigService(tl, rand.New(rand.NewPCG(seed, 1))), byName: map[string]*configNode{}}
+	for i := range shape.nodes {
+		s.add(i % shape.zones)
+	}
+	s.relist()
+	return s
+}
+
+func (s *configSim) add(zone int) *configNode {
+	n := &configNode{sim: s, born: s.tl.Now(), region: zone * s.shape.regions / s.shape.zones}
+	n.node = spread.Node{Name: fmt.Sprintf("z%d-%d", zone, len(s.nodes)), Zone: fmt.Sprintf("z%d", zone)}
+	s.nodes = append(s.nodes, n)
+	s.byName[n.node.Name] = n
+	return n
+}
+
+// part returns a random part of a duration.
+func (s *configSim) part(d time.Duration) time.Duration {
+	return time.Duration(s.rng.Int64N(int64(d)))
+}
+
+// relist publishes the membership list as the platform sees it now.
+func (s *configSim) relist() {
+	s.list = make([]spread.Node, 0, len(s.nodes))
+	for _, n := range s.nodes {
+		if !n.gone {
+			s.list = append(s.list, n.node)
+		}
+	}
+}
+
+func (s *configSim) linked(a, b *configNode) bool {
+	if s.zoneCut != "" && a.node.Zone != b.node.Zone &&
+		(a.node.Zone == s.zoneCut || b.node.Zone == s.zoneCut) {
+		return false
+	}
+	return !s.regionCut || a.region == b.region
+}
+
+// reachesService is false for processes on the far side of a cut.
+func (s *configSim) reachesService(n *configNode) bool {
+	return n.node.Zone != s.zoneCut && (!s.regionCut || n.region == 0)
+}
+
+func (s *configSim) latency(a, b *configNode) time.Duration {
+	base := s.shape.zoneDelay / 4
+	switch {
+	case a.region != b.region:
+		base = 40 * time.Millisecond
+	case a.node.Zone != b.node.Zone:
+		base = s.shape.zoneDelay
+	}
+	return base + time.Duration(s.rng.ExpFloat64()*float64(base)/2)
+}
+
+// call models one remote call. serve runs at the callee and returns what runs
+// at the caller with the reply; fail runs at the caller instead if the call
+// has no reply in time.
+func (s *configSim) call(from, to *configNode, extra time.Duration, serve func() func(), fail func()) {
+	done, life := false, from.life
+	finish := func(f func()) {
+		if !done && from.life == life {
+			done = true
+			from.do(f)
+		}
+	}
+	s.tl.After(configCallTimeout, func() { finish(fail) })
+	if to == nil || !to.up {
+		// A VM that is gone refuses or ignores the connection.
+		return
+	}
+	lost := s.rng.Float64() < configLoss
+	s.tl.After(s.latency(from, to), func() {
+		if lost || !s.linked(from, to) {
+			return
+		}
+		to.do(func() {
+			reply := serve()
+			s.tl.After(s.latency(to, from)+extra, func() {
+				if s.linked(to, from) {
+					finish(reply)
+				}
+			})
+		})
+	})
+}
+
+func (s *configSim) exchange(n *configNode, peer string) {
+	to := s.byName[peer]
+	mine := n.state.Accepted()
+	serve := func() func() {
+		to.run(to.state.Heard(s.tl.Now(), n.node.Name, mine))
+		theirs := to.state.Accepted()
+		return func() { n.run(n.state.Heard(s.tl.Now(), peer, theirs)) }
+	}
+	s.call(n, to, 0, serve, func() { n.run(n.state.ExchangeFailed(s.tl.Now(), peer)) })
+}
+
+func (s *configSim) fetch(n *configNode, f spread.Fetch) {
+	to := s.byName[f.Peer]
+	corrupt := s.rng.Float64() < configCorrupt
+	serve := func() func() {
+		claimed := to.state.Accepted()
+		computed := claimed.Digest
+		if corrupt {
+			computed ^= 1
+		}
+		return func() {
+			n.holds[spread.Version{Revision: claimed.Revision, Digest: computed}] = computed
+			n.run(n.state.Fetched(s.tl.Now(), f.Peer, claimed, computed))
+		}
+	}
+	s.call(n, to, configTransfer, serve, func() { n.run(n.state.FetchFailed(s.tl.Now(), f.Peer)) })
+}
+
+// block notes a time in which a process cannot learn anything.
+func (n *configNode) block(from, to time.Duration) {
+	n.blocked = append(n.blocked, interval{from, to})
+}
+
+// spreadTimes returns, for each valid publication and process, the time from
+// the moment both were able until it or a higher version was in force, and
+// the number of pairs for which that never happened.
+func (s *configSim) spreadTimes(end time.Duration) (times []float64, missing int) {
+	for _, p := range s.service.history {
+		if !p.valid || !p.seen || p.readable > end {
+			continue
+		}
+		for _, n := range s.nodes {
+			if n.gone || n.born > p.readable {
+				continue
+			}
+			at, ok := n.firstAdoption(p.version)
+			if !ok {
+				missing++
+				continue
+			}
+			times = append(times, max(at-n.able(p.readable, at), 0).Seconds())
+		}
+	}
+	return times, missing
+}
+
+func (n *configNode) firstAdoption(v spread.Version) (time.Duration, bool) {
+	for _, a := range n.adopted {
+		if !v.Above(a.v) {
+			return a.at, true
+		}
+	}
+	return 0, false
+}
+
+// able moves a start time past the times in which the process was blocked
+// before it adopted.
+func (n *configNode) able(start, adopted time.Duration) time.Duration {
+	for _, b := range n.blocked {
+		if b.from <= adopted && b.to > start {
+			start = b.to
+		}
+	}
+	return start
+}
--- /dev/null
+++ b/bench/config_test.go
@@ -0,0 +1,25 @@
+package bench
+
+import (
+	"testing"
+)
+
+// The experiment must find no revert and no wrong content, and must repeat
+// itself for a seed; otherwise its figures mean nothing.
+func TestConfigKeepsItsPromisesAndRepeats(t *testing.T) {
+	run := func() *configSim {
+		s := newConfigSim(configToday, 1, false)
+		s.schedule()
+		s.tl.Run(configSpan)
+		return s
+	}
+	a, b := run(), run()
+	timesA, missing := a.spreadTimes(configSpan - configQuiet)
+	timesB, _ := b.spreadTimes(configSpan - configQuiet)
+	if a.reverts != 0 || a.wrongAccepts != 0 || missing != 0 {
+		t.Errorf("reverts %d, wrong accepts %d, missing %d", a.reverts, a.wrongAccepts, missing)
+	}
+	if len(timesA) != len(timesB) || quantile(timesA, 1) != quantile(timesB, 1) {
+		t.Error("two runs of one seed differ")
+	}
+}
--- /dev/null
+++ b/bench/timeline/timeline.go
@@ -0,0 +1,72 @@
+// Package timeline runs events of an experiment in modelled time.
+package timeline
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Timeline is a queue of events in order of time. Events of the same time run
+// in the order in which they were added, so a run depends on its seed only.
+type Timeline struct {
+	now    time.Duration
+	added  uint64
+	events eventHeap
+}
+
+// Now returns the modelled time.
+func (t *Timeline) Now() time.Duration { return t.now }
+
+// At adds an event; one in the past runs next.
+func (t *Timeline) At(when time.Duration, run func()) {
+	t.added++
+	heap.Push(&t.events, event{max(when, t.now), t.added, run})
+}
+
+// After adds an event relative to the modelled time.
+func (t *Timeline) After(d time.Duration, run func()) { t.At(t.now+d, run) }
+
+// Every adds an event that repeats until the timeline ends.
+func (t *Timeline) Every(first, interval time.Duration, run func()) {
+	var again func()
+	again = func() {
+		run()
+		t.After(interval, again)
+	}
+	t.At(first, again)
+}
+
+// Run carries out the events up to the end.
+func (t *Timeline) Run(end time.Duration) {
+	for len(t.events) > 0 && t.events[0].when <= end {
+		e := heap.Pop(&t.events).(event)
+		t.now = e.when
+		e.run()
+	}
+	t.now = end
+}
+
+type event struct {
+	when  time.Duration
+	order uint64
+	run   func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].when != h[j].when {
+		return h[i].when < h[j].when
+	}
+	return h[i].order < h[j].order
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*h = old[:len(old)-1]
+	return last
+}
--- a/decide/spread/actions.go
+++ b/decide/spread/actions.go
@@ -22,10 +22,12 @@
 }
 
 // Validate asks for the verdict on content that has arrived. It comes back
-// as Validated.
+// as Validated. The service files content under its revision and its computed
+// digest, so that a corrupted transfer cannot replace what is being validated.
 type Validate struct{ Version Version }
 
-// Adopt puts validated content in force.
+// Adopt puts validated content in force. Content of lower versions can be
+// dropped, but for the one before, which serves as base of deltas.
 type Adopt struct{ Version Version }
 
 // Refuse reports content that does not validate. What was in force stays.
--- a/decide/spread/catchup.go
+++ b/decide/spread/catchup.go
@@ -24,9 +24,7 @@
 // catchUp is the search for the highest accepted version, after a start or a
 // pause. No work is taken while it is active.
 type catchUp struct {
-	active bool
-	// fresh is true after a start, when nothing is in force yet.
-	fresh    bool
+	active   bool
 	began    time.Duration
 	deadline time.Duration
 	rounds   uint64
@@ -63,7 +61,7 @@
 	// Claims from before the pause do not count as answers.
 	clear(s.claims)
 	s.fetch = fetching{}
-	s.catch = catchUp{active: true, fresh: s.accepted.Zero(), began: now}
+	s.catch = catchUp{active: true, began: now}
 	return append(out, s.ask(now)...)
 }
 
@@ -77,7 +75,11 @@
 	for _, p := range s.catch.asked {
 		out = append(out, s.exchange(p))
 	}
-	if !s.topo.Watcher && s.accepted.Zero() && s.catch.rounds%SourceReadRounds == 0 {
+	if !s.listed && s.catch.rounds > AskRounds {
+		// Without a list there is no rule that says who watches.
+		out = append(out, s.watch(true)...)
+	}
+	if !s.watching && s.accepted.Zero() && s.catch.rounds%SourceReadRounds == 0 {
 		out = append(out, ReadSource{})
 	}
 	return out
--- a/decide/spread/fetch.go
+++ b/decide/spread/fetch.go
@@ -29,11 +29,12 @@
 // fetchNext fetches the highest version that a peer claims, if it is wanted
 // and no fetch is under way.
 func (s *State) fetchNext(now time.Duration) []Action {
-	if s.fetch.peer != "" || now < s.fetch.resume {
+	if !s.behind || s.fetch.peer != "" || now < s.fetch.resume {
 		return nil
 	}
 	want := s.highestClaim()
-	if want.Zero() || slices.Contains(s.validating, want) {
+	s.behind = !want.Zero()
+	if !s.behind || slices.Contains(s.validating, want) {
 		return nil
 	}
 	if want != s.fetch.want {
@@ -106,8 +107,8 @@
 	if peer == s.fetch.peer {
 		s.fetch = fetching{}
 	}
-	if s.claims[peer].Compare(claimed) < 0 {
-		s.claims[peer] = claimed
+	if claimed.Above(s.claims[peer]) {
+		s.claims[peer], s.behind = claimed, true
 	}
 	out = append(out, s.consider(claimed)...)
 	out = append(out, s.fetchNext(now)...)
--- /dev/null
+++ b/decide/spread/source.go
@@ -0,0 +1,29 @@
+package spread
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/decide/rendezvous"
+)
+
+const (
+	// WatchRenew bounds one pending watch. A watcher cannot choose the replica
+	// that answers; a new call may reach one that is less stale.
+	WatchRenew = 2 * time.Second
+	// RetryFirst and RetryMost bound the wait after failed calls.
+	RetryFirst = 250 * time.Millisecond
+	RetryMost  = 4 * time.Second
+)
+
+// RetryDelay returns the wait after a number of failed calls in a row. It
+// doubles up to RetryMost and is spread over its second half by node, so that
+// processes do not return at the same moment.
+func RetryDelay(node string, failures uint64) time.Duration {
+	wait := RetryFirst
+	for n := uint64(1); n < failures && wait < RetryMost; n++ {
+		wait *= 2
+	}
+	f := rendezvous.KeyOf("retry", strconv.FormatUint(failures, 10)).Fraction(node)
+	return wait/2 + time.Duration(f*float64(wait/2))
+}
--- a/decide/spread/state.go
+++ b/decide/spread/state.go
@@ -40,8 +40,12 @@
 	last         time.Duration
 	nextExchange time.Duration
 	round        uint64
-	// listed is set once the membership list was seen.
+	// listed is set once the membership list was seen, watching while the
+	// service is watched.
 	listed   bool
+	watching bool
+	// behind is set while a claim may name content to fetch.
+	behind   bool
 	ready    bool
 	counters Counters
 }
@@ -59,12 +63,8 @@
 	// The first regular exchanges of processes started together are spread
 	// over one interval.
 	s.nextExchange = now + startOffset(s.self.Name)
-	var out []Action
-	if s.topo.Watcher {
-		out = append(out, Watch{On: true})
-	}
-	s.catch = catchUp{active: true, fresh: true, began: now}
-	return append(out, s.ask(now)...)
+	s.catch = catchUp{active: true, began: now}
+	return s.ask(now)
 }
 
 // Accepted returns the version in force, zero before the first.
@@ -82,7 +82,7 @@
 // Members takes a new membership list.
 func (s *State) Members(now time.Duration, members []Node) []Action {
 	out := s.wake(now)
-	before := s.topo.Watcher
+	first := !s.listed
 	s.listed = true
 	s.topo = Derive(s.self, members)
 	for peer := range s.claims {
@@ -90,12 +90,21 @@
 			delete(s.claims, peer)
 		}
 	}
-	if s.topo.Watcher != before {
-		out = append(out, Watch{On: s.topo.Watcher})
+	out = append(out, s.watch(s.topo.Watcher)...)
+	if first && s.catch.active && len(s.catch.pending) == 0 {
+		out = append(out, s.ask(now)...)
 	}
 	return append(out, s.settle(now)...)
 }
 
+func (s *State) watch(on bool) []Action {
+	if s.watching == on {
+		return nil
+	}
+	s.watching = on
+	return []Action{Watch{On: on}}
+}
+
 // Delivered takes a version read from the platform's service.
 func (s *State) Delivered(now time.Duration, v Version) []Action {
 	out := s.wake(now)
@@ -185,7 +194,10 @@
 		s.counters.Conflicts++
 	}
 	s.catch.answer(peer)
-	out = append(out, s.fetchNext(now)...)
+	if s.wanted(v) {
+		s.behind = true
+		out = append(out, s.fetchNext(now)...)
+	}
 	return append(out, s.settle(now)...)
 }
 
