Decide cold start by completions and step time, and measure it

Cause: a ramp over time gives a cold upstream more than it bears when it sat idle, restarted or warms slowly.

--- /dev/null
+++ b/bench/coldstart_engine.go
@@ -0,0 +1,160 @@
+package bench
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/decide/coldstart"
+)
+
+const (
+	coldChunkTokens = 512
+	coldPrefillStep = 3 * time.Millisecond
+	// coldSpare is how much more than its ceiling a warm engine bears.
+	coldSpare = 1.25
+	// coldOverloadSlow is how much longer the steps of a staged engine take
+	// above what it bears.
+	coldOverloadSlow = 3
+)
+
+// coldShape is a modelled engine. A gradual one gets faster with each
+// completion; a staged one keeps its speed up to a number of requests that
+// grows with each completion, and is slow above it.
+type coldShape struct {
+	staged    bool
+	cold, max int
+	base      time.Duration
+	bound     time.Duration
+	kappa     float64
+	tokens    float64
+	// gain is how many requests a staged engine bears more for each completion.
+	gain float64
+}
+
+func drawColdShape(rng *rand.Rand, bound time.Duration) coldShape {
+	cold := 4 + rng.IntN(7)
+	return coldShape{
+		staged: rng.IntN(2) == 0, cold: cold, max: cold * (4 + rng.IntN(7)),
+		base:  time.Duration(14+rng.IntN(9)) * time.Millisecond,
+		bound: bound, kappa: 60 + 240*rng.Float64(), tokens: 60 + 80*rng.Float64(),
+		gain: 0.5 + rng.Float64(),
+	}
+}
+
+func (c coldShape) params() coldstart.Params {
+	return coldstart.Params{ColdRequests: c.cold, MaxRequests: c.max, Gain: c.gain, StepBound: c.bound}
+}
+
+type coldRequest struct {
+	ticket  coldstart.Ticket
+	prompt  int
+	prefill int
+	left    int
+	started time.Duration
+}
+
+// coldEngine runs requests in steps, as continuous batching does.
+type coldEngine struct {
+	coldShape
+	rng         *rand.Rand
+	now         time.Duration
+	done        float64
+	incarnation uint64
+	running     []*coldRequest
+	overloads   int
+	// unseen counts starts above what it bears between a silent loss of state
+	// and the end of the next step, when nobody can know of it.
+	unseen bool
+	blind  int
+}
+
+func newColdEngine(c coldShape, seed uint64) *coldEngine {
+	return &coldEngine{coldShape: c, rng: rand.New(rand.NewPCG(seed, 7)), incarnation: 1}
+}
+
+func (e *coldEngine) perRequest() float64 {
+	room := float64(e.bound - e.base)
+	warm := room / (coldSpare * float64(e.max))
+	if e.staged {
+		return warm
+	}
+	return warm + (room/float64(e.cold)-warm)*math.Exp(-e.done/e.kappa)
+}
+
+// bears returns the number of requests that the engine can run at present.
+func (e *coldEngine) bears() int {
+	if e.staged {
+		return int(min(float64(e.cold)+e.gain*e.done, coldSpare*float64(e.max)))
+	}
+	const rounding = 1e-9
+	return int(float64(e.bound-e.base)/e.perRequest() + rounding)
+}
+
+func (e *coldEngine) start(t coldstart.Ticket) {
+	prompt := 128 + e.rng.IntN(1400)
+	e.running = append(e.running, &coldRequest{
+		ticket: t, prompt: prompt, prefill: (prompt + coldChunkTokens - 1) / coldChunkTokens,
+		left: 1 + int(e.rng.ExpFloat64()*e.tokens), started: e.now,
+	})
+	if len(e.running) <= e.bears() {
+		return
+	}
+	if e.unseen {
+		e.blind++
+		return
+	}
+	e.overloads++
+}
+
+// step runs one step and reports first tokens and completions.
+func (e *coldEngine) step(first, done func(*coldRequest)) time.Duration {
+	took := float64(e.base) + e.perRequest()*float64(len(e.running))
+	if e.staged && len(e.running) > e.bears() {
+		took *= coldOverloadSlow
+	}
+	took *= 1 + 0.02*e.rng.NormFloat64()
+	duration := time.Duration(took)
+	for _, r := range e.running {
+		if r.prefill > 0 {
+			duration += coldPrefillStep
+			break
+		}
+	}
+	e.now += duration
+	e.unseen = false
+	kept := e.running[:0]
+	for _, r := range e.running {
+		switch {
+		case r.prefill > 1:
+			r.prefill--
+		case r.prefill == 1:
+			r.prefill = 0
+			first(r)
+		default:
+			r.left--
+		}
+		if r.left > 0 {
+			kept = append(kept, r)
+			continue
+		}
+		e.done++
+		done(r)
+	}
+	e.running = kept
+	return duration
+}
+
+// restart ends what runs and begins a new incarnation.
+func (e *coldEngine) restart() (ended []*coldRequest) {
+	ended = e.running
+	e.running, e.done = nil, 0
+	e.incarnation++
+	return ended
+}
+
+// lose makes the engine cold without any notice.
+func (e *coldEngine) lose() {
+	e.done = 0
+	e.unseen = true
+}
--- a/decide/coldstart/coldstart.go
+++ b/decide/coldstart/coldstart.go
@@ -10,7 +10,7 @@
 	// for each completed request.
 	DefaultGain = 0.5
 	// GainMargin is the part of the stated gain that the limit uses.
-	GainMargin = 0.9
+	GainMargin = 0.95
 	// HoldOver is how far one step may exceed the bound before starts above
 	// the cold limit wait for a step that is in line. The noise of a step and
 	// the prompt of a new request stay below it.
@@ -20,7 +20,7 @@
 	PressedPart = 0.75
 	// StepMargin keeps the predicted step time below its bound, for the noise
 	// of the measurement.
-	StepMargin = 0.92
+	StepMargin = 0.94
 	// FirstTokenSlack is how far a first token may exceed the usual time for a
 	// prompt of its length.
 	FirstTokenSlack = 4.0
--- a/decide/spread/spread_test.go
+++ b/decide/spread/spread_test.go
@@ -146,6 +146,16 @@
 	}
 }
 
+// A process whose zone is dead but still listed would hear nothing until its
+// next exchange outside the neighbours.
+func TestFailedNeighbourIsReplacedFromAnotherZone(t *testing.T) {
+	s := ready(t, Version{5, 1})
+	s.Members(AskWait, []Node{{Name: "b", Zone: "z"}, {Name: "c", Zone: "y"}})
+	if got := s.ExchangeFailed(AskWait, "b"); !slices.Contains(got, Action(Exchange{Peer: "c"})) {
+		t.Errorf("actions %v", got)
+	}
+}
+
 // A process that acts after a pause without asking would act on a revision
 // that the others left behind.
 func TestPauseWithdrawsReadiness(t *testing.T) {
--- a/decide/spread/state.go
+++ b/decide/spread/state.go
@@ -206,8 +206,14 @@
 	out := s.wake(now)
 	delete(s.claims, peer)
 	s.catch.fail(peer)
-	if slices.Contains(s.topo.Neighbours, peer) && !slices.Contains(s.retry, peer) {
-		s.retry = append(s.retry, peer)
+	if slices.Contains(s.topo.Neighbours, peer) {
+		if !slices.Contains(s.retry, peer) {
+			s.retry = append(s.retry, peer)
+		}
+		// The whole zone may be gone but for this process.
+		if far, ok := s.topo.elsewhere(s.self, s.round); ok {
+			out = append(out, s.exchange(far))
+		}
 	}
 	return append(out, s.settle(now)...)
 }
--- a/decide/spread/topology.go
+++ b/decide/spread/topology.go
@@ -110,3 +110,15 @@
 	})
 	return append(near, key.Top(n-len(near), rest)...)
 }
+
+// elsewhere returns a node of another zone for a round.
+func (t *Topology) elsewhere(self Node, round uint64) (string, bool) {
+	others := slices.DeleteFunc(slices.Sorted(maps.Keys(t.zones)), func(z string) bool {
+		return z == self.Zone || len(t.zones[z]) == 0
+	})
+	if len(others) == 0 {
+		return "", false
+	}
+	key := rendezvous.KeyOf("elsewhere", self.Name, strconv.FormatUint(round, 10))
+	return key.Top(1, t.zones[key.Top(1, others)[0]])[0], true
+}
