--- a/decide/rendezvous/rendezvous.go
+++ b/decide/rendezvous/rendezvous.go
@@ -9,6 +9,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberryfork/mulberryfork/decide/hash"
 )
 
 // Key is the hash of what a candidate is chosen for.
@@ -30,7 +32,7 @@
 
 // Score returns the weight of a candidate for the key.
 func (k Key) Score(candidate string) uint64 {
-	return mix(uint64(k) ^ mix(xxhash.Sum64String(candidate)))
+	return hash.String(uint64(k), candidate)
 }
 
 // Fraction maps the score of a candidate to the range from 0 up to 1.
@@ -69,12 +71,3 @@
 	}
 	return names
 }
-
-// mix is the finalizer of splitmix64. XXH64 of two short strings combined by
-// exclusive or alone would give symmetric, correlated weights.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
