Check and document the upstream's cold gain

Cause: cold start needs to know how fast an upstream warms, and the pages of keys did not list the new setting.

--- a/api/config.go
+++ b/api/config.go
@@ -117,7 +117,7 @@
 	// ColdRequests is the concurrent work it bears in cold start.
 	ColdRequests int `toml:"cold_requests"`
 	// ColdGain is the number of requests that it bears more for each
-	// completed one while it warms; 0 for the default.
+	// completed one while it warms.
 	ColdGain float64 `toml:"cold_gain"`
 	// ChecksFencing is true if it refuses orders with a stale fencing token.
 	ChecksFencing bool `toml:"checks_fencing"`
--- a/decide/config/defaults.go
+++ b/decide/config/defaults.go
@@ -21,6 +21,7 @@
 	DefaultMaxRequests       = 64
 	DefaultMaxTokens         = 262_144
 	DefaultColdRequests      = 2
+	DefaultColdGain          = 0.5
 	DefaultMemoryMB          = 81_920
 	DefaultResendWindow      = 10 * time.Minute
 	DefaultTimeout           = 30 * time.Second
@@ -67,6 +68,7 @@
 	tomltree.Default(n, &u.MaxRequests, DefaultMaxRequests, "max_requests")
 	tomltree.Default(n, &u.MaxTokens, DefaultMaxTokens, "max_tokens")
 	tomltree.Default(n, &u.ColdRequests, min(DefaultColdRequests, max(u.MaxRequests, 1)), "cold_requests")
+	tomltree.Default(n, &u.ColdGain, DefaultColdGain, "cold_gain")
 	if u.Kind == api.KindModel {
 		tomltree.Default(n, &u.MemoryMB, DefaultMemoryMB, "memory_mb")
 	}
--- a/decide/config/validate.go
+++ b/decide/config/validate.go
@@ -24,6 +24,8 @@
 	maxRate       = 1_000_000.0
 	maxRequests   = 100_000
 	maxTokens     = 1_000_000_000
+	minColdGain   = 0.01
+	maxColdGain   = 100.0
 	maxMemoryMB   = 16 << 20
 	maxContext    = 100_000_000
 	maxUpstreams  = 100_000
--- a/decide/config/validate_upstream.go
+++ b/decide/config/validate_upstream.go
@@ -40,6 +40,7 @@
 	c.WholeBetween(u.MaxRequests, 1, maxRequests, "upstreams", n, "max_requests")
 	c.WholeBetween(u.MaxTokens, 1, maxTokens, "upstreams", n, "max_tokens")
 	c.WholeBetween(u.ColdRequests, 1, maxRequests, "upstreams", n, "cold_requests")
+	c.NumberBetween(u.ColdGain, minColdGain, maxColdGain, "upstreams", n, "cold_gain")
 	c.WholeBetween(u.MemoryMB, 0, maxMemoryMB, "upstreams", n, "memory_mb")
 	if u.ColdRequests > u.MaxRequests {
 		c.Fail(ExceedsLimit, fmt.Sprintf("%d is more than max_requests (%d)", u.ColdRequests, u.MaxRequests),
