Count service-level objectives as a pure decision

Operators could state objectives, but nothing counted them. decide/burn keeps good and total events in buckets of 1 min, 10 min and 2 h, splits bad events by member, zone, upstream, model and service within fixed bounds, and adds up what several routers publish. Time in which a router did not run or was paused lowers the coverage of a window instead of counting as good.

The end of a request names the upstream of its last send, and metrics can be structured values.

--- a/api/metrics.go
+++ b/api/metrics.go
@@ -8,6 +8,8 @@
 	MetricCounter   MetricKind = "counter"
 	MetricGauge     MetricKind = "gauge"
 	MetricHistogram MetricKind = "histogram"
+	// MetricReport is a structured value.
+	MetricReport MetricKind = "report"
 )
 
 // Metric describes one published metric.
@@ -59,6 +61,7 @@
 	{"first_chunk", MetricHistogram, "us", "member", "router", "time from arrival to the first chunk"},
 	{"chunk_gap", MetricHistogram, "us", "member", "router", "time between two chunks"},
 	{"request_time", MetricHistogram, "us", "member", "router", "time from arrival to the end"},
+	{"burn", MetricReport, "", "", "router", "counts for the service-level objectives; read by `mulberryfork burn`"},
 	{"route_choices", MetricCounter, "choices", "reason", "router", "choices of upstream, by what decided them"},
 	{"route_ejected", MetricCounter, "ejections", "", "router", "upstreams ejected as outliers"},
 	{"work_started", MetricCounter, "requests", "member", "agent", "requests started at the upstream"},
--- a/api/names.go
+++ b/api/names.go
@@ -20,4 +20,5 @@
 	ServiceMetrics         = "metrics"
 	ServiceAdminHTTP       = "admin.http"
 	ServiceLog             = "log"
+	ServiceReport          = "report"
 )
--- /dev/null
+++ b/api/report_test.go
@@ -0,0 +1,39 @@
+package api_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
+
+// Guards against gaps on the edge of a bucket that land on the wrong side of a
+// threshold.
+func TestGapCountsRespectThresholds(t *testing.T) {
+	const ms = time.Millisecond
+	cases := []struct {
+		gap, bound time.Duration
+		within     uint64
+	}{
+		{49 * ms, 49 * ms, 1},
+		{49*ms + 1, 49 * ms, 0},
+		{0, ms, 1},
+		{64 * ms, 64 * ms, 1},
+		{72 * ms, 72 * ms, 1},
+		{70 * ms, 71 * ms, 0},
+		{16384 * ms, 16384 * ms, 1},
+		{16384*ms + 1, time.Hour, 0},
+	}
+	for _, c := range cases {
+		var g api.GapCounts
+		g.Add(c.gap)
+		if within, all := g.Count(c.bound); within != c.within || all != 1 {
+			t.Errorf("gap %v, bound %v: %d of %d within", c.gap, c.bound, within, all)
+		}
+	}
+	for i := 1; i < api.GapBuckets-1; i++ {
+		if api.GapEdge(i) <= api.GapEdge(i-1) {
+			t.Errorf("edge %d does not rise", i)
+		}
+	}
+}
--- a/api/request.go
+++ b/api/request.go
@@ -86,6 +86,8 @@
 	// Chunks is the number of chunks of the whole answer.
 	Chunks  uint64
 	Failure *Failure
+	// Upstream is the one that the last send went to, set by the dispatcher.
+	Upstream string
 }
 
 // Sink receives one answer. The calls come from one goroutine, in order:
--- /dev/null
+++ b/decide/burn/burn_test.go
@@ -0,0 +1,245 @@
+package burn_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/burn"
+)
+
+const ms = time.Millisecond
+
+// class is a kind of request, with the good and total events that it adds to
+// each objective of the test.
+type class struct {
+	end  api.RequestEnd
+	want map[string][2]uint64
+}
+
+func gaps(list ...time.Duration) *api.GapCounts {
+	var g api.GapCounts
+	for _, d := range list {
+		g.Add(d)
+	}
+	return &g
+}
+
+var objectives = map[string]api.Objective{
+	"availability": {Kind: api.ObjectiveAvailability, Target: 0.999},
+	"answered":     {Kind: api.ObjectiveAnswered, Member: "desk", Target: 0.99},
+	"first":        {Kind: api.ObjectiveFirstToken, Target: 0.95, Threshold: api.Duration(340 * ms)},
+	"gap":          {Kind: api.ObjectiveTokenGap, Model: "notes", Target: 0.95, Threshold: api.Duration(49 * ms)},
+}
+
+var classes = []class{
+	{
+		api.RequestEnd{Streamed: true, Status: 200, FirstToken: 340 * ms, Gaps: gaps(49*ms, 50*ms, ms)},
+		map[string][2]uint64{"availability": {1, 1}, "answered": {1, 1}, "first": {1, 1}, "gap": {2, 3}},
+	},
+	{
+		api.RequestEnd{Streamed: true, Status: 200, FirstToken: 341 * ms},
+		map[string][2]uint64{"availability": {1, 1}, "answered": {1, 1}, "first": {0, 1}},
+	},
+	{
+		api.RequestEnd{Streamed: true, Status: 200, FirstToken: ms, Gaps: gaps(ms), Failure: api.Fail(api.CodeStreamBroken, api.Ran, "")},
+		map[string][2]uint64{"availability": {0, 1}, "answered": {0, 1}, "first": {1, 1}, "gap": {1, 1}},
+	},
+	{
+		api.RequestEnd{Streamed: true, Failure: api.Fail(api.CodeQueueFull, api.NotRun, "")},
+		map[string][2]uint64{"availability": {0, 1}, "first": {0, 1}},
+	},
+	{api.RequestEnd{Streamed: true, Failure: api.Fail(api.CodeRateLimited, api.NotRun, "")}, nil},
+	{api.RequestEnd{Failure: api.Fail(api.CodeCanceled, api.Unknown, "")}, nil},
+	{
+		api.RequestEnd{Status: 500},
+		map[string][2]uint64{"availability": {0, 1}, "answered": {1, 1}},
+	},
+	{
+		api.RequestEnd{Status: 200, FirstToken: time.Second},
+		map[string][2]uint64{"availability": {1, 1}, "answered": {1, 1}},
+	},
+}
+
+// happening is one event of the plain recount.
+type happening struct {
+	at          time.Duration
+	good, total uint64
+	member      string
+	upstream    string
+}
+
+// recount keeps everything that one router saw, without bounds.
+type recount struct {
+	state    *burn.State
+	begin    time.Duration
+	events   map[string][]happening
+	lost     []happening
+	observed [][2]time.Duration
+	last     time.Duration
+}
+
+func start(now time.Duration) *recount {
+	r := &recount{state: burn.New(now), begin: now, events: make(map[string][]happening), last: now}
+	r.state.Configure(now, objectives)
+	return r
+}
+
+// step notes the time since the last call, which is missing if it was long.
+func (r *recount) step(now time.Duration) {
+	if now-r.last <= 30*time.Second {
+		r.observed = append(r.observed, [2]time.Duration{r.last - r.begin, now - r.begin})
+	}
+	r.last = now
+}
+
+func (r *recount) record(now time.Duration, c class, member, model, upstream string) {
+	r.step(now)
+	e := c.end
+	e.Member, e.Model, e.Upstream, e.Zone = member, model, upstream, "zone-"+upstream
+	r.state.Record(now, e)
+	for name, want := range c.want {
+		o := objectives[name]
+		if o.Member != "" && o.Member != member || o.Model != "" && o.Model != model {
+			continue
+		}
+		r.events[name] = append(r.events[name], happening{now - r.begin, want[0], want[1], member, upstream})
+	}
+}
+
+// within reports whether a time is in the whole buckets of a window or the one
+// being filled.
+func within(t, now, width, length time.Duration) bool {
+	return t/width >= now/width-length/width
+}
+
+type window struct {
+	good, total, lost  uint64
+	observed, expected time.Duration
+	bad                map[string]uint64
+}
+
+func (r *recount) add(w *window, objective string, now, width, length time.Duration) {
+	now -= r.begin
+	w.expected += length + now%width
+	for _, e := range r.events[objective] {
+		if within(e.at, now, width, length) {
+			w.good, w.total = w.good+e.good, w.total+e.total
+			w.bad["member "+e.member] += e.total - e.good
+			w.bad["upstream "+e.upstream] += e.total - e.good
+		}
+	}
+	for _, e := range r.lost {
+		if within(e.at, now, width, length) {
+			w.lost += e.total
+		}
+	}
+	oldest := max((now/width-length/width)*width, 0)
+	for _, o := range r.observed {
+		w.observed += max(o[1]-max(o[0], oldest), 0)
+	}
+}
+
+var widths = map[string]time.Duration{"5m": time.Minute, "1h": time.Minute, "6h": 10 * time.Minute, "3d": 2 * time.Hour}
+
+// Guards against events that are counted twice or in the wrong window, against
+// time without a router or during a pause that counts as observed, and against
+// routers that are added up wrongly.
+func TestWindowsEqualAPlainRecount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Duration(rapid.Int64Range(0, int64(100*time.Hour)).Draw(t, "boot"))
+		routers := []*recount{start(now), start(now)}
+		pick := func(t *rapid.T) *recount { return rapid.SampledFrom(routers).Draw(t, "router") }
+		t.Repeat(map[string]func(*rapid.T){
+			"request": func(t *rapid.T) {
+				upstream := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "upstream")
+				member := rapid.SampledFrom([]string{"desk", "crews"}).Draw(t, "member")
+				model := rapid.SampledFrom([]string{"notes", "letters"}).Draw(t, "model")
+				pick(t).record(now, rapid.SampledFrom(classes).Draw(t, "class"), member, model, upstream)
+			},
+			"run": func(t *rapid.T) {
+				for range rapid.IntRange(1, 400).Draw(t, "steps") {
+					now += time.Duration(rapid.SampledFrom([]int{1, 10, 29_999, 30_000}).Draw(t, "step")) * ms
+					for _, r := range routers {
+						r.step(now)
+						r.state.Advance(now)
+					}
+				}
+			},
+			"pause": func(t *rapid.T) {
+				now += time.Duration(rapid.Int64Range(int64(30*time.Second), int64(90*time.Hour)).Draw(t, "pause"))
+			},
+			"lose": func(t *rapid.T) {
+				r := pick(t)
+				r.step(now)
+				r.state.Lose(now, 2)
+				r.lost = append(r.lost, happening{at: now - r.begin, total: 2})
+			},
+			"restart": func(t *rapid.T) { routers[rapid.IntRange(0, 1).Draw(t, "router")] = start(now) },
+			"":        func(t *rapid.T) { compare(t, now, routers) },
+		})
+	})
+}
+
+func compare(t *rapid.T, now time.Duration, routers []*recount) {
+	var sources []burn.Source
+	for i, r := range routers {
+		r.step(now)
+		p := &burn.Published{Objectives: r.state.Publish(now)}
+		sources = append(sources, burn.Source{Address: fmt.Sprint(i), Published: p})
+	}
+	summary := burn.Merge(sources)
+	if len(summary.Objectives) != len(objectives) {
+		t.Fatalf("%d objectives", len(summary.Objectives))
+	}
+	for _, o := range summary.Objectives {
+		for i, length := range []time.Duration{5 * time.Minute, time.Hour, 6 * time.Hour, 72 * time.Hour} {
+			got := o.Windows[i]
+			want := window{bad: make(map[string]uint64)}
+			for _, r := range routers {
+				r.add(&want, o.Name, now, widths[got.Name], length)
+			}
+			compareWindow(t, o, got, want)
+			if got.Name == "6h" {
+				compareBlame(t, o, want.bad)
+			}
+		}
+	}
+}
+
+func compareWindow(t *rapid.T, o burn.ObjectiveSummary, got burn.WindowSummary, want window) {
+	if got.Good != want.good || got.Total != want.total || got.Lost != want.lost {
+		t.Fatalf("%s %s: %+v, want %+v", o.Name, got.Name, got, want)
+	}
+	if covered := float64(want.observed) / float64(want.expected); math.Abs(covered-got.Coverage) > 0.001 {
+		t.Fatalf("%s %s: coverage %v, want %v", o.Name, got.Name, got.Coverage, covered)
+	}
+	if (got.Burn == nil) != (want.total == 0) {
+		t.Fatalf("%s %s: burn known with %d events", o.Name, got.Name, want.total)
+	}
+	if got.Burn == nil {
+		return
+	}
+	rate := float64(want.total-want.good) / float64(want.total) / (1 - objectives[o.Name].Target)
+	if math.Abs(rate-*got.Burn) > 0.001 {
+		t.Fatalf("%s %s: burn %v, want %v", o.Name, got.Name, *got.Burn, rate)
+	}
+}
+
+func compareBlame(t *rapid.T, o burn.ObjectiveSummary, want map[string]uint64) {
+	found := make(map[string]uint64)
+	for _, b := range o.Blame {
+		for _, n := range b.Names {
+			found[string(b.Dimension)+" "+n.Name] = n.SixHours
+		}
+	}
+	for name, bad := range want {
+		if found[name] != bad {
+			t.Fatalf("%s: %s has %d bad events, want %d", o.Name, name, found[name], bad)
+		}
+	}
+}
--- /dev/null
+++ b/decide/burn/merge_test.go
@@ -0,0 +1,145 @@
+package burn_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/burn"
+)
+
+var availability = map[string]api.Objective{"a": {Kind: api.ObjectiveAvailability, Target: 0.99}}
+
+// serve lets a router run for some time with one request a second, of which
+// the given part fails.
+func serve(s *burn.State, from, length time.Duration, badIn int) time.Duration {
+	now := from
+	for i := 1; now < from+length; i++ {
+		now += time.Second
+		e := api.RequestEnd{Member: "desk", Status: 200}
+		if badIn > 0 && i%badIn == 0 {
+			e.Status = 503
+		}
+		s.Record(now, e)
+	}
+	return now
+}
+
+func published(s *burn.State, now time.Duration, revision uint64) *burn.Published {
+	return &burn.Published{Revision: revision, Objectives: s.Publish(now)}
+}
+
+// Guards against an outage that is not paged, and against missing time that
+// passes for a good hour.
+func TestVerdicts(t *testing.T) {
+	const day = 24 * time.Hour
+	cases := []struct {
+		name   string
+		serve  func(s *burn.State) time.Duration
+		absent int
+		want   burn.Status
+	}{
+		{"all good", func(s *burn.State) time.Duration { return serve(s, 0, 2*time.Hour, 0) }, 0, burn.StatusOK},
+		{"just started", func(s *burn.State) time.Duration { return serve(s, 0, 10*time.Minute, 0) }, 0, burn.StatusIncomplete},
+		{"router missing", func(s *burn.State) time.Duration { return serve(s, 0, 2*time.Hour, 0) }, 1, burn.StatusIncomplete},
+		{"outage", func(s *burn.State) time.Duration { return serve(s, serve(s, 0, 2*time.Hour, 0), time.Hour, 4) }, 0, burn.StatusPage},
+		{"outage over", func(s *burn.State) time.Duration {
+			return serve(s, serve(s, serve(s, 0, 11*time.Hour, 0), 30*time.Minute, 3), 10*time.Minute, 0)
+		}, 0, burn.StatusTicket},
+		{"slow burn", func(s *burn.State) time.Duration { return serve(s, 0, 8*time.Hour, 50) }, 0, burn.StatusTicket},
+		{"paused for an hour", func(s *burn.State) time.Duration { return serve(s, 0, 2*time.Hour, 0) + 3*time.Hour }, 0, burn.StatusNoData},
+		{"nobody called", func(s *burn.State) time.Duration {
+			for now := time.Duration(0); now < day; now += 10 * time.Second {
+				s.Advance(now)
+			}
+			return day
+		}, 0, burn.StatusNoRequests},
+	}
+	for _, c := range cases {
+		s := burn.New(0)
+		s.Configure(0, availability)
+		now := c.serve(s)
+		sources := []burn.Source{{Address: "1", Published: published(s, now, 1)}}
+		for range c.absent {
+			sources = append(sources, burn.Source{Address: "2", Reason: "refused"})
+		}
+		o := burn.Merge(sources).Objectives[0]
+		if o.Status != c.want || len(o.Missing) != c.absent {
+			t.Errorf("%s: %s, missing %v, windows %+v", c.name, o.Status, o.Missing, o.Windows)
+		}
+	}
+}
+
+// Guards against counts that are added up although they answer different
+// questions, and against an old definition that outlives a change.
+func TestDefinitionsMustAgree(t *testing.T) {
+	old, fresh := burn.New(0), burn.New(0)
+	old.Configure(0, availability)
+	fresh.Configure(0, availability)
+	serve(old, 0, time.Minute, 1)
+	serve(fresh, 0, time.Minute, 1)
+	fresh.Configure(time.Minute, map[string]api.Objective{"a": {Kind: api.ObjectiveAvailability, Target: 0.9}})
+	now := serve(fresh, time.Minute, time.Minute, 0)
+	o := burn.Merge([]burn.Source{
+		{Address: "1", Published: published(old, now, 4)},
+		{Address: "2", Published: published(fresh, now, 5)},
+	}).Objectives[0]
+	if o.Definition.Target != 0.9 || o.Windows[0].Total != 60 || o.Windows[0].Good != 60 {
+		t.Errorf("%+v", o.Windows[0])
+	}
+	if len(o.Missing) != 1 || o.Missing[0].Address != "1" {
+		t.Errorf("missing %v", o.Missing)
+	}
+}
+
+// Guards against memory and publications that grow with the number of names.
+func TestNamesAreBounded(t *testing.T) {
+	s := burn.New(0)
+	s.Configure(0, availability)
+	const names = 2000
+	for i := range names {
+		s.Record(time.Second, api.RequestEnd{Member: fmt.Sprint(i), Status: 500})
+	}
+	s.Record(time.Second, api.RequestEnd{Member: "7", Status: 500})
+	o := burn.Merge([]burn.Source{{Published: published(s, time.Second, 1)}}).Objectives[0]
+	members := o.Blame[0].Names
+	var sum uint64
+	for _, n := range members {
+		sum += n.SixHours
+	}
+	if len(members) > 33 || sum != names+1 || members[0].Name != "7" {
+		t.Errorf("%d names, %d events, first %s", len(members), sum, members[0].Name)
+	}
+}
+
+// Guards against percentiles of several routers that hide the slow one.
+func TestTailsSurviveMerging(t *testing.T) {
+	pack := func(n, us int64) burn.PackedTimes {
+		h := hdrhistogram.New(1, 600_000_000, 2)
+		if err := h.RecordValues(us, n); err != nil {
+			t.Fatal(err)
+		}
+		packed, err := h.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return burn.PackedTimes{Metric: "first_chunk", Member: "desk", Packed: packed}
+	}
+	times, err := burn.MergeTimes([]burn.PackedTimes{pack(980, 1000), pack(10, 9_000_000), pack(10, 2000)})
+	if err != nil || len(times) != 1 {
+		t.Fatal(times, err)
+	}
+	got := times[0]
+	if got.Count != 1000 || got.P50Us > 1010 || got.P99Us > 2050 || got.P999Us < 8_900_000 || got.MaxUs < 8_900_000 {
+		t.Errorf("%+v", got)
+	}
+	var broken *burn.PackedTimesError
+	if _, err := burn.MergeTimes([]burn.PackedTimes{{Packed: slices.Repeat([]byte{7}, 9)}}); !errors.As(err, &broken) {
+		t.Errorf("broken histogram: %v", err)
+	}
+}
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -43,7 +43,9 @@
 	attempt     uint32
 	exclude     []string
 	// assembly puts chunks in order and knows how many the caller has.
-	assembly  *reassembly.Assembler
+	assembly *reassembly.Assembler
+	// last is the upstream of the newest send.
+	last      string
 	headSent  bool
 	resumable bool
 	// uncertain is set once a send may have run.
@@ -237,6 +239,7 @@
 }
 
 func (d *delivery) finish(choice api.RouteChoice, began time.Duration, a *attempt, f *api.Failure, unsent bool) {
+	d.last = choice.Upstream
 	if f != nil {
 		d.exclude = append(d.exclude, choice.Upstream)
 	}
--- a/service/dispatch/dispatch.go
+++ b/service/dispatch/dispatch.go
@@ -82,6 +82,7 @@
 	s.counts.duplicate.Add(int64(drops.Duplicate))
 	s.counts.foreign.Add(int64(drops.Foreign + drops.Unsent))
 	s.counts.late.Add(int64(drops.Late + drops.Closed))
+	end.Upstream = d.last
 	sink.End(end)
 }
 
--- a/service/metrics/metrics.go
+++ b/service/metrics/metrics.go
@@ -126,6 +126,14 @@
 	s.vars.Set(name, expvar.Func(func() any { return read() }))
 }
 
+// Publish adds a value that is encoded as JSON at each scrape.
+func (s *Service) Publish(name string, read func() any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.note(name, api.MetricReport)
+	s.vars.Set(name, expvar.Func(read))
+}
+
 // Observe records a duration.
 func (s *Service) Observe(name, label string, d time.Duration) {
 	s.histogram(name, label).record(d)
