Publish service-level counts on routers

The report service takes the end of each request from the front end, counts it on the control loop and publishes the buckets as one structured metric, at most once a second. Traffic goroutines only post: a full mailbox drops the event, and the number lost is published with the counts. A scrape reads the last publication, because the control loop may wait for the table of metrics that a scrape holds.

A test starts a deployment, sends requests and checks the counts, and that no process publishes a metric that the table lacks.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/mulberryfork/mulberryfork/service/linkserver"
 	"github.com/mulberryfork/mulberryfork/service/log"
 	"github.com/mulberryfork/mulberryfork/service/metrics"
+	"github.com/mulberryfork/mulberryfork/service/report"
 	"github.com/mulberryfork/mulberryfork/service/routing"
 	"github.com/mulberryfork/mulberryfork/service/trust"
 	"github.com/mulberryfork/mulberryfork/service/work"
@@ -43,6 +44,7 @@
 		api.ServiceAdmission,
 		api.ServiceRouting,
 		api.ServiceDispatch,
+		api.ServiceReport,
 		api.ServiceFrontendHTTP,
 	)
 }
@@ -73,6 +75,7 @@
 		linkserver.Register,
 		log.Register,
 		metrics.Register,
+		report.Register,
 		routing.Register,
 		trust.Register,
 		work.Register,
--- /dev/null
+++ b/deployment/deployment_test.go
@@ -0,0 +1,145 @@
+package deployment_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/burn"
+	"github.com/mulberryfork/mulberryfork/deployment"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/standin/modelengine"
+	"github.com/mulberryfork/mulberryfork/standin/plainservice"
+)
+
+const (
+	limit = 30 * time.Second
+	// pollInterval is the time between two reads of a router's metrics.
+	pollInterval = 50 * time.Millisecond
+	objectives   = `
+[objectives.tokens]
+kind = "first_token"
+target = 0.95
+threshold = "1h"
+[objectives.booking]
+kind = "availability"
+service = "booking"
+target = 0.9
+`
+)
+
+type unlisted interface{ Unlisted() []string }
+
+func startPool(ctx context.Context, t *testing.T) *deployment.Deployment {
+	t.Helper()
+	clock := kernel.BootClock{}
+	engine := modelengine.New(modelengine.Options{Clock: clock, Models: []string{deployment.Model}, StepBase: time.Millisecond})
+	booking := plainservice.New(plainservice.Options{Clock: clock})
+	pool, err := deployment.Start(ctx, deployment.Options{
+		Zones:   []string{"porto-a", "porto-b"},
+		Routers: 1,
+		Members: map[string]float64{"desk": 1},
+		Upstreams: []deployment.Upstream{
+			{Name: "engine-1", Zone: "porto-a", Handler: engine, MaxRequests: 8, ColdRequests: 4},
+			{Name: "booking-1", Zone: "porto-b", Plain: true, Handler: booking, MaxRequests: 8, ColdRequests: 4},
+		},
+		ExtraConfig: objectives,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pool
+}
+
+func call(ctx context.Context, t *testing.T, method, url, token, body string) int {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode
+}
+
+// published polls the router's metrics until both objectives have their events.
+func published(ctx context.Context, t *testing.T, admin string) map[string]burn.WindowSummary {
+	t.Helper()
+	again := time.NewTicker(pollInterval)
+	defer again.Stop()
+	for ; ; <-again.C {
+		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+admin+"/debug/vars", nil)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var vars struct{ Burn *burn.Published }
+		err = json.NewDecoder(resp.Body).Decode(&vars)
+		_ = resp.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		found := make(map[string]burn.WindowSummary)
+		for _, o := range burn.Merge([]burn.Source{{Published: vars.Burn}}).Objectives {
+			if o.Windows[0].Total > 0 {
+				found[o.Name] = o.Windows[0]
+			}
+		}
+		if len(found) == 2 {
+			return found
+		}
+	}
+}
+
+// Guards against a metric that the table, and with it the page for operators,
+// does not know, and against requests that the report does not see.
+func TestMetricsAreListedAndRequestsReported(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	pool := startPool(ctx, t)
+	url, token := pool.Routers[0].URL, deployment.Token("desk")
+	completion := `{"model":"` + deployment.Model + `","stream":true,"max_tokens":4,"messages":[{"role":"user","content":"hello"}]}`
+	for _, c := range []struct {
+		method, path, token, body string
+		want                      int
+	}{
+		{http.MethodPost, "/v1/chat/completions", token, completion, http.StatusOK},
+		{http.MethodPost, "/v1/chat/completions", token, `{"model":"none"}`, http.StatusNotFound},
+		{http.MethodPost, "/v1/chat/completions", "wrong", completion, http.StatusUnauthorized},
+		{http.MethodPost, "/services/booking/visits", token, `{"home":"Rua 5","day":"2027-01-11"}`, http.StatusOK},
+		{http.MethodGet, "/v1/outcomes/none", token, "", http.StatusOK},
+	} {
+		if got := call(ctx, t, c.method, url+c.path, c.token, c.body); got != c.want {
+			t.Errorf("%s %s: status %d, want %d", c.method, c.path, got, c.want)
+		}
+	}
+	for name, w := range published(ctx, t, pool.Routers[0].Admin) {
+		if w.Good != 1 || w.Total != 1 {
+			t.Errorf("objective %s: %+v", name, w)
+		}
+	}
+	for _, node := range append(pool.Routers, pool.Agents...) {
+		table, err := kernel.Find[unlisted](node.Process.Host, api.ServiceMetrics)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if names := table.Unlisted(); len(names) > 0 {
+			t.Errorf("%s publishes %v, which the table in api/metrics.go lacks", node.Name, names)
+		}
+	}
+	if err := pool.Stop(ctx); err != nil {
+		t.Error(err)
+	}
+}
--- a/service/frontend/answer.go
+++ b/service/frontend/answer.go
@@ -19,6 +19,7 @@
 	s.metrics.Counter("requests", request.Member).Add(1)
 	release, failure := s.admission.Enter(r.Context(), request.Member, request.CostTokens)
 	if failure != nil {
+		s.ended(request, api.RequestEnd{Failure: failure})
 		s.fail(w, failure)
 		return
 	}
@@ -43,6 +44,9 @@
 	events  bool
 	chunks  uint64
 	buffer  []byte
+	status  int
+	first   time.Duration
+	gaps    *api.GapCounts
 }
 
 // Head writes status and headers.
@@ -54,7 +58,7 @@
 		}
 	}
 	a.writer.WriteHeader(h.Status)
-	a.started = true
+	a.started, a.status = true, h.Status
 	return nil
 }
 
@@ -88,15 +92,36 @@
 
 func (a *answer) observe() {
 	now := a.service.clock.Now()
-	name := "chunk_gap"
+	name, passed := "chunk_gap", now-a.last
 	if a.chunks == 0 {
-		name = "first_chunk"
+		name, a.first = "first_chunk", passed
+	} else if a.request.Stream {
+		a.countGap(passed)
 	}
-	a.service.metrics.Observe(name, a.request.Member, now-a.last)
+	a.service.metrics.Observe(name, a.request.Member, passed)
 	a.last = now
 	a.chunks++
 }
 
+func (a *answer) countGap(d time.Duration) {
+	if a.gaps == nil {
+		a.gaps = new(api.GapCounts)
+	}
+	a.gaps.Add(d)
+}
+
+// ended tells the report on service levels that a request ended.
+func (s *service) ended(r api.Request, e api.RequestEnd) {
+	if s.report == nil {
+		return
+	}
+	e.Member, e.Model, e.Service, e.Streamed = r.Member, r.Model, r.Service, r.Stream
+	if snap := s.store.Current(); snap != nil && e.Upstream != "" {
+		e.Zone = snap.Config.Upstreams[e.Upstream].Zone
+	}
+	s.report.RequestEnded(e)
+}
+
 // Flush hands buffered events to the caller.
 func (a *answer) Flush() {
 	if a.events {
@@ -109,6 +134,13 @@
 // without the mark that ends a body.
 func (a *answer) End(e api.End) {
 	a.service.metrics.Observe("request_time", a.request.Member, a.service.clock.Now()-a.begin)
+	a.service.ended(a.request, api.RequestEnd{
+		Upstream:   e.Upstream,
+		FirstToken: a.first,
+		Gaps:       a.gaps,
+		Status:     a.status,
+		Failure:    e.Failure,
+	})
 	if e.Failure == nil {
 		a.service.metrics.Counter("answers_whole", a.request.Member).Add(1)
 		return
--- a/service/frontend/frontend.go
+++ b/service/frontend/frontend.go
@@ -30,7 +30,9 @@
 	admission  api.Admission
 	dispatcher api.Dispatcher
 	metrics    api.Metrics
-	clock      kernel.Clock
+	// report is nil in a process without a report on service levels.
+	report api.Report
+	clock  kernel.Clock
 
 	server   *http.Server
 	listener net.Listener
@@ -53,6 +55,9 @@
 	if s.metrics, err = kernel.Lookup[api.Metrics](c, api.ServiceMetrics); err != nil {
 		return err
 	}
+	if s.report, _, err = kernel.LookupOptional[api.Report](c, api.ServiceReport); err != nil {
+		return err
+	}
 	s.clock = c.Clock()
 	return nil
 }
--- /dev/null
+++ b/service/report/report.go
@@ -0,0 +1,98 @@
+// Package report counts the requests of a router for the service-level
+// objectives and publishes the counts, which `mulberryfork burn` adds up.
+package report
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/burn"
+	"github.com/mulberryfork/mulberryfork/kernel"
+)
+
+const (
+	endMailbox = 4096
+	// publishInterval is how long a counted request may stay unpublished, and
+	// idleInterval how often an idle router publishes that it was there.
+	publishInterval = time.Second
+	idleInterval    = 10 * time.Second
+	metricBurn      = "burn"
+)
+
+type service struct {
+	settings *api.Settings
+	ends     *kernel.Mailbox[api.RequestEnd]
+	// lost counts requests whose end found the mailbox full.
+	lost      atomic.Uint64
+	published atomic.Pointer[burn.Published]
+
+	// The control loop owns the fields below.
+	state    *burn.State
+	revision uint64
+	dirty    bool
+	last     time.Duration
+}
+
+func (s *service) Provision(c *kernel.Context) (err error) {
+	if s.settings, err = kernel.Value[*api.Settings](c); err != nil {
+		return err
+	}
+	store, err := kernel.Lookup[api.ConfigStore](c, api.ServiceConfigStore)
+	if err != nil {
+		return err
+	}
+	publisher, err := kernel.Lookup[api.Publisher](c, api.ServiceMetrics)
+	if err != nil {
+		return err
+	}
+	s.last = c.Clock().Now()
+	s.state = burn.New(s.last)
+	s.published.Store(&burn.Published{Node: s.settings.Node, Zone: s.settings.Zone})
+	s.ends = kernel.NewMailbox(c.Loop(), "report.end", endMailbox, kernel.Drop, s.count)
+	store.Subscribe(s.configure)
+	c.Loop().Every(publishInterval, s.tick)
+	// A scrape reads the last publication, since the loop may itself wait for
+	// the table of metrics that the scrape holds.
+	publisher.Publish(metricBurn, func() any { return s.published.Load() })
+	return nil
+}
+
+// RequestEnded hands the end of a request to the control loop. One that finds
+// the mailbox full is counted as lost.
+func (s *service) RequestEnded(e api.RequestEnd) {
+	var full *kernel.MailboxFullError
+	if err := s.ends.Post(context.Background(), e); errors.As(err, &full) {
+		s.lost.Add(1)
+	}
+}
+
+func (s *service) configure(now time.Duration, snap *api.Snapshot) {
+	s.state.Configure(now, snap.Config.Objectives)
+	s.revision, s.dirty = snap.Revision, true
+}
+
+func (s *service) count(now time.Duration, e api.RequestEnd) {
+	s.state.Record(now, e)
+	s.dirty = true
+}
+
+func (s *service) tick(now time.Duration) {
+	s.state.Advance(now)
+	if lost := s.lost.Swap(0); lost > 0 {
+		s.state.Lose(now, lost)
+		s.dirty = true
+	}
+	if !s.dirty && now-s.last < idleInterval {
+		return
+	}
+	s.dirty, s.last = false, now
+	s.published.Store(&burn.Published{
+		Node:       s.settings.Node,
+		Zone:       s.settings.Zone,
+		Revision:   s.revision,
+		Objectives: s.state.Publish(now),
+	})
+}
--- /dev/null
+++ b/service/report/report_test.go
@@ -0,0 +1,119 @@
+package report_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/burn"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/service/report"
+)
+
+// platform stands in for config.store and metrics. Posting to hold blocks the
+// control loop until release is closed.
+type platform struct {
+	api.ConfigStore
+	changed func(time.Duration, *api.Snapshot)
+	offers  *kernel.Mailbox[*api.Snapshot]
+	hold    *kernel.Mailbox[struct{}]
+	release chan struct{}
+	read    func() any
+}
+
+func (p *platform) Provision(c *kernel.Context) error {
+	p.release = make(chan struct{})
+	p.hold = kernel.NewMailbox(c.Loop(), "hold", 1, kernel.Wait, func(time.Duration, struct{}) { <-p.release })
+	p.offers = kernel.NewMailbox(c.Loop(), "offer", 1, kernel.Wait, func(now time.Duration, s *api.Snapshot) { p.changed(now, s) })
+	return nil
+}
+
+func (p *platform) Subscribe(f func(time.Duration, *api.Snapshot)) { p.changed = f }
+func (p *platform) Publish(_ string, read func() any)              { p.read = read }
+
+func (p *platform) window(t *testing.T, name string) burn.WindowSummary {
+	t.Helper()
+	published := p.read().(*burn.Published)
+	summary := burn.Merge([]burn.Source{{Published: published}})
+	for _, w := range summary.Objectives[0].Windows {
+		if w.Name == name {
+			return w
+		}
+	}
+	t.Fatalf("no window %s", name)
+	return burn.WindowSummary{}
+}
+
+func start(t *testing.T) (*platform, api.Report, *kernel.Host) {
+	t.Helper()
+	r := kernel.NewRegistry()
+	p := &platform{}
+	for _, name := range []string{api.ServiceConfigStore, api.ServiceMetrics} {
+		if err := r.Register(name, func() any { return p }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := report.Register(r); err != nil {
+		t.Fatal(err)
+	}
+	names := []string{api.ServiceReport, api.ServiceConfigStore, api.ServiceMetrics}
+	host := kernel.NewHost(r, names, kernel.Options{
+		Clock:  kernel.NewRuntimeClock(),
+		Values: []any{&api.Settings{Node: "router-1", Zone: "a"}},
+	})
+	if err := host.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	found, err := kernel.Find[api.Report](host, api.ServiceReport)
+	if err != nil {
+		t.Fatal(err)
+	}
+	objective := api.Objective{Kind: api.ObjectiveAvailability, Target: 0.99}
+	snap := &api.Snapshot{Revision: 7, Config: &api.Config{Objectives: map[string]api.Objective{"a": objective}}}
+	_ = p.offers.Post(t.Context(), snap)
+	return p, found, host
+}
+
+// Guards against requests that are published late or not at all, and against a
+// router without requests whose time looks missing.
+func TestRequestsAreCountedAndPublished(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, r, host := start(t)
+		r.RequestEnded(api.RequestEnd{Member: "desk", Status: 200})
+		r.RequestEnded(api.RequestEnd{Member: "desk", Failure: api.Fail(api.CodeOverloaded, api.NotRun, "")})
+		time.Sleep(1500 * time.Millisecond)
+		if w := p.window(t, "5m"); w.Good != 1 || w.Total != 2 || w.Lost != 0 {
+			t.Errorf("%+v", w)
+		}
+		if published := p.read().(*burn.Published); published.Revision != 7 || published.Node != "router-1" {
+			t.Errorf("%+v", published)
+		}
+		time.Sleep(61 * time.Minute)
+		if w := p.window(t, "1h"); w.Total != 0 || w.Coverage < 0.99 {
+			t.Errorf("idle hour: %+v", w)
+		}
+		_ = host.Stop(context.Background())
+	})
+}
+
+// Guards against a full mailbox that holds requests back or hides that some
+// were not counted.
+func TestLostRequestsShow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, r, host := start(t)
+		synctest.Wait()
+		_ = p.hold.Post(t.Context(), struct{}{})
+		synctest.Wait()
+		for range 5000 {
+			r.RequestEnded(api.RequestEnd{Status: 200})
+		}
+		close(p.release)
+		time.Sleep(1500 * time.Millisecond)
+		if w := p.window(t, "5m"); w.Total != 4096 || w.Lost != 5000-4096 {
+			t.Errorf("%+v", w)
+		}
+		_ = host.Stop(context.Background())
+	})
+}
