--- a/decide/burn/merge.go
+++ b/decide/burn/merge.go
@@ -124,7 +124,7 @@
 			continue
 		}
 		t := p.counts.Tiers[w.tier]
-		expected += time.Duration(t.FilledMs) * time.Millisecond
+		expected += t.filled()
 		for i := range whole + 1 {
 			sum.add(t.bucket(i))
 		}
@@ -144,24 +144,44 @@
 func mergeSeries(parts []part, tier int, d Definition) Series {
 	t := Tiers()[tier]
 	out := Series{Width: t.Width}
+	filled := longestFilled(parts, tier)
 	for i := range t.Keep + 1 {
 		var sum Bucket
 		var expected time.Duration
 		for _, p := range parts {
 			whole := t.Width
+			if i == 0 {
+				whole = filled
+			}
 			if p.counts != nil {
 				sum.add(p.counts.Tiers[tier].bucket(i))
 				if i == 0 {
-					whole = time.Duration(p.counts.Tiers[tier].FilledMs) * time.Millisecond
+					whole = p.counts.Tiers[tier].filled()
 				}
 			}
 			expected += whole
 		}
-		out.Points = append(out.Points, Point{Burn: d.burn(sum), Coverage: portion(sum.Observed, expected)})
+		point := Point{Burn: d.burn(sum), Coverage: portion(sum.Observed, expected)}
+		if expected == 0 {
+			// A bucket that has just begun has nothing to miss.
+			point.Coverage = 1
+		}
+		out.Points = append(out.Points, point)
 	}
 	return out
 }
 
+// longestFilled stands for the buckets being filled by routers that are missing.
+func longestFilled(parts []part, tier int) time.Duration {
+	var longest time.Duration
+	for _, p := range parts {
+		if p.counts != nil {
+			longest = max(longest, p.counts.Tiers[tier].filled())
+		}
+	}
+	return longest
+}
+
 func mergeNames(parts []part, d Dimension) []Blamed {
 	sums := make(map[string]*Bad)
 	var total Bad
--- a/decide/burn/published.go
+++ b/decide/burn/published.go
@@ -76,3 +76,5 @@
 	b := t.Buckets[i]
 	return Bucket{Good: b[0], Total: b[1], Lost: b[2], Observed: time.Duration(b[3]) * time.Millisecond}
 }
+
+func (t PublishedTier) filled() time.Duration { return time.Duration(t.FilledMs) * time.Millisecond }
--- a/decide/burn/summary.go
+++ b/decide/burn/summary.go
@@ -23,6 +23,8 @@
 	Objectives []ObjectiveSummary `json:"objectives"`
 	// Times are the distributions per guild member.
 	Times []Times `json:"times"`
+	// UnreadTimes says which distributions are not included.
+	UnreadTimes []string `json:"unread_times,omitempty"`
 }
 
 // Router is one router that was asked.
--- a/decide/burn/times.go
+++ b/decide/burn/times.go
@@ -24,20 +24,23 @@
 
 // PackedTimes is one router's distribution as it publishes it.
 type PackedTimes struct {
-	Metric string
-	Member string
-	Packed []byte
+	// Address is the router's.
+	Address string
+	Metric  string
+	Member  string
+	Packed  []byte
 }
 
 // PackedTimesError reports a distribution that cannot be read.
 type PackedTimesError struct {
-	Metric string
-	Member string
-	Err    error
+	Address string
+	Metric  string
+	Member  string
+	Err     error
 }
 
 func (e *PackedTimesError) Error() string {
-	return "histogram " + e.Metric + " of " + e.Member + ": " + e.Err.Error()
+	return "histogram " + e.Metric + " of " + e.Member + " at " + e.Address + ": " + e.Err.Error()
 }
 
 // Unwrap returns the cause.
@@ -46,14 +49,17 @@
 type timesKey struct{ metric, member string }
 
 // MergeTimes adds up whole distributions, so that the tail of each router
-// stays in the sum, which means of percentiles would lose.
-func MergeTimes(packed []PackedTimes) ([]Times, error) {
+// stays in the sum, which means of percentiles would lose. Those that cannot
+// be read are left out and returned as errors.
+func MergeTimes(packed []PackedTimes) ([]Times, []*PackedTimesError) {
+	var failures []*PackedTimesError
 	sums := make(map[timesKey]*hdrhistogram.Histogram)
 	beyond := make(map[timesKey]int64)
 	for _, p := range packed {
 		h, err := hdrhistogram.Decode(p.Packed)
 		if err != nil {
-			return nil, &PackedTimesError{Metric: p.Metric, Member: p.Member, Err: err}
+			failures = append(failures, &PackedTimesError{Address: p.Address, Metric: p.Metric, Member: p.Member, Err: err})
+			continue
 		}
 		key := timesKey{p.Metric, p.Member}
 		if sums[key] == nil {
@@ -69,7 +75,7 @@
 	slices.SortFunc(out, func(a, b Times) int {
 		return cmp.Or(cmp.Compare(a.Metric, b.Metric), cmp.Compare(a.Member, b.Member))
 	})
-	return out, nil
+	return out, failures
 }
 
 func timesOf(key timesKey, h *hdrhistogram.Histogram, beyond int64) Times {
