Test the command line

Exit codes and lines on standard error had no test. Golden files now hold what each command prints for sound and wrong input. An unknown experiment gives exit code 2, since the command line is wrong, instead of 1.

--- a/cmd/mulberryfork/burn.go
+++ b/cmd/mulberryfork/burn.go
@@ -16,7 +16,7 @@
 const pageMode = 0o644
 
 type burnCommand struct {
-	From []string `required:"" placeholder:"ADDR,..." help:"Admin addresses of routers, IP and port."`
+	From []string `required:"" placeholder:"ADDR" help:"Admin addresses of routers, IP and port."`
 	JSON bool     `help:"Print JSON."`
 	HTML string   `name:"html" placeholder:"FILE" help:"Write one page of HTML to this file."`
 }
--- a/cmd/mulberryfork/main.go
+++ b/cmd/mulberryfork/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/mulberryfork/mulberryfork/bench"
 	"github.com/mulberryfork/mulberryfork/decide/tomltree"
 )
 
@@ -84,6 +85,10 @@
 func codeOf(err error) int {
 	var invalid *InvalidInputError
 	var files *tomltree.Errors
+	var experiment *bench.UnknownExperimentError
+	if errors.As(err, &experiment) {
+		return exitUsage
+	}
 	if errors.As(err, &invalid) || errors.As(err, &files) {
 		return exitInvalid
 	}
--- /dev/null
+++ b/cmd/mulberryfork/main_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/mulberryfork/mulberryfork/decide/burn"
+)
+
+const (
+	goodFolder = "../../confdir/testdata/good"
+	badFolder  = "../../confdir/testdata/bad"
+)
+
+func execute(args ...string) (code int, out, err string) {
+	var stdout, stderr bytes.Buffer
+	code = run(args, streams{out: &stdout, err: &stderr})
+	return code, stdout.String(), stderr.String()
+}
+
+// Guards against exit codes and lines that scripts of operators can no longer
+// rely on, and against errors on standard output.
+func TestCommandLine(t *testing.T) {
+	cases := []struct {
+		name string
+		args []string
+		want int
+	}{
+		{"version", []string{"version"}, exitOK},
+		{"help", []string{"--help"}, exitOK},
+		{"check-good", []string{"check", goodFolder}, exitOK},
+		{"check-bad", []string{"check", badFolder}, exitInvalid},
+		{"check-no-folder", []string{"check", "none"}, exitUsage},
+		{"explain", []string{"explain", goodFolder, "members.north.share"}, exitOK},
+		{"explain-unknown", []string{"explain", goodFolder, "members.south"}, exitInvalid},
+		{"no-command", nil, exitUsage},
+		{"unknown-command", []string{"frobnicate"}, exitUsage},
+		{"unknown-flag", []string{"version", "--verbose"}, exitUsage},
+		{"unknown-experiment", []string{"bench", "nothing"}, exitUsage},
+		{"router-wrong-settings", []string{"router", "testdata/settings/wrong.toml"}, exitInvalid},
+		{"agent-wrong-settings", []string{"agent", "testdata/settings/wrong.toml"}, exitInvalid},
+		{"burn-no-address", []string{"burn"}, exitUsage},
+		{"burn-wrong-address", []string{"burn", "--from", "localhost:9100"}, exitUsage},
+	}
+	folder, err := os.Getwd()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			code, stdout, stderr := execute(c.args...)
+			if code != c.want {
+				t.Errorf("exit code %d, want %d", code, c.want)
+			}
+			if (code == exitOK) != (stderr == "") || code != exitOK && stdout != "" {
+				t.Errorf("output %q, errors %q", stdout, stderr)
+			}
+			text := fmt.Sprintf("exit code %d\n-- standard output\n%s-- standard error\n%s", code, stdout, stderr)
+			goldie.New(t).Assert(t, c.name, []byte(strings.ReplaceAll(text, folder, ".")))
+		})
+	}
+}
+
+// Guards against errors without a type or of several lines without the prefix.
+func TestErrorsHaveATypeOnEachLine(t *testing.T) {
+	for _, args := range [][]string{{"check", badFolder}, {"router", "testdata/settings/wrong.toml"}, {"frobnicate"}} {
+		_, _, stderr := execute(args...)
+		for line := range strings.Lines(stderr) {
+			parts := strings.SplitN(line, ": ", 3)
+			if len(parts) != 3 || parts[0] != "mulberryfork" || !strings.Contains(parts[1], ".") {
+				t.Errorf("%v: %q", args, line)
+			}
+		}
+	}
+}
+
+// Guards against a demonstration that stops to work, cuts requests off or runs
+// the repeated booking twice.
+func TestDemo(t *testing.T) {
+	code, stdout, stderr := execute("demo")
+	if code != exitOK || stderr != "" {
+		t.Fatalf("exit code %d, errors %q", code, stderr)
+	}
+	for _, want := range []string{"request 9: whole answer", "not a second run", "ledger_repeats=1", "stopped; no request was cut off"} {
+		if !strings.Contains(stdout, want) {
+			t.Errorf("no %q in:\n%s", want, stdout)
+		}
+	}
+}
+
+// Guards against a report that fails because one of several routers is gone,
+// and against success when nothing could be read.
+func TestBurnWithAMissingRouter(t *testing.T) {
+	vars, err := json.Marshal(map[string]any{"burn": burn.Published{Node: "router-1", Objectives: []burn.Objective{}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(vars) }))
+	defer server.Close()
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	live, dead := address(server), address(gone)
+	page := filepath.Join(t.TempDir(), "burn.html")
+	code, stdout, stderr := execute("burn", "--json", "--html", page, "--from", live+","+dead)
+	var summary burn.Summary
+	if err := json.Unmarshal([]byte(stdout), &summary); err != nil || code != exitOK || stderr != "" {
+		t.Fatalf("exit code %d, %v, errors %q", code, err, stderr)
+	}
+	for _, r := range summary.Routers {
+		if r.Read != (r.Address == live) || r.Read != (r.Reason == "") {
+			t.Errorf("%+v", r)
+		}
+	}
+	html, err := os.ReadFile(page)
+	if err != nil || !bytes.Contains(html, []byte("router "+dead)) {
+		t.Errorf("page without the missing router: %v", err)
+	}
+	code, _, stderr = execute("burn", "--from", dead)
+	if code != exitFailed || stderr != "mulberryfork: burnreport.NoRouterError: none of 1 routers could be read\n" {
+		t.Errorf("no router: exit code %d, %q", code, stderr)
+	}
+	code, _, stderr = execute("burn", "--html", t.TempDir(), "--from", live)
+	if code != exitFailed || !strings.HasPrefix(stderr, "mulberryfork: main.FileError: ") {
+		t.Errorf("file that cannot be written: exit code %d, %q", code, stderr)
+	}
+}
+
+func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
