--- a/service/adminhttp/adminhttp.go
+++ b/service/adminhttp/adminhttp.go
@@ -50,13 +50,34 @@
 		if err != nil {
 			return err
 		}
-		if check, is := found.(api.Readiness); ok && is {
+		if !ok {
+			continue
+		}
+		switch check := found.(type) {
+		case api.Readiness:
 			s.checks[name] = check
+		case api.ConfigStore:
+			s.checks[name] = configured{check}
 		}
 	}
 	return nil
 }
 
+// configured is ready once the process has a configuration in force.
+type configured struct{ store api.ConfigStore }
+
+// NoConfigurationError reports a process that has no configuration yet.
+type NoConfigurationError struct{}
+
+func (*NoConfigurationError) Error() string { return "no configuration was accepted yet" }
+
+func (c configured) Ready() error {
+	if c.store.Current() == nil {
+		return &NoConfigurationError{}
+	}
+	return nil
+}
+
 // ListenError reports an address that cannot be served.
 type ListenError struct {
 	Address string
--- /dev/null
+++ b/service/adminhttp/adminhttp_test.go
@@ -0,0 +1,63 @@
+package adminhttp_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/service/adminhttp"
+)
+
+// others stands in for the services that the admin service looks up.
+type others struct {
+	api.ConfigStore
+	current *api.Snapshot
+}
+
+func (o *others) Current() *api.Snapshot { return o.current }
+func (o *others) JSON() string           { return "{}" }
+
+// Guards against traffic to a router that has no configuration or drains.
+func TestReadinessNeedsAConfiguration(t *testing.T) {
+	r := kernel.NewRegistry()
+	o := &others{}
+	for _, name := range []string{api.ServiceMetrics, api.ServiceConfigStore} {
+		if err := r.Register(name, func() any { return o }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := adminhttp.Register(r); err != nil {
+		t.Fatal(err)
+	}
+	settings := &api.Settings{Listen: api.Listen{Admin: "127.0.0.1:0"}}
+	host := kernel.NewHost(r, r.Names(), kernel.Options{Values: []any{settings}})
+	if err := host.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = host.Stop(context.Background()) }()
+	admin, err := kernel.Find[interface {
+		Address() string
+		Drain()
+	}](host, api.ServiceAdminHTTP)
+	if err != nil {
+		t.Fatal(err)
+	}
+	expect := func(when string, want int) {
+		t.Helper()
+		resp, err := http.Get("http://" + admin.Address() + "/readyz")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != want {
+			t.Errorf("%s: status %d, want %d", when, resp.StatusCode, want)
+		}
+	}
+	expect("without a configuration", http.StatusServiceUnavailable)
+	o.current = &api.Snapshot{}
+	expect("with a configuration", http.StatusOK)
+	admin.Drain()
+	expect("while draining", http.StatusServiceUnavailable)
+}
