Give the demonstration objectives, and show how much of a budget is known

The burn command had nothing to report on a demonstration. The budget left is followed by the known part of its window, as burn rates are.

--- a/burnreport/table.go
+++ b/burnreport/table.go
@@ -154,7 +154,7 @@
 	if o.BudgetLeft == nil {
 		return unknown
 	}
-	return fmt.Sprintf("%.0f%%", *o.BudgetLeft*percent)
+	return fmt.Sprintf("%.0f%%", *o.BudgetLeft*percent) + known(o.Windows[len(o.Windows)-1])
 }
 
 func cell(w burn.WindowSummary) string {
@@ -165,10 +165,15 @@
 	if w.Burning() {
 		text += "!"
 	}
-	if w.Coverage < shownCoverage {
-		text += " (" + ratio(w.Coverage) + ")"
+	return text + known(w)
+}
+
+// known says which part of a window is known, unless all of it is.
+func known(w burn.WindowSummary) string {
+	if w.Coverage >= shownCoverage {
+		return ""
 	}
-	return text
+	return " (" + ratio(w.Coverage) + ")"
 }
 
 func ratio(v float64) string { return fmt.Sprintf("%.0f%%", v*percent) }
--- a/cmd/mulberryfork/demo.go
+++ b/cmd/mulberryfork/demo.go
@@ -81,8 +81,16 @@
 	router := pool.Routers[0]
 	fmt.Fprintf(out, "serving; try:\n  curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' "+
 		"-d '{\"model\":\"%s\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n"+
-		"  curl http://%s/debug/vars\ninterrupt to stop\n",
-		router.URL, deployment.Token(demoMember), deployment.Model, router.Admin)
+		"  curl http://%s/debug/vars\n  mulberryfork burn --from %s\ninterrupt to stop\n",
+		router.URL, deployment.Token(demoMember), deployment.Model, router.Admin, adminAddresses(pool))
+}
+
+func adminAddresses(pool *deployment.Deployment) string {
+	addresses := make([]string, 0, len(pool.Routers))
+	for _, n := range pool.Routers {
+		addresses = append(addresses, n.Admin)
+	}
+	return strings.Join(addresses, ",")
 }
 
 type demoClient struct {
--- a/cmd/mulberryfork/pool.go
+++ b/cmd/mulberryfork/pool.go
@@ -19,13 +19,30 @@
 	demoCold        = 4
 )
 
+// demoObjectives give the burn command something to report on.
+const demoObjectives = `
+[objectives.first-token]
+kind = "first_token"
+target = 0.95
+threshold = "340ms"
+[objectives.token-gap]
+kind = "token_gap"
+target = 0.95
+threshold = "49ms"
+[objectives.booking]
+kind = "availability"
+service = "booking"
+target = 0.999
+`
+
 // demoOptions describe the pool of the demonstration.
 func demoOptions() deployment.Options {
 	o := deployment.Options{
-		Zones:      []string{"porto-a", "porto-b", "porto-c"},
-		Routers:    demoRouters,
-		Members:    map[string]float64{demoMember: 2, "crews": 1},
-		Idempotent: true,
+		Zones:       []string{"porto-a", "porto-b", "porto-c"},
+		Routers:     demoRouters,
+		Members:     map[string]float64{demoMember: 2, "crews": 1},
+		Idempotent:  true,
+		ExtraConfig: demoObjectives,
 	}
 	for i := range demoEngines {
 		o.Upstreams = append(o.Upstreams, deployment.Upstream{
--- a/service/report/report.go
+++ b/service/report/report.go
@@ -17,7 +17,7 @@
 	endMailbox = 4096
 	// publishInterval is how long a counted request may stay unpublished, and
 	// idleInterval how often an idle router publishes that it was there.
-	publishInterval = time.Second
+	publishInterval = 5 * time.Second
 	idleInterval    = 10 * time.Second
 	metricBurn      = "burn"
 )
--- a/service/report/report_test.go
+++ b/service/report/report_test.go
@@ -83,7 +83,7 @@
 		p, r, host := start(t)
 		r.RequestEnded(api.RequestEnd{Member: "desk", Status: 200})
 		r.RequestEnded(api.RequestEnd{Member: "desk", Failure: api.Fail(api.CodeOverloaded, api.NotRun, "")})
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(6 * time.Second)
 		if w := p.window(t, "5m"); w.Good != 1 || w.Total != 2 || w.Lost != 0 {
 			t.Errorf("%+v", w)
 		}
@@ -110,7 +110,7 @@
 			r.RequestEnded(api.RequestEnd{Status: 200})
 		}
 		close(p.release)
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(6 * time.Second)
 		if w := p.window(t, "5m"); w.Total != 4096 || w.Lost != 5000-4096 {
 			t.Errorf("%+v", w)
 		}
