--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -48,9 +48,9 @@
 	last      string
 	headSent  bool
 	resumable bool
-	// last is the failure of the last send. exhausted is set once no upstream
+	// refused is the failure of the last send. exhausted is set once no upstream
 	// is left to try.
-	last      *api.Failure
+	refused   *api.Failure
 	exhausted bool
 	// uncertain is set once a send may have run.
 	uncertain bool
@@ -218,11 +218,11 @@
 // send makes one attempt. The second result is false if nothing left this process.
 func (d *delivery) send(ctx context.Context) (api.End, bool) {
 	choice, failure := d.route(ctx)
-	if failure != nil && d.last != nil {
+	if failure != nil && d.refused != nil {
 		// That no further upstream is left says less than why the last one did
 		// not answer.
 		d.exhausted = true
-		return api.End{Failure: d.last}, true
+		return api.End{Failure: d.refused}, true
 	}
 	if failure != nil {
 		return api.End{Failure: failure}, false
@@ -252,7 +252,7 @@
 	d.last = choice.Upstream
 	if f != nil {
 		d.exclude = append(d.exclude, choice.Upstream)
-		d.last = f
+		d.refused = f
 	}
 	d.service.routing.Done(api.RouteResult{
 		Upstream:   choice.Upstream,
--- a/service/work/control.go
+++ b/service/work/control.go
@@ -21,6 +21,12 @@
 	ageStep         = time.Second
 	maxPriority     = 9
 	advantageTokens = 256
+	// headroom, usageHorizon and borrowFactor are as in experiment fairness:
+	// without headroom a flood raised the others' p95 time to first token 3.9
+	// times.
+	headroom     = 0.5
+	usageHorizon = 30 * time.Second
+	borrowFactor = 1.5
 	// memberEntryPart and memberTombstones bound what one member may take of
 	// the ledger.
 	memberEntryPart  = 4
@@ -87,9 +93,12 @@
 func newControl(s *service) *control {
 	id := ledger.Identity{Upstream: s.settings.Upstream, Incarnation: s.incarnation}
 	c := &control{
-		service:   s,
-		ledger:    ledger.New(0, id, ledger.Limits{}),
-		queue:     fairqueue.New[*waiter](fairqueue.Config{AgeStep: ageStep, MaxPriority: maxPriority, AdvantageTokens: advantageTokens}),
+		service: s,
+		ledger:  ledger.New(0, id, ledger.Limits{}),
+		queue: fairqueue.New[*waiter](fairqueue.Config{
+			AgeStep: ageStep, MaxPriority: maxPriority, AdvantageTokens: advantageTokens,
+			Headroom: headroom, UsageHorizon: usageHorizon, BorrowFactor: borrowFactor,
+		}),
 		cold:      coldstart.New(coldstart.Params{}),
 		limit:     limit.New(limit.Options{}),
 		suspects:  poison.New(0),
@@ -126,7 +135,13 @@
 	c.snap = snap
 	c.upstream = snap.Config.Upstreams[c.service.settings.Upstream]
 	u := c.upstream
-	c.cold.Configure(coldstart.Params{ColdRequests: u.ColdRequests, MaxRequests: u.MaxRequests, MaxTokens: u.MaxTokens})
+	c.cold.Configure(coldstart.Params{
+		ColdRequests: u.ColdRequests,
+		MaxRequests:  u.MaxRequests,
+		MaxTokens:    u.MaxTokens,
+		Gain:         u.ColdGain,
+		StepBound:    target(snap.Config, u, api.ObjectiveTokenGap),
+	})
 	c.limit.Configure(limit.Options{
 		MaxRequests:      u.MaxRequests,
 		MaxTokens:        tokenCeiling(u),
--- a/service/work/pump.go
+++ b/service/work/pump.go
@@ -26,14 +26,15 @@
 
 func (c *control) pumpQueue(now time.Duration) {
 	for {
-		next, ok := c.queue.Peek()
+		free := c.free()
+		next, ok := c.queue.Peek(free)
 		if !ok || !c.cold.MayStart(int(next.Cost)) || !c.limit.Fits(next.Cost) {
 			return
 		}
-		c.queue.Pop()
+		c.queue.Pop(now, free)
 		w := next.Value
 		if f := c.gate(w.order); f != nil {
-			c.queue.Correct(w.order.Member, next.Cost, 0)
+			c.queue.Finish(now, w.order.Member, next.Cost, 0)
 			c.refuse(now, w, f)
 			continue
 		}
@@ -41,6 +42,21 @@
 	}
 }
 
+// free estimates how many more requests of the present mean size have room, so
+// that the queue can keep headroom. Whether the next one fits is checked apart.
+func (c *control) free() int {
+	bounds, used := c.limit.Bounds(), c.limit.InFlight()
+	requests := min(c.cold.Limit(), bounds.Requests) - len(c.running)
+	if requests <= 0 || used.Tokens == 0 {
+		return requests
+	}
+	if used.Tokens >= bounds.Tokens {
+		return 1
+	}
+	mean := max(used.Tokens/uint64(max(used.Requests, 1)), 1)
+	return max(min(requests, int((bounds.Tokens-used.Tokens)/mean)), 1)
+}
+
 // pumpIsolated runs suspects one by one with nothing beside them.
 func (c *control) pumpIsolated(now time.Duration) {
 	for {
@@ -80,6 +96,9 @@
 		if s := c.ledger.Start(now, o.Send); !s.Run {
 			c.release(s.Release, api.Outcome{})
 			c.isolation.Ended(o.Send)
+			if !isolated {
+				c.queue.Finish(now, o.Member, o.CostTokens, 0)
+			}
 			return
 		}
 	}
@@ -129,7 +148,9 @@
 	}
 	c.limit.End(now, limit.Completion{Started: a.started, Cost: a.order.CostTokens, Usage: f.usage, Failed: !whole})
 	actual := actualCost(a.order, f)
-	c.queue.Correct(a.order.Member, a.order.CostTokens, actual)
+	if !a.isolated {
+		c.queue.Finish(now, a.order.Member, a.order.CostTokens, actual)
+	}
 	c.served[a.order.Member] += uint64(actual)
 }
 
