--- /dev/null
+++ b/standin/faultproxy/proxy_test.go
@@ -0,0 +1,218 @@
+package faultproxy_test
+
+import (
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/standin/faultproxy"
+)
+
+// echo is a target that answers each connection with what it receives.
+type echo struct {
+	address  string
+	accepted atomic.Int64
+}
+
+func newEcho(t *testing.T) *echo {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	e := &echo{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			e.accepted.Add(1)
+			go func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	return e
+}
+
+func connect(t *testing.T, n *faultproxy.Network, target string) *net.TCPConn {
+	t.Helper()
+	p, err := n.Listen(faultproxy.Link{From: "a", To: "b", Target: target})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	c, err := net.Dial("tcp", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c.(*net.TCPConn)
+}
+
+// exchange sends text, closes the sending side and returns what comes back.
+func exchange(c *net.TCPConn, text string) (string, error) {
+	if _, err := io.WriteString(c, text); err != nil {
+		return "", err
+	}
+	if err := c.CloseWrite(); err != nil {
+		return "", err
+	}
+	got, err := io.ReadAll(c)
+	return string(got), err
+}
+
+// A proxy that loses the tail of a stream by itself would show as a fault of
+// the system under test.
+func TestProxyWithoutFaultPassesEveryByte(t *testing.T) {
+	n := faultproxy.NewNetwork(1)
+	text := strings.Repeat("0123456789", 100_000)
+	got, err := exchange(connect(t, n, newEcho(t).address), text)
+	if err != nil || got != text {
+		t.Fatalf("%d of %d bytes, %v", len(got), len(text), err)
+	}
+}
+
+func TestFaultsSlowAStreamDown(t *testing.T) {
+	cases := []struct {
+		name    string
+		fault   faultproxy.Fault
+		atLeast time.Duration
+	}{
+		{"delay", faultproxy.Fault{Delay: 30 * time.Millisecond}, 30 * time.Millisecond},
+		{"trickle", faultproxy.Fault{BytesPerSecond: 1000}, 100 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := faultproxy.NewNetwork(1)
+			n.Set("b", "a", c.fault)
+			begin := time.Now()
+			text := strings.Repeat("x", 100)
+			got, err := exchange(connect(t, n, newEcho(t).address), text)
+			if err != nil || got != text || time.Since(begin) < c.atLeast {
+				t.Errorf("%q, %v after %s, want at least %s", got, err, time.Since(begin), c.atLeast)
+			}
+		})
+	}
+}
+
+// A cut that dropped bytes, or let some through, would not be what TCP does.
+func TestCutHoldsOneDirectionUntilItEnds(t *testing.T) {
+	n := faultproxy.NewNetwork(1)
+	target := newEcho(t)
+	n.Set("b", "a", faultproxy.Fault{Cut: true})
+	c := connect(t, n, target.address)
+	if _, err := io.WriteString(c, "held"); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if got, err := io.ReadFull(c, make([]byte, 1)); err == nil {
+		t.Fatalf("%d bytes passed a cut", got)
+	}
+	if target.accepted.Load() != 1 {
+		t.Error("the open direction did not reach the target")
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	n.Clear("b", "a")
+	if got, err := exchange(c, "!"); err != nil || got != "held!" {
+		t.Errorf("after the cut: %q, %v", got, err)
+	}
+}
+
+func TestPartitionKeepsNewConnectionsFromTheTarget(t *testing.T) {
+	n := faultproxy.NewNetwork(1)
+	target := newEcho(t)
+	n.Partition([]string{"a"}, []string{"b", "c"})
+	c := connect(t, n, target.address)
+	_ = c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if _, err := exchange(c, "x"); err == nil || target.accepted.Load() != 0 {
+		t.Fatalf("the target saw %d connections, error %v", target.accepted.Load(), err)
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	n.Heal([]string{"a"}, []string{"b", "c"})
+	if got, err := io.ReadAll(c); err != nil || string(got) != "x" {
+		t.Errorf("after healing: %q, %v", got, err)
+	}
+}
+
+func TestFaultsBreakAStream(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault faultproxy.Fault
+	}{
+		{"reset after some bytes", faultproxy.Fault{ResetAfter: 10}},
+		{"loss", faultproxy.Fault{LossRate: 1, Stall: time.Millisecond}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := faultproxy.NewNetwork(1)
+			n.Set("b", "a", c.fault)
+			if got, err := exchange(connect(t, n, newEcho(t).address), strings.Repeat("x", 100)); err == nil {
+				t.Errorf("the stream ended whole with %q", got)
+			}
+		})
+	}
+}
+
+func TestResetBreaksOnlyMatchingConnections(t *testing.T) {
+	n := faultproxy.NewNetwork(1)
+	c := connect(t, n, newEcho(t).address)
+	if _, err := io.WriteString(c, "x"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	if got := n.Reset("other", faultproxy.Any); got != 0 {
+		t.Errorf("reset %d connections of another side", got)
+	}
+	if got := n.Reset("a", faultproxy.Any); got != 1 {
+		t.Errorf("reset %d connections, want 1", got)
+	}
+	if _, err := io.ReadAll(c); err == nil {
+		t.Error("the connection ended whole")
+	}
+}
+
+func TestDuplicatesReachTheTarget(t *testing.T) {
+	n := faultproxy.NewNetwork(1)
+	n.Set("a", faultproxy.Any, faultproxy.Fault{Duplicates: 2})
+	target := newEcho(t)
+	if got, err := exchange(connect(t, n, target.address), "x"); err != nil || got != "x" {
+		t.Fatalf("%q, %v", got, err)
+	}
+	if got := n.Counts().Duplicates; got != 2 {
+		t.Errorf("%d duplicates, want 2", got)
+	}
+}
+
+// The same seed must break the same streams, or a failure can't be repeated.
+func TestLossFollowsTheSeed(t *testing.T) {
+	outcomes := func(seed uint64) string {
+		n := faultproxy.NewNetwork(seed)
+		n.Set("b", "a", faultproxy.Fault{LossRate: 0.5})
+		target := newEcho(t)
+		var b strings.Builder
+		for range 16 {
+			if _, err := exchange(connect(t, n, target.address), "x"); err != nil {
+				b.WriteByte('-')
+			} else {
+				b.WriteByte('+')
+			}
+		}
+		return b.String()
+	}
+	first := outcomes(7)
+	if second := outcomes(7); first != second {
+		t.Errorf("%s then %s under one seed", first, second)
+	}
+	if other := outcomes(8); first == other {
+		t.Errorf("%s under two seeds", first)
+	}
+}
