Run example deployments as real processes behind fault proxies

Package proof/pool starts routers and agents from one binary, with the stand-ins and a proxy on every link in the calling process. Processes log the addresses they got, so that ports stay with the operating system.

--- a/cmd/mulberryfork/daemons.go
+++ b/cmd/mulberryfork/daemons.go
@@ -72,6 +72,9 @@
 	if err != nil {
 		return err
 	}
+	if err := p.LogAddresses(); err != nil {
+		return err
+	}
 	for sig := range signals {
 		if sig != syscall.SIGHUP {
 			break
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -127,6 +127,30 @@
 	return s.Address(), nil
 }
 
+// listeners are the services that listen, with the settings that say where.
+var listeners = []struct{ setting, service string }{
+	{"http", api.ServiceFrontendHTTP},
+	{"link", api.ServiceTransportServer},
+	{"admin", api.ServiceAdminHTTP},
+}
+
+// LogAddresses writes the addresses that the process got, which the settings
+// leave to the operating system where they name port 0.
+func (p *Process) LogAddresses() error {
+	logger, err := kernel.Find[api.Logger](p.Host, api.ServiceLog)
+	if err != nil {
+		return err
+	}
+	fields := api.Fields{}
+	for _, l := range listeners {
+		if address, err := p.Address(l.service); err == nil {
+			fields[l.setting] = address
+		}
+	}
+	logger.Change("listening", fields)
+	return nil
+}
+
 // WaitConfigured waits until the process has a configuration in force.
 func (p *Process) WaitConfigured(ctx context.Context) error {
 	store, err := kernel.Find[api.ConfigStore](p.Host, api.ServiceConfigStore)
--- /dev/null
+++ b/proof/pool/exchange.go
@@ -0,0 +1,132 @@
+package pool
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
+
+// exchange is what a caller got for one send.
+type exchange struct {
+	whole  bool
+	answer string
+	code   api.Code
+	run    api.RunState
+}
+
+type failure struct {
+	Error struct {
+		Code api.Code     `json:"code"`
+		Run  api.RunState `json:"run"`
+	} `json:"error"`
+}
+
+// exchange sends a request and reads its answer to the end.
+func (l *Load) exchange(router *Node, q request, send, key string) exchange {
+	req := l.request(router, q.member, q.method, q.path, q.body)
+	req.Header.Set(headerSend, send)
+	req.Header.Set(headerRequest, q.id)
+	req.Header.Set(headerRepeatable, strconv.FormatBool(q.idempotent))
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	if q.mark != "" {
+		req.Header.Set("X-Idempotent", q.mark)
+	}
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return exchange{}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	var f failure
+	if resp.StatusCode >= http.StatusBadRequest && json.Unmarshal(body, &f) == nil && f.Error.Code != "" {
+		return exchange{code: f.Error.Code, run: f.Error.Run}
+	}
+	if q.stream && resp.StatusCode == http.StatusOK {
+		return readStream(body, err)
+	}
+	if err != nil {
+		return exchange{}
+	}
+	return exchange{whole: true, answer: q.read(resp.StatusCode, body)}
+}
+
+// readStream reads the events of a stream. A stream that ended as HTTP ends a
+// body looks whole, whether or not the engine closed it.
+func readStream(body []byte, err error) exchange {
+	var e exchange
+	var text strings.Builder
+	kind, done := "", false
+	for line := range bytes.Lines(body) {
+		line = bytes.TrimRight(line, "\n")
+		if name, ok := bytes.CutPrefix(line, []byte("event: ")); ok {
+			kind = string(name)
+		}
+		data, ok := bytes.CutPrefix(line, []byte("data: "))
+		switch {
+		case !ok:
+		case kind == "error":
+			var f failure
+			_ = json.Unmarshal(data, &f)
+			e.code, e.run = f.Error.Code, f.Error.Run
+		case string(data) == "[DONE]":
+			done = true
+		default:
+			text.WriteString(readCompletion(http.StatusOK, data))
+		}
+	}
+	e.whole = e.code == "" && (err == nil || done)
+	e.answer = text.String()
+	if e.whole && !done {
+		e.answer += "(the engine did not close the stream)"
+	}
+	return e
+}
+
+func (l *Load) request(router *Node, member, method, path, body string) *http.Request {
+	// The parts of the address are fixed, so the request can always be made.
+	req, _ := http.NewRequestWithContext(context.Background(), method, "http://"+router.inbound["http"].Address()+path, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer example-token-"+member)
+	req.Header.Set("X-Request-Timeout", requestTimeout.String())
+	return req
+}
+
+// ask sends a request about keys and decodes the answer.
+func (l *Load) ask(req *http.Request, into any) bool {
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK && json.NewDecoder(resp.Body).Decode(into) == nil
+}
+
+// key gets a bound key, empty if none was issued.
+func (l *Load) key(q request, random *rand.Rand) string {
+	var answer struct {
+		Key string `json:"key"`
+	}
+	if !l.ask(l.request(l.router(random), q.member, http.MethodPost, "/v1/keys", `{"service":"`+q.service+`"}`), &answer) {
+		return ""
+	}
+	return answer.Key
+}
+
+type outcome struct {
+	Run  api.RunState `json:"run"`
+	Done bool         `json:"done"`
+}
+
+func (l *Load) query(router *Node, q request, key string) (outcome, bool) {
+	var o outcome
+	ok := l.ask(l.request(router, q.member, http.MethodGet, "/v1/outcomes/"+key+"?service="+q.service, ""), &o)
+	return o, ok
+}
--- /dev/null
+++ b/proof/pool/layout.go
@@ -0,0 +1,160 @@
+package pool
+
+import (
+	"fmt"
+	"io/fs"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/config"
+	"github.com/mulberryfork/mulberryfork/examples"
+)
+
+const (
+	// scaledRequests and scaledCold replace the bounds of an upstream, so that
+	// a few callers reach them.
+	scaledRequests = 8
+	scaledCold     = 2
+	// operatorsFile holds the changes that are made during a run.
+	operatorsFile = "90-operators.toml"
+)
+
+type table = map[string]any
+
+// layout is an example deployment, scaled down: fewer model upstreams in each
+// zone and smaller groups. Members, models, services and objectives stay.
+type layout struct {
+	files map[string]table
+	// config is the result of merging the files.
+	config *api.Config
+}
+
+// LayoutError reports an example that can't be scaled.
+type LayoutError struct {
+	Deployment string
+	Err        error
+}
+
+func (e *LayoutError) Error() string { return "example " + e.Deployment + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *LayoutError) Unwrap() error { return e.Err }
+
+func scale(deployment string, modelsPerZone int) (*layout, error) {
+	l := &layout{files: make(map[string]table)}
+	entries, err := fs.ReadDir(examples.Files, deployment)
+	if err != nil {
+		return nil, &LayoutError{deployment, err}
+	}
+	for _, e := range entries {
+		data, err := fs.ReadFile(examples.Files, deployment+"/"+e.Name())
+		if err != nil {
+			return nil, &LayoutError{deployment, err}
+		}
+		var t table
+		if err := toml.Unmarshal(data, &t); err != nil {
+			return nil, &LayoutError{deployment, err}
+		}
+		l.files[e.Name()] = t
+	}
+	kept := l.keep(modelsPerZone)
+	l.shrink(kept)
+	result, failure := config.Merge(l.render(nil))
+	if failure != nil {
+		return nil, &LayoutError{deployment, failure}
+	}
+	l.config = result.Config
+	return l, nil
+}
+
+// each calls f for the entries of one section in all files, in order.
+func (l *layout) each(section string, f func(name string, entry, entries table)) {
+	for _, file := range slices.Sorted(maps.Keys(l.files)) {
+		entries, ok := l.files[file][section].(table)
+		if !ok {
+			continue
+		}
+		for _, name := range slices.Sorted(maps.Keys(entries)) {
+			f(name, entries[name].(table), entries)
+		}
+	}
+}
+
+// keep drops model upstreams beyond the number for a zone.
+func (l *layout) keep(modelsPerZone int) map[string]bool {
+	kept, perZone := make(map[string]bool), make(map[string]int)
+	l.each("upstreams", func(name string, u, all table) {
+		if u["kind"] == string(api.KindModel) {
+			zone := u["zone"].(string)
+			if perZone[zone]++; perZone[zone] > modelsPerZone {
+				delete(all, name)
+				return
+			}
+		}
+		u["max_requests"], u["cold_requests"] = scaledRequests, scaledCold
+		kept[name] = true
+	})
+	return kept
+}
+
+// shrink makes the other sections fit the upstreams that were kept.
+func (l *layout) shrink(kept map[string]bool) {
+	l.each("members", func(_ string, m, _ table) {
+		delete(m, "requests_per_second")
+		if list, ok := m["upstreams"].([]any); ok {
+			m["upstreams"] = only(list, kept)
+		}
+	})
+	l.each("models", func(_ string, m, _ table) { m["min_upstreams"] = 1 })
+	l.each("groups", func(_ string, g, _ table) {
+		list := g["upstreams"].([]any)
+		rest := only(list, kept)
+		for _, key := range []string{"ranks", "experts"} {
+			g[key] = g[key].(int64) * int64(len(rest)) / int64(len(list))
+		}
+		g["upstreams"] = rest
+	})
+}
+
+func only(list []any, kept map[string]bool) []any {
+	return slices.DeleteFunc(slices.Clone(list), func(name any) bool { return !kept[name.(string)] })
+}
+
+// render writes the files, with the addresses of agents where they are given.
+func (l *layout) render(agents map[string]string) map[string][]byte {
+	l.each("upstreams", func(name string, u, _ table) {
+		if address, ok := agents[name]; ok {
+			u["agent"] = address
+		}
+	})
+	out := make(map[string][]byte, len(l.files))
+	for name, t := range l.files {
+		// A table that came from TOML can always be written as TOML.
+		out[name], _ = toml.Marshal(t)
+	}
+	return out
+}
+
+// operators is what operators change during a run.
+type operators struct {
+	out     map[string]bool
+	leaving map[string]bool
+	// note makes a revision differ that changes nothing else.
+	note int
+}
+
+func (o *operators) render() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "# change %d\n", o.note)
+	for _, zone := range slices.Sorted(maps.Keys(o.out)) {
+		fmt.Fprintf(&b, "[zones.%s]\nstate = \"out\"\n", zone)
+	}
+	for _, name := range slices.Sorted(maps.Keys(o.leaving)) {
+		fmt.Fprintf(&b, "[upstreams.%s]\nleaving = true\n", name)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/proof/pool/load.go
@@ -0,0 +1,155 @@
+package pool
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/proof"
+)
+
+const (
+	// requestTimeout is the deadline that callers name, and callerPatience
+	// what they wait beyond it for a router that does not answer.
+	requestTimeout = 8 * time.Second
+	callerPatience = 4 * time.Second
+	// keyedSends bounds the sends of a keyed request.
+	keyedSends = 3
+	// pauseAfterFailure keeps callers from filling the record with refusals.
+	pauseAfterFailure = 50 * time.Millisecond
+	// callerShift leaves room for the requests of one caller.
+	callerShift = 32
+)
+
+// Load is a number of callers that send one request after another.
+type Load struct {
+	pool    *Pool
+	menu    menu
+	client  *http.Client
+	cancel  context.CancelFunc
+	callers sync.WaitGroup
+
+	mu   sync.Mutex
+	done int
+	// changed is closed when a request is done.
+	changed chan struct{}
+}
+
+// StartLoad starts callers whose requests follow the seed.
+func (p *Pool) StartLoad(callers int, seed uint64) *Load {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Load{
+		pool: p, menu: newMenu(p.layout), cancel: cancel, changed: make(chan struct{}),
+		// Each request has a connection of its own, as callers behind the
+		// platform's balancer have; a request on a connection that is being
+		// closed for idleness can't be told from one that was cut off.
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: requestTimeout + callerPatience},
+	}
+	for i := range callers {
+		l.callers.Go(func() { l.call(ctx, i, seed) })
+	}
+	return l
+}
+
+// Stop lets requests under way end and stops the callers.
+func (l *Load) Stop() {
+	l.cancel()
+	l.callers.Wait()
+}
+
+// Await waits until a number of further requests is done.
+func (l *Load) Await(ctx context.Context, further int) error {
+	l.mu.Lock()
+	target := l.done + further
+	for l.done < target {
+		changed := l.changed
+		l.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+		l.mu.Lock()
+	}
+	l.mu.Unlock()
+	return nil
+}
+
+func (l *Load) call(ctx context.Context, caller int, seed uint64) {
+	for i := 0; ctx.Err() == nil; i++ {
+		// A source for each request keeps what is drawn for it independent of
+		// how many sends earlier ones took.
+		random := rand.New(rand.NewPCG(seed, uint64(caller)<<callerShift|uint64(i)))
+		q := l.menu.draw(random, fmt.Sprintf("caller-%d-%d", caller, i))
+		if !l.serve(ctx, q, random) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(pauseAfterFailure):
+			}
+		}
+		l.mu.Lock()
+		l.done++
+		close(l.changed)
+		l.changed = make(chan struct{})
+		l.mu.Unlock()
+	}
+}
+
+// serve carries one request to its end and returns whether it was answered.
+func (l *Load) serve(ctx context.Context, q request, random *rand.Rand) bool {
+	if !q.keyed {
+		return l.send(q, 1, "", random).Whole
+	}
+	key := l.key(q, random)
+	if key == "" {
+		return false
+	}
+	whole := false
+	for n := 1; n <= keyedSends && !whole && ctx.Err() == nil; n++ {
+		whole = l.send(q, n, key, random).Whole
+	}
+	l.outcome(q, key, random)
+	return whole
+}
+
+// router picks a router that said that it is ready and is not being stopped,
+// as the platform's balancer does.
+func (l *Load) router(random *rand.Rand) *Node {
+	known, _ := l.pool.states.get()
+	var ready []*Node
+	for _, n := range l.pool.Routers {
+		if known[n.Name].Ready && !n.now().stopping {
+			ready = append(ready, n)
+		}
+	}
+	if len(ready) == 0 {
+		ready = l.pool.Routers
+	}
+	return ready[random.IntN(len(ready))]
+}
+
+func (l *Load) send(q request, n int, key string, random *rand.Rand) proof.Send {
+	router := l.router(random)
+	s := proof.Send{
+		ID: fmt.Sprintf("%s.%d", q.id, n), Request: q.id, Member: q.member, Router: router.Name,
+		Idempotent: q.idempotent, Expected: q.expected, Begin: l.pool.Now(),
+	}
+	e := l.exchange(router, q, s.ID, key)
+	s.End, s.Whole, s.Answer, s.Code, s.Run = l.pool.Now(), e.whole, e.answer, e.code, e.run
+	l.pool.Recorder.Add(func(r *proof.Record) { r.Sends = append(r.Sends, s) })
+	return s
+}
+
+func (l *Load) outcome(q request, key string, random *rand.Rand) {
+	o, ok := l.query(l.router(random), q, key)
+	if !ok || o.Run == api.Unknown {
+		return
+	}
+	l.pool.Recorder.Add(func(r *proof.Record) {
+		r.Outcomes = append(r.Outcomes, proof.Outcome{Request: q.id, At: l.pool.Now(), Run: o.Run, Done: o.Done})
+	})
+}
--- /dev/null
+++ b/proof/pool/operate.go
@@ -0,0 +1,80 @@
+package pool
+
+import (
+	"context"
+
+	"github.com/mulberryfork/mulberryfork/proof"
+)
+
+// publish puts the configuration with the operators' changes into the service.
+// A change that starts or ends something recorded takes its time from before
+// the publication.
+func (p *Pool) publish(initial bool) error {
+	files := make(map[string]string)
+	for name, data := range p.layout.render(p.addresses) {
+		files[name] = string(data)
+	}
+	files[operatorsFile] = p.operators.render()
+	at := p.Now()
+	revision, err := p.Config.Publish(files)
+	if err != nil {
+		return err
+	}
+	if initial {
+		// Processes that start have no limit yet; the pool is recorded once it
+		// is ready.
+		return nil
+	}
+	p.Recorder.Add(func(r *proof.Record) {
+		r.Published = append(r.Published, proof.Published{Revision: revision, At: at})
+	})
+	return nil
+}
+
+// Publish makes a revision that changes nothing but its number.
+func (p *Pool) Publish() error {
+	p.operators.note++
+	return p.publish(false)
+}
+
+// SetZoneOut takes an availability zone out of service, or puts it back.
+func (p *Pool) SetZoneOut(zone string, out bool) error {
+	return p.set(p.operators.out, func(r *proof.Record) *[]proof.Taken { return &r.Zones }, zone, out)
+}
+
+// SetLeaving takes an upstream out of new work, or puts it back.
+func (p *Pool) SetLeaving(upstream string, leaving bool) error {
+	return p.set(p.operators.leaving, func(r *proof.Record) *[]proof.Taken { return &r.Leaving }, upstream, leaving)
+}
+
+func (p *Pool) set(of map[string]bool, list func(*proof.Record) *[]proof.Taken, name string, taken bool) error {
+	if !taken {
+		// Work may start again as soon as one process knows.
+		p.Recorder.Add(func(r *proof.Record) {
+			all := *list(r)
+			for i := range all {
+				if all[i].Name == name && all[i].Until == 0 {
+					all[i].Until = p.Now()
+				}
+			}
+		})
+		delete(of, name)
+		return p.publish(false)
+	}
+	of[name] = true
+	if err := p.publish(false); err != nil {
+		return err
+	}
+	p.Recorder.Add(func(r *proof.Record) {
+		*list(r) = append(*list(r), proof.Taken{Name: name, From: p.Now()})
+	})
+	return nil
+}
+
+// Restart stops a process by a planned stop and starts it again.
+func (n *Node) Restart(ctx context.Context) error {
+	if err := n.Stop(ctx); err != nil {
+		return err
+	}
+	return n.Start(ctx)
+}
--- /dev/null
+++ b/proof/pool/pool.go
@@ -0,0 +1,235 @@
+// Package pool runs an example deployment with real router and agent
+// processes, stand-ins in this process and a fault proxy on every link. The
+// integration tests and the soak experiment use it.
+package pool
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/devcert"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/proof"
+	"github.com/mulberryfork/mulberryfork/standin/confservice"
+	"github.com/mulberryfork/mulberryfork/standin/faultproxy"
+	"github.com/mulberryfork/mulberryfork/standin/memberlist"
+)
+
+// Sides of the network that are not processes or upstreams.
+const (
+	SideCallers = "callers"
+	SideConfig  = "config"
+	SideMembers = "members"
+)
+
+const (
+	membershipLag = 200 * time.Millisecond
+	// confReplicas is the number of replicas of the configuration service.
+	confReplicas = 2
+)
+
+// Options describe a pool.
+type Options struct {
+	// Binary is the program that the processes run.
+	Binary string
+	// Dir takes settings and certificates.
+	Dir string
+	// Deployment is a folder of examples.
+	Deployment string
+	// ModelsPerZone bounds the model upstreams of a zone.
+	ModelsPerZone int
+	Seed          uint64
+}
+
+// Pool is a running deployment.
+type Pool struct {
+	Network  *faultproxy.Network
+	Recorder *proof.Recorder
+	Config   *confservice.Service
+	Members  *memberlist.List
+	Routers  []*Node
+	Agents   []*Node
+	Zones    []string
+	// Upstreams are the names of all upstreams.
+	Upstreams []string
+
+	options   Options
+	layout    *layout
+	operators operators
+	addresses map[string]string
+	upstreams map[string]*upstream
+	servers   []*http.Server
+	proxies   []*faultproxy.Proxy
+	begin     time.Duration
+	stop      context.CancelFunc
+	watched   chan struct{}
+	states    states
+}
+
+// Start brings up stand-ins and processes, and waits until all are ready.
+func Start(ctx context.Context, o Options) (*Pool, error) {
+	l, err := scale(o.Deployment, o.ModelsPerZone)
+	if err != nil {
+		return nil, err
+	}
+	clock := kernel.BootClock{}
+	p := &Pool{
+		Network:   faultproxy.NewNetwork(o.Seed),
+		Recorder:  &proof.Recorder{},
+		Config:    confservice.New(confservice.Options{Clock: clock, Lags: make([]time.Duration, confReplicas)}),
+		Members:   memberlist.New(clock, membershipLag),
+		Zones:     slices.Sorted(maps.Keys(l.config.Zones)),
+		Upstreams: slices.Sorted(maps.Keys(l.config.Upstreams)),
+		options:   o, layout: l, begin: clock.Now(),
+		operators: operators{out: map[string]bool{}, leaving: map[string]bool{}},
+		addresses: make(map[string]string), upstreams: make(map[string]*upstream),
+		watched: make(chan struct{}), states: states{of: map[string]state{}},
+	}
+	watching, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	err = p.build()
+	if err == nil {
+		err = p.launch(ctx)
+	}
+	go p.watch(watching)
+	if err == nil {
+		err = p.Settle(ctx)
+	}
+	if err != nil {
+		p.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+// Now is the clock of the record.
+func (p *Pool) Now() time.Duration { return kernel.BootClock{}.Now() - p.begin }
+
+// Record returns what was recorded so far.
+func (p *Pool) Record() proof.Record { return p.Recorder.Record(p.Now()) }
+
+// Nodes are all routers and agents.
+func (p *Pool) Nodes() []*Node { return append(slices.Clone(p.Routers), p.Agents...) }
+
+func (p *Pool) build() error {
+	authority, err := devcert.NewAuthority()
+	if err != nil {
+		return err
+	}
+	for i, name := range p.Upstreams {
+		u := p.layout.config.Upstreams[name]
+		n := &Node{Name: u.VM, Zone: u.Zone, Role: api.RoleAgent, Upstream: name, Side: "engine-" + name, pool: p}
+		p.upstreams[name] = newUpstream(p, name, u, p.options.Seed+uint64(i))
+		if err := p.place(n, authority, i); err != nil {
+			return err
+		}
+		p.addresses[name] = n.inbound["link"].Address()
+		p.Agents = append(p.Agents, n)
+	}
+	for i, zone := range p.Zones {
+		n := &Node{Name: "vm-router-" + zone, Zone: zone, Role: api.RoleRouter, pool: p}
+		if err := p.place(n, authority, i); err != nil {
+			return err
+		}
+		p.Routers = append(p.Routers, n)
+	}
+	return p.publish(true)
+}
+
+// place makes the proxies around a node and writes its settings.
+func (p *Pool) place(n *Node, a *devcert.Authority, i int) error {
+	s := api.Settings{Node: n.Name, Zone: n.Zone, Upstream: n.Upstream, StopDeadline: api.Duration(stopDeadline)}
+	s.Listen = api.Listen{Link: anyPort, Admin: anyPort}
+	n.inbound = make(map[string]*faultproxy.Proxy)
+	var err error
+	if n.inbound["link"], err = p.proxy(faultproxy.Link{Source: p.source, To: n.Name}); err != nil {
+		return err
+	}
+	if n.Role == api.RoleRouter {
+		s.Listen.HTTP = anyPort
+		if n.inbound["http"], err = p.proxy(faultproxy.Link{From: SideCallers, To: n.Name}); err != nil {
+			return err
+		}
+	} else if s.Engine.URL, err = p.outbound(n, n.Side, p.upstreams[n.Upstream]); err != nil {
+		return err
+	}
+	if s.Config.Service, err = p.outbound(n, SideConfig, p.Config.Replica(i%confReplicas)); err != nil {
+		return err
+	}
+	if s.Membership.Service, err = p.outbound(n, SideMembers, p.Members); err != nil {
+		return err
+	}
+	for _, other := range p.Nodes() {
+		s.Peers = append(s.Peers, other.inbound["link"].Address())
+	}
+	p.Members.Set(memberlist.VM{Name: n.Name, Address: n.inbound["link"].Address(), Zone: n.Zone, Role: n.Role, State: "live"})
+	return n.writeSettings(s, a)
+}
+
+// outbound serves a stand-in behind a proxy that only this node uses.
+func (p *Pool) outbound(n *Node, side string, h http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return "", &faultproxy.ListenError{Err: err}
+	}
+	server := &http.Server{Handler: h}
+	p.servers = append(p.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	proxy, err := p.proxy(faultproxy.Link{From: n.Name, To: side, Target: listener.Addr().String()})
+	if err != nil {
+		return "", err
+	}
+	return "http://" + proxy.Address(), nil
+}
+
+func (p *Pool) proxy(l faultproxy.Link) (*faultproxy.Proxy, error) {
+	proxy, err := p.Network.Listen(l)
+	if err == nil {
+		p.proxies = append(p.proxies, proxy)
+	}
+	return proxy, err
+}
+
+// source names the process that dialled a proxy which many of them use.
+func (p *Pool) source(remote net.Addr) string {
+	inode := inodeOf(remote)
+	for _, n := range p.Nodes() {
+		if now := n.now(); inode != "" && now.process != nil && owns(now.pid, inode) {
+			return n.Name
+		}
+	}
+	return ""
+}
+
+func (p *Pool) launch(ctx context.Context) error {
+	var starting errgroup.Group
+	for _, n := range p.Nodes() {
+		starting.Go(func() error { return n.Start(ctx) })
+	}
+	return starting.Wait()
+}
+
+// Close ends everything at once.
+func (p *Pool) Close() {
+	p.stop()
+	<-p.watched
+	for _, n := range p.Nodes() {
+		n.end()
+	}
+	for _, proxy := range p.proxies {
+		proxy.Close()
+	}
+	for _, s := range p.servers {
+		_ = s.Close()
+	}
+	for _, u := range p.upstreams {
+		u.close()
+	}
+}
--- /dev/null
+++ b/proof/pool/request.go
@@ -0,0 +1,123 @@
+package pool
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/mulberryfork/mulberryfork/standin/modelengine"
+	"github.com/mulberryfork/mulberryfork/standin/plainservice"
+)
+
+const (
+	minTokens = 2
+	maxTokens = 40
+)
+
+// request is what one caller asks for, with the answer that it must get.
+type request struct {
+	id, member   string
+	method, path string
+	body         string
+	stream       bool
+	idempotent   bool
+	// mark overrules what the configuration says of idempotency.
+	mark string
+	// keyed requests use a bound key and are sent again under it.
+	keyed    bool
+	service  string
+	expected string
+	read     func(status int, body []byte) string
+}
+
+// menu holds what the deployment offers to callers.
+type menu struct {
+	members  []string
+	models   []string
+	repeats  map[string]bool
+	service  string
+	look, do string
+}
+
+func newMenu(l *layout) menu {
+	c := l.config
+	m := menu{
+		members: slices.Sorted(maps.Keys(c.Members)),
+		models:  slices.Sorted(maps.Keys(c.Models)),
+		repeats: make(map[string]bool),
+		service: slices.Sorted(maps.Keys(c.Services))[0],
+	}
+	for name, model := range c.Models {
+		m.repeats[name] = model.Idempotent
+	}
+	m.look = c.Services[m.service].Idempotent[0]
+	m.do = c.Services[m.service].NonIdempotent[0]
+	return m
+}
+
+// draw makes the request with a number; the same seed gives the same ones.
+func (m menu) draw(r *rand.Rand, id string) request {
+	q := request{id: id, member: m.members[r.IntN(len(m.members))]}
+	switch kind := r.IntN(8); kind {
+	case 0, 1, 2, 3:
+		m.completion(r, &q, kind < 2)
+	case 4:
+		m.completion(r, &q, r.IntN(2) == 0)
+		q.mark, q.idempotent = "false", false
+	case 5:
+		m.call(&q, m.look, true)
+	default:
+		m.call(&q, m.do, false)
+		q.keyed = kind == 7
+	}
+	return q
+}
+
+// completion asks a model. The stand-in's answer follows from the request.
+func (m menu) completion(r *rand.Rand, q *request, stream bool) {
+	model := m.models[r.IntN(len(m.models))]
+	tokens := minTokens + r.IntN(maxTokens-minTokens)
+	q.method, q.path, q.stream, q.idempotent = http.MethodPost, "/v1/chat/completions", stream, m.repeats[model]
+	q.body = fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, model, stream, tokens, q.id)
+	q.expected = strings.Join(modelengine.Answer(model, modelengine.ChatPrompt("user", q.id), tokens), "")
+	q.read = readCompletion
+}
+
+type completion struct {
+	Choices []struct {
+		Message struct{ Content string } `json:"message"`
+		Delta   struct{ Content string } `json:"delta"`
+	} `json:"choices"`
+}
+
+func readCompletion(status int, body []byte) string {
+	var c completion
+	if status != http.StatusOK || json.Unmarshal(body, &c) != nil || len(c.Choices) != 1 {
+		return unreadable(status, body)
+	}
+	return c.Choices[0].Message.Content + c.Choices[0].Delta.Content
+}
+
+func unreadable(status int, body []byte) string { return fmt.Sprintf("status %d: %s", status, body) }
+
+// call asks the plain service, which answers with what it was asked.
+func (m menu) call(q *request, route string, idempotent bool) {
+	method, path, _ := strings.Cut(route, " ")
+	path = strings.TrimSuffix(path, "*")
+	q.method, q.path, q.service, q.idempotent = method, "/services/"+m.service+path, m.service, idempotent
+	if method != http.MethodGet {
+		q.body = q.id
+	}
+	q.expected = method + " " + path + " " + q.body
+	q.read = func(status int, body []byte) string {
+		var a plainservice.Answer
+		if status != http.StatusOK || json.Unmarshal(body, &a) != nil {
+			return unreadable(status, body)
+		}
+		return a.Method + " " + a.Path + " " + a.Body
+	}
+}
--- /dev/null
+++ b/proof/pool/upstream.go
@@ -0,0 +1,123 @@
+package pool
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/proof"
+	"github.com/mulberryfork/mulberryfork/standin/modelengine"
+	"github.com/mulberryfork/mulberryfork/standin/plainservice"
+)
+
+// Headers by which stand-ins know the sends of callers.
+const (
+	headerSend       = "X-Proof-Send"
+	headerRequest    = "X-Proof-Request"
+	headerRepeatable = "X-Proof-Repeatable"
+)
+
+const (
+	stepTime = 5 * time.Millisecond
+	// coldCompletions end the cold start of a stand-in engine.
+	coldCompletions = 4
+	restartTime     = 200 * time.Millisecond
+)
+
+// upstream records the runs that its stand-in sees.
+type upstream struct {
+	pool       *Pool
+	name, zone string
+	max, cold  int
+	engine     *modelengine.Engine
+	next       http.Handler
+
+	mu          sync.Mutex
+	incarnation uint64
+	completions int
+}
+
+func newUpstream(p *Pool, name string, u api.Upstream, seed uint64) *upstream {
+	s := &upstream{pool: p, name: name, zone: u.Zone, max: u.MaxRequests, cold: u.ColdRequests}
+	if u.Kind == api.KindPlain {
+		s.next = plainservice.New(plainservice.Options{Clock: kernel.BootClock{}, Seed: seed, Name: name, RestartTime: restartTime})
+		return s
+	}
+	s.engine = modelengine.New(modelengine.Options{
+		Clock: kernel.BootClock{}, Seed: seed, Models: u.Models, StepBase: stepTime,
+		ColdRequests: u.ColdRequests, ColdCompletions: coldCompletions,
+		RestartTime: restartTime, ChecksFencing: u.ChecksFencing,
+	})
+	s.next = s.engine
+	return s
+}
+
+func (u *upstream) close() {
+	if u.engine != nil {
+		u.engine.Close()
+	}
+}
+
+// ServeHTTP records a request that arrived in full and passes it on.
+func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(headerSend) == "" {
+		u.next.ServeHTTP(w, r)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		// The request was cut short on its way, so it does not run.
+		panic(http.ErrAbortHandler)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	at := u.begin(r.Header)
+	whole := false
+	defer func() { u.end(at, whole) }()
+	u.next.ServeHTTP(w, r)
+	whole = r.Context().Err() == nil
+}
+
+func (u *upstream) begin(h http.Header) int {
+	bound := u.bound()
+	var at int
+	u.pool.Recorder.Add(func(r *proof.Record) {
+		at = len(r.Runs)
+		r.Runs = append(r.Runs, proof.Run{
+			Send: h.Get(headerSend), Request: h.Get(headerRequest), Idempotent: h.Get(headerRepeatable) == "true",
+			Upstream: u.name, Zone: u.zone, Begin: u.pool.Now(), Bound: bound,
+		})
+	})
+	return at
+}
+
+// bound is the work that the upstream bears now.
+func (u *upstream) bound() int {
+	if u.engine == nil {
+		return u.max
+	}
+	incarnation := u.engine.Incarnation()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.incarnation != incarnation {
+		u.incarnation, u.completions = incarnation, 0
+	}
+	if u.completions < coldCompletions {
+		return u.cold
+	}
+	return u.max
+}
+
+func (u *upstream) end(at int, whole bool) {
+	u.pool.Recorder.Add(func(r *proof.Record) {
+		r.Runs[at].End, r.Runs[at].Whole = u.pool.Now(), whole
+	})
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if whole {
+		u.completions++
+	}
+}
