--- a/proof/pool/upstream.go
+++ b/proof/pool/upstream.go
@@ -23,8 +23,11 @@
 
 const (
 	stepTime = 5 * time.Millisecond
-	// coldCompletions end the cold start of a stand-in engine.
-	coldCompletions = 4
+	// A stand-in engine bears one request more for each warmCompletions that it
+	// completed. This is the gain that package coldstart assumes of an upstream,
+	// since the configuration states only the cold limit. It crashes if it gets
+	// more than the cold limit before the first step.
+	warmCompletions = 2
 	restartTime     = 200 * time.Millisecond
 )
 
@@ -49,7 +52,7 @@
 	}
 	s.engine = modelengine.New(modelengine.Options{
 		Clock: kernel.BootClock{}, Seed: seed, Models: u.Models, StepBase: stepTime,
-		ColdRequests: u.ColdRequests, ColdCompletions: coldCompletions,
+		ColdRequests: u.ColdRequests, ColdCompletions: warmCompletions,
 		RestartTime: restartTime, ChecksFencing: u.ChecksFencing,
 	})
 	s.next = s.engine
@@ -105,10 +108,7 @@
 	if u.incarnation != incarnation {
 		u.incarnation, u.completions = incarnation, 0
 	}
-	if u.completions < coldCompletions {
-		return u.cold
-	}
-	return u.max
+	return min(u.cold+u.completions/warmCompletions, u.max)
 }
 
 func (u *upstream) end(at int, whole bool) {
