--- a/service/admission/admission.go
+++ b/service/admission/admission.go
@@ -43,9 +43,11 @@
 
 // table is derived from one snapshot and never changed.
 type table struct {
-	tokens   []token
-	limiters map[string]*rate.Limiter
-	rates    map[string]float64
+	// configured is false before the first snapshot.
+	configured bool
+	tokens     []token
+	limiters   map[string]*rate.Limiter
+	rates      map[string]float64
 }
 
 type token struct {
@@ -80,9 +82,13 @@
 // configure derives the table of a new snapshot; limiters whose rate did not
 // change are kept, so that a change of configuration refills nobody.
 func (s *service) configure(_ time.Duration, snap *api.Snapshot) {
-	old := s.members.Load()
-	next := &table{limiters: make(map[string]*rate.Limiter), rates: make(map[string]float64)}
-	for name, m := range snap.Config.Members {
+	s.members.Store(newTable(s.members.Load(), snap.Config))
+	s.budget.Configure(snap.Config.Pool.RetryRatio, slices.Sorted(maps.Keys(snap.Config.Members)))
+}
+
+func newTable(old *table, c *api.Config) *table {
+	next := &table{configured: true, limiters: make(map[string]*rate.Limiter), rates: make(map[string]float64)}
+	for name, m := range c.Members {
 		for _, text := range m.TokenHashes {
 			raw, err := hex.DecodeString(text)
 			if err != nil || len(raw) != sha256.Size {
@@ -101,8 +107,7 @@
 		burst := max(int(m.RequestsPerSecond), 1)
 		next.limiters[name] = rate.NewLimiter(rate.Limit(m.RequestsPerSecond), burst)
 	}
-	s.members.Store(next)
-	s.budget.Configure(snap.Config.Pool.RetryRatio, slices.Sorted(maps.Keys(snap.Config.Members)))
+	return next
 }
 
 // Authenticate compares the token's hash with every configured one, so that
@@ -110,6 +115,9 @@
 func (s *service) Authenticate(bearer string) (api.Caller, *api.Failure) {
 	sum := sha256.Sum256([]byte(bearer))
 	t := s.members.Load()
+	if !t.configured {
+		return api.Caller{}, api.Fail(api.CodeNotReady, api.NotRun, "no configuration yet")
+	}
 	found := -1
 	for i := range t.tokens {
 		same := subtle.ConstantTimeCompare(sum[:], t.tokens[i].hash[:])
