Measure routing in modelled engines and set its weights

Change: bench/enginemodel and experiment route; sends of the last 250 ms count in full, other work at 0.03, a choice compares 4 upstreams without affinity, a prefix is spread at a tenth of a bound.

--- /dev/null
+++ b/bench/enginemodel/engine.go
@@ -0,0 +1,208 @@
+package enginemodel
+
+import (
+	"slices"
+	"time"
+)
+
+// BlockTokens is the number of prompt tokens in one cache block.
+const BlockTokens = 64
+
+// Speed is the strength of an engine.
+type Speed struct {
+	// MaxBatch bounds the requests in one step; others wait.
+	MaxBatch int
+	// CacheBlocks is the size of the prefix cache.
+	CacheBlocks int
+	// PrefillBudget bounds the prompt tokens of one step.
+	PrefillBudget int
+	// Step, StepPerRequest and StepPerPrompt add up to the time of a step:
+	// fixed, for each request that decodes, and for each prompt token.
+	Step, StepPerRequest, StepPerPrompt time.Duration
+}
+
+// DefaultSpeed decodes 64 requests in 40 ms a step and computes 20,000 prompt
+// tokens a second.
+var DefaultSpeed = Speed{
+	MaxBatch: 64, CacheBlocks: 3000, PrefillBudget: 2048,
+	Step: 14 * time.Millisecond, StepPerRequest: 400 * time.Microsecond, StepPerPrompt: 50 * time.Microsecond,
+}
+
+// Job is one request at an engine.
+type Job struct {
+	Prefix       []uint64
+	PromptTokens int
+	OutputTokens int
+	// FirstToken and Done are called at these moments; Done gets false if
+	// the engine crashed or the job was canceled.
+	FirstToken func()
+	Done       func(complete bool)
+
+	Submitted, Started, First time.Duration
+	CachedTokens              int
+
+	prefillLeft int
+	generated   int
+	gone        bool
+}
+
+// Generated returns the tokens generated so far.
+func (j *Job) Generated() int { return j.generated }
+
+// Engine is one modelled engine.
+type Engine struct {
+	events  *Events
+	speed   Speed
+	cache   *cache
+	waiting []*Job
+	running []*Job
+	busy    bool
+	life    int
+	// StepTime is the time of the last step.
+	StepTime time.Duration
+	// PromptTokens and CachedTokens sum up all started jobs.
+	PromptTokens, CachedTokens int
+}
+
+// NewEngine returns an idle engine with an empty cache.
+func NewEngine(e *Events, s Speed) *Engine {
+	return &Engine{events: e, speed: s, cache: newCache(s.CacheBlocks)}
+}
+
+// Submit queues a job.
+func (e *Engine) Submit(j *Job) {
+	j.Submitted = e.events.Now()
+	e.waiting = append(e.waiting, j)
+	e.wake()
+}
+
+// Cancel ends a job early.
+func (e *Engine) Cancel(j *Job) {
+	if j.gone {
+		return
+	}
+	e.waiting = slices.DeleteFunc(e.waiting, func(o *Job) bool { return o == j })
+	e.running = slices.DeleteFunc(e.running, func(o *Job) bool { return o == j })
+	j.finish(false)
+}
+
+// Crash ends all jobs and empties the cache.
+func (e *Engine) Crash() {
+	all := append(e.running, e.waiting...)
+	e.running, e.waiting = nil, nil
+	e.life++
+	e.busy = false
+	e.cache.clear()
+	for _, j := range all {
+		j.finish(false)
+	}
+}
+
+// Load returns the requests that run and wait.
+func (e *Engine) Load() (running, waiting int) { return len(e.running), len(e.waiting) }
+
+// CacheEvents returns the events since the last call and their total number.
+func (e *Engine) CacheEvents() (added, dropped []uint64, total uint64) {
+	added, dropped = e.cache.added, e.cache.dropped
+	e.cache.added, e.cache.dropped = nil, nil
+	return added, dropped, e.cache.events
+}
+
+func (j *Job) finish(complete bool) {
+	if j.gone {
+		return
+	}
+	j.gone = true
+	if j.Done != nil {
+		j.Done(complete)
+	}
+}
+
+func (e *Engine) wake() {
+	if e.busy || len(e.waiting)+len(e.running) == 0 {
+		return
+	}
+	e.busy = true
+	e.admit()
+	tokens, done := e.prefill()
+	decoding := 0
+	for _, j := range e.running {
+		if j.prefillLeft == 0 && !slices.Contains(done, j) {
+			decoding++
+		}
+	}
+	e.StepTime = e.speed.Step + time.Duration(decoding)*e.speed.StepPerRequest + time.Duration(tokens)*e.speed.StepPerPrompt
+	life := e.life
+	e.events.After(e.StepTime, func() {
+		if e.life == life {
+			e.finishStep(done)
+		}
+	})
+}
+
+func (e *Engine) admit() {
+	for len(e.waiting) > 0 && len(e.running) < e.speed.MaxBatch {
+		j := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		j.Started = e.events.Now()
+		j.CachedTokens = min(e.cache.held(j.Prefix)*BlockTokens, j.PromptTokens-1)
+		j.prefillLeft = j.PromptTokens - j.CachedTokens
+		e.PromptTokens += j.PromptTokens
+		e.CachedTokens += j.CachedTokens
+		e.running = append(e.running, j)
+	}
+}
+
+// prefill spends the budget of a step on prompts in order of arrival and
+// returns the jobs whose prompts are complete after it.
+func (e *Engine) prefill() (tokens int, done []*Job) {
+	for _, j := range e.running {
+		if j.prefillLeft == 0 {
+			continue
+		}
+		n := min(j.prefillLeft, e.speed.PrefillBudget-tokens)
+		tokens += n
+		j.prefillLeft -= n
+		if j.prefillLeft == 0 {
+			done = append(done, j)
+		}
+	}
+	return tokens, done
+}
+
+func (e *Engine) finishStep(prefilled []*Job) {
+	for _, j := range prefilled {
+		if !j.gone {
+			e.cache.use(j.Prefix)
+		}
+	}
+	for _, j := range slices.Clone(e.running) {
+		if j.prefillLeft > 0 || j.gone {
+			continue
+		}
+		j.generated++
+		if j.generated == 1 {
+			j.First = e.events.Now()
+			if j.FirstToken != nil {
+				j.FirstToken()
+			}
+		}
+	}
+	e.endComplete()
+	e.busy = false
+	e.wake()
+}
+
+func (e *Engine) endComplete() {
+	var ended []*Job
+	e.running = slices.DeleteFunc(e.running, func(j *Job) bool {
+		if j.generated < j.OutputTokens {
+			return false
+		}
+		ended = append(ended, j)
+		return true
+	})
+	for _, j := range ended {
+		j.finish(true)
+	}
+}
--- /dev/null
+++ b/bench/route_model.go
@@ -0,0 +1,218 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/bench/enginemodel"
+	"github.com/mulberryfork/mulberryfork/decide/route"
+)
+
+// Size and pace of the modelled pool: today's size of one user.
+const (
+	routeEngines     = 12
+	routeZones       = 3
+	routeRouters     = 3
+	routeWarmUp      = 30 * time.Second
+	routeEnd         = 120 * time.Second
+	routeReportEvery = 250 * time.Millisecond
+	// routeReportLag and routeReportLagSpread delay load reports and events.
+	routeReportLag       = 200 * time.Millisecond
+	routeReportLagSpread = 300 * time.Millisecond
+	// routeFlashWindow is the time after the flash that is looked at.
+	routeFlashWindow = 15 * time.Second
+	routeMember      = "member"
+	routeModel       = "model"
+	// routeLimitTokens is the bound that agents report.
+	routeLimitTokens = 64 * 2400
+)
+
+type routeStats struct {
+	hitRate, p50, p95, flashP95 float64
+	gaps                        uint64
+}
+
+// routePool is one run of a policy.
+type routePool struct {
+	events   enginemodel.Events
+	engines  []*enginemodel.Engine
+	agents   []*routeAgent
+	routers  []*route.State
+	policy   routePolicy
+	scenario routeScenario
+	faults   *rand.Rand
+	sends    [routeRouters]int
+	arrivals *promptTrace
+	ttft     []float64
+	// flash holds the times right after a document becomes popular.
+	flash []float64
+}
+
+// routeAgent counts what an agent would report.
+type routeAgent struct {
+	name     string
+	received [routeRouters]uint64
+	requests uint32
+	tokens   uint64
+	due      [routeRouters]time.Duration
+}
+
+func runRoutePolicy(seed uint64, scenario routeScenario, policy routePolicy) routeStats {
+	p := &routePool{policy: policy, scenario: scenario, faults: rand.New(rand.NewPCG(seed, 2))}
+	for i := range routeEngines {
+		speed := enginemodel.DefaultSpeed
+		if i < scenario.slowEngines {
+			speed.Step, speed.StepPerRequest, speed.StepPerPrompt = 2*speed.Step, 2*speed.StepPerRequest, 2*speed.StepPerPrompt
+		}
+		p.engines = append(p.engines, enginemodel.NewEngine(&p.events, speed))
+		p.agents = append(p.agents, &routeAgent{name: upstreamName(i)})
+	}
+	for r := range routeRouters {
+		p.routers = append(p.routers, newModelRouter(routeEngines, r, seed, policy.options))
+	}
+	p.arrivals = newPromptTrace(seed, scenario.hot)
+	var arrive func()
+	arrive = func() {
+		p.request(p.arrivals.next(p.events.Now()))
+		p.events.After(p.arrivals.gap(scenario.rate), arrive)
+	}
+	p.events.After(0, arrive)
+	p.events.Every(routeReportEvery, p.report)
+	p.events.Run(routeEnd)
+	return p.stats()
+}
+
+func upstreamName(i int) string { return fmt.Sprintf("u%02d", i) }
+
+func zoneName(i int) string { return fmt.Sprintf("z%d", i%routeZones) }
+
+// newModelRouter returns a routing state that knows modelled upstreams.
+func newModelRouter(engines, r int, seed uint64, o route.Options) *route.State {
+	o.Zone, o.Seed, o.BlockTokens = zoneName(r), seed*31+uint64(r), enginemodel.BlockTokens
+	s := route.New(o)
+	c := &api.Config{
+		Members:   map[string]api.Member{routeMember: {}},
+		Zones:     map[string]api.Zone{},
+		Upstreams: map[string]api.Upstream{},
+	}
+	for i := range engines {
+		c.Zones[zoneName(i)] = api.Zone{State: api.ZoneIn}
+		c.Upstreams[upstreamName(i)] = api.Upstream{Kind: api.KindModel, Zone: zoneName(i), Models: []string{routeModel}}
+	}
+	s.Configure(&api.Snapshot{Revision: 1, Config: c})
+	for i := range engines {
+		s.LinkUp(upstreamName(i), api.LinkState{Up: true, Incarnation: 1})
+		s.Load(0, api.Load{Upstream: upstreamName(i), Incarnation: 1, Accepting: true, LimitTokens: routeLimitTokens})
+	}
+	return s
+}
+
+// oneWay is the time between a router and an engine's agent.
+func oneWay(router, engine int) time.Duration {
+	if router%routeZones == engine%routeZones {
+		return 100 * time.Microsecond
+	}
+	return 1100 * time.Microsecond
+}
+
+func (p *routePool) request(q prompt) {
+	r := p.arrivals.rng.IntN(routeRouters)
+	p.sends[r]++
+	query := api.RouteQuery{Member: routeMember, Model: routeModel, CostTokens: uint32(q.tokens() + q.output)}
+	if !p.policy.blind && !p.policy.roundRobin {
+		query.Prefix = q.blocks
+	}
+	if p.policy.roundRobin {
+		query.Only = upstreamName((p.sends[r] + r) % routeEngines)
+	}
+	choice, failure := p.routers[r].Choose(p.events.Now(), query)
+	if failure != nil {
+		return
+	}
+	var engine int
+	_, _ = fmt.Sscanf(choice.Upstream, "u%d", &engine)
+	sent := p.events.Now()
+	p.events.After(oneWay(r, engine), func() { p.arrive(r, engine, q, choice, sent) })
+}
+
+func (p *routePool) arrive(r, engine int, q prompt, choice api.RouteChoice, sent time.Duration) {
+	a, cost := p.agents[engine], uint64(q.tokens()+q.output)
+	a.received[r]++
+	a.requests++
+	a.tokens += cost
+	j := &enginemodel.Job{Prefix: q.blocks, PromptTokens: q.tokens(), OutputTokens: q.output}
+	j.FirstToken = func() {
+		if sent >= routeWarmUp {
+			ms := float64(p.events.Now()+oneWay(r, engine)-sent) / float64(time.Millisecond)
+			p.ttft = append(p.ttft, ms)
+			if sent >= traceFlash && sent < traceFlash+routeFlashWindow {
+				p.flash = append(p.flash, ms)
+			}
+		}
+	}
+	j.Done = func(bool) {
+		a.requests--
+		a.tokens -= cost
+		result := api.RouteResult{Upstream: choice.Upstream, Ticket: choice.Ticket, Cache: api.CacheMiss}
+		if j.CachedTokens*2 >= j.PromptTokens {
+			result.Cache = api.CacheHit
+		}
+		p.events.After(oneWay(r, engine), func() { p.routers[r].Done(p.events.Now(), result) })
+	}
+	p.engines[engine].Submit(j)
+}
+
+// report sends each agent's load to each router, late, in order, and
+// sometimes without its cache events.
+func (p *routePool) report() {
+	for i, a := range p.agents {
+		added, dropped, total := p.engines[i].CacheEvents()
+		running, waiting := p.engines[i].Load()
+		for r := range p.routers {
+			if p.policy.deaf {
+				continue
+			}
+			l := api.Load{
+				Upstream: a.name, Incarnation: 1, Elapsed: p.events.Now(), Accepting: true,
+				Running: uint32(running), Queued: uint32(waiting), Tokens: a.tokens,
+				LimitTokens: routeLimitTokens, SeenOrders: a.received[r],
+				PrefixAdded: added, PrefixDropped: dropped, CacheSeq: total,
+			}
+			if p.faults.Float64() < p.scenario.gapPart {
+				l.PrefixAdded, l.PrefixDropped = nil, nil
+			}
+			lag := routeReportLag + time.Duration(p.faults.Float64()*float64(routeReportLagSpread))
+			a.due[r] = max(a.due[r], p.events.Now()+lag)
+			p.events.After(a.due[r]-p.events.Now(), func() { p.routers[r].Load(p.events.Now(), l) })
+		}
+	}
+}
+
+func (p *routePool) stats() routeStats {
+	var s routeStats
+	prompts, cached := 0, 0
+	for _, e := range p.engines {
+		prompts += e.PromptTokens
+		cached += e.CachedTokens
+	}
+	s.hitRate = float64(cached) / float64(prompts)
+	for _, r := range p.routers {
+		s.gaps += r.Counters().Gaps
+	}
+	s.flashP95 = quantile(p.flash, 0.95)
+	s.p50, s.p95 = quantile(p.ttft, 0.5), quantile(p.ttft, 0.95)
+	return s
+}
+
+// quantile returns a quantile of values, or 0 without any.
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Clone(values)
+	slices.Sort(sorted)
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
--- a/decide/route/choose.go
+++ b/decide/route/choose.go
@@ -25,7 +25,7 @@
 	}
 	s.serial++
 	deepest := s.index.lookup(now, q.Prefix, s.serial)
-	found, best := s.candidates(&q)
+	found, best := s.candidates(now, &q)
 	if len(found) == 0 {
 		s.counters.Refusals++
 		return api.RouteChoice{}, refuse(best)
@@ -36,7 +36,7 @@
 
 // candidates returns the upstreams to compare, or the best verdict if there
 // are none. Ejected upstreams serve only if nothing else can.
-func (s *State) candidates(q *api.RouteQuery) ([]candidate, verdict) {
+func (s *State) candidates(now time.Duration, q *api.RouteQuery) ([]candidate, verdict) {
 	best := notServing
 	for _, u := range s.ordered {
 		best = max(best, s.judge(u, q))
@@ -54,7 +54,7 @@
 	}
 	s.scratch = found
 	for i := range found {
-		s.score(&found[i], q, largest)
+		s.score(now, &found[i], q, largest)
 	}
 	return s.sampled(found), best
 }
@@ -62,7 +62,7 @@
 // score prices an upstream in tokens of prefill: what is outstanding there,
 // scaled to its bound, and the zone, less what its cache saves. Work above the
 // bound has to wait in full.
-func (s *State) score(c *candidate, q *api.RouteQuery, largest float64) {
+func (s *State) score(now time.Duration, c *candidate, q *api.RouteQuery, largest float64) {
 	u := c.up
 	_, tokens := u.work()
 	limit := u.limitTokens()
@@ -74,7 +74,7 @@
 			c.saved *= u.cache.trust
 		}
 	}
-	c.score = c.load*s.o.WorkWeight + excess - c.saved
+	c.score = c.load*s.o.WorkWeight + excess - c.saved + u.recent.at(now)*s.o.RecentWeight
 	if u.conf.Zone != s.o.Zone {
 		c.score += s.o.ZonePenaltyTokens
 	}
@@ -116,7 +116,7 @@
 
 func (s *State) pick(now time.Duration, q *api.RouteQuery, found []candidate, deepest *block) *upstream {
 	best := lowest(found, func(c *candidate) bool { return true })
-	if deepest == nil || s.o.SpreadPart < 0 {
+	if deepest == nil || s.o.SpreadPart <= 0 {
 		return best.up
 	}
 	heat := deepest.heated(now, float64(q.CostTokens))
@@ -183,6 +183,7 @@
 		prefix: q.Prefix,
 	})
 	s.tickets[ticket] = u
+	u.recent.add(now, u.uncached(q, s))
 	for _, h := range q.Prefix {
 		s.index.put(now, h, u, ticket)
 	}
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -28,9 +28,11 @@
 const (
 	DefaultBlockTokens       = 64
 	DefaultMaxPairs          = 1 << 18
-	DefaultWorkWeight        = 0.25
+	DefaultWorkWeight        = 0.03
+	DefaultRecentWeight      = 1.0
 	DefaultZonePenaltyTokens = 64
-	DefaultSpreadPart        = 0.5
+	DefaultSpreadPart        = 0.1
+	DefaultSample            = 4
 	// DefaultLimitTokens is assumed where neither report nor configuration
 	// states a bound.
 	DefaultLimitTokens = 32768
@@ -39,7 +41,8 @@
 	DefaultColdRequests = 1
 )
 
-// Options configures a State. Zero fields take the defaults.
+// Options configures a State. Zero fields take the defaults, negative weights
+// count as none.
 type Options struct {
 	// Zone is the availability zone of the router.
 	Zone string
@@ -52,33 +55,39 @@
 	// WorkWeight converts a token of outstanding work on an upstream into
 	// tokens of prefill that are worth as much.
 	WorkWeight float64
+	// RecentWeight is the same for the router's sends of the last moments,
+	// whose prompts are probably still ahead of a new one.
+	RecentWeight float64
 	// ZonePenaltyTokens is the price of crossing zones, in prefill tokens.
 	ZonePenaltyTokens float64
 	// SpreadPart is the part of an upstream's token bound that one prefix may
 	// use before it is spread to one more upstream. Negative turns it off.
 	SpreadPart float64
 	// Sample bounds the upstreams without affinity that one choice compares;
-	// 0 compares all.
+	// negative compares all.
 	Sample int
 	Gap    GapRule
 }
 
 func (o Options) withDefaults() Options {
-	if o.BlockTokens <= 0 {
-		o.BlockTokens = DefaultBlockTokens
-	}
-	if o.MaxPairs <= 0 {
-		o.MaxPairs = DefaultMaxPairs
-	}
-	if o.WorkWeight <= 0 {
-		o.WorkWeight = DefaultWorkWeight
-	}
-	if o.ZonePenaltyTokens <= 0 {
-		o.ZonePenaltyTokens = DefaultZonePenaltyTokens
+	defaultInt := func(v *int, d int) {
+		if *v == 0 {
+			*v = d
+		}
 	}
-	if o.SpreadPart == 0 {
-		o.SpreadPart = DefaultSpreadPart
+	defaultFloat := func(v *float64, d float64) {
+		if *v == 0 {
+			*v = d
+		}
+		*v = max(*v, 0)
 	}
+	defaultInt(&o.BlockTokens, DefaultBlockTokens)
+	defaultInt(&o.MaxPairs, DefaultMaxPairs)
+	defaultInt(&o.Sample, DefaultSample)
+	defaultFloat(&o.WorkWeight, DefaultWorkWeight)
+	defaultFloat(&o.RecentWeight, DefaultRecentWeight)
+	defaultFloat(&o.ZonePenaltyTokens, DefaultZonePenaltyTokens)
+	defaultFloat(&o.SpreadPart, DefaultSpreadPart)
 	return o
 }
 
@@ -122,6 +131,7 @@
 	sends    sends
 	cache    cacheView
 	match    match
+	recent   decaying
 }
 
 // New returns a state without upstreams.
