--- /dev/null
+++ b/bench/overload.go
@@ -0,0 +1,134 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+func init() {
+	register(Experiment{
+		Name: "overload",
+		Asks: "Do limits, early refusal and retry budgets keep goodput at three times capacity and let a retry storm settle after an outage?",
+		Run:  runOverload,
+	})
+}
+
+const (
+	overloadFactor   = 3
+	overloadWarmUp   = 20 * time.Second
+	overloadEnd      = 80 * time.Second
+	stormLoad        = 0.7
+	stormOutageFrom  = 30 * time.Second
+	stormOutageTo    = 60 * time.Second
+	stormEnd         = 300 * time.Second
+	overloadAttempts = 3
+	// stormAttempts lets callers resend until long after the outage.
+	stormAttempts = 60
+	// stormWindow is the window over which goodput and waiting are averaged.
+	stormWindow = 10 * time.Second
+	// stormCollapse is the part of the offered load below which the goodput
+	// of a window counts as a collapse.
+	stormCollapse = 0.5
+	// stormFirstWindow leaves the answers of the first requests time to complete.
+	stormFirstWindow = 15 * time.Second
+	// stormSettled is the number of waiting callers, against the time before
+	// the outage, at or below which the storm counts as settled.
+	stormSettled = 1.2
+	// stormCalm is how long it must stay there.
+	stormCalm = 30 * time.Second
+)
+
+func runOverload(ctx context.Context, p Params) (Result, error) {
+	capacity := overloadCapacity(p.Seed)
+	figures := []Figure{
+		Plain("capacity_requests", capacity.requests, "requests/s"),
+		Plain("capacity_work", capacity.work, "engines"),
+	}
+	for _, plain := range []bool{false, true} {
+		if err := ctx.Err(); err != nil {
+			return Result{}, err
+		}
+		fmt.Fprintf(p.Progress, "overload: baseline %v\n", plain)
+		figures = append(figures, runThreefold(p.Seed, capacity, plain)...)
+		figures = append(figures, runStorm(p.Seed, capacity, plain)...)
+	}
+	return Result{Figures: figures}, nil
+}
+
+// named adds a suffix to the figures of the baseline and drops their targets.
+func named(plain bool, figures ...Figure) []Figure {
+	if !plain {
+		return figures
+	}
+	for i := range figures {
+		figures[i].Name += "_baseline"
+		figures[i].Target = nil
+	}
+	return figures
+}
+
+func runThreefold(seed uint64, capacity overloadRate, plain bool) []Figure {
+	o := newOverloadPool(seed, plain, overloadFactor*capacity.requests, overloadAttempts)
+	o.events.Run(overloadEnd)
+	var latency []float64
+	for _, g := range o.good {
+		latency = append(latency, g.took.Seconds())
+	}
+	return named(plain,
+		Bounded("goodput_ratio", o.goodput(overloadWarmUp, overloadEnd)/capacity.work, "ratio", AtLeast, 0.9),
+		Bounded("retry_amplification", o.amplification(), "ratio", AtMost, 1.2),
+		Plain("answer_p95_s", quantile(latency, 0.95), "s"),
+		Plain("refused_p95_ms", quantile(o.refused, 0.95), "ms"),
+	)
+}
+
+// runStorm cuts all links for a while. Callers resend until they are answered,
+// so the whole backlog arrives when the links return.
+func runStorm(seed uint64, capacity overloadRate, plain bool) []Figure {
+	o := newOverloadPool(seed, plain, stormLoad*capacity.requests, stormAttempts)
+	o.events.After(stormOutageFrom, func() { o.outage(true) })
+	o.events.After(stormOutageTo, func() { o.outage(false) })
+	var waiting []float64
+	o.events.Every(time.Second, func() { waiting = append(waiting, float64(o.waiting)) })
+	o.events.Run(stormEnd)
+	settled := settledAt(waiting)
+	lowest, collapses := capacity.work, 0
+	for from := stormOutageTo + stormFirstWindow; from+stormWindow <= stormEnd; from += stormWindow {
+		rate := o.goodput(from, from+stormWindow)
+		lowest = min(lowest, rate)
+		if rate < stormCollapse*stormLoad*capacity.work {
+			collapses++
+		}
+	}
+	return named(plain,
+		Plain("storm_settle_s", (settled-stormOutageTo).Seconds(), "s"),
+		Bounded("storm_second_collapses", float64(collapses), "windows", Exactly, 0),
+		Plain("storm_goodput_min_ratio", lowest/(stormLoad*capacity.work), "ratio"),
+		Bounded("storm_amplification", o.amplification(), "ratio", AtMost, 1.2),
+		Plain("storm_unanswered_part", float64(o.gaveUp)/float64(o.callers), "ratio"),
+	)
+}
+
+// settledAt finds the first time after the outage from which the number of
+// waiting callers, averaged over stormWindow, stays for stormCalm near what it
+// was before.
+func settledAt(waiting []float64) time.Duration {
+	mean := func(from, to time.Duration) float64 {
+		sum := 0.0
+		for _, w := range waiting[from/time.Second : to/time.Second] {
+			sum += w
+		}
+		return sum / (to - from).Seconds()
+	}
+	bound := stormSettled * mean(overloadWarmUp, stormOutageFrom)
+	settled := stormOutageTo + stormWindow
+	for at := settled; at < stormEnd; at += time.Second {
+		if mean(at-stormWindow, at) > bound {
+			settled = at + time.Second
+		} else if at-settled >= stormCalm {
+			return settled
+		}
+	}
+	return stormEnd
+}
--- /dev/null
+++ b/bench/overload_model.go
@@ -0,0 +1,242 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/bench/enginemodel"
+	"github.com/mulberryfork/mulberryfork/decide/limit"
+	"github.com/mulberryfork/mulberryfork/decide/retrybudget"
+	"github.com/mulberryfork/mulberryfork/decide/route"
+)
+
+const (
+	overloadEngines = 6
+	overloadRouters = 3
+	// overloadDeadline is how long a caller waits for one answer.
+	overloadDeadline    = 10 * time.Second
+	overloadPrompt      = 512
+	overloadLeastOutput = 60
+	overloadOutputRange = 120
+	overloadStepTarget  = 49 * time.Millisecond
+	overloadMaxRequests = 256
+	overloadMaxTokens   = 256 * (overloadPrompt + overloadLeastOutput + overloadOutputRange)
+	overloadReportEvery = 250 * time.Millisecond
+	overloadReportLag   = 150 * time.Millisecond
+)
+
+// overloadSpeed lets the engine take a batch far above what meets the target.
+func overloadSpeed() enginemodel.Speed {
+	s := enginemodel.DefaultSpeed
+	s.MaxBatch = overloadMaxRequests
+	return s
+}
+
+// overloadPool is one run. The plain one has neither limits nor budgets.
+type overloadPool struct {
+	events  enginemodel.Events
+	plain   bool
+	rng     *rand.Rand
+	agents  []*overloadAgent
+	routers []*route.State
+	budgets []*retrybudget.State
+	down    bool
+
+	callers, waiting, gaveUp int
+	maxAttempts              int
+	firstSends, sends        int
+	good                     []goodAnswer
+	// refused holds the times in ms after which callers were refused.
+	refused []float64
+}
+
+type goodAnswer struct {
+	at, took time.Duration
+	work     float64
+}
+
+// overloadAgent is the agent of one engine, with its queue.
+type overloadAgent struct {
+	pool     *overloadPool
+	engine   *enginemodel.Engine
+	limit    *limit.State
+	queue    []*try
+	running  []*try
+	received [overloadRouters]uint64
+	tokens   uint64
+	requests uint32
+}
+
+func newOverloadPool(seed uint64, plain bool, rate float64, maxAttempts int) *overloadPool {
+	o := &overloadPool{plain: plain, rng: rand.New(rand.NewPCG(seed, 3)), maxAttempts: maxAttempts}
+	for range overloadEngines {
+		a := &overloadAgent{pool: o, engine: enginemodel.NewEngine(&o.events, overloadSpeed())}
+		a.limit = limit.New(limit.Options{
+			MaxRequests: overloadMaxRequests, MaxTokens: overloadMaxTokens,
+			StepTarget: overloadStepTarget, Fixed: plain,
+		})
+		o.agents = append(o.agents, a)
+	}
+	for r := range overloadRouters {
+		o.routers = append(o.routers, newModelRouter(overloadEngines, r, seed, route.Options{}))
+		o.budgets = append(o.budgets, retrybudget.New(0, []string{routeMember}))
+	}
+	var arrive func()
+	arrive = func() {
+		o.callers++
+		o.waiting++
+		c := &caller{output: overloadLeastOutput + o.rng.IntN(overloadOutputRange)}
+		o.call(c)
+		o.events.After(time.Duration(o.rng.ExpFloat64()/rate*float64(time.Second)), arrive)
+	}
+	o.events.After(0, arrive)
+	o.events.Every(overloadReportEvery, o.report)
+	o.events.Every(overloadReportEvery, o.progress)
+	return o
+}
+
+// outage cuts or restores all links. Work that was running is canceled.
+func (o *overloadPool) outage(down bool) {
+	o.down = down
+	for r, s := range o.routers {
+		for i, a := range o.agents {
+			if down {
+				s.LinkDown(upstreamName(i))
+				continue
+			}
+			a.received[r] = 0
+			s.LinkUp(upstreamName(i), api.LinkState{Up: true, Incarnation: 1})
+			s.Load(o.events.Now(), a.load(i, r))
+		}
+	}
+	if down {
+		for _, a := range o.agents {
+			a.abandon()
+		}
+	}
+}
+
+func (o *overloadPool) report() {
+	if o.down {
+		return
+	}
+	for i, a := range o.agents {
+		for r, s := range o.routers {
+			l := a.load(i, r)
+			o.events.After(overloadReportLag, func() { s.Load(o.events.Now(), l) })
+		}
+	}
+}
+
+// progress samples the running requests, as an agent does that sees their chunks.
+func (o *overloadPool) progress() {
+	for _, a := range o.agents {
+		for _, t := range a.running {
+			if n := t.job.Generated(); n > 0 && !t.ended {
+				if t.seen > 0 {
+					a.limit.Progress(o.events.Now(), n-t.seen, overloadReportEvery)
+				}
+				t.seen = n
+			}
+		}
+	}
+}
+
+func (a *overloadAgent) load(i, r int) api.Load {
+	b := a.limit.Bounds()
+	return api.Load{
+		Upstream: upstreamName(i), Incarnation: 1, Elapsed: a.pool.events.Now(), Accepting: true,
+		Running: a.requests, Tokens: a.tokens, SeenOrders: a.received[r],
+		LimitRequests: uint32(b.Requests), LimitTokens: b.Tokens,
+	}
+}
+
+// arrive takes an order, or refuses it before it waits in vain.
+func (a *overloadAgent) arrive(t *try) {
+	a.received[t.router]++
+	if t.ended {
+		return
+	}
+	if !a.pool.plain {
+		if f := a.limit.Refuse(a.arrival(t, len(a.queue)), a.pool.rng.Float64()); f != nil {
+			t.end(f)
+			return
+		}
+	}
+	t.agent = a
+	a.requests++
+	a.tokens += uint64(t.cost())
+	a.queue = append(a.queue, t)
+	a.pump()
+}
+
+// arrival describes a request with the first n of the queue ahead of it.
+func (a *overloadAgent) arrival(t *try, n int) limit.Arrival {
+	ahead := uint64(0)
+	for _, q := range a.queue[:n] {
+		ahead += uint64(q.cost())
+	}
+	return limit.Arrival{
+		Cost: t.cost(), OutputTokens: uint32(t.caller.output), QueuedRequests: n, QueuedTokens: ahead,
+		DeadlineLeft: t.deadline - a.pool.events.Now(),
+	}
+}
+
+func (a *overloadAgent) pump() {
+	for len(a.queue) > 0 && (a.pool.plain || a.limit.Fits(a.queue[0].cost())) {
+		t := a.queue[0]
+		if !a.pool.plain {
+			if f := a.limit.Refuse(a.arrival(t, 0), a.pool.rng.Float64()); f != nil {
+				t.end(f)
+				continue
+			}
+		}
+		a.queue = a.queue[1:]
+		a.start(t)
+	}
+}
+
+func (a *overloadAgent) start(t *try) {
+	now := a.pool.events.Now()
+	t.started = true
+	a.limit.Start(t.cost())
+	j := &enginemodel.Job{PromptTokens: overloadPrompt, OutputTokens: t.caller.output}
+	t.job = j
+	a.running = append(a.running, t)
+	j.FirstToken = func() { t.first = true }
+	j.Done = func(complete bool) {
+		end := a.pool.events.Now()
+		a.running = slices.DeleteFunc(a.running, func(r *try) bool { return r == t })
+		a.limit.End(end, limit.Completion{
+			Started: now, Cost: t.cost(), Failed: !complete,
+			Usage: api.Usage{
+				GeneratedTokens: uint32(j.Generated()), FirstChunk: j.First - now, Total: end - now,
+			},
+		})
+		if complete {
+			t.end(nil)
+		}
+		a.pump()
+	}
+	a.engine.Submit(j)
+}
+
+// drop removes a request that ended early.
+func (a *overloadAgent) drop(t *try) {
+	a.requests--
+	a.tokens -= uint64(t.cost())
+	if !t.started {
+		a.queue = slices.DeleteFunc(a.queue, func(q *try) bool { return q == t })
+	} else if t.job != nil {
+		a.engine.Cancel(t.job)
+	}
+}
+
+func (a *overloadAgent) abandon() {
+	for _, t := range slices.Clone(a.queue) {
+		t.end(api.Fail(api.CodeLinkLost, api.Unknown, ""))
+	}
+	a.engine.Crash()
+}
--- a/decide/limit/early.go
+++ b/decide/limit/early.go
@@ -10,6 +10,9 @@
 	// minRetryAfter and maxRetryAfter bound the advice to callers.
 	minRetryAfter = time.Second
 	maxRetryAfter = 30 * time.Second
+	// progressSmoothing is small, because every running request gives a
+	// sample in every interval.
+	progressSmoothing = 0.01
 	// retryJitter is the part by which the advice is spread, so that callers
 	// refused together do not return together.
 	retryJitter = 0.5
@@ -38,6 +41,17 @@
 	}
 }
 
+// progress moves the step time between completions. The total follows, so
+// that a slow-down shows in the estimates before the slow requests end.
+func (t *times) progress(step time.Duration) {
+	if !t.known || t.step == 0 {
+		return
+	}
+	old := t.step
+	t.step += (float64(step) - t.step) * progressSmoothing
+	t.total *= t.step / old
+}
+
 // Arrival is a request that asks to wait or run.
 type Arrival struct {
 	Cost uint32
--- a/decide/route/choose.go
+++ b/decide/route/choose.go
@@ -64,10 +64,10 @@
 // bound has to wait in full.
 func (s *State) score(now time.Duration, c *candidate, q *api.RouteQuery, largest float64) {
 	u := c.up
-	_, tokens := u.work()
+	tokens := float64(u.work().tokens)
 	limit := u.limitTokens()
-	c.load = float64(tokens) * largest / limit
-	excess := max(float64(tokens)+float64(q.CostTokens)-limit, 0) * largest / limit
+	c.load = tokens * largest / limit
+	excess := max(tokens+float64(q.CostTokens)-limit, 0) * largest / limit
 	if u.match.serial == s.serial {
 		c.saved = float64(u.match.blocks * s.o.BlockTokens)
 		if u.match.stale {
--- a/decide/route/eligible.go
+++ b/decide/route/eligible.go
@@ -78,12 +78,10 @@
 	case u.reported && !u.load.Accepting:
 		return notAccepting
 	}
-	requests, _ := u.work()
-	if bound, cold := u.coldBound(); cold && requests >= bound {
+	if bound, cold := u.coldBound(); cold && u.work().requests >= bound {
 		return coldFull
 	}
-	own, _ := u.sends.own()
-	if u.health == Ejected || (u.health == Probing && own > 0) {
+	if u.health == Ejected || (u.health == Probing && u.sends.own.requests > 0) {
 		return avoided
 	}
 	return usable
@@ -121,8 +119,11 @@
 }
 
 // work estimates the requests and tokens outstanding on an upstream.
-func (u *upstream) work() (requests, tokens uint64) {
-	return u.sends.estimate(uint64(u.load.Running)+uint64(u.load.Queued), u.load.Tokens)
+func (u *upstream) work() work {
+	return u.sends.estimate(work{
+		requests: uint64(u.load.Running) + uint64(u.load.Queued),
+		tokens:   u.load.Tokens,
+	})
 }
 
 func (u *upstream) limitTokens() float64 {
--- a/decide/route/sends.go
+++ b/decide/route/sends.go
@@ -12,6 +12,22 @@
 	// that have ended since.
 	endedTokens uint64
 	ended       uint64
+	// own and unseen sum up the orders in flight: all of them, and those that
+	// the last report does not include.
+	own, unseen work
+}
+
+// work is a number of requests and their tokens.
+type work struct{ requests, tokens uint64 }
+
+func (w *work) add(cost uint32) {
+	w.requests++
+	w.tokens += uint64(cost)
+}
+
+func (w *work) sub(cost uint32) {
+	w.requests--
+	w.tokens -= uint64(cost)
 }
 
 type send struct {
@@ -28,6 +44,8 @@
 	w.sent++
 	e.ordinal = w.sent
 	w.open = append(w.open, e)
+	w.own.add(e.cost)
+	w.unseen.add(e.cost)
 }
 
 // report takes the number of orders that a load report includes. The link
@@ -36,6 +54,12 @@
 	w.seen = min(seen, w.sent)
 	w.endedTokens, w.ended = 0, 0
 	w.compact()
+	w.unseen = work{}
+	for _, e := range w.open {
+		if !e.done && e.ordinal > w.seen {
+			w.unseen.add(e.cost)
+		}
+	}
 }
 
 // finish marks an order as ended. An order that never left the router is
@@ -46,15 +70,18 @@
 			continue
 		}
 		e := w.open[i]
+		w.own.sub(e.cost)
+		if e.ordinal > w.seen {
+			w.unseen.sub(e.cost)
+		} else {
+			w.endedTokens += uint64(e.cost)
+			w.ended++
+		}
 		if unsent {
 			w.remove(i)
 			return e, true
 		}
 		w.open[i].done = true
-		if e.ordinal <= w.seen {
-			w.endedTokens += uint64(e.cost)
-			w.ended++
-		}
 		w.compact()
 		return e, true
 	}
@@ -67,7 +94,6 @@
 		w.open[j].ordinal--
 	}
 	w.sent--
-	w.seen = min(w.seen, w.sent)
 }
 
 func (w *sends) compact() {
@@ -81,35 +107,12 @@
 	w.open = kept
 }
 
-// own sums up the router's orders in flight.
-func (w *sends) own() (requests, tokens uint64) {
-	for _, e := range w.open {
-		if !e.done {
-			requests++
-			tokens += uint64(e.cost)
-		}
-	}
-	return requests, tokens
-}
-
-// unseen sums up the orders in flight that the last report does not include.
-func (w *sends) unseen() (requests, tokens uint64) {
-	for _, e := range w.open {
-		if !e.done && e.ordinal > w.seen {
-			requests++
-			tokens += uint64(e.cost)
-		}
-	}
-	return requests, tokens
-}
-
 // estimate combines reported work with the router's own knowledge.
-func (w *sends) estimate(reportedRequests, reportedTokens uint64) (requests, tokens uint64) {
-	unseenRequests, unseenTokens := w.unseen()
-	ownRequests, ownTokens := w.own()
-	requests = less(reportedRequests, w.ended) + unseenRequests
-	tokens = less(reportedTokens, w.endedTokens) + unseenTokens
-	return max(requests, ownRequests), max(tokens, ownTokens)
+func (w *sends) estimate(reported work) work {
+	return work{
+		requests: max(less(reported.requests, w.ended)+w.unseen.requests, w.own.requests),
+		tokens:   max(less(reported.tokens, w.endedTokens)+w.unseen.tokens, w.own.tokens),
+	}
 }
 
 func less(a, b uint64) uint64 {
