Sample the progress of running streams for the agent's limit

decide/limit learns from requests that are still running, since a request that reaches its deadline never completes. The agent counts the tokens that pass and samples each stream every 500 ms.

--- a/bench/config.go
+++ b/bench/config.go
@@ -139,16 +139,6 @@
 	return float64(sum) / configSpan.Seconds() / float64(len(s.nodes))
 }
 
-// quantile returns the value below which a part of the values lies.
-func quantile(values []float64, part float64) float64 {
-	if len(values) == 0 {
-		return 0
-	}
-	sorted := slices.Clone(values)
-	slices.Sort(sorted)
-	return sorted[int(part*float64(len(sorted)-1))]
-}
-
 // schedule lays out changes and faults. Each fault happens at the same time
 // for the change and the baseline.
 func (s *configSim) schedule() {
--- a/bench/load.go
+++ b/bench/load.go
@@ -106,9 +106,9 @@
 	return r
 }
 
-// closedLoop keeps a number of requests under way, which shows the most that
+// saturate keeps a number of requests under way, which shows the most that
 // a path can carry.
-func closedLoop(ctx context.Context, workers, requests int, send func(ctx context.Context, i int) error) (perSecond float64, err error) {
+func saturate(ctx context.Context, workers, requests int, send func(ctx context.Context, i int) error) (perSecond float64, err error) {
 	var next atomic.Int64
 	var failed failures
 	var running sync.WaitGroup
--- a/bench/path.go
+++ b/bench/path.go
@@ -43,15 +43,15 @@
 	_, _ = io.WriteString(w, shortAnswer)
 }
 
-// caller sends short completions to one address.
-type caller struct {
+// httpCaller sends short completions to one address.
+type httpCaller struct {
 	url    string
 	client *http.Client
 }
 
-func newCaller(url string) caller {
+func newHTTPCaller(url string) httpCaller {
 	transport := &http.Transport{MaxIdleConns: 4 * pathWorkers, MaxIdleConnsPerHost: 4 * pathWorkers}
-	return caller{url: url + "/v1/chat/completions", client: &http.Client{Transport: transport}}
+	return httpCaller{url: url + "/v1/chat/completions", client: &http.Client{Transport: transport}}
 }
 
 // StatusError reports an answer with an unexpected status.
@@ -62,7 +62,7 @@
 
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
 
-func (c caller) send(ctx context.Context, i int) error {
+func (c httpCaller) send(ctx context.Context, i int) error {
 	body := fmt.Sprintf(`{"model":%q,"max_tokens":4,"messages":[{"role":"user","content":"short request %d"}]}`, deployment.Model, i)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, strings.NewReader(body))
 	if err != nil {
@@ -103,9 +103,9 @@
 		return Result{}, err
 	}
 	defer func() { _ = pool.Stop(context.WithoutCancel(ctx)) }()
-	routed, direct := newCaller(pool.Routers[0].URL), newCaller(pool.Agents[0].Engine)
-	for _, c := range []caller{direct, routed} {
-		if _, err := closedLoop(ctx, pathWorkers, pathWarmUp, c.send); err != nil {
+	routed, direct := newHTTPCaller(pool.Routers[0].URL), newHTTPCaller(pool.Agents[0].Engine)
+	for _, c := range []httpCaller{direct, routed} {
+		if _, err := saturate(ctx, pathWorkers, pathWarmUp, c.send); err != nil {
 			return Result{}, err
 		}
 	}
@@ -120,14 +120,14 @@
 	return pathThroughput(ctx, p, routed, direct, baseline, measured)
 }
 
-func pathThroughput(ctx context.Context, p Params, routed, direct caller, baseline, measured loadResult) (Result, error) {
+func pathThroughput(ctx context.Context, p Params, routed, direct httpCaller, baseline, measured loadResult) (Result, error) {
 	fmt.Fprintf(p.Progress, "path: %d requests over %d connections, direct and routed\n", pathRequests, pathWorkers)
-	directRate, err := closedLoop(ctx, pathWorkers, pathRequests, direct.send)
+	directRate, err := saturate(ctx, pathWorkers, pathRequests, direct.send)
 	if err != nil {
 		return Result{}, err
 	}
 	before := usage(direct, routed)
-	rate, err := closedLoop(ctx, pathWorkers, pathRequests, routed.send)
+	rate, err := saturate(ctx, pathWorkers, pathRequests, routed.send)
 	if err != nil {
 		return Result{}, err
 	}
@@ -164,7 +164,7 @@
 
 type resources struct{ goroutines, heap int }
 
-func usage(callers ...caller) resources {
+func usage(callers ...httpCaller) resources {
 	for _, c := range callers {
 		c.client.CloseIdleConnections()
 	}
--- a/bench/relay.go
+++ b/bench/relay.go
@@ -130,7 +130,7 @@
 // relayOnce runs all streams at once and charges the processor time of the
 // whole process to their tokens.
 func relayOnce(ctx context.Context, url string) (relayResult, error) {
-	c := newCaller(url)
+	c := newHTTPCaller(url)
 	defer c.client.CloseIdleConnections()
 	r := relayResult{gaps: newLatencies(), first: newLatencies()}
 	var tokens atomic.Int64
@@ -153,7 +153,7 @@
 }
 
 // stream reads one streamed answer and records the times of its tokens.
-func (c caller) stream(ctx context.Context, r relayResult) (int64, error) {
+func (c httpCaller) stream(ctx context.Context, r relayResult) (int64, error) {
 	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"prompt":"relay"}`, deployment.Model, relayTokens)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, strings.NewReader(body))
 	if err != nil {
--- a/bench/route_model.go
+++ b/bench/route_model.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
@@ -206,13 +205,3 @@
 	s.p50, s.p95 = quantile(p.ttft, 0.5), quantile(p.ttft, 0.95)
 	return s
 }
-
-// quantile returns a quantile of values, or 0 without any.
-func quantile(values []float64, q float64) float64 {
-	if len(values) == 0 {
-		return 0
-	}
-	sorted := slices.Clone(values)
-	slices.Sort(sorted)
-	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
-}
--- a/service/work/control.go
+++ b/service/work/control.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
@@ -17,6 +18,8 @@
 const (
 	// expiryInterval is how often waiting orders are checked for their deadline.
 	expiryInterval = 100 * time.Millisecond
+	// progressInterval is how often running streams are sampled.
+	progressInterval = 500 * time.Millisecond
 	// ageStep, maxPriority and advantageTokens say what priorities are worth.
 	ageStep         = time.Second
 	maxPriority     = 9
@@ -53,6 +56,10 @@
 	ticket   coldstart.Ticket
 	started  time.Duration
 	isolated bool
+	// generated is counted by the traffic goroutine, sampled is what the last
+	// sample saw of it.
+	generated atomic.Int64
+	sampled   int64
 }
 
 // control is the agent's state. The control loop owns it; times are the
--- a/service/work/observe.go
+++ b/service/work/observe.go
@@ -66,3 +66,15 @@
 		c.service.metrics.Counter("work_cold_falls", string(c.cold.Reason())).Add(1)
 	}
 }
+
+// sample takes the progress of streams that ran through the whole interval and
+// have their first token.
+func (c *control) sample(now time.Duration) {
+	for _, a := range c.running {
+		total := a.generated.Load()
+		if a.sampled > 0 && now-a.started >= progressInterval {
+			c.limit.Progress(now, int(total-a.sampled), progressInterval)
+		}
+		a.sampled = total
+	}
+}
--- a/service/work/pump.go
+++ b/service/work/pump.go
@@ -104,9 +104,10 @@
 	}
 	delete(c.waiters, o.Send)
 	c.limit.Start(o.CostTokens)
-	c.running[o.Send] = &active{order: o, ticket: c.cold.Start(int(o.CostTokens)), started: now, isolated: isolated}
+	a := &active{order: o, ticket: c.cold.Start(int(o.CostTokens)), started: now, isolated: isolated}
+	c.running[o.Send] = a
 	c.service.metrics.Counter("work_started", o.Member).Add(1)
-	w.call.Reply(grant{verdict: run, expires: c.service.started + w.deadline})
+	w.call.Reply(grant{verdict: run, expires: c.service.started + w.deadline, generated: &a.generated})
 }
 
 // finish accounts for a run that ended, whatever its result.
--- a/service/work/work.go
+++ b/service/work/work.go
@@ -78,6 +78,8 @@
 	// expires is when a grant to run must not be used any more, on the clock
 	// of the process.
 	expires time.Duration
+	// generated counts the tokens of a run while it goes on.
+	generated *atomic.Int64
 }
 
 // finish tells the control loop how a run ended.
@@ -138,6 +140,7 @@
 		func(now time.Duration, _ struct{}) { ctl.drain(now - s.started) })
 	s.learns = kernel.NewMailbox(l, "work.learn", learnMailbox, kernel.Drop,
 		func(now time.Duration, news []api.Suspicion) { ctl.suspects.Learn(now-s.started, news) })
+	l.Every(progressInterval, func(now time.Duration) { ctl.sample(now - s.started) })
 	l.Every(expiryInterval, func(now time.Duration) { ctl.pump(now - s.started) })
 	s.store.Subscribe(func(now time.Duration, snap *api.Snapshot) { ctl.configure(now-s.started, snap) })
 }
@@ -240,5 +243,18 @@
 	if s.clock.Now() >= g.expires {
 		return api.Usage{}, api.Fail(api.CodeDeadlineExceeded, api.NotRun, "the deadline passed before the start")
 	}
-	return s.engine.Run(ctx, o, sink)
+	return s.engine.Run(ctx, o, &progress{Sink: sink, generated: g.generated})
+}
+
+// progress counts the tokens that pass, since a run that never ends would
+// otherwise say nothing about the load of its upstream.
+type progress struct {
+	api.Sink
+	generated *atomic.Int64
+}
+
+// Chunk counts and passes on.
+func (p *progress) Chunk(c api.Chunk) error {
+	p.generated.Add(int64(c.Tokens))
+	return p.Sink.Chunk(c)
 }
