Correct members' shares at the agents by what they received of the pool

Agents report the cost served and waiting for the members that wait most, every 5 s and once on each link; routers run decide/sharecorrect on these reports and send the factor with each order.

--- a/api/request.go
+++ b/api/request.go
@@ -166,6 +166,9 @@
 	// Waiting lists the cost of each member's queued requests, so that a
 	// member that wants more is told from one that asks for little.
 	Waiting map[string]uint64
+	// ServedSeq numbers the values of Served and Waiting, which a report
+	// leaves out if the last one on the same link had them.
+	ServedSeq uint64
 	// PrefixAdded and PrefixDropped are cache events since the last report.
 	PrefixAdded   []uint64
 	PrefixDropped []uint64
--- a/api/services.go
+++ b/api/services.go
@@ -150,6 +150,8 @@
 	Ticket uint64
 	// Isolate asks for a run with nothing beside it.
 	Isolate bool
+	// ShareFactor corrects the member's share at the agent.
+	ShareFactor float64
 }
 
 // CacheUse says whether an engine served a prompt from its prefix cache.
--- a/decide/sharecorrect/corrector.go
+++ b/decide/sharecorrect/corrector.go
@@ -46,23 +46,25 @@
 	return &Corrector{config: c, upstreams: make(map[string]*upstream), factors: make(map[string]float64)}
 }
 
-// Report takes the load report of an agent.
+// Report takes the load report of an agent. It may leave out members; the
+// first total of a member only sets where its count begins.
 func (c *Corrector) Report(l api.Load) {
 	u, ok := c.upstreams[l.Upstream]
 	if !ok {
-		u = &upstream{incarnation: l.Incarnation, total: l.Served}
+		u = &upstream{incarnation: l.Incarnation, total: make(map[string]uint64)}
 		u.reset()
 		c.upstreams[l.Upstream] = u
 	}
 	if u.incarnation != l.Incarnation {
-		u.incarnation, u.total = l.Incarnation, nil
+		u.incarnation = l.Incarnation
+		clear(u.total)
 	}
 	for member, total := range l.Served {
-		if before := u.total[member]; total > before {
+		if before, known := u.total[member]; known && total > before {
 			u.served[member] += total - before
 		}
+		u.total[member] = total
 	}
-	u.total = l.Served
 	u.reports++
 	for member, waiting := range l.Waiting {
 		if waiting > 0 {
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -319,6 +319,7 @@
 		CostTokens:   r.CostTokens,
 		Fingerprint:  r.Fingerprint,
 		Isolate:      choice.Isolate,
+		ShareFactor:  choice.ShareFactor,
 		Model:        r.Model,
 		Method:       r.Method,
 		Path:         r.Path,
--- a/service/linkserver/link.go
+++ b/service/linkserver/link.go
@@ -35,6 +35,8 @@
 	seen     atomic.Uint64
 	// cacheSeq is the last reported change of the prefix cache; the writer owns it.
 	cacheSeq uint64
+	// servedSeq is the last report of served costs.
+	servedSeq uint64
 	// told is the last news of crashes that was reported.
 	told []api.Suspicion
 
@@ -240,6 +242,10 @@
 	load.SeenOrders = l.seen.Load()
 	load.Elapsed = l.server.work.Elapsed()
 	l.addCacheChanges(&load)
+	if load.ServedSeq == l.servedSeq {
+		load.Served, load.Waiting = nil, nil
+	}
+	l.servedSeq = load.ServedSeq
 	return &wire.AgentFrame{Body: &wire.AgentFrame_Load{Load: wire.FromLoad(load)}}
 }
 
--- a/service/routing/routing.go
+++ b/service/routing/routing.go
@@ -11,6 +11,7 @@
 	"github.com/mulberryfork/mulberryfork/decide/outlier"
 	"github.com/mulberryfork/mulberryfork/decide/poison"
 	"github.com/mulberryfork/mulberryfork/decide/route"
+	"github.com/mulberryfork/mulberryfork/decide/sharecorrect"
 	"github.com/mulberryfork/mulberryfork/kernel"
 )
 
@@ -18,6 +19,12 @@
 	queryMailbox  = 4096
 	resultMailbox = 4096
 	tickInterval  = time.Second
+	// correctionInterval exceeds the interval at which agents report the cost
+	// they served.
+	correctionInterval = 10 * time.Second
+	// correctionGain and maxCorrection are as in experiment fairness.
+	correctionGain = 0.5
+	maxCorrection  = 64
 )
 
 // Register adds the service under its name.
@@ -43,6 +50,7 @@
 	state    *route.State
 	outliers *outlier.State
 	suspects *poison.State
+	shares   *sharecorrect.Corrector
 }
 
 func (s *service) Provision(c *kernel.Context) (err error) {
@@ -70,6 +78,7 @@
 	s.state = route.New(route.Options{Zone: settings.Zone, Seed: seed(settings.Node)})
 	s.outliers = outlier.New()
 	s.suspects = poison.New(0)
+	s.shares = sharecorrect.New(sharecorrect.Config{Gain: correctionGain, MaxFactor: maxCorrection})
 	s.queries = kernel.NewMailbox(c.Loop(), "routing.query", queryMailbox, kernel.Wait, s.answer)
 	s.results = kernel.NewMailbox(c.Loop(), "routing.result", resultMailbox, kernel.Wait, s.settle)
 	s.store.Subscribe(s.configure)
@@ -78,6 +87,7 @@
 		s.apply(s.outliers.Tick(now))
 		s.suspects.Expire(now)
 	})
+	c.Loop().Every(correctionInterval, func(time.Duration) { s.correctShares() })
 	return nil
 }
 
@@ -112,6 +122,9 @@
 // crashes on to the agents that have not heard them.
 func (s *service) LoadReport(now time.Duration, l api.Load) {
 	s.state.Load(now, l)
+	if l.Served != nil {
+		s.shares.Report(l)
+	}
 	if news := s.suspects.Learn(now, l.Suspicions); len(news) > 0 {
 		s.links.Tell(news)
 	}
@@ -169,6 +182,7 @@
 	}
 	choice, failure := s.state.Choose(now, q)
 	choice.Isolate = isolate
+	choice.ShareFactor = s.shares.Factor(q.Member)
 	c.Reply(answer{choice: choice, failure: failure})
 }
 
@@ -194,6 +208,20 @@
 	return true, nil
 }
 
+// correctShares adjusts the weights of members whose work is confined to few
+// upstreams to what they received of the pool.
+func (s *service) correctShares() {
+	snap := s.store.Current()
+	if snap == nil {
+		return
+	}
+	shares := make(map[string]float64, len(snap.Config.Members))
+	for name, m := range snap.Config.Members {
+		shares[name] = m.Share
+	}
+	s.shares.Step(shares)
+}
+
 func (s *service) settle(now time.Duration, r api.RouteResult) {
 	s.state.Done(now, r)
 	if r.Unsent {
--- a/service/work/control.go
+++ b/service/work/control.go
@@ -79,7 +79,10 @@
 	waiters map[api.SendID]*waiter
 	running map[api.SendID]*active
 	served  map[string]uint64
-	crashes uint64
+	// reported and waitingCost are the last report of servedSeq.
+	reported, waitingCost map[string]uint64
+	servedSeq             uint64
+	crashes               uint64
 	// crashedAt is the time of the last crash; runs that began before it
 	// failed with it.
 	crashedAt time.Duration
--- a/service/work/observe.go
+++ b/service/work/observe.go
@@ -1,11 +1,50 @@
 package work
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
 )
 
+const (
+	// servedInterval is how often the cost served for each member is reported.
+	servedInterval = 5 * time.Second
+	// servedMembers bounds the members of one report, so that control traffic
+	// stays within its budget.
+	servedMembers = 16
+)
+
+// reportServed reports the members that wait with the most cost, which are
+// those whose share may need a correction.
+func (c *control) reportServed(time.Duration) {
+	var names []string
+	waiting := make(map[string]uint64)
+	for name := range c.snapMembers() {
+		if cost := c.queue.Waiting(name); cost > 0 {
+			waiting[name] = cost
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(waiting[b], waiting[a]), cmp.Compare(a, b))
+	})
+	c.reported, c.waitingCost = make(map[string]uint64), make(map[string]uint64)
+	for _, name := range names[:min(len(names), servedMembers)] {
+		c.reported[name], c.waitingCost[name] = c.served[name], waiting[name]
+	}
+	c.servedSeq++
+	c.publish()
+}
+
+func (c *control) snapMembers() map[string]api.Member {
+	if c.snap == nil {
+		return nil
+	}
+	return c.snap.Config.Members
+}
+
 // keptChanges bounds the changes of the prefix cache that links can still
 // report.
 const keptChanges = 512
--- a/service/work/pump.go
+++ b/service/work/pump.go
@@ -248,7 +248,9 @@
 		Accepting:     c.closed() == nil,
 		StepTime:      c.step,
 		FirstToken:    c.first,
-		Served:        old.load.Served,
+		Served:        c.reported,
+		Waiting:       c.waitingCost,
+		ServedSeq:     c.servedSeq,
 		Suspicions:    c.suspicions(old.load.Suspicions),
 	}
 	if c.snap != nil {
--- a/service/work/work.go
+++ b/service/work/work.go
@@ -141,6 +141,7 @@
 	s.learns = kernel.NewMailbox(l, "work.learn", learnMailbox, kernel.Drop,
 		func(now time.Duration, news []api.Suspicion) { ctl.suspects.Learn(now-s.started, news) })
 	l.Every(progressInterval, func(now time.Duration) { ctl.sample(now - s.started) })
+	l.Every(servedInterval, func(now time.Duration) { ctl.reportServed(now - s.started) })
 	l.Every(expiryInterval, func(now time.Duration) { ctl.pump(now - s.started) })
 	s.store.Subscribe(func(now time.Duration, snap *api.Snapshot) { ctl.configure(now-s.started, snap) })
 }
