--- a/service/dispatch/attempt.go
+++ b/service/dispatch/attempt.go
@@ -42,27 +42,15 @@
 	if !d.assembly.Head(h) {
 		return nil
 	}
-	d.headSent, d.resumable = true, isEventStream(h)
+	d.headSent, d.resumable = true, api.IsEventStream(h.Headers)
 	if d.key != "" {
 		h.Headers = append(h.Headers, api.Header{Name: keyHeader, Value: d.key})
 	}
 	return d.sink.Head(h)
 }
 
-func isEventStream(h api.Head) bool {
-	for _, header := range h.Headers {
-		if header.Name == "Content-Type" {
-			return len(header.Value) >= len(eventStream) && header.Value[:len(eventStream)] == eventStream
-		}
-	}
-	return false
-}
-
-const (
-	eventStream = "text/event-stream"
-	// keyHeader tells a caller the key of its request.
-	keyHeader = "Idempotency-Key"
-)
+// keyHeader tells a caller the key of its request.
+const keyHeader = "Idempotency-Key"
 
 // Chunk passes on the chunks that are next in order.
 func (a *attempt) Chunk(c api.Chunk) error {
--- a/service/frontend/answer.go
+++ b/service/frontend/answer.go
@@ -53,10 +53,8 @@
 func (a *answer) Head(h api.Head) error {
 	for _, header := range h.Headers {
 		a.writer.Header().Add(header.Name, header.Value)
-		if header.Name == "Content-Type" && strings.HasPrefix(header.Value, "text/event-stream") {
-			a.events = true
-		}
 	}
+	a.events = api.IsEventStream(h.Headers)
 	a.writer.WriteHeader(h.Status)
 	a.started, a.status = true, h.Status
 	return nil
--- a/service/frontend/frontend.go
+++ b/service/frontend/frontend.go
@@ -62,22 +62,11 @@
 	return nil
 }
 
-// ListenError reports an address that cannot be served.
-type ListenError struct {
-	Address string
-	Err     error
-}
-
-func (e *ListenError) Error() string { return "listen on " + e.Address + ": " + e.Err.Error() }
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Err }
-
 func (s *service) Start(ctx context.Context) error {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", s.settings.Listen.HTTP)
 	if err != nil {
-		return &ListenError{Address: s.settings.Listen.HTTP, Err: err}
+		return &api.ListenError{Address: s.settings.Listen.HTTP, Err: err}
 	}
 	s.listener = listener
 	base, cancel := context.WithCancelCause(context.Background())
--- a/service/links/link.go
+++ b/service/links/link.go
@@ -16,12 +16,7 @@
 	"github.com/mulberryfork/mulberryfork/wire"
 )
 
-const (
-	outboundFrames = 1024
-	// batchFrames and batchBytes bound what one write packs.
-	batchFrames = 256
-	batchBytes  = 256 << 10
-)
+const outboundFrames = 1024
 
 // link is the connection to one agent. The mutex guards only the table of
 // exchanges under way, which is plumbing and decides nothing.
@@ -148,7 +143,7 @@
 		case <-s.lost:
 			return
 		case f := <-s.outbound:
-			if err := stream.Send(&wire.RouterBatch{Frames: s.pack(f)}); err != nil {
+			if err := stream.Send(&wire.RouterBatch{Frames: wire.Batch(f, s.outbound, orderBytes)}); err != nil {
 				s.lose()
 				return
 			}
@@ -156,21 +151,7 @@
 	}
 }
 
-// pack adds the frames that wait already to one write.
-func (s *session) pack(first *wire.RouterFrame) []*wire.RouterFrame {
-	frames := []*wire.RouterFrame{first}
-	size := len(first.GetOrder().GetBody())
-	for len(frames) < batchFrames && size < batchBytes {
-		select {
-		case f := <-s.outbound:
-			frames = append(frames, f)
-			size += len(f.GetOrder().GetBody())
-		default:
-			return frames
-		}
-	}
-	return frames
-}
+func orderBytes(f *wire.RouterFrame) int { return len(f.GetOrder().GetBody()) }
 
 func (s *session) hello() *wire.Hello {
 	var revision uint64
--- a/service/linkserver/link.go
+++ b/service/linkserver/link.go
@@ -12,9 +12,6 @@
 
 const (
 	outboundFrames = 1024
-	// batchFrames and batchBytes bound what one write packs.
-	batchFrames = 256
-	batchBytes  = 256 << 10
 	// reportInterval is the shortest time between two load reports on a link.
 	reportInterval = 100 * time.Millisecond
 	// reportedChanges bounds the changes of the prefix cache in one report, so
@@ -175,7 +172,7 @@
 		case <-l.ctx.Done():
 			return
 		case f := <-l.outbound:
-			if !l.flush(l.pack(f)...) {
+			if !l.flush(wire.Batch(f, l.outbound, chunkBytes)...) {
 				return
 			}
 		case <-changed:
@@ -207,20 +204,7 @@
 	return l.stream.Send(&wire.AgentBatch{Frames: frames}) == nil
 }
 
-func (l *link) pack(first *wire.AgentFrame) []*wire.AgentFrame {
-	frames := []*wire.AgentFrame{first}
-	size := len(first.GetChunk().GetPayload())
-	for len(frames) < batchFrames && size < batchBytes {
-		select {
-		case f := <-l.outbound:
-			frames = append(frames, f)
-			size += len(f.GetChunk().GetPayload())
-		default:
-			return frames
-		}
-	}
-	return frames
-}
+func chunkBytes(f *wire.AgentFrame) int { return len(f.GetChunk().GetPayload()) }
 
 func (l *link) hello() *wire.AgentFrame {
 	var revision uint64
--- a/service/linkserver/server.go
+++ b/service/linkserver/server.go
@@ -130,7 +130,7 @@
 	}}
 	listener, err := config.Listen(ctx, "tcp", s.settings.Listen.Link)
 	if err != nil {
-		return &ListenError{Address: s.settings.Listen.Link, Err: err}
+		return &api.ListenError{Address: s.settings.Listen.Link, Err: err}
 	}
 	s.listener = listener
 	if secure := s.trust.Server(); secure != nil {
@@ -151,17 +151,6 @@
 // Address returns the address that links are accepted on.
 func (s *service) Address() string { return s.listener.Addr().String() }
 
-// ListenError reports an address that cannot be served.
-type ListenError struct {
-	Address string
-	Err     error
-}
-
-func (e *ListenError) Error() string { return "listen on " + e.Address + ": " + e.Err.Error() }
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Err }
-
 // DrainError reports orders that were still running at the deadline.
 type DrainError struct{ Err error }
 
--- a/service/work/record.go
+++ b/service/work/record.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	contentType     = "Content-Type"
-	eventStream     = "text/event-stream"
 	eventField      = "data: "
 	replayedPayload = 32 << 10
 )
@@ -28,20 +26,11 @@
 // Head keeps status and headers.
 func (r *recorder) Head(h api.Head) error {
 	r.answer.Status, r.answer.Headers = h.Status, h.Headers
-	r.events = isEventStream(h.Headers)
+	r.events = api.IsEventStream(h.Headers)
 	r.lost = r.next.Head(h) != nil
 	return nil
 }
 
-func isEventStream(headers []api.Header) bool {
-	for _, h := range headers {
-		if h.Name == contentType {
-			return len(h.Value) >= len(eventStream) && h.Value[:len(eventStream)] == eventStream
-		}
-	}
-	return false
-}
-
 // Chunk keeps the payload, event streams in their own text form.
 func (r *recorder) Chunk(c api.Chunk) error {
 	r.keep(c.Payload)
@@ -107,7 +96,7 @@
 // they had, so that a stream can go on after any of them.
 func payloads(o api.Outcome) [][]byte {
 	var out [][]byte
-	if !isEventStream(o.Headers) {
+	if !api.IsEventStream(o.Headers) {
 		for body := o.Body; len(body) > 0; {
 			n := min(len(body), replayedPayload)
 			out = append(out, body[:n])
