--- a/integration/faults_test.go
+++ b/integration/faults_test.go
@@ -54,49 +54,101 @@
 	}
 }
 
-// held keeps faults up while a number of requests is answered or refused.
-func held(l *pool.Load) func(context.Context) error {
-	return func(ctx context.Context) error { return l.Await(ctx, requestsHeld) }
-}
-
-// schedules are run in order on one pool, each with the faults beside each other.
-var schedules = []struct {
+// schedule is run in order on one pool; the kinds of a step act beside each other.
+type schedule struct {
 	deployment string
 	steps      [][]string
-}{
-	{"vale-do-sousa", [][]string{{"delay", "trickle"}, {"reset", "duplicate"}, {"pause"}, {"kill_agent", "loss"}}},
-	{"slnecne-bodky", [][]string{{"cut_one_way"}, {"partition", "config_down"}, {"kill_router", "config_stale"}, {"engine_crash", "reset"}}},
 }
 
-// Each promise must hold for both users while processes and links fail.
-func TestPromisesHoldUnderFaults(t *testing.T) {
-	for _, s := range schedules {
-		t.Run(s.deployment, func(t *testing.T) {
-			t.Parallel()
-			ctx, p := start(t, s.deployment)
-			random := rand.New(rand.NewPCG(seed, 0))
-			load := p.StartLoad(callers, seed)
-			for _, kinds := range s.steps {
-				apply(ctx, t, p, random, kinds, held(load))
+// hold keeps a step up under traffic until it has had its effect: links that
+// are cut must have been given up, and the limits for zones and upstreams that
+// are taken out must have passed.
+func hold(p *pool.Pool, l *pool.Load, kinds []string) func(context.Context) error {
+	return func(ctx context.Context) error {
+		begin := p.Now()
+		for _, kind := range kinds {
+			var err error
+			switch kind {
+			case "cut_one_way", "partition":
+				err = p.AwaitLinkLost(ctx)
+			case "zone_out", "leaving":
+				err = p.AwaitTime(ctx, begin+max(proof.ZoneLimit, proof.LeavingLimit))
 			}
-			load.Stop()
-			judge(t, p.Record())
-		})
+			if err != nil {
+				return err
+			}
+		}
+		return l.Await(ctx, requestsHeld)
 	}
 }
 
-func apply(ctx context.Context, t *testing.T, p *pool.Pool, random *rand.Rand, kinds []string, hold func(context.Context) error) {
-	t.Helper()
-	var steps []pool.Step
-	for _, kind := range kinds {
-		step, err := p.Draw(kind, random)
+func (s schedule) run(t *testing.T) {
+	t.Parallel()
+	ctx, p := start(t, s.deployment)
+	random := rand.New(rand.NewPCG(seed, 0))
+	load := p.StartLoad(callers, seed)
+	defer load.Stop()
+	for _, kinds := range s.steps {
+		steps, err := p.Draw(random, kinds...)
 		if err != nil {
 			t.Fatal(err)
 		}
-		steps = append(steps, step)
-		t.Logf("%8.3fs %s", p.Now().Seconds(), step.Name)
+		for _, step := range steps {
+			t.Logf("%8.3fs %s", p.Now().Seconds(), step.Name)
+		}
+		if err := p.Apply(ctx, steps, hold(p, load, kinds)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	load.Stop()
+	judge(t, p.Record())
+}
+
+// Each promise must hold for both users while processes and links fail.
+func TestPromisesHoldUnderFaults(t *testing.T) {
+	for _, s := range []schedule{
+		{"vale-do-sousa", [][]string{{"delay", "trickle"}, {"reset", "duplicate"}, {"pause"}, {"kill_agent", "loss"}, {"cut_one_way"}}},
+		{"slnecne-bodky", [][]string{{"partition", "config_down"}, {"kill_router", "config_stale"}, {"engine_crash", "reset"}}},
+	} {
+		t.Run(s.deployment, s.run)
 	}
-	if err := p.Apply(ctx, steps, hold); err != nil {
+}
+
+// What operators do on purpose must cost no caller an answer.
+func TestPromisesHoldDuringOperations(t *testing.T) {
+	for _, s := range []schedule{
+		{"vale-do-sousa", [][]string{{"roll_routers"}, {"zone_out", "roll_agents"}}},
+		{"slnecne-bodky", [][]string{{"leaving"}, {"roll_agents", "roll_routers"}, {"zone_out", "pause"}}},
+	} {
+		t.Run(s.deployment, s.run)
+	}
+}
+
+// A process that restarts while the replica it reads is behind must not put an
+// older configuration in force than it had.
+func TestRestartDoesNotRevertConfiguration(t *testing.T) {
+	t.Parallel()
+	ctx, p := start(t, "vale-do-sousa")
+	if err := p.Publish(); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.AwaitRevision(ctx, 2); err != nil {
 		t.Fatal(err)
 	}
+	p.Config.SetStale(0, 1)
+	p.Config.SetStale(1, 1)
+	for _, n := range []*pool.Node{p.Routers[0], p.Agents[0]} {
+		if err := n.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		if err := n.Start(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if err := p.AwaitReady(ctx, n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, found := range proof.ConfigInForce(p.Record()) {
+		t.Error(found)
+	}
 }
--- a/proof/pool/faults.go
+++ b/proof/pool/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -32,8 +33,11 @@
 	Hides bool
 	// Operation marks what operators do on purpose; it is no fault.
 	Operation bool
-	begin     func(context.Context) error
-	end       func(context.Context) error
+	// targets are what the step takes hold of; two steps with a common one
+	// can't run beside each other.
+	targets []string
+	begin   func(context.Context) error
+	end     func(context.Context) error
 }
 
 // Kind makes a step, with targets that it draws.
@@ -69,14 +73,39 @@
 
 func (e *UnknownKindError) Error() string { return "no fault of kind " + e.Name }
 
-// Draw makes a step of a kind.
-func (p *Pool) Draw(kind string, random *rand.Rand) (Step, error) {
-	for _, k := range Kinds {
-		if k.Name == kind {
-			return k.make(p, random), nil
+// maxDraws bounds the draws for steps that don't take hold of the same targets.
+const maxDraws = 100
+
+// Draw makes steps that can run beside each other, one of each kind.
+func (p *Pool) Draw(random *rand.Rand, kinds ...string) ([]Step, error) {
+	var steps []Step
+	taken := make(map[string]bool)
+	for _, kind := range kinds {
+		s, err := p.draw(random, kind, taken)
+		if err != nil {
+			return nil, err
+		}
+		for _, t := range s.targets {
+			taken[t] = true
+		}
+		steps = append(steps, s)
+	}
+	return steps, nil
+}
+
+// draw makes one step. One that finds all its targets taken is left out.
+func (p *Pool) draw(random *rand.Rand, kind string, taken map[string]bool) (Step, error) {
+	at := slices.IndexFunc(Kinds, func(k Kind) bool { return k.Name == kind })
+	if at < 0 {
+		return Step{}, &UnknownKindError{kind}
+	}
+	for range maxDraws {
+		s := Kinds[at].make(p, random)
+		if !slices.ContainsFunc(s.targets, func(t string) bool { return taken[t] }) {
+			return s, nil
 		}
 	}
-	return Step{}, &UnknownKindError{kind}
+	return Step{Name: "no " + kind, Operation: true}, nil
 }
 
 func pick[T any](list []T, random *rand.Rand) T { return list[random.IntN(len(list))] }
@@ -90,6 +119,9 @@
 				r.Faults = append(r.Faults, proof.Fault{Name: s.Name, From: from, Nodes: s.Nodes, Hides: s.Hides})
 			})
 		}
+		if s.begin == nil {
+			continue
+		}
 		if err := s.begin(ctx); err != nil {
 			return err
 		}
@@ -123,7 +155,7 @@
 // rule is a step that puts a fault on a direction of the network.
 func (p *Pool) rule(kind, from, to string, f faultproxy.Fault) Step {
 	return Step{
-		Name:  kind + " " + from + " to " + to,
+		Name: kind + " " + from + " to " + to, targets: []string{from + " to " + to},
 		begin: func(context.Context) error { p.Network.Set(from, to, f); return nil },
 		end:   func(context.Context) error { p.Network.Clear(from, to); return nil },
 	}
@@ -195,7 +227,7 @@
 func pause(p *Pool, r *rand.Rand) Step {
 	n := pick(p.Nodes(), r)
 	return Step{
-		Name: "pause " + n.Name, Nodes: []string{n.Name}, Hides: true,
+		Name: "pause " + n.Name, Nodes: []string{n.Name}, Hides: true, targets: []string{n.Name},
 		begin: func(context.Context) error { return n.Signal(syscall.SIGSTOP) },
 		end:   func(context.Context) error { return n.Signal(syscall.SIGCONT) },
 	}
@@ -203,7 +235,7 @@
 
 func kill(n *Node) Step {
 	return Step{
-		Name:  "kill " + n.Name,
+		Name: "kill " + n.Name, targets: []string{n.Name},
 		begin: func(context.Context) error { return n.Kill() },
 		end:   n.Start,
 	}
@@ -229,22 +261,18 @@
 			return nil
 		}
 	}
-	return Step{Name: "config_down", Hides: true, begin: set(true), end: set(false)}
+	return Step{Name: "config_down", Hides: true, targets: []string{SideConfig}, begin: set(true), end: set(false)}
 }
 
-// configStale holds the service at its present revision, and publishes another
-// one that only shows when it ends.
+// configStale holds the replicas at different ages, the oldest one revision
+// behind, and publishes another revision that only shows when it ends.
 func configStale(p *Pool, _ *rand.Rand) Step {
 	return Step{
-		Name: "config_stale", Hides: true,
+		Name: "config_stale", Hides: true, targets: []string{SideConfig},
 		begin: func(context.Context) error {
-			var newest uint64
-			known, _ := p.states.get()
-			for _, s := range known {
-				newest = max(newest, s.Revision)
-			}
+			newest := p.newest()
 			for i := range confReplicas {
-				p.Config.SetStale(i, newest)
+				p.Config.SetStale(i, max(newest-uint64(i), 1))
 			}
 			return p.Publish()
 		},
@@ -257,6 +285,16 @@
 	}
 }
 
+// newest is the highest revision that any process has in force.
+func (p *Pool) newest() uint64 {
+	var newest uint64
+	known, _ := p.states.get()
+	for _, s := range known {
+		newest = max(newest, s.Revision)
+	}
+	return newest
+}
+
 func zoneOut(p *Pool, r *rand.Rand) Step {
 	zone := pick(p.Zones, r)
 	return Step{
@@ -282,7 +320,7 @@
 		names = append(names, n.Name)
 	}
 	return Step{
-		Name: "roll " + strings.Join(names, " "), Operation: true,
+		Name: "roll " + strings.Join(names, " "), Operation: true, targets: names,
 		begin: func(ctx context.Context) error {
 			for _, n := range nodes {
 				if err := n.Restart(ctx); err != nil {
--- a/proof/pool/load.go
+++ b/proof/pool/load.go
@@ -116,13 +116,13 @@
 	return whole
 }
 
-// router picks a router that said that it is ready and is not being stopped,
-// as the platform's balancer does.
+// router picks a router whose present process said that it is ready and that is
+// not being stopped, as the platform's balancer does.
 func (l *Load) router(random *rand.Rand) *Node {
 	known, _ := l.pool.states.get()
 	var ready []*Node
 	for _, n := range l.pool.Routers {
-		if known[n.Name].Ready && !n.now().stopping {
+		if now, s := n.now(), known[n.Name]; s.Ready && s.life == now.life && !now.stopping {
 			ready = append(ready, n)
 		}
 	}
--- a/proof/pool/operate.go
+++ b/proof/pool/operate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/mulberryfork/mulberryfork/proof"
 )
@@ -78,3 +79,55 @@
 	}
 	return n.Start(ctx)
 }
+
+// AwaitLinkLost waits until a router has given up a link to an agent.
+func (p *Pool) AwaitLinkLost(ctx context.Context) error {
+	return p.await(ctx, func(known map[string]state) bool {
+		for _, n := range p.Routers {
+			if s, ok := known[n.Name]; ok && s.Links < int64(len(p.Agents)) {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// AwaitTime waits until the clock of the record has passed a time.
+func (p *Pool) AwaitTime(ctx context.Context, at time.Duration) error {
+	return p.await(ctx, func(map[string]state) bool { return p.Now() > at })
+}
+
+// AwaitReady waits until a process says that it is ready.
+func (p *Pool) AwaitReady(ctx context.Context, n *Node) error {
+	return p.await(ctx, func(known map[string]state) bool {
+		s := known[n.Name]
+		return s.Ready && s.life == n.now().life
+	})
+}
+
+// AwaitRevision waits until all processes have a revision in force.
+func (p *Pool) AwaitRevision(ctx context.Context, revision uint64) error {
+	return p.await(ctx, func(known map[string]state) bool {
+		for _, n := range p.Nodes() {
+			if known[n.Name].Revision < revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// await waits until what processes said last meets a condition.
+func (p *Pool) await(ctx context.Context, met func(map[string]state) bool) error {
+	for {
+		known, round := p.states.get()
+		if met(known) {
+			return nil
+		}
+		select {
+		case <-round:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
--- a/proof/pool/soak.go
+++ b/proof/pool/soak.go
@@ -99,14 +99,13 @@
 	if first == second {
 		chosen = chosen[:1]
 	}
-	var steps []Step
+	steps, err := p.Draw(random, chosen...)
+	if err != nil {
+		return err
+	}
 	var names []string
-	for _, kind := range chosen {
-		step, err := p.Draw(kind, random)
-		if err != nil {
-			return err
-		}
-		steps, names = append(steps, step), append(names, step.Name)
+	for _, step := range steps {
+		names = append(names, step.Name)
 	}
 	hold := shortestHold + time.Duration(random.Int64N(int64(longestHold-shortestHold)))
 	fmt.Fprintf(o.Progress, "%8.3fs %s for %s\n", p.Now().Seconds(), strings.Join(names, " and "), hold.Round(time.Millisecond))
--- a/proof/pool/watch.go
+++ b/proof/pool/watch.go
@@ -27,6 +27,8 @@
 	Revision uint64
 	// Links are those that are up.
 	Links int64
+	// life is that of the process which answered.
+	life int
 }
 
 // states are the last answers of all processes. The channel is closed by the
@@ -90,6 +92,7 @@
 			if err != nil || n.now().life != now.life {
 				return nil
 			}
+			s.life = now.life
 			mu.Lock()
 			found[n.Name] = s
 			mu.Unlock()
@@ -174,10 +177,7 @@
 }
 
 func (p *Pool) unsettled(known map[string]state) *Node {
-	var newest uint64
-	for _, s := range known {
-		newest = max(newest, s.Revision)
-	}
+	newest := p.newest()
 	for _, n := range p.Nodes() {
 		s := known[n.Name]
 		router := n.Role == api.RoleRouter
