Keep taking connections for a while when a router stops

The platform's balancer learns of withdrawn readiness with a delay, and a connection refused meanwhile is a request cut off. A router now takes requests for drain_delay, each on its last connection, before it closes its listener.

--- a/api/settings.go
+++ b/api/settings.go
@@ -21,6 +21,9 @@
 	Peers []string `toml:"peers"`
 	// StopDeadline bounds a graceful shutdown.
 	StopDeadline Duration `toml:"stop_deadline"`
+	// DrainDelay is how long a router that stops still takes connections, since
+	// the platform's balancer learns of its readiness with a delay.
+	DrainDelay Duration `toml:"drain_delay"`
 }
 
 // Listen holds the addresses that a process serves, IP and port.
--- a/decide/settings/settings.go
+++ b/decide/settings/settings.go
@@ -35,6 +35,7 @@
 	DefaultLogLevel       = "info"
 	DefaultLogFormat      = "text"
 	DefaultStopDeadline   = time.Minute
+	DefaultDrainDelay     = 5 * time.Second
 )
 
 // Read returns the settings of a process, or every problem found in the file.
@@ -59,6 +60,7 @@
 
 func applyDefaults(s *api.Settings, tree *tomltree.Node, role Role) {
 	if role == Router {
+		tomltree.Default(tree, &s.DrainDelay, api.Duration(DefaultDrainDelay), "drain_delay")
 		tomltree.Default(tree, &s.Listen.HTTP, DefaultListenHTTP, "listen", "http")
 	}
 	tomltree.Default(tree, &s.Listen.Link, DefaultListenLink, "listen", "link")
--- a/decide/settings/validate.go
+++ b/decide/settings/validate.go
@@ -149,4 +149,5 @@
 	c.DurationBetween(time.Duration(l.RequestTimeout), minRequestTimeout, maxRequestTimeout, "limits", "request_timeout")
 	c.WholeBetween(l.Streams, 1, maxStreams, "limits", "streams")
 	c.DurationBetween(time.Duration(c.settings.StopDeadline), minStopDeadline, maxStopDeadline, "stop_deadline")
+	c.DurationBetween(time.Duration(c.settings.DrainDelay), 0, maxStopDeadline, "drain_delay")
 }
--- a/service/frontend/frontend.go
+++ b/service/frontend/frontend.go
@@ -90,6 +90,7 @@
 	if s.server == nil {
 		return nil
 	}
+	s.lingerUntilUnlisted(ctx)
 	err := s.server.Shutdown(ctx)
 	if err == nil {
 		return nil
@@ -103,6 +104,20 @@
 	return &StopError{Err: err}
 }
 
+// lingerUntilUnlisted keeps taking requests, each on its last connection,
+// until the platform's balancer has had time to notice that the process is
+// not ready.
+func (s *service) lingerUntilUnlisted(ctx context.Context) {
+	if s.settings.DrainDelay <= 0 {
+		return
+	}
+	s.server.SetKeepAlivesEnabled(false)
+	select {
+	case <-time.After(time.Duration(s.settings.DrainDelay)):
+	case <-ctx.Done():
+	}
+}
+
 // StopError reports requests that were cut off by the deadline of a shutdown.
 type StopError struct{ Err error }
 
