--- a/service/engine/engine.go
+++ b/service/engine/engine.go
@@ -144,13 +144,13 @@
 // was never made proves that the upstream did not run it.
 func unanswered(ctx context.Context, err error) *api.Failure {
 	if ctx.Err() != nil {
-		return &api.Failure{Code: api.CodeCanceled, Run: api.Unknown, Err: context.Cause(ctx)}
+		return &api.Failure{Code: api.CodeCanceled, Run: api.Unknown, Detail: "the request was canceled", Err: context.Cause(ctx)}
 	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
-		return &api.Failure{Code: api.CodeUpstreamUnreached, Run: api.NotRun, Err: err}
+		return &api.Failure{Code: api.CodeUpstreamUnreached, Run: api.NotRun, Detail: "the upstream cannot be reached", Err: err}
 	}
-	return &api.Failure{Code: api.CodeUpstreamFailed, Run: api.Unknown, Err: err}
+	return &api.Failure{Code: api.CodeUpstreamFailed, Run: api.Unknown, Detail: "the upstream gave no answer", Err: err}
 }
 
 func abandoned(err error) *api.Failure {
--- a/service/engine/relay.go
+++ b/service/engine/relay.go
@@ -68,7 +68,7 @@
 	if err == io.EOF {
 		return api.Fail(api.CodeStreamBroken, api.Ran, "the upstream's stream ended without its closing event")
 	}
-	return &api.Failure{Code: api.CodeStreamBroken, Run: api.Ran, Err: err}
+	return &api.Failure{Code: api.CodeStreamBroken, Run: api.Ran, Detail: "the upstream's answer broke off", Err: err}
 }
 
 func appendData(data, value []byte) []byte {
@@ -123,7 +123,7 @@
 			return nil
 		}
 		if err != nil {
-			return &api.Failure{Code: api.CodeStreamBroken, Run: api.Ran, Err: err}
+			return &api.Failure{Code: api.CodeStreamBroken, Run: api.Ran, Detail: "the upstream's answer broke off", Err: err}
 		}
 	}
 }
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -143,8 +143,8 @@
 		return nil
 	}
 	detail := f.Detail
-	if f.Err != nil {
-		detail += ": " + f.Err.Error()
+	if detail == "" && f.Err != nil {
+		detail = f.Err.Error()
 	}
 	return &Failure{
 		Code:         string(f.Code),
