--- /dev/null
+++ b/service/trust/trust_test.go
@@ -0,0 +1,183 @@
+package trust_test
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/devcert"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/service/trust"
+)
+
+type reloader interface{ Reload() error }
+
+// start runs the service with files or with material given by the test.
+func start(t *testing.T, s *api.Settings, values ...any) (api.Trust, error) {
+	t.Helper()
+	r := kernel.NewRegistry()
+	if err := trust.Register(r); err != nil {
+		t.Fatal(err)
+	}
+	host := kernel.NewHost(r, r.Names(), kernel.Options{Values: append(values, s)})
+	if err := host.Start(t.Context()); err != nil {
+		return nil, err
+	}
+	t.Cleanup(func() { _ = host.Stop(context.Background()) })
+	return kernel.Find[api.Trust](host, api.ServiceTrust)
+}
+
+func authority(t *testing.T) *devcert.Authority {
+	t.Helper()
+	a, err := devcert.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func process(t *testing.T, a *devcert.Authority, role, name string) api.Trust {
+	t.Helper()
+	cert, err := a.Issue(role, name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := start(t, &api.Settings{}, &trust.Material{Certificate: cert, Roots: a.Roots})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// connect makes one connection and returns what the server knows of the client.
+func connect(t *testing.T, server, client api.Trust, role string) (api.PeerIdentity, error) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	dialed := make(chan error, 1)
+	go func() {
+		conn, err := tls.Dial("tcp", listener.Addr().String(), client.Client(role))
+		if err == nil {
+			// The client learns of a refused certificate with its first read.
+			_, _ = conn.Read(make([]byte, 1))
+			err = conn.Close()
+		}
+		dialed <- err
+	}()
+	raw, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := tls.Server(raw, server.Server())
+	err = accepted.Handshake()
+	var id api.PeerIdentity
+	if err == nil {
+		var refused *api.TrustError
+		if id, refused = server.Peer(accepted); refused != nil {
+			err = refused
+		}
+	}
+	_ = raw.Close()
+	// What the client found wrong says more than the alert that the server got.
+	var refused *api.TrustError
+	if failed := <-dialed; errors.As(failed, &refused) {
+		err = failed
+	}
+	return id, err
+}
+
+// A process of another authority, or one in the wrong role, must not get a link.
+func TestOnlyRolesOfTheAuthorityConnect(t *testing.T) {
+	ours, theirs := authority(t), authority(t)
+	agent, router := process(t, ours, api.RoleAgent, "m1"), process(t, ours, api.RoleRouter, "r1")
+	id, err := connect(t, agent, router, api.RoleAgent)
+	if err != nil || id != (api.PeerIdentity{Role: api.RoleRouter, Name: "r1"}) {
+		t.Errorf("a router at an agent: %+v, %v", id, err)
+	}
+	var refused *api.TrustError
+	if _, err := connect(t, router, agent, api.RoleAgent); !errors.As(err, &refused) {
+		t.Errorf("a router that poses as an agent: %v", err)
+	}
+	if _, err := connect(t, agent, process(t, theirs, api.RoleRouter, "r1"), api.RoleAgent); err == nil {
+		t.Error("a router of another authority was accepted")
+	}
+	if _, err := connect(t, process(t, theirs, api.RoleAgent, "m1"), router, api.RoleAgent); err == nil {
+		t.Error("an agent of another authority was accepted")
+	}
+}
+
+// A process must not run without TLS unless the settings say so.
+func TestPlainNeedsASetting(t *testing.T) {
+	var refused *trust.PlainRefusedError
+	if _, err := start(t, &api.Settings{}); !errors.As(err, &refused) {
+		t.Errorf("without files: %v", err)
+	}
+	s, err := start(t, &api.Settings{TLS: api.TLS{Plain: true}})
+	if err != nil || s.Server() != nil || s.Client(api.RoleAgent) != nil {
+		t.Errorf("plain by setting: %v", err)
+	}
+	var load *trust.LoadError
+	missing := filepath.Join(t.TempDir(), "none.pem")
+	if _, err := start(t, &api.Settings{TLS: api.TLS{Cert: missing, Key: missing, CA: missing}}); !errors.As(err, &load) {
+		t.Errorf("missing files: %v", err)
+	}
+}
+
+// New keys must be used for new connections, and files that can't be read must
+// leave the keys in force.
+func TestReload(t *testing.T) {
+	a, dir := authority(t), t.TempDir()
+	files := api.TLS{Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), CA: filepath.Join(dir, "ca.pem")}
+	write := func(name string) {
+		cert, err := a.Issue(api.RoleRouter, name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		certPEM, keyPEM, err := devcert.PairPEM(cert)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for path, data := range map[string][]byte{files.Cert: certPEM, files.Key: keyPEM} {
+			if err := os.WriteFile(path, data, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	write("before")
+	if err := os.WriteFile(files.CA, a.PEM(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	router, err := start(t, &api.Settings{TLS: files})
+	if err != nil {
+		t.Fatal(err)
+	}
+	agent := process(t, a, api.RoleAgent, "m1")
+	check := func(want string) {
+		t.Helper()
+		if id, err := connect(t, agent, router, api.RoleAgent); err != nil || id.Name != want {
+			t.Errorf("connected as %q, %v, want %q", id.Name, err, want)
+		}
+	}
+	check("before")
+	write("after")
+	check("before")
+	if err := router.(reloader).Reload(); err != nil {
+		t.Fatal(err)
+	}
+	check("after")
+	if err := os.WriteFile(files.Key, []byte("not a key"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := router.(reloader).Reload(); err == nil {
+		t.Error("a broken key file was accepted")
+	}
+	check("after")
+}
