--- a/bench/soak.go
+++ b/bench/soak.go
@@ -58,7 +58,7 @@
 		}
 		figures = append(figures, Bounded(v.Name, float64(count), "violations", Exactly, 0))
 	}
-	var sent, whole, unknown, steps int
+	var sent, whole, unknown, refused, steps int
 	for _, s := range soaked {
 		steps += s.Steps
 		for _, send := range s.Record.Sends {
@@ -68,6 +68,8 @@
 				whole++
 			case send.Run == "" || send.Run == api.Unknown:
 				unknown++
+			case send.Run == api.NotRun:
+				refused++
 			}
 		}
 	}
@@ -75,6 +77,7 @@
 		Plain("requests_sent", float64(sent), "sends"),
 		Plain("answers_whole", float64(whole), "answers"),
 		Plain("unknown_share", float64(unknown)/float64(max(sent, 1)), "ratio"),
+		Plain("refused_share", float64(refused)/float64(max(sent, 1)), "ratio"),
 		Plain("faults_injected", float64(steps), "faults and operations"),
 	)
 }
--- a/proof/pool/request.go
+++ b/proof/pool/request.go
@@ -16,6 +16,10 @@
 const (
 	minTokens = 2
 	maxTokens = 40
+	// One in longPart completions has longTokens, so that streams run while
+	// processes stop.
+	longPart   = 6
+	longTokens = 250
 )
 
 // request is what one caller asks for, with the answer that it must get.
@@ -81,6 +85,9 @@
 func (m menu) completion(r *rand.Rand, q *request, stream bool) {
 	model := m.models[r.IntN(len(m.models))]
 	tokens := minTokens + r.IntN(maxTokens-minTokens)
+	if r.IntN(longPart) == 0 {
+		tokens = longTokens
+	}
 	q.method, q.path, q.stream, q.idempotent = http.MethodPost, "/v1/chat/completions", stream, m.repeats[model]
 	q.body = fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, model, stream, tokens, q.id)
 	q.expected = strings.Join(modelengine.Answer(model, modelengine.ChatPrompt("user", q.id), tokens), "")
