Find who dialled a proxy by asking the kernel for one socket

Cause: the list of all sockets had 42,000 entries on a busy machine and was read for each connection, so links did not come up within 30 s and four integration tests failed. Change: one socket diagnosis request for each connection.

--- a/proof/pool/pool.go
+++ b/proof/pool/pool.go
@@ -198,8 +198,8 @@
 }
 
 // source names the process that dialled a proxy which many of them use.
-func (p *Pool) source(remote net.Addr) string {
-	inode := inodeOf(remote)
+func (p *Pool) source(remote, local net.Addr) string {
+	inode := inodeOf(remote, local)
 	for _, n := range p.Nodes() {
 		if now := n.now(); inode != "" && now.process != nil && owns(now.pid, inode) {
 			return n.Name
--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -18,9 +18,9 @@
 // Link is the place of a proxy between two sides.
 type Link struct {
 	// From is the side that dials. Source replaces it where several sides dial
-	// one address: it names the side of a remote address.
+	// one address: it names the side of a connection.
 	From   string
-	Source func(remote net.Addr) string
+	Source func(remote, local net.Addr) string
 	// To is the side that is dialled, at the address Target.
 	To     string
 	Target string
@@ -107,7 +107,7 @@
 func (p *Proxy) connect(near *net.TCPConn) {
 	from := p.link.From
 	if p.link.Source != nil {
-		from = p.link.Source(near.RemoteAddr())
+		from = p.link.Source(near.RemoteAddr(), near.LocalAddr())
 	}
 	c := &connection{proxy: p, from: from, to: p.link.To, near: near, ended: make(chan struct{})}
 	p.network.add(c)
