--- a/proof/pool/pool.go
+++ b/proof/pool/pool.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -67,10 +68,13 @@
 	upstreams map[string]*upstream
 	servers   []*http.Server
 	proxies   []*faultproxy.Proxy
-	begin     time.Duration
-	stop      context.CancelFunc
-	watched   chan struct{}
-	states    states
+	// placed is set once all nodes are; a proxy may be dialled before by a
+	// process of another pool that held its port.
+	placed  atomic.Pointer[[]*Node]
+	begin   time.Duration
+	stop    context.CancelFunc
+	watched chan struct{}
+	states  states
 }
 
 // Start brings up stand-ins and processes, and waits until all are ready.
@@ -96,6 +100,8 @@
 	p.stop = stop
 	err = p.build()
 	if err == nil {
+		nodes := p.Nodes()
+		p.placed.Store(&nodes)
 		err = p.launch(ctx)
 	}
 	go p.watch(watching)
@@ -200,7 +206,11 @@
 // source names the process that dialled a proxy which many of them use.
 func (p *Pool) source(remote, local net.Addr) string {
 	inode := inodeOf(remote, local)
-	for _, n := range p.Nodes() {
+	nodes := p.placed.Load()
+	if nodes == nil {
+		return ""
+	}
+	for _, n := range *nodes {
 		if now := n.now(); inode != "" && now.process != nil && owns(now.pid, inode) {
 			return n.Name
 		}
