Measure poison requests

Change: crashes count for 24 hours, sentences double with each further crash in isolation, and a full record keeps one crash of each upstream.

--- /dev/null
+++ b/bench/model_test.go
@@ -0,0 +1,34 @@
+package bench
+
+import (
+	"reflect"
+	"testing"
+	"time"
+)
+
+// TestModelsAreDeterministic guards against map order, wall-clock time or
+// shared random numbers in the modelled experiments.
+func TestModelsAreDeterministic(t *testing.T) {
+	cases := map[string]func() any{
+		"route": func() any {
+			p := newRoutePool(3, flashScenario, affinityPolicy)
+			p.events.Run(routeWarmUp + 5*time.Second)
+			return []any{p.ttft, p.stats()}
+		},
+		"overload": func() any {
+			o := newOverloadPool(3, false, 150, overloadAttempts)
+			o.events.Run(15 * time.Second)
+			return []any{o.good, o.refused, o.sends}
+		},
+		"poison": func() any {
+			p := newPoisonPool(3, poisonToday)
+			p.events.Run(poisonStart + 40*time.Second)
+			return []any{p.delays, p.crashEvents, p.refusals}
+		},
+	}
+	for name, run := range cases {
+		if first, second := run(), run(); !reflect.DeepEqual(first, second) {
+			t.Errorf("%s: two runs with one seed differ", name)
+		}
+	}
+}
--- /dev/null
+++ b/bench/poison_router.go
@@ -0,0 +1,271 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/bench/enginemodel"
+	"github.com/mulberryfork/mulberryfork/decide/hash"
+	"github.com/mulberryfork/mulberryfork/decide/poison"
+)
+
+// poisonPool is one trial.
+type poisonPool struct {
+	poisonCase
+	events  enginemodel.Events
+	rng     *rand.Rand
+	routers []*poisonRouter
+	agents  []*poisonAgent
+	calls   []*poisonCall
+	nextID  uint32
+
+	crashEvents, refusals int
+	// delays are the times, in s, that innocents took that were beside a crash.
+	delays []float64
+}
+
+// poisonRouter is a router with links to some agents.
+type poisonRouter struct {
+	pool     *poisonPool
+	state    *poison.State
+	links    []*poisonAgent
+	inFlight map[*poisonAgent]int
+}
+
+// poisonCall is what one caller wants; it resends until it is answered.
+type poisonCall struct {
+	fingerprint uint64
+	poison      bool
+	length      time.Duration
+	began       time.Duration
+	resends     int
+	// sends are those of the present attempt.
+	sends  int
+	beside bool
+	done   bool
+}
+
+func newPoisonPool(seed uint64, c poisonCase) *poisonPool {
+	p := &poisonPool{poisonCase: c, rng: rand.New(rand.NewPCG(seed, 5))}
+	for i := range c.agents {
+		p.agents = append(p.agents, &poisonAgent{
+			pool: p, index: i, name: upstreamName(i), state: poison.New(0),
+			iso: poison.NewIsolation(0), queued: make(map[uint32]*poisonOrder),
+		})
+	}
+	for range c.routers {
+		r := &poisonRouter{pool: p, state: poison.New(0), inFlight: make(map[*poisonAgent]int)}
+		for _, i := range p.rng.Perm(c.agents)[:c.links] {
+			r.links = append(r.links, p.agents[i])
+			p.agents[i].links = append(p.agents[i].links, r)
+		}
+		p.routers = append(p.routers, r)
+	}
+	p.events.After(0, p.arrive)
+	p.events.After(poisonStart, func() {
+		for range c.copies {
+			p.call(&poisonCall{fingerprint: hash.Mix(seed, 99), poison: true, began: p.events.Now()})
+		}
+	})
+	if !c.plain {
+		p.events.After(poisonDigest, p.digests)
+	}
+	return p
+}
+
+// arrive draws innocent requests.
+func (p *poisonPool) arrive() {
+	if p.events.Now() > poisonBackground {
+		return
+	}
+	c := &poisonCall{
+		fingerprint: hash.Mix(uint64(len(p.calls)), 7), began: p.events.Now(),
+		length: poisonLeastRun + time.Duration(p.rng.Float64()*float64(poisonRunSpread)),
+	}
+	p.calls = append(p.calls, c)
+	p.call(c)
+	rate := poisonPerAgent * float64(len(p.agents))
+	p.events.After(time.Duration(p.rng.ExpFloat64()/rate*float64(time.Second)), p.arrive)
+}
+
+func (p *poisonPool) hop() time.Duration {
+	return time.Duration((0.2 + 0.8*p.rng.Float64()) * float64(poisonHop))
+}
+
+// digests exchanges a part of the records between random pairs.
+func (p *poisonPool) digests() {
+	next := poisonDigest
+	if p.events.Now() > poisonBusy {
+		next = poisonSlowDigest
+	}
+	p.events.After(next, p.digests)
+	states := make([]func([]api.Suspicion), 0, len(p.routers)+len(p.agents))
+	tells := make([]*poison.State, 0, cap(states))
+	for _, r := range p.routers {
+		states, tells = append(states, r.learn), append(tells, r.state)
+	}
+	for _, a := range p.agents {
+		states, tells = append(states, a.learn), append(tells, a.state)
+	}
+	for i := range states {
+		j := p.rng.IntN(len(states))
+		if told := tells[i].Digest(p.events.Now(), poisonDigestSize); len(told) > 0 {
+			p.events.After(p.hop(), func() { states[j](told) })
+		}
+		if told := tells[j].Digest(p.events.Now(), poisonDigestSize); len(told) > 0 {
+			p.events.After(p.hop(), func() { states[i](told) })
+		}
+	}
+}
+
+func (p *poisonPool) call(c *poisonCall) {
+	c.sends = 0
+	r := p.routers[p.rng.IntN(len(p.routers))]
+	p.events.After(poisonClient, func() { r.place(c) })
+}
+
+func (r *poisonRouter) learn(heard []api.Suspicion) {
+	news := r.state.Learn(r.pool.events.Now(), heard)
+	if len(news) == 0 {
+		return
+	}
+	for _, a := range r.links {
+		if r.pool.rng.Float64() >= r.pool.loss {
+			r.pool.events.After(r.pool.hop(), func() { a.learn(news) })
+		}
+	}
+}
+
+// place sends a call to an upstream, in isolation if it is a suspect.
+func (r *poisonRouter) place(c *poisonCall) {
+	c.sends++
+	var placement poison.Placement
+	if !r.pool.plain {
+		var candidates []poison.Candidate
+		for _, a := range r.links {
+			candidates = append(candidates, poison.Candidate{Name: a.name, Usable: !a.dead})
+		}
+		placement = r.state.Place(r.pool.events.Now(), c.fingerprint, candidates)
+	}
+	if placement.Failure != nil {
+		r.answer(c, placement.Failure.RetryAfter)
+		return
+	}
+	a := r.find(placement.Upstream)
+	if a == nil {
+		r.answer(c, 0)
+		return
+	}
+	r.pool.nextID++
+	o := &poisonOrder{call: c, router: r, id: r.pool.nextID, isolate: placement.Isolate}
+	r.inFlight[a]++
+	r.pool.events.After(r.pool.hop(), func() { a.receive(o) })
+}
+
+// find returns the named agent, or the linked one with the least work in
+// flight that accepts work.
+func (r *poisonRouter) find(name string) *poisonAgent {
+	var best *poisonAgent
+	for _, a := range r.links {
+		if name == a.name {
+			return a
+		}
+		if a.dead || a.down || a.iso.Holding() {
+			continue
+		}
+		if best == nil || r.inFlight[a] < r.inFlight[best] {
+			best = a
+		}
+	}
+	return best
+}
+
+// settle takes the end of a send. The router itself sends again what did not
+// run or may run again, and holds back the failure of a crash.
+func (r *poisonRouter) settle(o *poisonOrder, with poisonReply) {
+	c := o.call
+	r.inFlight[o.agent]--
+	switch {
+	case with == replyDone:
+		r.pool.finish(c)
+	case with == replyCrashed && r.pool.immediate && c.poison:
+		r.pool.events.After(poisonClient, func() { r.pool.resend(c) })
+	case with == replyCrashed && r.pool.plain:
+		c.beside = true
+		r.answer(c, 0)
+	case with == replyCrashed:
+		c.beside = true
+		r.pool.events.After(poison.HoldAnswer, func() { r.again(c) })
+	default:
+		r.again(c)
+	}
+}
+
+func (r *poisonRouter) again(c *poisonCall) {
+	if c.sends < poisonPlaces {
+		r.place(c)
+		return
+	}
+	r.answer(c, 0)
+}
+
+// answer tells the caller of a failure; the caller resends after the advice.
+func (r *poisonRouter) answer(c *poisonCall, after time.Duration) {
+	if !c.poison {
+		r.pool.refusals++
+	}
+	wait := poisonThink
+	if !c.poison {
+		wait = max(wait, after)
+	}
+	r.pool.events.After(poisonClient+wait, func() { r.pool.resend(c) })
+}
+
+func (p *poisonPool) resend(c *poisonCall) {
+	c.resends++
+	if c.resends < poisonResends {
+		p.call(c)
+	}
+}
+
+func (p *poisonPool) finish(c *poisonCall) {
+	if c.beside && !c.done {
+		p.delays = append(p.delays, (p.events.Now() - c.began).Seconds())
+	}
+	c.done = true
+}
+
+func (p *poisonPool) crashedUpstreams() int {
+	n := 0
+	for _, a := range p.agents {
+		if a.crashes > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// unanswered counts innocents that never got their answer.
+func (p *poisonPool) unanswered() int {
+	n := 0
+	for _, c := range p.calls {
+		if !c.done {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *poisonPool) condemnedInnocents() int {
+	n := 0
+	for _, c := range p.calls {
+		for _, r := range p.routers {
+			if r.state.Status(p.events.Now(), c.fingerprint) == poison.Condemned {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
--- a/bench/route_model.go
+++ b/bench/route_model.go
@@ -60,6 +60,12 @@
 }
 
 func runRoutePolicy(seed uint64, scenario routeScenario, policy routePolicy) routeStats {
+	p := newRoutePool(seed, scenario, policy)
+	p.events.Run(routeEnd)
+	return p.stats()
+}
+
+func newRoutePool(seed uint64, scenario routeScenario, policy routePolicy) *routePool {
 	p := &routePool{policy: policy, scenario: scenario, faults: rand.New(rand.NewPCG(seed, 2))}
 	for i := range routeEngines {
 		speed := enginemodel.DefaultSpeed
@@ -80,8 +86,7 @@
 	}
 	p.events.After(0, arrive)
 	p.events.Every(routeReportEvery, p.report)
-	p.events.Run(routeEnd)
-	return p.stats()
+	return p
 }
 
 func upstreamName(i int) string { return fmt.Sprintf("u%02d", i) }
--- a/decide/poison/machine_test.go
+++ b/decide/poison/machine_test.go
@@ -25,7 +25,7 @@
 }
 
 func (n naive) status(now time.Duration, fp uint64) Status {
-	open, alone, recent := 0, 0, false
+	open, alone, last := 0, 0, time.Duration(0)
 	for _, c := range n[fp] {
 		if c.cleared || now-c.at >= evidenceTTL {
 			continue
@@ -33,13 +33,13 @@
 		open++
 		if c.alone {
 			alone++
-			recent = recent || now-c.at < condemnFor
+			last = max(last, c.at)
 		}
 	}
 	switch {
 	case open == 0:
 		return Clean
-	case alone >= 2 && recent:
+	case alone >= 2 && now-last < min(condemnFor*time.Duration(int(1)<<(alone-2)), condemnMost):
 		return Condemned
 	}
 	return Suspect
@@ -180,7 +180,7 @@
 			"wait": func(t *rapid.T) {
 				// Old messages would make ages drift, as after a long partition.
 				m.messages = nil
-				m.now += time.Duration(rapid.IntRange(1, 8).Draw(t, "minutes")) * time.Minute
+				m.now += time.Duration(rapid.IntRange(1, 300).Draw(t, "minutes")) * time.Minute
 			},
 			"heal": m.heal,
 			"": func(t *rapid.T) {
--- a/decide/poison/poison.go
+++ b/decide/poison/poison.go
@@ -17,16 +17,21 @@
 	DefaultMaxRecords = 4096
 	// maxCrashes bounds the crashes remembered for one request.
 	maxCrashes = 8
-	// evidenceTTL is how long a crash counts.
-	evidenceTTL = 30 * time.Minute
+	// evidenceTTL is how long a crash counts. With 30 minutes, a caller that
+	// resent without end crashed a third upstream after the first was forgotten.
+	evidenceTTL = 24 * time.Hour
 	// tellTTL is how long a crash is told to others. It is shorter than
 	// evidenceTTL, or two processes would renew each other's memory for ever.
-	tellTTL = 25 * time.Minute
+	tellTTL = 23 * time.Hour
 	// condemnFor is how long a condemned request is refused. After that it is
-	// a suspect again and gets one more run in isolation.
-	condemnFor = 10 * time.Minute
+	// a suspect again and gets one more run in isolation. Each further crash
+	// in isolation doubles the time, up to condemnMost.
+	condemnFor  = 10 * time.Minute
+	condemnMost = 6 * time.Hour
 	// condemnCrashes are the crashes in isolation that condemn.
 	condemnCrashes = 2
+	// expireEvery bounds the work of looking for records that have expired.
+	expireEvery = time.Minute
 	// maxForeignCrashes bounds what is accepted in one message for a request.
 	maxForeignCrashes = 16
 )
@@ -53,9 +58,12 @@
 // State is what one process, router or agent, knows of suspects. It is soft
 // state: losing it costs at most further crashes, never a promise.
 type State struct {
-	max      int
-	records  map[uint64]*record
+	max     int
+	records map[uint64]*record
+	// keys are those of records, in order.
+	keys     []uint64
 	cursor   uint64
+	expired  time.Duration
 	counters Counters
 }
 
@@ -160,22 +168,38 @@
 			last = max(last, c.at)
 		}
 	}
-	switch left := last + condemnFor - now; {
+	switch {
 	case open == 0:
 		return Clean, 0
-	case alone >= condemnCrashes && left > 0:
+	case alone < condemnCrashes:
+		return Suspect, 0
+	}
+	term := min(condemnFor<<(alone-condemnCrashes), condemnMost)
+	if left := last + term - now; left > 0 {
 		return Condemned, left
 	}
 	return Suspect, 0
 }
 
+// Known returns what is known of a request, to be told to a process that has
+// not heard of it.
+func (s *State) Known(now time.Duration, fp uint64) []api.Suspicion {
+	r := s.records[fp]
+	if r == nil {
+		return nil
+	}
+	return []api.Suspicion{s.tell(now, r)}
+}
+
 func (c *crash) counts(now time.Duration) bool { return !c.cleared && now-c.at < evidenceTTL }
 
 // Digest returns up to n records for the periodic exchange, a different part
 // each time, so that news lost on the way arrive later.
 func (s *State) Digest(now time.Duration, n int) []api.Suspicion {
-	s.Expire(now)
-	keys := s.sortedKeys()
+	if now-s.expired >= expireEvery {
+		s.Expire(now)
+	}
+	keys := s.keys
 	start, _ := slices.BinarySearch(keys, s.cursor)
 	var out []api.Suspicion
 	for i := range min(n, len(keys)) {
@@ -188,23 +212,17 @@
 	return out
 }
 
-func (s *State) sortedKeys() []uint64 {
-	keys := make([]uint64, 0, len(s.records))
-	for fp := range s.records {
-		keys = append(keys, fp)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // Expire forgets crashes that no longer count.
 func (s *State) Expire(now time.Duration) {
-	for fp, r := range s.records {
+	s.expired = now
+	s.keys = slices.DeleteFunc(s.keys, func(fp uint64) bool {
+		r := s.records[fp]
 		r.crashes = slices.DeleteFunc(r.crashes, func(c crash) bool { return now-c.at >= evidenceTTL })
 		if len(r.crashes) == 0 {
 			delete(s.records, fp)
 		}
-	}
+		return len(r.crashes) == 0
+	})
 }
 
 func (s *State) tell(now time.Duration, r *record) api.Suspicion {
@@ -231,6 +249,8 @@
 		s.makeRoom(now)
 		r = &record{fingerprint: fp}
 		s.records[fp] = r
+		i, _ := slices.BinarySearch(s.keys, fp)
+		s.keys = slices.Insert(s.keys, i, fp)
 	}
 	changed := false
 	for _, c := range add {
@@ -259,19 +279,35 @@
 	if len(r.crashes) <= maxCrashes {
 		return true
 	}
-	// Crashes that were cleared go first, then the oldest.
-	slices.SortFunc(r.crashes, func(a, b crash) int {
-		if a.cleared != b.cleared {
-			if a.cleared {
-				return -1
-			}
+	dropped := r.dropOne()
+	return dropped != c.id
+}
+
+// dropOne forgets the crash that matters least: a cleared one, then one at an
+// upstream that has others, then the oldest. The upstreams are kept because
+// they bound where the request may run.
+func (r *record) dropOne() uint64 {
+	again := make(map[string]int)
+	for _, c := range r.crashes {
+		if !c.cleared {
+			again[c.upstream]++
+		}
+	}
+	weight := func(c *crash) int {
+		switch {
+		case c.cleared:
+			return 0
+		case again[c.upstream] > 1:
 			return 1
 		}
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id))
+		return 2
+	}
+	slices.SortFunc(r.crashes, func(a, b crash) int {
+		return cmp.Or(cmp.Compare(weight(&a), weight(&b)), cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id))
 	})
 	dropped := r.crashes[0].id
 	r.crashes = slices.Delete(r.crashes, 0, 1)
-	return dropped != c.id
+	return dropped
 }
 
 // makeRoom evicts one record if there is no room: a cleared one before a
@@ -282,13 +318,15 @@
 	}
 	var victim *record
 	var worst Status
-	for _, fp := range s.sortedKeys() {
+	for _, fp := range s.keys {
 		r, status := s.records[fp], s.Status(now, fp)
 		if victim == nil || status < worst || (status == worst && r.last() < victim.last()) {
 			victim, worst = r, status
 		}
 	}
 	delete(s.records, victim.fingerprint)
+	i, _ := slices.BinarySearch(s.keys, victim.fingerprint)
+	s.keys = slices.Delete(s.keys, i, i+1)
 	s.counters.Evicted++
 }
 
--- a/decide/poison/poison_test.go
+++ b/decide/poison/poison_test.go
@@ -9,9 +9,12 @@
 
 const fp = uint64(42)
 
+// start leaves room for crashes of any age before it.
+const start = 100 * time.Hour
+
 func known(crashes ...api.Crash) *State {
 	s := New(0)
-	s.Learn(time.Hour, []api.Suspicion{{Fingerprint: fp, Crashes: crashes}})
+	s.Learn(start, []api.Suspicion{{Fingerprint: fp, Crashes: crashes}})
 	return s
 }
 
@@ -39,11 +42,12 @@
 		{"cleared since", []api.Crash{cleared}, 0, Clean},
 		{"cleared, then again", []api.Crash{cleared, at(2, "a", 0, false)}, 0, Suspect},
 		{"second run after the sentence", []api.Crash{at(2, "a", 0, true), at(3, "a", 0, true)}, condemnFor, Suspect},
+		{"third time lasts longer", []api.Crash{at(2, "a", 0, true), at(3, "a", 0, true), at(4, "a", 0, true)}, condemnFor, Condemned},
 		{"expired", []api.Crash{at(2, "a", 0, true), at(3, "a", 0, true)}, evidenceTTL, Clean},
 		{"too old to be told", []api.Crash{at(1, "a", tellTTL, false)}, 0, Clean},
 	}
 	for _, c := range cases {
-		if got := known(c.crashes...).Status(time.Hour+c.after, fp); got != c.want {
+		if got := known(c.crashes...).Status(start+c.after, fp); got != c.want {
 			t.Errorf("%s: %d, want %d", c.name, got, c.want)
 		}
 	}
@@ -78,7 +82,7 @@
 		{"condemned", []api.Crash{at(1, "a", 0, true), at(2, "a", 0, true)}, all(true), 0, "", true},
 	}
 	for _, c := range cases {
-		p := known(c.crashes...).Place(time.Hour+c.after, fp, c.candidates)
+		p := known(c.crashes...).Place(start+c.after, fp, c.candidates)
 		found := p.Upstream == "" && c.within == ""
 		for _, name := range c.within {
 			found = found || p.Upstream == string(name)
@@ -109,7 +113,7 @@
 		{"condemned, marked", known(at(1, "a", 0, true), at(2, "a", 0, true)), "a", true, false, true},
 	}
 	for _, c := range cases {
-		alone, f := c.s.Check(time.Hour, fp, c.upstream, c.isolate)
+		alone, f := c.s.Check(start, fp, c.upstream, c.isolate)
 		if alone != c.alone || (f != nil) != c.refused {
 			t.Errorf("%s: alone %v, failure %v", c.name, alone, f)
 		}
@@ -134,6 +138,9 @@
 	if n := len(s.records[fp].crashes); n > maxCrashes {
 		t.Errorf("%d crashes in one record", n)
 	}
+	if sites, _ := s.sites(time.Second, fp); len(sites) != 2 {
+		t.Errorf("upstreams %v, want both kept", sites)
+	}
 	if s.Expire(time.Second + evidenceTTL); s.Len() != 0 {
 		t.Errorf("%d records after the end of their time", s.Len())
 	}
