Take a retry ratio of 0 as no retries

Cause: the configuration supplies the default ratio, but the budget also took 0 for the default, so an operator could not turn retries off. Change: a ratio of 0 allows none; budgets start full when it becomes positive.

--- a/bench/overload_model.go
+++ b/bench/overload_model.go
@@ -81,7 +81,7 @@
 	}
 	for r := range overloadRouters {
 		o.routers = append(o.routers, newModelRouter(overloadEngines, r, seed, route.Options{}))
-		o.budgets = append(o.budgets, retrybudget.New(0, []string{routeMember}))
+		o.budgets = append(o.budgets, retrybudget.New(retrybudget.DefaultRatio, []string{routeMember}))
 	}
 	var arrive func()
 	arrive = func() {
--- a/decide/retrybudget/retrybudget.go
+++ b/decide/retrybudget/retrybudget.go
@@ -42,20 +42,18 @@
 	counters Counters
 }
 
-// New returns a state without members. A ratio of 0 takes the default, a
-// negative one allows no retry.
+// New returns a state with full budgets. A ratio of 0 allows no retry.
 func New(ratio float64, members []string) *State {
 	s := &State{members: make(map[string]float64)}
 	s.Configure(ratio, members)
-	s.process = min(processBurst, s.burst(processBurst))
 	return s
 }
 
 // Configure takes a new ratio and list of members. Members that stay keep
 // their balance.
 func (s *State) Configure(ratio float64, members []string) {
-	if ratio == 0 {
-		ratio = DefaultRatio
+	if s.ratio == 0 {
+		s.process = processBurst
 	}
 	s.ratio = min(max(ratio, 0), 1)
 	kept := make(map[string]float64, len(members))
--- a/decide/retrybudget/retrybudget_test.go
+++ b/decide/retrybudget/retrybudget_test.go
@@ -61,16 +61,26 @@
 	})
 }
 
-// TestNoRatioNoRetry guards against a burst that survives a ratio set to none.
+// TestNoRatioNoRetry guards against a ratio of 0 that is taken for the
+// default, a burst that survives it, and budgets that stay empty after it.
 func TestNoRatioNoRetry(t *testing.T) {
 	s := New(0, []string{"a"})
-	if !s.Retry("a") {
-		t.Error("no burst at the default ratio")
+	for _, step := range []struct {
+		ratio float64
+		want  bool
+	}{{0, false}, {DefaultRatio, true}, {0, false}, {-1, false}} {
+		s.Configure(step.ratio, []string{"a"})
+		for range 100 {
+			s.FirstSend("a")
+		}
+		if got := s.Retry("a"); got != step.want {
+			t.Errorf("ratio %g: retry %v", step.ratio, got)
+		}
 	}
-	s.Configure(-1, []string{"a"})
-	s.FirstSend("a")
-	if s.Retry("a") {
-		t.Error("a retry without a ratio")
+	fresh := New(0, nil)
+	fresh.Configure(DefaultRatio, []string{"a"})
+	if !fresh.Retry("a") {
+		t.Error("no burst after the first configuration")
 	}
 }
 
