--- a/service/metrics/pages_test.go
+++ b/service/metrics/pages_test.go
@@ -18,7 +18,7 @@
 // otherWords are settings, configuration keys, kinds and codes of failures
 // that the pages name.
 var otherWords = []string{
-	"outcome_retention", "queue_requests", "requests_per_second", "retry_ratio", "stop_deadline", "token_hashes",
+	"drain_delay", "outcome_retention", "queue_requests", "requests_per_second", "retry_ratio", "stop_deadline", "token_hashes",
 	"first_token", "token_gap", "not_run", "queue_full", "rate_limited", "ledger_full",
 }
 
