Carry deltas of the configuration and digests of peers on the wire

A fetch names the content wanted and the base in force, and the answer may be a delta. Digests carry a sequence number, so that a repeated one shows, and sightings of VMs on the membership list.

--- a/api/services.go
+++ b/api/services.go
@@ -59,6 +59,12 @@
 	Members() []VM
 	// Subscribe adds a function that runs on the control loop after a change.
 	Subscribe(func(now time.Duration, members []VM))
+	// Leaving says whether a VM is leaving, as far as this process knows from
+	// the list or from peers.
+	Leaving(vm string) bool
+	// Down says whether an upstream counts as down: by the own link, or
+	// without one by the word of several other processes.
+	Down(upstream string) bool
 }
 
 // LinkState is what a router knows of its link to an agent.
--- /dev/null
+++ b/wire/peer_test.go
@@ -0,0 +1,66 @@
+package wire_test
+
+import (
+	"reflect"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/wire"
+)
+
+// Guards against a field of a message between peers that its codec forgets,
+// and against a digest that claims more sightings than are read.
+func TestEveryPeerFieldSurvives(t *testing.T) {
+	digest, content := filled[api.PeerDigest](), filled[api.ConfigContent]()
+	if got := wire.ToDigest(through(t, wire.FromDigest(digest), &wire.Digest{})); !reflect.DeepEqual(got, digest) {
+		t.Errorf("digest: got %+v, want %+v", got, digest)
+	}
+	if got := wire.ToContent(through(t, wire.FromContent(content), &wire.FetchResponse{})); !reflect.DeepEqual(got, content) {
+		t.Errorf("content: got %+v, want %+v", got, content)
+	}
+	wantIn, baseIn := api.ConfigVersion{Revision: 4, Content: 5}, api.ConfigVersion{Revision: 2, Content: 3}
+	want, base := wire.ToFetch(through(t, wire.FromFetch(wantIn, baseIn), &wire.FetchRequest{}))
+	if want != wantIn || base != baseIn {
+		t.Errorf("fetch: got %v on %v", want, base)
+	}
+	digest.Sightings = make([]api.Sighting, 3*wire.PeerSightings)
+	if n := len(wire.ToDigest(wire.FromDigest(digest)).Sightings); n != wire.PeerSightings {
+		t.Errorf("%d sightings were read", n)
+	}
+}
+
+// FuzzPeerMessages guards the decoders against messages that crash them or
+// give an observation from the future.
+func FuzzPeerMessages(f *testing.F) {
+	for _, m := range []proto.Message{
+		wire.FromDigest(filled[api.PeerDigest]()),
+		wire.FromContent(filled[api.ConfigContent]()),
+		wire.FromFetch(api.ConfigVersion{Revision: 1, Content: 2}, api.ConfigVersion{Revision: 3, Content: 4}),
+	} {
+		seed, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var digest wire.Digest
+		if proto.Unmarshal(data, &digest) == nil {
+			for _, s := range wire.ToDigest(&digest).Sightings {
+				if s.Age < 0 {
+					t.Errorf("age %v", s.Age)
+				}
+			}
+		}
+		var content wire.FetchResponse
+		if proto.Unmarshal(data, &content) == nil {
+			wire.ToContent(&content)
+		}
+		var fetch wire.FetchRequest
+		if proto.Unmarshal(data, &fetch) == nil {
+			wire.ToFetch(&fetch)
+		}
+	})
+}
