--- a/api/peers.go
+++ b/api/peers.go
@@ -144,6 +144,15 @@
 	CheckResend(ctx context.Context, r StaleRefusal) ResendVerdict
 }
 
+// ConfigConfirmed tells whether the configuration in force is known to be
+// current.
+type ConfigConfirmed interface {
+	// Confirmed returns nil, or why the process must not take work.
+	Confirmed() error
+	// WaitConfirmed waits until it is, and returns false if ctx ends first.
+	WaitConfirmed(ctx context.Context) bool
+}
+
 // ConfigReader reads the source once, outside a watch.
 type ConfigReader interface {
 	Read(ctx context.Context) (RawConfig, error)
--- a/decide/route/eligible.go
+++ b/decide/route/eligible.go
@@ -69,7 +69,7 @@
 		return usable
 	case u.zoneOut:
 		return inOutZone
-	case u.conf.Leaving:
+	case u.conf.Leaving || u.vmLeaving:
 		return leaving
 	case !u.up:
 		return linkDown
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -104,6 +104,7 @@
 
 // State is the routing state of one router.
 type State struct {
+	vmLeaving func(vm string) bool
 	o         Options
 	snapshot  *api.Snapshot
 	upstreams map[string]*upstream
@@ -121,11 +122,13 @@
 	name    string
 	conf    api.Upstream
 	zoneOut bool
-	removed bool
-	up      bool
-	link    api.LinkState
-	health  Health
-	load    api.Load
+	// vmLeaving is true if the upstream's VM is leaving.
+	vmLeaving bool
+	removed   bool
+	up        bool
+	link      api.LinkState
+	health    Health
+	load      api.Load
 	// reported is false until the first load report on the present link.
 	reported bool
 	sends    sends
@@ -173,6 +176,7 @@
 		}
 		u.conf = conf
 		u.zoneOut = snap.Config.Zones[conf.Zone].State == api.ZoneOut
+		u.vmLeaving = s.vmLeaving != nil && s.vmLeaving(conf.VM)
 	}
 	s.ordered = s.ordered[:0]
 	for _, name := range slices.Sorted(maps.Keys(s.upstreams)) {
@@ -180,6 +184,15 @@
 	}
 }
 
+// SetLeaving takes which VMs are leaving. The function must answer alike until
+// the next call; it is also asked of upstreams that are configured later.
+func (s *State) SetLeaving(leaving func(vm string) bool) {
+	s.vmLeaving = leaving
+	for _, u := range s.ordered {
+		u.vmLeaving = leaving(u.conf.VM)
+	}
+}
+
 // LinkUp takes a new link to an upstream's agent. A new incarnation forgets
 // the index of the upstream, because its cache may have gone with the agent.
 func (s *State) LinkUp(name string, l api.LinkState) {
--- a/decide/spread/order.go
+++ b/decide/spread/order.go
@@ -34,6 +34,7 @@
 // held, since the list of upstreams decides whether a caller-made key may
 // run. If that revision was refused here, builds differ in what they accept;
 // then idempotent orders run under the last good revision and others do not.
+// The router may be empty where SeenOnTraffic tells of its revision.
 func (s *State) CheckOrder(now, received time.Duration, router string, revision uint64, idempotent bool) (OrderVerdict, []Action) {
 	out := s.wake(now)
 	expired := now-received >= HoldWait
@@ -50,10 +51,19 @@
 		return OrderRun, out
 	case s.refusedRevision(revision) || expired:
 		return OrderRefuse, out
+	case router == "":
+		return OrderHold, out
 	}
 	return OrderHold, append(out, s.SeenOnTraffic(now, router, revision)...)
 }
 
+// MayStart says whether work may start now. It is asked before each start, so
+// that a pause is noticed before what waited goes on.
+func (s *State) MayStart(now time.Duration) (bool, []Action) {
+	out := s.wake(now)
+	return s.ready, out
+}
+
 func (s *State) refusedRevision(revision uint64) bool {
 	for _, v := range s.refused {
 		if v.Revision == revision {
--- a/service/adminhttp/adminhttp.go
+++ b/service/adminhttp/adminhttp.go
@@ -63,7 +63,8 @@
 	return nil
 }
 
-// configured is ready once the process has a configuration in force.
+// configured is ready while the process has a configuration in force that is
+// known to be current.
 type configured struct{ store api.ConfigStore }
 
 // NoConfigurationError reports a process that has no configuration yet.
@@ -75,6 +76,9 @@
 	if c.store.Current() == nil {
 		return &NoConfigurationError{}
 	}
+	if known, ok := c.store.(api.ConfigConfirmed); ok {
+		return known.Confirmed()
+	}
 	return nil
 }
 
--- a/service/configsource/configsource.go
+++ b/service/configsource/configsource.go
@@ -15,15 +15,13 @@
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/confdir"
+	"github.com/mulberryfork/mulberryfork/decide/spread"
 	"github.com/mulberryfork/mulberryfork/kernel"
 )
 
 const (
 	// watchTimeout exceeds the time after which the service ends a watch.
 	watchTimeout = 40 * time.Second
-	// firstRetry and longestRetry bound the wait after a failed call.
-	firstRetry   = 200 * time.Millisecond
-	longestRetry = 5 * time.Second
 	// maxBytes bounds one published configuration; values are up to 1 MB and
 	// JSON escapes them.
 	maxBytes = 4 << 20
@@ -91,8 +89,7 @@
 		}
 		return
 	}
-	var after uint64
-	wait := firstRetry
+	var after, failures uint64
 	for ctx.Err() == nil {
 		raw, changed, err := s.poll(ctx, after)
 		if ctx.Err() != nil {
@@ -100,30 +97,55 @@
 		}
 		health(err)
 		if err == nil {
-			wait = firstRetry
+			failures = 0
 			if changed {
 				after = raw.Revision
 				deliver(raw)
 			}
 			continue
 		}
+		failures++
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait):
+		case <-time.After(spread.RetryDelay(s.settings.Node, failures)):
 		}
-		wait = min(2*wait, longestRetry)
 	}
 }
 
+// poll watches for a revision other than the last one seen. Where few processes
+// watch for all, the watch is renewed early, because the replica that answers
+// may be a stale one.
+func (s *service) poll(ctx context.Context, after uint64) (api.RawConfig, bool, error) {
+	limited, cancel := ctx, context.CancelFunc(func() {})
+	if s.settings.Membership.Service != "" {
+		limited, cancel = context.WithTimeout(ctx, spread.WatchRenew)
+	}
+	defer cancel()
+	raw, changed, err := s.get(limited, "?after="+strconv.FormatUint(after, 10))
+	if err != nil && ctx.Err() == nil && limited.Err() != nil {
+		return api.RawConfig{}, false, nil
+	}
+	return raw, changed, err
+}
+
+// Read reads the source once.
+func (s *service) Read(ctx context.Context) (api.RawConfig, error) {
+	if s.settings.Config.Folder != "" {
+		return readFolder(s.settings.Config.Folder)
+	}
+	raw, _, err := s.get(ctx, "")
+	return raw, err
+}
+
 type published struct {
 	Revision uint64            `json:"revision"`
 	Files    map[string]string `json:"files"`
 }
 
-// poll waits for a revision other than the last one seen.
-func (s *service) poll(ctx context.Context, after uint64) (api.RawConfig, bool, error) {
+// get reads the service. The second result is false if nothing changed.
+func (s *service) get(ctx context.Context, query string) (api.RawConfig, bool, error) {
 	s.calls.Add(1)
-	url := strings.TrimSuffix(s.settings.Config.Service, "/") + "/v1/config?after=" + strconv.FormatUint(after, 10)
+	url := strings.TrimSuffix(s.settings.Config.Service, "/") + "/v1/config" + query
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return api.RawConfig{}, false, &CallError{Err: err}
--- a/service/configstore/configstore.go
+++ b/service/configstore/configstore.go
@@ -1,5 +1,6 @@
-// Package configstore owns the accepted configuration of a process. It merges
-// and validates what the source and peers deliver and publishes snapshots.
+// Package configstore owns the accepted configuration of a process. It learns
+// revisions from the platform's service and from peers, as package
+// decide/spread decides, and publishes snapshots.
 package configstore
 
 import (
@@ -10,12 +11,15 @@
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/config"
+	"github.com/mulberryfork/mulberryfork/decide/spread"
 	"github.com/mulberryfork/mulberryfork/kernel"
 )
 
 const (
-	offerMailbox  = 16
-	healthMailbox = 1
+	eventMailbox   = 256
+	trafficMailbox = 64
+	resendMailbox  = 256
+	healthMailbox  = 1
 )
 
 // Register adds the service under its name.
@@ -23,36 +27,53 @@
 	return r.Register(api.ServiceConfigStore, func() any { return &service{} })
 }
 
-// offer is a revision from the source or a peer, merged off the control loop.
-type offer struct {
-	raw      api.RawConfig
+type service struct {
+	settings *api.Settings
+	source   api.ConfigSource
+	metrics  api.Metrics
+	log      api.Logger
+	clock    kernel.Clock
+	carrier  api.PeerCalls
+
+	events  *kernel.Mailbox[event]
+	traffic *kernel.Mailbox[sighted]
+	resends *kernel.Mailbox[kernel.Call[api.StaleRefusal, api.ResendVerdict]]
+	health  *kernel.Mailbox[error]
+	halts   *kernel.Mailbox[kernel.Call[struct{}, struct{}]]
+
+	held atomic.Pointer[held]
+	// changed and confirmed hold channels that are closed by the next change
+	// and by the next time that the configuration is known to be current.
+	changed   atomic.Pointer[chan struct{}]
+	confirmed atomic.Pointer[confirmation]
+	refused   atomic.Pointer[RefusedError]
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	control control
+	counts  counters
+}
+
+// held is the content in force and the one before, which serves as base of
+// deltas.
+type held struct {
+	version  spread.Version
 	snapshot *api.Snapshot
-	failure  *config.Errors
+	before   spread.Version
+	previous map[string][]byte
 }
 
-type service struct {
-	source  api.ConfigSource
-	metrics api.Metrics
-	log     api.Logger
-
-	offers *kernel.Mailbox[offer]
-	health *kernel.Mailbox[error]
-
-	current atomic.Pointer[api.Snapshot]
-	// changed holds a channel that is closed by the next change.
-	changed     atomic.Pointer[chan struct{}]
-	refused     atomic.Pointer[RefusedError]
-	sourceDown  error
-	subscribers []func(now time.Duration, s *api.Snapshot)
-	ready       chan struct{}
-	readyOnce   sync.Once
-	cancel      context.CancelFunc
-	watching    sync.WaitGroup
-	counts      counters
+// confirmation is whether the configuration is known to be current, and the
+// channel that is closed once it is.
+type confirmation struct {
+	ready bool
+	wait  chan struct{}
 }
 
 type counters struct {
 	accepted, refused, older, sourceErrors api.Counter
+	exchanges, pauses, mismatches          api.Counter
 }
 
 // RefusedError reports the newest revision that did not validate. The last
@@ -72,7 +93,18 @@
 
 func (*NoneError) Error() string { return "no configuration was accepted yet" }
 
+// UnconfirmedError reports a process that started or was paused and does not
+// know yet whether its configuration is current.
+type UnconfirmedError struct{}
+
+func (*UnconfirmedError) Error() string {
+	return "peers were not asked yet whether the configuration is current"
+}
+
 func (s *service) Provision(c *kernel.Context) (err error) {
+	if s.settings, err = kernel.Value[*api.Settings](c); err != nil {
+		return err
+	}
 	if s.source, err = kernel.Lookup[api.ConfigSource](c, api.ServiceConfigSource); err != nil {
 		return err
 	}
@@ -82,83 +114,82 @@
 	if s.log, err = kernel.Lookup[api.Logger](c, api.ServiceLog); err != nil {
 		return err
 	}
-	s.ready = make(chan struct{})
+	s.clock = c.Clock()
+	s.ctx, s.cancel = context.WithCancel(context.Background())
 	changed := make(chan struct{})
 	s.changed.Store(&changed)
-	s.offers = kernel.NewMailbox(c.Loop(), "config.offer", offerMailbox, kernel.Wait, s.accept)
-	s.health = kernel.NewMailbox(c.Loop(), "config.health", healthMailbox, kernel.Latest, s.noteHealth)
+	s.held.Store(&held{})
+	s.confirmed.Store(&confirmation{wait: make(chan struct{})})
+	s.control = control{service: s, first: make(chan struct{}), state: newState(s.settings)}
+	s.mailboxes(c.Loop())
+	s.publish()
+	return nil
+}
+
+func (s *service) mailboxes(l *kernel.Loop) {
+	ctl := &s.control
+	s.events = kernel.NewMailbox(l, "config.event", eventMailbox, kernel.Wait,
+		func(now time.Duration, e event) { ctl.run(now, e.apply(now, ctl)) })
+	s.traffic = kernel.NewMailbox(l, "config.traffic", trafficMailbox, kernel.Drop,
+		func(now time.Duration, e sighted) { ctl.run(now, e.apply(now, ctl)) })
+	s.resends = kernel.NewMailbox(l, "config.resend", resendMailbox, kernel.Wait, ctl.resend)
+	s.health = kernel.NewMailbox(l, "config.health", healthMailbox, kernel.Latest, ctl.noteHealth)
+	s.halts = kernel.NewMailbox(l, "config.halt", 1, kernel.Wait,
+		func(_ time.Duration, c kernel.Call[struct{}, struct{}]) { ctl.halted = true; c.Reply(struct{}{}) })
+	l.Every(spread.TickInterval, ctl.tick)
+}
+
+func (s *service) publish() {
 	s.counts = counters{
 		accepted:     s.metrics.Counter("config_accepted", ""),
 		refused:      s.metrics.Counter("config_refused", ""),
 		older:        s.metrics.Counter("config_older", ""),
 		sourceErrors: s.metrics.Counter("config_source_errors", ""),
+		exchanges:    s.metrics.Counter("config_exchanges", ""),
+		pauses:       s.metrics.Counter("config_pauses", ""),
+		mismatches:   s.metrics.Counter("config_mismatches", ""),
 	}
-	s.metrics.Gauge("config_revision", func() int64 {
-		if snap := s.current.Load(); snap != nil {
-			return int64(snap.Revision)
+	s.metrics.Gauge("config_revision", func() int64 { return int64(s.Version().Revision) })
+	s.metrics.Gauge("config_ready", func() int64 {
+		if s.confirmed.Load().ready {
+			return 1
 		}
 		return 0
 	})
-	return nil
 }
 
-func (s *service) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	s.watching.Add(1)
-	go func() {
-		defer s.watching.Done()
-		s.source.Watch(ctx, func(raw api.RawConfig) { s.Offer(ctx, raw) }, func(err error) {
-			_ = s.health.Post(ctx, err)
-		})
-	}()
-	return nil
-}
+func (s *service) Start(ctx context.Context) error { return s.events.Post(ctx, begun{}) }
 
-func (s *service) Stop(context.Context) error {
+// Stop ends the calls under way. The loop starts no more of them first.
+func (s *service) Stop(ctx context.Context) error {
+	_, err := kernel.Ask(ctx, s.halts, struct{}{})
 	s.cancel()
-	s.watching.Wait()
+	if err != nil {
+		return err
+	}
+	s.running.Wait()
 	return nil
 }
 
-// Offer merges a revision and hands it to the control loop. Merging takes long
-// for a large configuration, so it does not run on the loop.
-func (s *service) Offer(ctx context.Context, raw api.RawConfig) {
-	if current := s.current.Load(); current != nil && raw.Revision < current.Revision {
-		s.counts.older.Add(1)
-		return
-	}
-	o := offer{raw: raw}
-	result, failure := config.Merge(raw.Files)
-	if failure != nil {
-		o.failure = failure
-	} else {
-		o.snapshot = &api.Snapshot{
-			Revision: raw.Revision,
-			Digest:   result.Digest,
-			Config:   result.Config,
-			Files:    raw.Files,
-		}
-	}
-	_ = s.offers.Post(ctx, o)
-}
+// Carry names the service that reaches peers.
+func (s *service) Carry(p api.PeerCalls) { s.carrier = p }
 
 // Current returns the snapshot in force.
-func (s *service) Current() *api.Snapshot { return s.current.Load() }
+func (s *service) Current() *api.Snapshot { return s.held.Load().snapshot }
 
 // Subscribe adds a function that runs on the control loop after each change.
 func (s *service) Subscribe(f func(now time.Duration, s *api.Snapshot)) {
-	s.subscribers = append(s.subscribers, f)
+	s.control.subscribers = append(s.control.subscribers, f)
 }
 
-// Ready is closed once a first snapshot is in force.
-func (s *service) Ready() <-chan struct{} { return s.ready }
+// Ready is closed once a first snapshot is in force and known to be current.
+func (s *service) Ready() <-chan struct{} { return s.control.first }
 
 // WaitRevision waits for a revision to be in force.
 func (s *service) WaitRevision(ctx context.Context, revision uint64) bool {
 	for {
 		changed := *s.changed.Load()
-		if snap := s.current.Load(); snap != nil && snap.Revision >= revision {
+		if snap := s.Current(); snap != nil && snap.Revision >= revision {
 			return true
 		}
 		select {
@@ -169,52 +200,28 @@
 	}
 }
 
-func (s *service) accept(now time.Duration, o offer) {
-	current := s.current.Load()
-	if current != nil && !newer(o, current) {
-		if o.raw.Revision < current.Revision {
-			s.counts.older.Add(1)
-		}
-		return
-	}
-	if o.failure != nil {
-		s.counts.refused.Add(1)
-		s.refused.Store(&RefusedError{Revision: o.raw.Revision, Errors: o.failure})
-		s.log.Change("configuration refused", api.Fields{"revision": o.raw.Revision, "error": o.failure.Error()})
-		return
-	}
-	s.refused.Store(nil)
-	s.current.Store(o.snapshot)
-	next := make(chan struct{})
-	close(*s.changed.Swap(&next))
-	s.counts.accepted.Add(1)
-	s.log.Change("configuration in force", api.Fields{"revision": o.snapshot.Revision})
-	for _, f := range s.subscribers {
-		f(now, o.snapshot)
+// Confirmed says why the process must not take work, nil if it may.
+func (s *service) Confirmed() error {
+	switch {
+	case s.Current() == nil:
+		return &NoneError{}
+	case !s.confirmed.Load().ready:
+		return &UnconfirmedError{}
 	}
-	s.readyOnce.Do(func() { close(s.ready) })
-}
-
-func newer(o offer, current *api.Snapshot) bool {
-	if o.raw.Revision != current.Revision {
-		return o.raw.Revision > current.Revision
-	}
-	// Two contents under one revision are resolved alike on every process.
-	return o.snapshot != nil && o.snapshot.Digest > current.Digest
+	return nil
 }
 
-func (s *service) noteHealth(_ time.Duration, err error) {
-	if err != nil {
-		s.counts.sourceErrors.Add(1)
-	}
-	if (err == nil) == (s.sourceDown == nil) {
-		s.sourceDown = err
-		return
-	}
-	s.sourceDown = err
-	if err != nil {
-		s.log.Change("configuration source unreachable", api.Fields{"error": err.Error()})
-		return
+// WaitConfirmed waits until the configuration is known to be current.
+func (s *service) WaitConfirmed(ctx context.Context) bool {
+	for {
+		c := s.confirmed.Load()
+		if c.ready {
+			return true
+		}
+		select {
+		case <-c.wait:
+		case <-ctx.Done():
+			return false
+		}
 	}
-	s.log.Change("configuration source reachable", nil)
 }
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,6 +12,7 @@
 	"github.com/mulberryfork/mulberryfork/decide/poison"
 	"github.com/mulberryfork/mulberryfork/decide/reassembly"
 	"github.com/mulberryfork/mulberryfork/decide/retrybudget"
+	"github.com/mulberryfork/mulberryfork/decide/spread"
 )
 
 const (
@@ -25,8 +27,9 @@
 	crashPause = 150 * time.Millisecond
 	// longestBackoff bounds the advice of a refusal that a router waits for.
 	longestBackoff = time.Second
-	// revisionWait bounds the wait for a configuration that an agent has.
-	revisionWait = 3 * time.Second
+	// revisionWait bounds one wait for a configuration that an agent has. The
+	// check after it decides whether to wait on.
+	revisionWait = spread.StaleWait
 )
 
 // delivery is one request on its way to a whole answer.
@@ -44,8 +47,9 @@
 	exclude     []string
 	// assembly puts chunks in order and knows how many the caller has.
 	assembly *reassembly.Assembler
-	// last is the upstream of the newest send.
+	// last is the upstream of the newest send, revision the one it was made under.
 	last      string
+	revision  uint64
 	headSent  bool
 	resumable bool
 	// refused is the failure of the last send. exhausted is set once no upstream
@@ -113,6 +117,11 @@
 	if !d.repeatable(f) {
 		return false
 	}
+	if f.Code == api.CodeStaleRevision && f.Run == api.NotRun {
+		// Nothing ran and the upstream is not at fault, so no budget is spent.
+		d.service.counts.retries.Add(1)
+		return d.afterStale(ctx, f.Revision)
+	}
 	if !d.service.admission.SpendRetry(ctx, d.request.Member) {
 		d.service.counts.denied.Add(1)
 		return false
@@ -121,9 +130,6 @@
 	if d.assembly.Delivered() > 0 {
 		d.service.counts.resumes.Add(1)
 	}
-	if f.Code == api.CodeStaleRevision {
-		return d.awaitRevision(ctx, f.Revision)
-	}
 	return pause(ctx, d.backoff(f)) && (d.home == "" || d.awaitHome(ctx))
 }
 
@@ -157,15 +163,65 @@
 	}
 }
 
-// awaitRevision waits for the configuration that an agent has already. The
-// upstream is not at fault, so it may be chosen again.
+// afterStale waits until the request can be routed again after a refusal
+// because of its revision, and returns false if it cannot.
+func (d *delivery) afterStale(ctx context.Context, theirs uint64) bool {
+	if d.service.resend == nil {
+		return d.awaitRevision(ctx, theirs)
+	}
+	r := api.StaleRefusal{Upstream: d.last, Refused: d.service.clock.Now(), Sent: d.revision, Theirs: theirs}
+	for ctx.Err() == nil {
+		switch d.service.resend.CheckResend(ctx, r) {
+		case api.ResendNow:
+			d.forgive()
+			return true
+		case api.ResendElsewhere:
+			return d.elsewhere()
+		case api.ResendGiveUp:
+			return false
+		}
+		d.awaitCurrent(ctx, theirs)
+	}
+	return false
+}
+
+// awaitCurrent waits for what a held request lacks: that this process has
+// asked its peers, or the revision of the agent.
+func (d *delivery) awaitCurrent(ctx context.Context, revision uint64) {
+	if c := d.service.confirmed; c != nil && c.Confirmed() != nil {
+		wait, cancel := context.WithTimeout(ctx, revisionWait)
+		defer cancel()
+		c.WaitConfirmed(wait)
+		return
+	}
+	d.awaitRevision(ctx, revision)
+}
+
+// awaitRevision waits for the configuration that an agent has already.
 func (d *delivery) awaitRevision(ctx context.Context, revision uint64) bool {
 	wait, cancel := context.WithTimeout(ctx, revisionWait)
 	defer cancel()
-	d.exclude = nil
 	return d.service.store.WaitRevision(wait, revision)
 }
 
+// forgive lets the upstream that refused last be chosen again.
+func (d *delivery) forgive() {
+	d.exclude = slices.DeleteFunc(d.exclude, func(u string) bool { return u == d.last })
+}
+
+// elsewhere keeps the upstream that refused out. A key of the caller's stays
+// bound to its upstream.
+func (d *delivery) elsewhere() bool {
+	if d.request.Idempotent {
+		return true
+	}
+	if d.request.Key != "" || d.uncertain {
+		return false
+	}
+	d.unbind()
+	return true
+}
+
 func (d *delivery) repeatable(f *api.Failure) bool {
 	if !retryable(f.Code) {
 		return false
@@ -228,6 +284,7 @@
 		return api.End{Failure: failure}, false
 	}
 	d.attempt++
+	d.revision = choice.Revision
 	d.assembly.Resume(d.attempt)
 	a := &attempt{delivery: d, done: make(chan api.End, 1)}
 	order, failure := d.order(choice)
--- a/service/dispatch/dispatch.go
+++ b/service/dispatch/dispatch.go
@@ -14,13 +14,20 @@
 	"github.com/mulberryfork/mulberryfork/kernel"
 )
 
+// confirmWait bounds how long a request waits for the process to ask its peers.
+// It exceeds one round of questions.
+const confirmWait = 2 * time.Second
+
 // Register adds the service under its name.
 func Register(r *kernel.Registry) error {
 	return r.Register(api.ServiceDispatch, func() any { return &service{} })
 }
 
 type service struct {
-	store     api.ConfigStore
+	store api.ConfigStore
+	// resend and confirmed are nil where the store does not decide on them.
+	resend    api.ResendCheck
+	confirmed api.ConfigConfirmed
 	routing   api.Routing
 	links     api.Links
 	admission api.Admission
@@ -38,6 +45,8 @@
 	if s.store, err = kernel.Lookup[api.ConfigStore](c, api.ServiceConfigStore); err != nil {
 		return err
 	}
+	s.resend, _ = s.store.(api.ResendCheck)
+	s.confirmed, _ = s.store.(api.ConfigConfirmed)
 	if s.routing, err = kernel.Lookup[api.Routing](c, api.ServiceRouting); err != nil {
 		return err
 	}
@@ -73,6 +82,10 @@
 		begin:    s.clock.Now(),
 		assembly: reassembly.New(api.SendID{Request: r.ID}, r.ResumeFrom, windowBytes),
 	}
+	if failure := s.awaitConfirmed(ctx, r); failure != nil {
+		sink.End(api.End{Failure: failure})
+		return
+	}
 	if failure := d.bind(); failure != nil {
 		sink.End(api.End{Failure: failure})
 		return
@@ -86,6 +99,26 @@
 	sink.End(end)
 }
 
+// awaitConfirmed holds a request while the process does not know whether its
+// configuration is current. Nothing was sent, but an earlier send of a key may
+// have run.
+func (s *service) awaitConfirmed(ctx context.Context, r api.Request) *api.Failure {
+	if s.confirmed == nil || s.confirmed.Confirmed() == nil {
+		return nil
+	}
+	wait, cancel := context.WithTimeout(ctx, confirmWait)
+	defer cancel()
+	if s.confirmed.WaitConfirmed(wait) {
+		return nil
+	}
+	f := api.Fail(api.CodeNotReady, api.NotRun, "it is not known whether the configuration is current")
+	f.RetryAfter = time.Second
+	if r.Key != "" {
+		f.Run = api.Unknown
+	}
+	return f
+}
+
 // IssueKey binds a new key to an upstream.
 func (s *service) IssueKey(ctx context.Context, member, model, service string) (string, *api.Failure) {
 	choice, failure := s.routing.Route(ctx, api.RouteQuery{Member: member, Model: model, Service: service})
--- a/service/links/link.go
+++ b/service/links/link.go
@@ -24,6 +24,7 @@
 	service  *service
 	upstream string
 	address  string
+	vm       string
 	ctx      context.Context
 	retire   context.CancelFunc
 	state    atomic.Pointer[api.LinkState]
@@ -51,9 +52,9 @@
 	progress progress
 }
 
-func newLink(s *service, upstream, address string) *link {
+func newLink(s *service, upstream string, u api.Upstream) *link {
 	ctx, cancel := context.WithCancel(s.ctx)
-	l := &link{service: s, upstream: upstream, address: address, ctx: ctx, retire: cancel}
+	l := &link{service: s, upstream: upstream, address: u.Agent, vm: u.VM, ctx: ctx, retire: cancel}
 	l.state.Store(&api.LinkState{})
 	change := make(chan struct{})
 	l.change.Store(&change)
@@ -206,6 +207,7 @@
 		Elapsed:     time.Duration(h.GetElapsedNs()),
 		Revision:    h.GetRevision(),
 	}
+	s.link.sighted(state.Revision)
 	s.link.state.Store(&state)
 	s.link.session.Store(s)
 	next := make(chan struct{})
@@ -237,6 +239,7 @@
 		s.link.service.counts.foreign.Add(1)
 		return
 	}
+	s.link.sighted(l.Revision)
 	s.link.state.Store(&api.LinkState{
 		Up:          true,
 		Incarnation: l.Incarnation,
@@ -247,6 +250,13 @@
 	_ = s.link.service.loads.Post(s.link.ctx, l)
 }
 
+// sighted tells the configuration store of an agent's revision.
+func (l *link) sighted(revision uint64) {
+	if l.service.seen != nil {
+		l.service.seen.SeenOnTraffic(l.vm, revision)
+	}
+}
+
 // lose ends the session; readers and writers notice.
 func (s *session) lose() { s.lostOnce.Do(func() { close(s.lost) }) }
 
--- a/service/links/links.go
+++ b/service/links/links.go
@@ -22,8 +22,11 @@
 )
 
 type service struct {
-	trust     api.Trust
-	store     api.ConfigStore
+	trust api.Trust
+	store api.ConfigStore
+	// seen takes the revisions of agents; it is nil where the store does not
+	// ask for them.
+	seen      api.TrafficRevisions
 	metrics   api.Metrics
 	clock     kernel.Clock
 	settings  *api.Settings
@@ -68,6 +71,7 @@
 	if s.store, err = kernel.Lookup[api.ConfigStore](c, api.ServiceConfigStore); err != nil {
 		return err
 	}
+	s.seen, _ = s.store.(api.TrafficRevisions)
 	s.clock = c.Clock()
 	s.counts = counters{
 		foreign: s.metrics.Counter("link_foreign_frames", ""),
@@ -110,11 +114,11 @@
 	old := *s.links.Load()
 	next := make(map[string]*link, len(snap.Config.Upstreams))
 	for name, u := range snap.Config.Upstreams {
-		if l, ok := old[name]; ok && l.address == u.Agent {
+		if l, ok := old[name]; ok && l.address == u.Agent && l.vm == u.VM {
 			next[name] = l
 			continue
 		}
-		next[name] = s.open(name, u.Agent)
+		next[name] = s.open(name, u)
 	}
 	s.links.Store(&next)
 	for name, l := range old {
@@ -124,8 +128,8 @@
 	}
 }
 
-func (s *service) open(upstream, address string) *link {
-	l := newLink(s, upstream, address)
+func (s *service) open(upstream string, u api.Upstream) *link {
+	l := newLink(s, upstream, u)
 	s.running.Add(1)
 	go func() {
 		defer s.running.Done()
--- a/service/linkserver/link.go
+++ b/service/linkserver/link.go
@@ -24,7 +24,9 @@
 // link is one stream from a router. Orders run on goroutines of their own and
 // share the writer, which packs their frames.
 type link struct {
-	server   *service
+	server *service
+	// router is the VM of the router.
+	router   string
 	stream   wire.DRPCLink_OpenStream
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -82,6 +84,7 @@
 	switch body := f.GetBody().(type) {
 	case *wire.RouterFrame_Order:
 		l.seen.Add(1)
+		l.sighted(body.Order.GetRevision())
 		l.begin(wire.ToOrder(body.Order))
 	case *wire.RouterFrame_Cancel:
 		if o := l.find(body.Cancel.GetRequest(), body.Cancel.GetAttempt()); o != nil {
@@ -98,6 +101,14 @@
 	}
 }
 
+// sighted tells the configuration store of a revision of the router's, ahead
+// of the order that it came with.
+func (l *link) sighted(revision uint64) {
+	if l.server.seen != nil {
+		l.server.seen.SeenOnTraffic(l.router, revision)
+	}
+}
+
 func (l *link) query(m *wire.Query) {
 	outcome := l.server.work.Outcome(l.ctx, wire.ToQuery(m))
 	l.post(&wire.AgentFrame{Body: &wire.AgentFrame_Outcome{Outcome: wire.FromOutcome(m.GetId(), outcome)}})
--- a/service/linkserver/server.go
+++ b/service/linkserver/server.go
@@ -31,8 +31,11 @@
 	settings *api.Settings
 	trust    api.Trust
 	store    api.ConfigStore
-	work     api.Work
-	counts   counters
+	// seen takes the revisions of orders; it is nil where the store does not
+	// ask for them.
+	seen   api.TrafficRevisions
+	work   api.Work
+	counts counters
 
 	mux      *drpcmux.Mux
 	listener net.Listener
@@ -61,6 +64,7 @@
 	if s.store, err = kernel.Lookup[api.ConfigStore](c, api.ServiceConfigStore); err != nil {
 		return err
 	}
+	s.seen, _ = s.store.(api.TrafficRevisions)
 	work, present, err := kernel.LookupOptional[api.Work](c, api.ServiceWork)
 	if err != nil {
 		return err
@@ -121,7 +125,12 @@
 	return id, nil
 }
 
+// Start accepts connections. A router without an address for links takes no
+// calls of peers.
 func (s *service) Start(ctx context.Context) error {
+	if s.work == nil && s.settings.Listen.Link == "" {
+		return nil
+	}
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable:   true,
 		Idle:     keepAliveIdle,
@@ -148,8 +157,13 @@
 	return nil
 }
 
-// Address returns the address that links are accepted on.
-func (s *service) Address() string { return s.listener.Addr().String() }
+// Address returns the address that links are accepted on, empty for none.
+func (s *service) Address() string {
+	if s.listener == nil {
+		return ""
+	}
+	return s.listener.Addr().String()
+}
 
 // DrainError reports orders that were still running at the deadline.
 type DrainError struct{ Err error }
@@ -195,6 +209,8 @@
 		return &HelloError{}
 	}
 	l := newLink(s, stream)
+	l.router = hello.GetNode()
+	l.sighted(hello.GetRevision())
 	return l.serve(first.GetFrames()[1:])
 }
 
--- a/service/routing/routing.go
+++ b/service/routing/routing.go
@@ -81,6 +81,13 @@
 	s.shares = sharecorrect.New(sharecorrect.Config{Gain: correctionGain, MaxFactor: maxCorrection})
 	s.queries = kernel.NewMailbox(c.Loop(), "routing.query", queryMailbox, kernel.Wait, s.answer)
 	s.results = kernel.NewMailbox(c.Loop(), "routing.result", resultMailbox, kernel.Wait, s.settle)
+	membership, present, err := kernel.LookupOptional[api.Membership](c, api.ServiceMembership)
+	if err != nil {
+		return err
+	}
+	if present {
+		membership.Subscribe(func(time.Duration, []api.VM) { s.state.SetLeaving(membership.Leaving) })
+	}
 	s.store.Subscribe(s.configure)
 	feed.Follow(s)
 	c.Loop().Every(tickInterval, func(now time.Duration) {
--- a/service/work/arrive.go
+++ b/service/work/arrive.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/rand"
+	"slices"
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
@@ -14,7 +15,7 @@
 
 // arrive decides what becomes of an order that reached the agent.
 func (c *control) arrive(now time.Duration, call kernel.Call[api.Order, grant]) {
-	w := &waiter{order: call.Query, call: call, deadline: now + call.Query.DeadlineLeft}
+	w := &waiter{order: call.Query, call: call, deadline: now + call.Query.DeadlineLeft, received: now}
 	if !w.order.Idempotent && !c.record(now, w) {
 		return
 	}
@@ -64,8 +65,13 @@
 	if f := c.gate(o); f != nil {
 		return f
 	}
-	if f := c.stale(o); f != nil {
-		return f
+	switch verdict := c.check(now, w); verdict {
+	case api.OrderHold:
+		c.waiters[o.Send] = w
+		c.held = append(c.held, w)
+		return nil
+	case api.OrderRefuse:
+		return c.stale()
 	}
 	alone, f := c.suspects.Check(now, o.Fingerprint, o.Upstream, o.Isolate)
 	if f != nil {
@@ -155,6 +161,7 @@
 		return
 	}
 	c.queue.Cancel(send)
+	c.held = slices.DeleteFunc(c.held, func(w *waiter) bool { return w.order.Send == send })
 	c.isolation.Remove(send)
 	delete(c.waiters, send)
 	c.pump(now)
--- a/service/work/control.go
+++ b/service/work/control.go
@@ -48,6 +48,8 @@
 	order    api.Order
 	call     kernel.Call[api.Order, grant]
 	deadline time.Duration
+	// received is when the order arrived.
+	received time.Duration
 }
 
 // active is an order that runs.
@@ -78,6 +80,9 @@
 	// waiters are queued, isolated or joined to another send.
 	waiters map[api.SendID]*waiter
 	running map[api.SendID]*active
+	// held are orders under a revision that this process does not have yet,
+	// in order of arrival.
+	held    []*waiter
 	served  map[string]uint64
 	// reported and waitingCost are the last report of servedSeq.
 	reported, waitingCost map[string]uint64
@@ -168,12 +173,25 @@
 			delete(c.served, name)
 		}
 	}
+	c.reconsider(now)
+}
+
+// reconsider looks again at everything that waits, after a change of what may
+// start here.
+func (c *control) reconsider(now time.Duration) {
 	if f := c.closed(); f != nil {
 		c.returnQueued(now, f)
 	}
 	c.pump(now)
 }
 
+// vmLeaving says whether the upstream's VM is leaving by the membership list or
+// by the word of peers.
+func (c *control) vmLeaving() bool {
+	m := c.service.membership
+	return m != nil && (m.Leaving(c.service.settings.Node) || c.upstream.VM != "" && m.Leaving(c.upstream.VM))
+}
+
 // target is the strictest objective of a kind that applies to an upstream,
 // zero if there is none.
 func target(config *api.Config, u api.Upstream, kind api.ObjectiveKind) time.Duration {
@@ -236,7 +254,7 @@
 		return api.Fail(api.CodeWrongUpstream, api.NotRun, "the upstream is not in the configuration")
 	case c.snap.Config.Zones[c.upstream.Zone].State == api.ZoneOut:
 		return api.Fail(api.CodeZoneOut, api.NotRun, "availability zone "+c.upstream.Zone+" is out")
-	case c.upstream.Leaving:
+	case c.upstream.Leaving || c.vmLeaving():
 		return api.Fail(api.CodeLeaving, api.NotRun, "the upstream is leaving")
 	}
 	return nil
@@ -266,29 +284,23 @@
 	return len(list) == 0 || slices.Contains(list, name)
 }
 
-// stale refuses an order made under an older configuration, whose router may
-// not know that a zone is out or an upstream is leaving.
-func (c *control) stale(o api.Order) *api.Failure {
-	if c.snap == nil || o.Revision >= c.snap.Revision {
-		return nil
-	}
-	f := api.Fail(api.CodeStaleRevision, api.NotRun, "the order was made under an older configuration")
-	f.Revision = c.snap.Revision
-	return f
-}
-
 func (c *control) drain(now time.Duration) {
 	c.draining = true
 	c.returnQueued(now, c.closed())
 	c.publish()
 }
 
-// returnQueued gives every waiting order back as not run, so that its router
+// returnQueued gives every order that waits for its start back as not run, so that its router
 // can send it elsewhere.
 func (c *control) returnQueued(now time.Duration, f *api.Failure) {
 	for _, e := range c.queue.Drain() {
 		c.refuse(now, e.Value, f)
 	}
+	held := c.held
+	c.held = nil
+	for _, w := range held {
+		c.refuse(now, w, f)
+	}
 	for send, w := range c.waiters {
 		if c.isolation.Waits(send) {
 			c.isolation.Remove(send)
--- a/service/work/pump.go
+++ b/service/work/pump.go
@@ -16,9 +16,12 @@
 	for _, late := range c.queue.Expire(now) {
 		c.refuse(now, late.Value, api.Fail(api.CodeDeadlineExceeded, api.NotRun, "the deadline passed while the request waited"))
 	}
-	if c.isolation.Holding() {
+	c.pumpHeld(now)
+	switch {
+	case !c.mayStart(now):
+	case c.isolation.Holding():
 		c.pumpIsolated(now)
-	} else {
+	default:
 		c.pumpQueue(now)
 	}
 	c.publish()
--- a/service/work/work.go
+++ b/service/work/work.go
@@ -33,9 +33,12 @@
 type service struct {
 	settings *api.Settings
 	store    api.ConfigStore
-	engine   api.Engine
-	metrics  api.Metrics
-	clock    kernel.Clock
+	orders   api.OrderCheck
+	// membership is nil in a process without it.
+	membership api.Membership
+	engine     api.Engine
+	metrics    api.Metrics
+	clock      kernel.Clock
 
 	incarnation api.Incarnation
 	started     time.Duration
@@ -98,6 +101,12 @@
 	if s.store, err = kernel.Lookup[api.ConfigStore](c, api.ServiceConfigStore); err != nil {
 		return err
 	}
+	if s.orders, err = kernel.Lookup[api.OrderCheck](c, api.ServiceConfigStore); err != nil {
+		return err
+	}
+	if s.membership, _, err = kernel.LookupOptional[api.Membership](c, api.ServiceMembership); err != nil {
+		return err
+	}
 	if s.engine, err = kernel.Lookup[api.Engine](c, api.ServiceEngine); err != nil {
 		return err
 	}
@@ -143,6 +152,9 @@
 	l.Every(progressInterval, func(now time.Duration) { ctl.sample(now - s.started) })
 	l.Every(servedInterval, func(now time.Duration) { ctl.reportServed(now - s.started) })
 	l.Every(expiryInterval, func(now time.Duration) { ctl.pump(now - s.started) })
+	if s.membership != nil {
+		s.membership.Subscribe(func(now time.Duration, _ []api.VM) { ctl.reconsider(now - s.started) })
+	}
 	s.store.Subscribe(func(now time.Duration, snap *api.Snapshot) { ctl.configure(now-s.started, snap) })
 }
 
