--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,7 +20,9 @@
 	"github.com/mulberryfork/mulberryfork/service/links"
 	"github.com/mulberryfork/mulberryfork/service/linkserver"
 	"github.com/mulberryfork/mulberryfork/service/log"
+	"github.com/mulberryfork/mulberryfork/service/membership"
 	"github.com/mulberryfork/mulberryfork/service/metrics"
+	"github.com/mulberryfork/mulberryfork/service/peers"
 	"github.com/mulberryfork/mulberryfork/service/report"
 	"github.com/mulberryfork/mulberryfork/service/routing"
 	"github.com/mulberryfork/mulberryfork/service/trust"
@@ -34,6 +36,9 @@
 	api.ServiceTrust,
 	api.ServiceConfigSource,
 	api.ServiceConfigStore,
+	api.ServiceMembership,
+	api.ServiceTransportServer,
+	api.ServiceTransportPeers,
 	api.ServiceAdminHTTP,
 }
 
@@ -55,7 +60,6 @@
 		api.ServiceEngine,
 		api.ServiceEngineFeed,
 		api.ServiceWork,
-		api.ServiceTransportServer,
 	)
 }
 
@@ -74,7 +78,9 @@
 		links.Register,
 		linkserver.Register,
 		log.Register,
+		membership.Register,
 		metrics.Register,
+		peers.Register,
 		report.Register,
 		routing.Register,
 		trust.Register,
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -22,6 +22,7 @@
 	"github.com/mulberryfork/mulberryfork/service/log"
 	"github.com/mulberryfork/mulberryfork/service/trust"
 	"github.com/mulberryfork/mulberryfork/standin/confservice"
+	"github.com/mulberryfork/mulberryfork/standin/memberlist"
 )
 
 // Model and Service are the names that a deployment serves.
@@ -58,6 +59,8 @@
 	Members map[string]float64
 	// Idempotent marks completions as safe to repeat.
 	Idempotent bool
+	// ListLag is the age of what the membership list answers.
+	ListLag time.Duration
 	// Log takes the log lines of all processes; nil drops them.
 	Log io.Writer
 	// ExtraConfig is added as a last file.
@@ -67,6 +70,7 @@
 // Deployment is a running pool.
 type Deployment struct {
 	Config  *confservice.Service
+	Members *memberlist.List
 	Routers []*Node
 	Agents  []*Node
 
@@ -74,13 +78,17 @@
 	authority *devcert.Authority
 	servers   []*http.Server
 	confURL   string
+	listURL   string
 	files     map[string]string
 }
 
 // Node is one process of the deployment.
 type Node struct {
-	Name     string
-	Zone     string
+	Name string
+	Zone string
+	Role string
+	// Link is the address for links and peers.
+	Link     string
 	Process  *daemon.Process
 	Settings *api.Settings
 	// URL serves callers, on a router.
@@ -98,10 +106,18 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{options: o, authority: authority, Config: confservice.New(confservice.Options{Clock: kernel.BootClock{}})}
+	clock := kernel.BootClock{}
+	d := &Deployment{
+		options: o, authority: authority,
+		Config:  confservice.New(confservice.Options{Clock: clock}),
+		Members: memberlist.New(clock, o.ListLag),
+	}
 	if d.confURL, err = d.serve(d.Config.Replica(0)); err != nil {
 		return nil, err
 	}
+	if d.listURL, err = d.serve(d.Members); err != nil {
+		return nil, err
+	}
 	if err := d.startAll(ctx); err != nil {
 		_ = d.Stop(ctx)
 		return nil, err
@@ -174,10 +190,11 @@
 
 func (d *Deployment) settings(node, zone string) *api.Settings {
 	return &api.Settings{
-		Node:   node,
-		Zone:   zone,
-		Listen: api.Listen{Link: loopback, Admin: loopback},
-		Config: api.ConfigFrom{Service: d.confURL},
+		Node:       node,
+		Zone:       zone,
+		Listen:     api.Listen{Link: loopback, Admin: loopback},
+		Config:     api.ConfigFrom{Service: d.confURL},
+		Membership: api.From{Service: d.listURL},
 		Limits: api.Limits{
 			HeaderBytes:    settings.DefaultHeaderBytes,
 			BodyBytes:      settings.DefaultBodyBytes,
@@ -210,7 +227,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Node{Name: s.Node, Zone: s.Zone, Process: p, Settings: s, Admin: admin}, nil
+	link, err := p.Address(api.ServiceTransportServer)
+	if err != nil {
+		return nil, err
+	}
+	node := &Node{Name: s.Node, Zone: s.Zone, Role: role, Link: link, Process: p, Settings: s, Admin: admin}
+	d.List(node, api.VMLive)
+	return node, nil
+}
+
+// List puts a node on the membership list in a state.
+func (d *Deployment) List(n *Node, state api.VMState) {
+	d.Members.Set(memberlist.VM{Name: n.Name, Address: n.Link, Zone: n.Zone, Role: n.Role, State: string(state)})
 }
 
 // Token returns the bearer token of a guild member.
@@ -228,9 +256,7 @@
 	fmt.Fprintf(&b, "[models.%s]\nversion = \"1\"\nidempotent = %t\nsize_mb = 1000\n", Model, d.options.Idempotent)
 	plain := false
 	for i, u := range d.options.Upstreams {
-		if err := d.describe(&b, u, d.Agents[i]); err != nil {
-			return err
-		}
+		d.describe(&b, u, d.Agents[i])
 		plain = plain || u.Plain
 	}
 	if plain {
@@ -240,19 +266,14 @@
 	return d.Publish("10-pool.toml", b.String())
 }
 
-func (d *Deployment) describe(b *strings.Builder, u Upstream, node *Node) error {
-	address, err := node.Process.Address(api.ServiceTransportServer)
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(b, "[upstreams.%s]\nzone = %q\nvm = %q\nagent = %q\n", u.Name, u.Zone, node.Name, address)
+func (d *Deployment) describe(b *strings.Builder, u Upstream, node *Node) {
+	fmt.Fprintf(b, "[upstreams.%s]\nzone = %q\nvm = %q\nagent = %q\n", u.Name, u.Zone, node.Name, node.Link)
 	fmt.Fprintf(b, "max_requests = %d\ncold_requests = %d\ndeduplicates = %t\n", u.MaxRequests, max(u.ColdRequests, 1), u.Deduplicates)
 	if u.Plain {
 		fmt.Fprintf(b, "kind = \"plain\"\nservice = %q\n", Service)
-		return nil
+		return
 	}
 	fmt.Fprintf(b, "kind = \"model\"\nmodels = [%q]\n", Model)
-	return nil
 }
 
 // Publish puts a file into the published configuration as a new revision.
--- a/service/configstore/control.go
+++ b/service/configstore/control.go
@@ -21,6 +21,7 @@
 	// first is closed once the process may take work for the first time.
 	first  chan struct{}
 	opened bool
+	begun  bool
 	halted bool
 }
 
@@ -34,7 +35,11 @@
 	return spread.New(spread.Node{Name: settings.Node, Zone: settings.Zone}, peers)
 }
 
-func (c *control) tick(now time.Duration) { c.run(now, c.state.Tick(now)) }
+func (c *control) tick(now time.Duration) {
+	if c.begun {
+		c.run(now, c.state.Tick(now))
+	}
+}
 
 // Members takes the membership list and adds the peers of the settings.
 func (s *service) Members(now time.Duration, members []api.VM) {
@@ -49,11 +54,16 @@
 			nodes = append(nodes, spread.Node{Name: address, Zone: s.settings.Zone})
 		}
 	}
-	s.control.run(now, s.control.state.Members(now, nodes))
+	if s.control.begun {
+		s.control.run(now, s.control.state.Members(now, nodes))
+	}
 }
 
 // CheckOrder decides on an order by its revision.
 func (s *service) CheckOrder(now, received time.Duration, revision uint64, idempotent bool) api.OrderVerdict {
+	if !s.control.begun {
+		return api.OrderHold
+	}
 	verdict, actions := s.control.state.CheckOrder(now, received, "", revision, idempotent)
 	s.control.run(now, actions)
 	return api.OrderVerdict(verdict)
@@ -61,6 +71,9 @@
 
 // MayStart is false while the configuration is not known to be current.
 func (s *service) MayStart(now time.Duration) bool {
+	if !s.control.begun {
+		return false
+	}
 	ready, actions := s.control.state.MayStart(now)
 	s.control.run(now, actions)
 	return ready
--- a/service/configstore/events.go
+++ b/service/configstore/events.go
@@ -18,6 +18,7 @@
 type begun struct{}
 
 func (begun) apply(now time.Duration, c *control) []spread.Action {
+	c.begun = true
 	out := c.state.Start(now)
 	settings := c.service.settings
 	alone := settings.Membership.Service == "" && len(settings.Peers) == 0
