--- a/service/work/work_test.go
+++ b/service/work/work_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/idemkey"
+	"github.com/mulberryfork/mulberryfork/decide/spread"
 	"github.com/mulberryfork/mulberryfork/kernel"
 	"github.com/mulberryfork/mulberryfork/service/metrics"
 	"github.com/mulberryfork/mulberryfork/service/work"
@@ -19,8 +21,22 @@
 	box     *kernel.Mailbox[*api.Snapshot]
 	current *api.Snapshot
 	follow  []func(time.Duration, *api.Snapshot)
+	// unconfirmed is set while the process asks its peers.
+	unconfirmed atomic.Bool
 }
 
+// CheckOrder follows decide/spread for a store that refused no revision.
+func (s *store) CheckOrder(now, received time.Duration, revision uint64, _ bool) api.OrderVerdict {
+	switch {
+	case !s.unconfirmed.Load() && revision == s.current.Revision:
+		return api.OrderRun
+	case revision < s.current.Revision || now-received >= spread.HoldWait:
+		return api.OrderRefuse
+	}
+	return api.OrderHold
+}
+func (s *store) MayStart(time.Duration) bool { return !s.unconfirmed.Load() }
+
 func (s *store) Provision(c *kernel.Context) error {
 	s.box = kernel.NewMailbox(c.Loop(), "store", 4, kernel.Wait, func(now time.Duration, snap *api.Snapshot) {
 		s.current = snap
@@ -92,6 +108,7 @@
 type bed struct {
 	t        *testing.T
 	store    *store
+	list     *list
 	upstream *upstream
 	work     api.Work
 	sends    int
@@ -100,12 +117,13 @@
 // run starts an agent's work service on a synthetic clock.
 func run(t *testing.T, test func(t *testing.T, b *bed)) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &bed{t: t, store: &store{}, upstream: &upstream{
+		b := &bed{t: t, store: &store{}, list: &list{}, upstream: &upstream{
 			started: make(chan api.Order, 100), release: make(chan *api.Failure, 100),
 		}}
 		r := kernel.NewRegistry()
 		for name, f := range map[string]kernel.Factory{
 			api.ServiceConfigStore: func() any { return b.store },
+			api.ServiceMembership:  func() any { return b.list },
 			api.ServiceEngine:      func() any { return b.upstream },
 			api.ServiceMetrics:     func() any { return metrics.New() },
 		} {
@@ -118,7 +136,7 @@
 		}
 		host := kernel.NewHost(r, r.Names(), kernel.Options{
 			Clock:  kernel.NewRuntimeClock(),
-			Values: []any{&api.Settings{Upstream: "b1"}},
+			Values: []any{&api.Settings{Node: "vm1", Upstream: "b1"}},
 		})
 		if err := host.Start(t.Context()); err != nil {
 			t.Fatal(err)
