--- a/service/configstore/configstore_test.go
+++ b/service/configstore/configstore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -185,7 +186,9 @@
 				t.Fatal(err)
 			}
 		}
-		b.host = kernel.NewHost(r, r.Names(), kernel.Options{Clock: b.clock, Values: []any{settings}})
+		b.host = kernel.NewHost(r, r.Names(), kernel.Options{Clock: b.clock, Values: []any{
+			settings, &log.Output{Writer: io.Discard},
+		}})
 		if err := b.host.Start(t.Context()); err != nil {
 			t.Fatal(err)
 		}
--- a/service/membership/membership.go
+++ b/service/membership/membership.go
@@ -22,6 +22,10 @@
 	tickInterval = time.Second
 )
 
+// Transport replaces the way to the platform's list. A test supplies it as a
+// host value.
+type Transport struct{ http.RoundTripper }
+
 type service struct {
 	settings *api.Settings
 	client   *http.Client
@@ -77,6 +81,9 @@
 	}
 	s.clock = c.Clock()
 	s.client = &http.Client{Timeout: readTimeout}
+	if given, err := kernel.Value[*Transport](c); err == nil {
+		s.client.Transport = given.RoundTripper
+	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.control = control{service: s, state: membership.New(s.settings.Node)}
 	s.view.Store(&view{})
--- /dev/null
+++ b/service/peers/peers_test.go
@@ -0,0 +1,236 @@
+package peers_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/devcert"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/service/linkserver"
+	"github.com/mulberryfork/mulberryfork/service/metrics"
+	"github.com/mulberryfork/mulberryfork/service/peers"
+	"github.com/mulberryfork/mulberryfork/service/trust"
+)
+
+const limit = 20 * time.Second
+
+// process is one process with the real transport; what it knows is the test's.
+type process struct {
+	name, role string
+	carrier    api.PeerCalls
+	address    string
+	metrics    *metrics.Service
+	follow     func(time.Duration, []api.VM)
+
+	mu      sync.Mutex
+	version api.ConfigVersion
+	files   map[string][]byte
+	heard   map[string]api.ConfigVersion
+	verdict api.DigestVerdict
+	seqs    []uint64
+	told    []api.Sighting
+}
+
+func (p *process) Current() *api.Snapshot                    { return nil }
+func (p *process) Ready() <-chan struct{}                    { return nil }
+func (p *process) WaitRevision(context.Context, uint64) bool { return true }
+func (p *process) Carry(c api.PeerCalls)                     { p.carrier = c }
+func (p *process) Members(time.Duration, []api.VM)           {}
+func (p *process) Version() api.ConfigVersion                { return p.version }
+func (p *process) Notify(func([]string))                     {}
+func (p *process) Sightings() []api.Sighting                 { return []api.Sighting{{VM: "gone", Leaving: true}} }
+func (p *process) Heard(_ context.Context, n string, v api.ConfigVersion) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard[n] = v
+}
+func (p *process) Content(want, _ api.ConfigVersion) (api.ConfigContent, bool) {
+	return api.ConfigContent{Version: p.version, Files: p.files}, want == p.version
+}
+func (p *process) Learn(_ context.Context, d api.PeerDigest, direct bool) api.DigestVerdict {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !direct {
+		p.seqs = append(p.seqs, d.Seq)
+	}
+	p.told = d.Sightings
+	return p.verdict
+}
+
+// store and membership keep the two interfaces of process apart, which both
+// have a method Subscribe and Members.
+type store struct{ *process }
+
+func (store) Subscribe(func(time.Duration, *api.Snapshot)) {}
+
+type membership struct{ *process }
+
+func (membership) Members() []api.VM                           { return nil }
+func (m membership) Subscribe(f func(time.Duration, []api.VM)) { m.follow = f }
+func (membership) Leaving(string) bool                         { return false }
+func (membership) Down(string) bool                            { return false }
+
+func start(t *testing.T, authority *devcert.Authority, name, role string) *process {
+	t.Helper()
+	cert, err := authority.Issue(role, name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{name: name, role: role, heard: map[string]api.ConfigVersion{}, metrics: metrics.New()}
+	r := kernel.NewRegistry()
+	for service, f := range map[string]kernel.Factory{
+		api.ServiceConfigStore: func() any { return store{p} },
+		api.ServiceMembership:  func() any { return membership{p} },
+		api.ServiceMetrics:     func() any { return p.metrics },
+	} {
+		if err := r.Register(service, f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, register := range []func(*kernel.Registry) error{linkserver.Register, peers.Register, trust.Register} {
+		if err := register(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	settings := &api.Settings{Node: name, Listen: api.Listen{Link: "127.0.0.1:0"}}
+	host := kernel.NewHost(r, r.Names(), kernel.Options{Values: []any{
+		settings, &trust.Material{Certificate: cert, Roots: authority.Roots},
+	}})
+	if err := host.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := host.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	server, err := kernel.Find[interface{ Address() string }](host, api.ServiceTransportServer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.address = server.Address()
+	return p
+}
+
+func (p *process) total(t *testing.T, name string) int {
+	t.Helper()
+	var all map[string]any
+	if err := json.Unmarshal([]byte(p.metrics.JSON()), &all); err != nil {
+		t.Fatal(err)
+	}
+	n, _ := all[name].(float64)
+	return int(n)
+}
+
+func (p *process) vm() api.VM {
+	return api.VM{Name: p.name, Address: p.address, Role: p.role, State: api.VMLive}
+}
+
+func pair(t *testing.T) (context.Context, *devcert.Authority, *process, *process) {
+	t.Helper()
+	authority, err := devcert.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	t.Cleanup(cancel)
+	a, b := start(t, authority, "a", api.RoleRouter), start(t, authority, "b", api.RoleRouter)
+	a.follow(0, []api.VM{a.vm(), b.vm()})
+	return ctx, authority, a, b
+}
+
+// A digest must arrive with what it says, be answered with the other's, and be
+// numbered, so that a repeated one shows.
+func TestExchangeAndFetch(t *testing.T) {
+	ctx, _, a, b := pair(t)
+	a.version = api.ConfigVersion{Revision: 4, Content: 44}
+	b.version, b.files = api.ConfigVersion{Revision: 5, Content: 55}, map[string][]byte{"x.toml": []byte("x")}
+	for range 3 {
+		if v, err := a.carrier.Exchange(ctx, "b"); err != nil || v != b.version {
+			t.Fatalf("got %v, %v", v, err)
+		}
+	}
+	if b.heard["a"] != a.version || len(b.told) != 1 || b.told[0].VM != "gone" {
+		t.Errorf("b heard %v and %v", b.heard, b.told)
+	}
+	if len(b.seqs) != 3 || b.seqs[0] >= b.seqs[1] || b.seqs[1] >= b.seqs[2] {
+		t.Errorf("digests numbered %v", b.seqs)
+	}
+	c, err := a.carrier.Fetch(ctx, "b", b.version, a.version)
+	if err != nil || c.Version != b.version || string(c.Files["x.toml"]) != "x" {
+		t.Errorf("fetched %+v, %v", c, err)
+	}
+	if _, err = a.carrier.Fetch(ctx, "b", a.version, a.version); err == nil {
+		t.Error("content that is not in force was sent")
+	}
+}
+
+// A refused digest must be counted and must tell nothing, and a peer that
+// failed must not be called again at once.
+func TestRefusedDigestIsCounted(t *testing.T) {
+	ctx, _, a, b := pair(t)
+	b.verdict = api.DigestReplayed
+	if _, err := a.carrier.Exchange(ctx, "b"); err == nil {
+		t.Error("a refused digest was answered")
+	}
+	if len(b.heard) != 0 || b.total(t, "peer_replayed") != 1 {
+		t.Errorf("heard %v, counted %d", b.heard, b.total(t, "peer_replayed"))
+	}
+	var backoff *peers.BackoffError
+	if _, err := a.carrier.Exchange(ctx, "b"); !errors.As(err, &backoff) {
+		t.Errorf("called again at once: %v", err)
+	}
+	var unknown *peers.UnknownPeerError
+	if _, err := a.carrier.Exchange(ctx, "c"); !errors.As(err, &unknown) {
+		t.Errorf("an unknown peer: %v", err)
+	}
+}
+
+// A process that is listed in one role and has the certificate of the other
+// must not be believed, nor one of another authority.
+func TestForeignPeers(t *testing.T) {
+	ctx, authority, a, _ := pair(t)
+	agent := start(t, authority, "c", api.RoleAgent)
+	other, err := devcert.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	stranger := start(t, other, "d", api.RoleRouter)
+	listed := agent.vm()
+	listed.Role = api.RoleRouter
+	a.follow(0, []api.VM{listed, stranger.vm()})
+	for _, name := range []string{"c", "d"} {
+		if _, err := a.carrier.Exchange(ctx, name); err == nil {
+			t.Errorf("%s was believed", name)
+		}
+	}
+	// The service of this test states the role of a router in its digests,
+	// which the certificate of c denies.
+	agent.follow(0, []api.VM{a.vm()})
+	if _, err := agent.carrier.Exchange(ctx, "a"); err == nil || a.total(t, "peer_foreign") != 1 {
+		t.Errorf("a digest in a foreign role: %v, counted %d", err, a.total(t, "peer_foreign"))
+	}
+}
+
+// A peer that accepts connections and says nothing must cost the caller no
+// more than its own bound.
+func TestSilentPeerIsGivenUp(t *testing.T) {
+	ctx, _, a, _ := pair(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	a.follow(0, []api.VM{{Name: "s", Address: silent.Addr().String(), Role: api.RoleRouter}})
+	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	if _, err := a.carrier.Exchange(short, "s"); err == nil || ctx.Err() != nil {
+		t.Errorf("got %v", err)
+	}
+}
