--- /dev/null
+++ b/service/dispatch/stale_test.go
@@ -0,0 +1,187 @@
+package dispatch_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/service/dispatch"
+	"github.com/mulberryfork/mulberryfork/service/metrics"
+)
+
+// router stands for the services around the dispatcher. Its methods are called
+// by one request at a time.
+type router struct {
+	kernel.Clock
+	// verdicts answer refusals in order; agents answer sends in order.
+	verdicts []api.ResendVerdict
+	answers  []*api.Failure
+
+	unconfirmed bool
+	spent       int
+	excluded    [][]string
+	asked       []api.StaleRefusal
+	keys        []string
+}
+
+// NotConfirmedError reports a process that asks its peers.
+type NotConfirmedError struct{}
+
+func (*NotConfirmedError) Error() string { return "not confirmed" }
+
+func (r *router) Current() *api.Snapshot                          { return &api.Snapshot{Config: &api.Config{}} }
+func (r *router) Subscribe(func(time.Duration, *api.Snapshot))    {}
+func (r *router) Ready() <-chan struct{}                          { return nil }
+func (r *router) WaitRevision(ctx context.Context, _ uint64) bool { return r.wait(ctx) }
+func (r *router) WaitConfirmed(ctx context.Context) bool          { return !r.unconfirmed || r.wait(ctx) }
+func (r *router) Confirmed() error {
+	if r.unconfirmed {
+		return &NotConfirmedError{}
+	}
+	return nil
+}
+
+// wait never sees a change in time.
+func (r *router) wait(ctx context.Context) bool { <-ctx.Done(); return false }
+
+func (r *router) CheckResend(_ context.Context, s api.StaleRefusal) api.ResendVerdict {
+	r.asked = append(r.asked, s)
+	v := r.verdicts[0]
+	r.verdicts = r.verdicts[1:]
+	return v
+}
+
+func (r *router) Authenticate(string) (api.Caller, *api.Failure) { return api.Caller{}, nil }
+func (r *router) Enter(context.Context, string, uint32) (func(), *api.Failure) {
+	return func() {}, nil
+}
+func (r *router) SpendRetry(context.Context, string) bool { r.spent++; return true }
+
+func (r *router) Route(_ context.Context, q api.RouteQuery) (api.RouteChoice, *api.Failure) {
+	r.excluded = append(r.excluded, slices.Clone(q.Exclude))
+	upstream := "u1"
+	if slices.Contains(q.Exclude, upstream) {
+		upstream = "u2"
+	}
+	return api.RouteChoice{Upstream: upstream, Incarnation: 3, Revision: 7}, nil
+}
+func (r *router) Done(api.RouteResult) {}
+
+func (r *router) Send(_ context.Context, o api.Order, s api.Sink) (api.Exchange, error) {
+	r.keys = append(r.keys, o.Key)
+	f := r.answers[0]
+	r.answers = r.answers[1:]
+	go s.End(api.End{Send: o.Send, Failure: f})
+	return nil, nil
+}
+func (r *router) Query(context.Context, api.OutcomeQuery) (api.Outcome, error) {
+	return api.Outcome{}, nil
+}
+func (r *router) State(string) api.LinkState { return api.LinkState{} }
+func (r *router) Tell([]api.Suspicion)       {}
+func (r *router) WaitUp(context.Context, string) (api.LinkState, bool) {
+	return api.LinkState{}, true
+}
+
+type sink struct{ end api.End }
+
+func (s *sink) Head(api.Head) error   { return nil }
+func (s *sink) Chunk(api.Chunk) error { return nil }
+func (s *sink) End(e api.End)         { s.end = e }
+
+func (r *router) dispatch(t *testing.T, q api.Request) *api.Failure {
+	t.Helper()
+	registry := kernel.NewRegistry()
+	for _, name := range []string{api.ServiceConfigStore, api.ServiceRouting, api.ServiceTransportLinks, api.ServiceAdmission} {
+		if err := registry.Register(name, func() any { return r }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, register := range []func(*kernel.Registry) error{dispatch.Register, metrics.Register} {
+		if err := register(registry); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.Clock = kernel.NewRuntimeClock()
+	host := kernel.NewHost(registry, registry.Names(), kernel.Options{Clock: r.Clock})
+	if err := host.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = host.Stop(context.Background()) }()
+	d, err := kernel.Find[api.Dispatcher](host, api.ServiceDispatch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.ID, q.Member, q.Deadline = "r", "desk", time.Minute
+	s := &sink{}
+	d.Dispatch(t.Context(), q, s)
+	return s.end.Failure
+}
+
+func stale(theirs uint64) *api.Failure {
+	return &api.Failure{Code: api.CodeStaleRevision, Run: api.NotRun, Revision: theirs}
+}
+
+// Guards against refusals of a changed configuration that spend the retry
+// budget, against a request that is routed to an agent which is behind, and
+// against one that is given up although it can be resent.
+func TestStaleRefusals(t *testing.T) {
+	const now, hold, elsewhere, giveUp = api.ResendNow, api.ResendHold, api.ResendElsewhere, api.ResendGiveUp
+	overloaded := api.Fail(api.CodeOverloaded, api.NotRun, "full")
+	cases := []struct {
+		name     string
+		request  api.Request
+		answers  []*api.Failure
+		verdicts []api.ResendVerdict
+		excluded []string
+		spent    int
+		failure  api.Code
+	}{
+		{"at once", api.Request{Idempotent: true}, []*api.Failure{stale(8), nil}, []api.ResendVerdict{now}, nil, 0, ""},
+		{"after a wait", api.Request{Idempotent: true}, []*api.Failure{stale(8), nil}, []api.ResendVerdict{hold, now}, nil, 0, ""},
+		{"elsewhere", api.Request{Idempotent: true}, []*api.Failure{stale(6), nil}, []api.ResendVerdict{elsewhere}, []string{"u1"}, 0, ""},
+		{"a booking elsewhere", api.Request{}, []*api.Failure{stale(6), nil}, []api.ResendVerdict{elsewhere}, []string{"u1"}, 0, ""},
+		{"given up", api.Request{}, []*api.Failure{stale(9)}, []api.ResendVerdict{hold, giveUp}, nil, 0, api.CodeStaleRevision},
+		{"another refusal", api.Request{Idempotent: true}, []*api.Failure{overloaded, nil}, nil, []string{"u1"}, 1, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := &router{answers: c.answers, verdicts: c.verdicts}
+				f := r.dispatch(t, c.request)
+				if c.failure == "" && f != nil || c.failure != "" && (f == nil || f.Code != c.failure || f.Run != api.NotRun) {
+					t.Errorf("ended with %v", f)
+				}
+				if r.spent != c.spent || len(r.verdicts) != 0 || len(r.answers) != 0 {
+					t.Errorf("spent %d, left %v and %v", r.spent, r.verdicts, r.answers)
+				}
+				if last := r.excluded[len(r.excluded)-1]; len(last) != len(c.excluded) || !slices.Equal(last, c.excluded) && len(last) > 0 {
+					t.Errorf("excluded %v", last)
+				}
+				for _, a := range r.asked {
+					if a.Upstream != "u1" || a.Sent != 7 || a.Theirs != c.answers[0].Revision {
+						t.Errorf("asked about %+v", a)
+					}
+				}
+			})
+		})
+	}
+}
+
+// A router that was paused must not send under a configuration that may be
+// old, and must not claim that an earlier send of a key did not run.
+func TestUnconfirmedRouterSendsNothing(t *testing.T) {
+	for key, run := range map[string]api.RunState{"": api.NotRun, "k": api.Unknown} {
+		synctest.Test(t, func(t *testing.T) {
+			r := &router{unconfirmed: true}
+			f := r.dispatch(t, api.Request{Key: key})
+			if f == nil || f.Code != api.CodeNotReady || f.Run != run || len(r.keys) != 0 {
+				t.Errorf("key %q: %v after %d sends", key, f, len(r.keys))
+			}
+		})
+	}
+}
