--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -61,6 +62,11 @@
 	Idempotent bool
 	// ListLag is the age of what the membership list answers.
 	ListLag time.Duration
+	// Replicas names the replica of the configuration service that a node
+	// reads, by the name of the node; others read replica 0.
+	Replicas map[string]int
+	// CutFromList names the nodes that cannot read the membership list.
+	CutFromList []string
 	// Log takes the log lines of all processes; nil drops them.
 	Log io.Writer
 	// ExtraConfig is added as a last file.
@@ -77,8 +83,9 @@
 	options   Options
 	authority *devcert.Authority
 	servers   []*http.Server
-	confURL   string
+	confURLs  []string
 	listURL   string
+	cutURL    string
 	files     map[string]string
 }
 
@@ -106,16 +113,8 @@
 	if err != nil {
 		return nil, err
 	}
-	clock := kernel.BootClock{}
-	d := &Deployment{
-		options: o, authority: authority,
-		Config:  confservice.New(confservice.Options{Clock: clock}),
-		Members: memberlist.New(clock, o.ListLag),
-	}
-	if d.confURL, err = d.serve(d.Config.Replica(0)); err != nil {
-		return nil, err
-	}
-	if d.listURL, err = d.serve(d.Members); err != nil {
+	d := newDeployment(o, authority)
+	if err := d.servePlatform(); err != nil {
 		return nil, err
 	}
 	if err := d.startAll(ctx); err != nil {
@@ -125,6 +124,34 @@
 	return d, nil
 }
 
+func newDeployment(o Options, authority *devcert.Authority) *Deployment {
+	clock, replicas := kernel.BootClock{}, 1
+	for _, replica := range o.Replicas {
+		replicas = max(replicas, replica+1)
+	}
+	return &Deployment{
+		options:   o,
+		authority: authority,
+		Config:    confservice.New(confservice.Options{Clock: clock, Lags: make([]time.Duration, replicas)}),
+		Members:   memberlist.New(clock, o.ListLag),
+		confURLs:  make([]string, replicas),
+	}
+}
+
+// servePlatform starts the stand-ins for the platform.
+func (d *Deployment) servePlatform() (err error) {
+	for i := range d.confURLs {
+		if d.confURLs[i], err = d.serve(d.Config.Replica(i)); err != nil {
+			return err
+		}
+	}
+	if d.listURL, err = d.serve(d.Members); err != nil {
+		return err
+	}
+	d.cutURL, err = d.serve(http.NotFoundHandler())
+	return err
+}
+
 func (d *Deployment) startAll(ctx context.Context) error {
 	for _, u := range d.options.Upstreams {
 		if err := d.startAgent(ctx, u); err != nil {
@@ -175,26 +202,51 @@
 	zone := d.options.Zones[i%len(d.options.Zones)]
 	s := d.settings(fmt.Sprintf("router-%d", i+1), zone)
 	s.Listen.HTTP = loopback
+	node, err := d.runRouter(ctx, s)
+	if err == nil {
+		d.Routers = append(d.Routers, node)
+	}
+	return err
+}
+
+func (d *Deployment) runRouter(ctx context.Context, s *api.Settings) (*Node, error) {
 	node, err := d.start(ctx, daemon.RouterServices(), s, api.RoleRouter)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	address, err := node.Process.Address(api.ServiceFrontendHTTP)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	node.URL = "http://" + address
-	d.Routers = append(d.Routers, node)
-	return nil
+	return node, nil
+}
+
+// RestartRouter stops a router and starts it again under its name and with its
+// settings, as another process.
+func (d *Deployment) RestartRouter(ctx context.Context, i int) error {
+	old := d.Routers[i]
+	if err := old.Process.Stop(ctx); err != nil {
+		return err
+	}
+	node, err := d.runRouter(ctx, old.Settings)
+	if err == nil {
+		d.Routers[i] = node
+	}
+	return err
 }
 
 func (d *Deployment) settings(node, zone string) *api.Settings {
+	listURL := d.listURL
+	if slices.Contains(d.options.CutFromList, node) {
+		listURL = d.cutURL
+	}
 	return &api.Settings{
 		Node:       node,
 		Zone:       zone,
 		Listen:     api.Listen{Link: loopback, Admin: loopback},
-		Config:     api.ConfigFrom{Service: d.confURL},
-		Membership: api.From{Service: d.listURL},
+		Config:     api.ConfigFrom{Service: d.confURLs[d.options.Replicas[node]]},
+		Membership: api.From{Service: listURL},
 		Limits: api.Limits{
 			HeaderBytes:    settings.DefaultHeaderBytes,
 			BodyBytes:      settings.DefaultBodyBytes,
