--- a/deployment/peers_test.go
+++ b/deployment/peers_test.go
@@ -105,7 +105,7 @@
 	return vars.Started["desk"]
 }
 
-func complete(ctx context.Context, t *testing.T, url, prompt string) {
+func completeOnce(ctx context.Context, t *testing.T, url, prompt string) {
 	t.Helper()
 	body := `{"model":"` + deployment.Model + `","max_tokens":2,"messages":[{"role":"user","content":"` + prompt + `"}]}`
 	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", strings.NewReader(body))
@@ -135,7 +135,7 @@
 	before := started(ctx, t, leaving)
 	for i := range 20 {
 		for _, r := range pool.Routers {
-			complete(ctx, t, r.URL, strings.Repeat("word ", 40*(i+1)))
+			completeOnce(ctx, t, r.URL, strings.Repeat("word ", 40*(i+1)))
 		}
 	}
 	if after := started(ctx, t, leaving); after != before {
