--- a/decide/spread/source.go
+++ b/decide/spread/source.go
@@ -11,9 +11,11 @@
 	// WatchRenew bounds one pending watch. A watcher cannot choose the replica
 	// that answers; a new call may reach one that is less stale.
 	WatchRenew = 2 * time.Second
-	// RetryFirst and RetryMost bound the wait after failed calls.
+	// RetryFirst and RetryMost bound the wait after failed calls. A longer one
+	// would keep what was published at the end of an outage out of force for
+	// more than the 3 s that are allowed.
 	RetryFirst = 250 * time.Millisecond
-	RetryMost  = 4 * time.Second
+	RetryMost  = 2 * time.Second
 )
 
 // RetryDelay returns the wait after a number of failed calls in a row. It
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -22,6 +23,7 @@
 	"github.com/mulberryfork/mulberryfork/service/log"
 	"github.com/mulberryfork/mulberryfork/service/trust"
 	"github.com/mulberryfork/mulberryfork/standin/confservice"
+	"github.com/mulberryfork/mulberryfork/standin/memberlist"
 )
 
 // Model and Service are the names that a deployment serves.
@@ -58,6 +60,13 @@
 	Members map[string]float64
 	// Idempotent marks completions as safe to repeat.
 	Idempotent bool
+	// ListLag is the age of what the membership list answers.
+	ListLag time.Duration
+	// Replicas names the replica of the configuration service that a node
+	// reads, by the name of the node; others read replica 0.
+	Replicas map[string]int
+	// CutFromList names the nodes that cannot read the membership list.
+	CutFromList []string
 	// Log takes the log lines of all processes; nil drops them.
 	Log io.Writer
 	// ExtraConfig is added as a last file.
@@ -67,20 +76,26 @@
 // Deployment is a running pool.
 type Deployment struct {
 	Config  *confservice.Service
+	Members *memberlist.List
 	Routers []*Node
 	Agents  []*Node
 
 	options   Options
 	authority *devcert.Authority
 	servers   []*http.Server
-	confURL   string
+	confURLs  []string
+	listURL   string
+	cutURL    string
 	files     map[string]string
 }
 
 // Node is one process of the deployment.
 type Node struct {
-	Name     string
-	Zone     string
+	Name string
+	Zone string
+	Role string
+	// Link is the address for links and peers.
+	Link     string
 	Process  *daemon.Process
 	Settings *api.Settings
 	// URL serves callers, on a router.
@@ -98,8 +113,8 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{options: o, authority: authority, Config: confservice.New(confservice.Options{Clock: kernel.BootClock{}})}
-	if d.confURL, err = d.serve(d.Config.Replica(0)); err != nil {
+	d := newDeployment(o, authority)
+	if err := d.servePlatform(); err != nil {
 		return nil, err
 	}
 	if err := d.startAll(ctx); err != nil {
@@ -109,6 +124,34 @@
 	return d, nil
 }
 
+func newDeployment(o Options, authority *devcert.Authority) *Deployment {
+	clock, replicas := kernel.BootClock{}, 1
+	for _, replica := range o.Replicas {
+		replicas = max(replicas, replica+1)
+	}
+	return &Deployment{
+		options:   o,
+		authority: authority,
+		Config:    confservice.New(confservice.Options{Clock: clock, Lags: make([]time.Duration, replicas)}),
+		Members:   memberlist.New(clock, o.ListLag),
+		confURLs:  make([]string, replicas),
+	}
+}
+
+// servePlatform starts the stand-ins for the platform.
+func (d *Deployment) servePlatform() (err error) {
+	for i := range d.confURLs {
+		if d.confURLs[i], err = d.serve(d.Config.Replica(i)); err != nil {
+			return err
+		}
+	}
+	if d.listURL, err = d.serve(d.Members); err != nil {
+		return err
+	}
+	d.cutURL, err = d.serve(http.NotFoundHandler())
+	return err
+}
+
 func (d *Deployment) startAll(ctx context.Context) error {
 	for _, u := range d.options.Upstreams {
 		if err := d.startAgent(ctx, u); err != nil {
@@ -164,25 +207,51 @@
 	zone := d.options.Zones[i%len(d.options.Zones)]
 	s := d.settings(fmt.Sprintf("router-%d", i+1), zone)
 	s.Listen.HTTP = loopback
+	node, err := d.runRouter(ctx, s)
+	if err == nil {
+		d.Routers = append(d.Routers, node)
+	}
+	return err
+}
+
+func (d *Deployment) runRouter(ctx context.Context, s *api.Settings) (*Node, error) {
 	node, err := d.start(ctx, daemon.RouterServices(), s, api.RoleRouter)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	address, err := node.Process.Address(api.ServiceFrontendHTTP)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	node.URL = "http://" + address
-	d.Routers = append(d.Routers, node)
-	return nil
+	return node, nil
+}
+
+// RestartRouter stops a router and starts it again under its name and with its
+// settings, as another process.
+func (d *Deployment) RestartRouter(ctx context.Context, i int) error {
+	old := d.Routers[i]
+	if err := old.Process.Stop(ctx); err != nil {
+		return err
+	}
+	node, err := d.runRouter(ctx, old.Settings)
+	if err == nil {
+		d.Routers[i] = node
+	}
+	return err
 }
 
 func (d *Deployment) settings(node, zone string) *api.Settings {
+	listURL := d.listURL
+	if slices.Contains(d.options.CutFromList, node) {
+		listURL = d.cutURL
+	}
 	return &api.Settings{
-		Node:   node,
-		Zone:   zone,
-		Listen: api.Listen{Link: loopback, Admin: loopback},
-		Config: api.ConfigFrom{Service: d.confURL},
+		Node:       node,
+		Zone:       zone,
+		Listen:     api.Listen{Link: loopback, Admin: loopback},
+		Config:     api.ConfigFrom{Service: d.confURLs[d.options.Replicas[node]]},
+		Membership: api.From{Service: listURL},
 		Limits: api.Limits{
 			HeaderBytes:    settings.DefaultHeaderBytes,
 			BodyBytes:      settings.DefaultBodyBytes,
@@ -215,7 +284,18 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Node{Name: s.Node, Zone: s.Zone, Process: p, Settings: s, Admin: admin}, nil
+	link, err := p.Address(api.ServiceTransportServer)
+	if err != nil {
+		return nil, err
+	}
+	node := &Node{Name: s.Node, Zone: s.Zone, Role: role, Link: link, Process: p, Settings: s, Admin: admin}
+	d.List(node, api.VMLive)
+	return node, nil
+}
+
+// List puts a node on the membership list in a state.
+func (d *Deployment) List(n *Node, state api.VMState) {
+	d.Members.Set(memberlist.VM{Name: n.Name, Address: n.Link, Zone: n.Zone, Role: n.Role, State: string(state)})
 }
 
 // Token returns the bearer token of a guild member.
@@ -233,9 +313,7 @@
 	fmt.Fprintf(&b, "[models.%s]\nversion = \"1\"\nidempotent = %t\nsize_mb = 1000\n", Model, d.options.Idempotent)
 	plain := false
 	for i, u := range d.options.Upstreams {
-		if err := d.describe(&b, u, d.Agents[i]); err != nil {
-			return err
-		}
+		d.describe(&b, u, d.Agents[i])
 		plain = plain || u.Plain
 	}
 	if plain {
@@ -245,19 +323,14 @@
 	return d.Publish("10-pool.toml", b.String())
 }
 
-func (d *Deployment) describe(b *strings.Builder, u Upstream, node *Node) error {
-	address, err := node.Process.Address(api.ServiceTransportServer)
-	if err != nil {
-		return err
-	}
-	fmt.Fprintf(b, "[upstreams.%s]\nzone = %q\nvm = %q\nagent = %q\n", u.Name, u.Zone, node.Name, address)
+func (d *Deployment) describe(b *strings.Builder, u Upstream, node *Node) {
+	fmt.Fprintf(b, "[upstreams.%s]\nzone = %q\nvm = %q\nagent = %q\n", u.Name, u.Zone, node.Name, node.Link)
 	fmt.Fprintf(b, "max_requests = %d\ncold_requests = %d\ndeduplicates = %t\n", u.MaxRequests, max(u.ColdRequests, 1), u.Deduplicates)
 	if u.Plain {
 		fmt.Fprintf(b, "kind = \"plain\"\nservice = %q\n", Service)
-		return nil
+		return
 	}
 	fmt.Fprintf(b, "kind = \"model\"\nmodels = [%q]\n", Model)
-	return nil
 }
 
 // Publish puts a file into the published configuration as a new revision.
