--- a/service/membership/read.go
+++ b/service/membership/read.go
@@ -89,7 +89,11 @@
 	if err != nil {
 		return nil, &ReadError{Err: err}
 	}
-	defer resp.Body.Close()
+	defer func() {
+		// Only a connection whose answer was read to its end is used again.
+		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBytes))
+		_ = resp.Body.Close()
+	}()
 	if resp.StatusCode != http.StatusOK {
 		return nil, &ReadError{Status: resp.StatusCode}
 	}
