Do not take an uncached prompt as the sign of a cold engine

Cause: first tokens were compared with the mean of recent ones. Most prompts come from the prefix cache and are about ten times faster, so an uncached one looked like a cold engine and the agent fell back to its cold limit while the engine was warm. Change: the reference follows the slow first tokens of the last requests. Conclusion: warm engines with a prefix cache keep their limits.

--- a/decide/coldstart/coldstart_test.go
+++ b/decide/coldstart/coldstart_test.go
@@ -137,6 +137,14 @@
 			}
 			s.FirstToken(r[31], 512, time.Second)
 		}, ReasonFirstTokenTime, true},
+		// The usual mix of prompts in and out of the prefix cache.
+		{"first token of an uncached prompt", func(s *State, r []Ticket) {
+			s.FirstToken(r[31], 2048, 300*time.Millisecond)
+			for range 4 * ReferenceSamples {
+				s.FirstToken(r[31], 2048, 25*time.Millisecond)
+			}
+			s.FirstToken(r[31], 2048, 300*time.Millisecond)
+		}, ReasonStart, false},
 		{"first token of a long prompt", func(s *State, r []Ticket) {
 			for range ReferenceSamples {
 				s.FirstToken(r[31], 512, 100*time.Millisecond)
--- a/decide/coldstart/observe.go
+++ b/decide/coldstart/observe.go
@@ -14,6 +14,9 @@
 	stepRecent = 4
 	// smoothing is the weight of a new observation.
 	smoothing = 1.0 / 8
+	// referenceDecay is the part of the reference of first tokens that one
+	// faster request takes away.
+	referenceDecay = 1.0 / 1024
 )
 
 // stepTimes judges step times against what the last ones lead to expect.
@@ -74,7 +77,10 @@
 	return StepMargin * float64(t.bound) / slices.Min(seen)
 }
 
-// firstTokens judges first-token times by the length of the prompt.
+// firstTokens judges first-token times by the length of the prompt. The
+// reference follows the slow ones among the last requests: a prompt that the
+// engine has in its prefix cache is many times faster, and says nothing about
+// the time of one that it has not.
 type firstTokens struct {
 	perToken float64
 	samples  int
@@ -85,10 +91,7 @@
 	if f.samples >= ReferenceSamples && cost > FirstTokenSlack*f.perToken {
 		return true
 	}
-	if f.samples == 0 {
-		f.perToken = cost
-	}
 	f.samples++
-	f.perToken += smoothing * (cost - f.perToken)
+	f.perToken = max(cost, f.perToken*(1-referenceDecay))
 	return false
 }
