Keep service quality while an availability zone leaves and returns

Cause: a zone taken out at once made the other zones compute its prefixes again within seconds, and its work queued without bound where it did not fit.

--- a/api/config.go
+++ b/api/config.go
@@ -79,6 +79,9 @@
 const (
 	ZoneIn  ZoneState = "in"
 	ZoneOut ZoneState = "out"
+	// ZoneLeaving announces that the zone will be out: it still takes work,
+	// while its prompt prefixes move to others.
+	ZoneLeaving ZoneState = "leaving"
 )
 
 // Zone is an availability zone.
--- a/api/services.go
+++ b/api/services.go
@@ -152,6 +152,11 @@
 	Isolate bool
 	// ShareFactor corrects the member's share at the agent.
 	ShareFactor float64
+	// Uncached is the part of the prompt, in tokens, that the upstream's cache
+	// is not expected to hold.
+	Uncached uint32
+	// Lost is what another upstream's cache holds beyond that.
+	Lost uint32
 }
 
 // CacheUse says whether an engine served a prompt from its prefix cache.
--- /dev/null
+++ b/bench/zone_world.go
@@ -0,0 +1,339 @@
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/bench/enginemodel"
+	"github.com/mulberryfork/mulberryfork/decide/route"
+	"github.com/mulberryfork/mulberryfork/decide/zone"
+)
+
+const (
+	zoneMembers      = 10
+	zoneLarge        = 3
+	zoneLargeShare   = 4
+	zoneClientDelay  = 3 * time.Millisecond
+	zoneInsideDelay  = 100 * time.Microsecond
+	zoneConfigSpread = 1500 * time.Millisecond
+	zoneReportEvery  = 250 * time.Millisecond
+	zoneLagLeast     = 20 * time.Millisecond
+	zoneLagSpread    = 80 * time.Millisecond
+	zoneLeaving      = 0
+	zoneSends        = 4
+)
+
+// zoneRequest is one request of a caller.
+type zoneRequest struct {
+	id       string
+	member   string
+	prompt   prompt
+	arrived  time.Duration
+	attempts uint32
+	tried    []string
+	ttft     float64
+	// engine is the upstream that ran it, -1 before.
+	engine  int
+	hit     bool
+	refused bool
+	done    bool
+}
+
+func (q *zoneRequest) cost() uint32 { return uint32(q.prompt.tokens() + q.prompt.output) }
+
+// zoneRouter holds the real decisions of one router.
+type zoneRouter struct {
+	world    *zoneWorld
+	index    int
+	route    *route.State
+	zones    *zone.State
+	revision uint64
+}
+
+// zoneWorld is one run.
+type zoneWorld struct {
+	events   enginemodel.Events
+	user     zoneUser
+	policy   zonePolicy
+	rng      *rand.Rand
+	trace    *promptTrace
+	routers  []*zoneRouter
+	agents   []*zoneAgent
+	requests []*zoneRequest
+	// late counts starts in a zone that has been out for longer than allowed,
+	// cut runs that ended early, refused requests that were told not_run.
+	late, cut, refused int
+	snapshots          map[uint64]*api.Snapshot
+}
+
+func newZoneWorld(seed uint64, u zoneUser, policy zonePolicy) *zoneWorld {
+	w := &zoneWorld{
+		user: u, policy: policy,
+		rng:   rand.New(rand.NewPCG(seed, 11)),
+		trace: newPromptTrace(seed, 0),
+		snapshots: map[uint64]*api.Snapshot{
+			1: zoneSnapshot(1, api.ZoneIn), 2: zoneSnapshot(2, api.ZoneLeaving),
+			3: zoneSnapshot(3, api.ZoneOut), 4: zoneSnapshot(4, api.ZoneIn),
+		},
+	}
+	for i := range routeEngines {
+		w.agents = append(w.agents, newZoneAgent(w, i))
+	}
+	for r := range routeRouters {
+		z := zone.New()
+		o := route.Options{Zone: zoneName(r), Seed: seed*31 + uint64(r), BlockTokens: enginemodel.BlockTokens, Gate: z}
+		if policy.plain {
+			o.Gate = nil
+		}
+		router := &zoneRouter{world: w, index: r, route: route.New(o), zones: z}
+		router.configure(1)
+		w.routers = append(w.routers, router)
+		for _, a := range w.agents {
+			router.linkUp(a)
+		}
+	}
+	return w
+}
+
+func zoneMemberName(i int) string { return fmt.Sprintf("member-%d", i) }
+
+func zoneSnapshot(revision uint64, state api.ZoneState) *api.Snapshot {
+	c := &api.Config{
+		Members: map[string]api.Member{}, Zones: map[string]api.Zone{}, Upstreams: map[string]api.Upstream{},
+	}
+	for i := range zoneMembers {
+		m := api.Member{Share: 1, QueueRequests: 64}
+		if i < zoneLarge {
+			m.Share = zoneLargeShare
+		}
+		c.Members[zoneMemberName(i)] = m
+	}
+	for i := range routeEngines {
+		c.Zones[zoneName(i)] = api.Zone{State: api.ZoneIn}
+		c.Upstreams[upstreamName(i)] = api.Upstream{
+			Kind: api.KindModel, Zone: zoneName(i), Models: []string{routeModel},
+			MaxRequests: zoneMaxRequests, ColdRequests: zoneColdRequests, ColdGain: 1,
+		}
+	}
+	c.Zones[zoneName(zoneLeaving)] = api.Zone{State: state}
+	return &api.Snapshot{Revision: revision, Config: c}
+}
+
+// oneWay is the time between a router and an agent.
+func (w *zoneWorld) oneWay(router, engine int) time.Duration {
+	if router%routeZones == engine%routeZones {
+		return zoneInsideDelay
+	}
+	return w.user.between
+}
+
+func (w *zoneWorld) run() {
+	var arrive func()
+	arrive = func() {
+		w.request(w.trace.next(w.events.Now()))
+		if w.events.Now() < zoneEnd {
+			w.events.After(w.trace.gap(w.user.rate), arrive)
+		}
+	}
+	w.events.After(0, arrive)
+	w.events.Every(zoneReportEvery, w.report)
+	if w.policy.notice {
+		w.events.After(zoneNoticeAt, func() { w.publish(2) })
+	}
+	w.events.After(zoneOutAt, func() { w.publish(3) })
+	w.events.After(zoneReplaceAt, w.replace)
+	w.events.After(zoneInAt, func() { w.publish(4) })
+	w.events.Run(zoneEnd + zoneDrain)
+}
+
+// publish spreads a revision; each process has it within the spread.
+func (w *zoneWorld) publish(revision uint64) {
+	for _, r := range w.routers {
+		w.events.After(w.spread(), func() { r.configure(revision) })
+	}
+	for _, a := range w.agents {
+		w.events.After(w.spread(), func() { a.configure(revision) })
+	}
+}
+
+func (w *zoneWorld) spread() time.Duration {
+	return time.Duration(w.rng.Float64() * float64(zoneConfigSpread))
+}
+
+// replace exchanges the VMs of the zone that is out for new ones.
+func (w *zoneWorld) replace() {
+	for i, a := range w.agents {
+		if i%routeZones != zoneLeaving {
+			continue
+		}
+		a.engine.Crash()
+		fresh := newZoneAgent(w, i)
+		fresh.incarnation = a.incarnation + 1
+		fresh.configure(a.snap.Revision)
+		w.agents[i] = fresh
+		for _, r := range w.routers {
+			r.route.LinkDown(a.name)
+			r.zones.LinkDown(a.name)
+			r.linkUp(fresh)
+		}
+	}
+}
+
+func (w *zoneWorld) request(p prompt) {
+	// Large members send as many requests as their share allows.
+	const shares = zoneLarge*zoneLargeShare + zoneMembers - zoneLarge
+	draw := w.trace.rng.IntN(shares)
+	member := max(draw/zoneLargeShare, draw-zoneLarge*zoneLargeShare+zoneLarge)
+	if draw < zoneLarge*zoneLargeShare {
+		member = draw / zoneLargeShare
+	}
+	q := &zoneRequest{
+		id: fmt.Sprint(len(w.requests)), member: zoneMemberName(member), prompt: p,
+		arrived: w.events.Now(), engine: -1,
+	}
+	w.requests = append(w.requests, q)
+	r := w.routers[w.trace.rng.IntN(routeRouters)]
+	w.events.After(zoneClientDelay, func() { r.send(q) })
+}
+
+func (w *zoneWorld) report() {
+	for i, a := range w.agents {
+		a.observe()
+		added, dropped, total := a.engine.CacheEvents()
+		for _, r := range w.routers {
+			l := a.load(r.index)
+			l.PrefixAdded, l.PrefixDropped, l.CacheSeq = added, dropped, total
+			lag := w.oneWay(r.index, i) + zoneLagLeast + time.Duration(w.rng.Float64()*float64(zoneLagSpread))
+			w.events.After(lag, func() {
+				r.route.Load(w.events.Now(), l)
+				if w.agents[i].incarnation == l.Incarnation {
+					r.zones.Load(l)
+				}
+			})
+		}
+	}
+}
+
+func (r *zoneRouter) configure(revision uint64) {
+	if revision <= r.revision {
+		return
+	}
+	r.revision = revision
+	r.route.Configure(r.world.snapshots[revision])
+	r.zones.Configure(r.world.events.Now(), r.world.snapshots[revision])
+}
+
+func (r *zoneRouter) linkUp(a *zoneAgent) {
+	a.received[r.index] = 0
+	r.route.LinkUp(a.name, api.LinkState{Up: true, Incarnation: a.incarnation})
+	l := a.load(r.index)
+	r.route.Load(r.world.events.Now(), l)
+	r.zones.Load(l)
+}
+
+// send carries out one attempt as the dispatcher does.
+func (r *zoneRouter) send(q *zoneRequest) {
+	w, now := r.world, r.world.events.Now()
+	query := api.RouteQuery{
+		Member: q.member, Model: routeModel, Prefix: q.prompt.blocks, CostTokens: q.cost(), Exclude: q.tried,
+	}
+	if !w.policy.plain {
+		if r.zones.Admit(query) != nil {
+			r.refuse(q)
+			return
+		}
+	}
+	choice, failure := r.route.Choose(now, query)
+	if failure != nil || q.attempts >= zoneSends {
+		r.refuse(q)
+		return
+	}
+	q.attempts++
+	r.zones.Sent(now, q.member, choice)
+	var engine int
+	_, _ = fmt.Sscanf(choice.Upstream, "u%d", &engine)
+	t := &zoneTry{request: q, router: r, choice: choice, engine: engine}
+	w.events.After(w.oneWay(r.index, engine), func() { w.agents[engine].arrive(t) })
+}
+
+func (r *zoneRouter) refuse(q *zoneRequest) {
+	q.refused = true
+	if q.arrived >= zoneSteadyFrom {
+		r.world.refused++
+	}
+}
+
+// ended closes a try at the router; one that was not run is sent again at once.
+func (r *zoneRouter) ended(t *zoneTry, result api.RouteResult) {
+	result.Upstream, result.Ticket = t.choice.Upstream, t.choice.Ticket
+	r.route.Done(r.world.events.Now(), result)
+	r.zones.Ended(t.request.member, t.choice.Upstream)
+	f := result.Failure
+	if f == nil {
+		t.request.done = true
+		return
+	}
+	if f.Revision > r.revision {
+		// The dispatcher waits for the newer revision, which the agent has.
+		fetch := 2 * r.world.oneWay(r.index, t.engine)
+		r.world.events.After(fetch, func() {
+			r.configure(f.Revision)
+			r.send(t.request)
+		})
+		return
+	}
+	t.request.tried = append(t.request.tried, t.choice.Upstream)
+	r.send(t.request)
+}
+
+// p95 is the time to first token, in ms, of requests that arrived in a period.
+func (w *zoneWorld) p95(from, to time.Duration) float64 {
+	var values []float64
+	for _, q := range w.requests {
+		if q.arrived >= from && q.arrived < to && q.ttft > 0 {
+			values = append(values, q.ttft)
+		}
+	}
+	return quantile(values, 0.95)
+}
+
+func (w *zoneWorld) hitRate(from, to time.Duration) float64 {
+	hits, all := 0, 0
+	for _, q := range w.requests {
+		if q.arrived >= from && q.arrived < to && q.ttft > 0 {
+			all++
+			if q.hit {
+				hits++
+			}
+		}
+	}
+	return float64(hits) / float64(max(all, 1))
+}
+
+// returnedShare is the part of the work that the returned zone takes at the
+// end of the run.
+func (w *zoneWorld) returnedShare() float64 {
+	there, all := 0, 0
+	for _, q := range w.requests {
+		if q.arrived >= zoneInAt+zoneReturnFor && q.engine >= 0 {
+			all++
+			if q.engine%routeZones == zoneLeaving {
+				there++
+			}
+		}
+	}
+	return float64(there) / float64(max(all, 1))
+}
+
+// unanswered counts requests that got neither an answer nor a refusal.
+func (w *zoneWorld) unanswered() int {
+	n := 0
+	for _, q := range w.requests {
+		if !q.done && !q.refused {
+			n++
+		}
+	}
+	return n
+}
--- a/decide/config/validate.go
+++ b/decide/config/validate.go
@@ -70,7 +70,7 @@
 	z := c.config.Zones[n]
 	c.name(n, "zones", n)
 	c.name(z.Region, "zones", n, "region")
-	c.OneOf(string(z.State), []string{string(api.ZoneIn), string(api.ZoneOut)}, "zones", n, "state")
+	c.OneOf(string(z.State), []string{string(api.ZoneIn), string(api.ZoneOut), string(api.ZoneLeaving)}, "zones", n, "state")
 }
 
 func (c *checker) members() {
--- a/decide/route/candidates.go
+++ b/decide/route/candidates.go
@@ -1,6 +1,10 @@
 package route
 
-import "github.com/mulberryfork/mulberryfork/api"
+import (
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
 
 // Candidate is an upstream that serves a request.
 type Candidate struct {
@@ -10,14 +14,14 @@
 }
 
 // Candidates lists the upstreams that serve a request, in order of name.
-func (s *State) Candidates(q api.RouteQuery) []Candidate {
+func (s *State) Candidates(now time.Duration, q api.RouteQuery) []Candidate {
 	var all []Candidate
 	for _, u := range s.ordered {
-		v := s.judge(u, &q)
+		v := s.judge(now, u, &q)
 		if v == notServing || v == notAllowed {
 			continue
 		}
-		all = append(all, Candidate{Name: u.name, Usable: v == usable || v == avoided})
+		all = append(all, Candidate{Name: u.name, Usable: v >= held})
 	}
 	return all
 }
--- a/decide/route/choose.go
+++ b/decide/route/choose.go
@@ -25,6 +25,7 @@
 	}
 	s.serial++
 	deepest := s.index.lookup(now, q.Prefix, s.serial)
+	s.held = s.longestHeld()
 	found, best := s.candidates(now, &q)
 	if len(found) == 0 {
 		s.counters.Refusals++
@@ -35,22 +36,22 @@
 }
 
 // candidates returns the upstreams to compare, or the best verdict if there
-// are none. Ejected upstreams serve only if nothing else can.
+// are none. Ejected and held upstreams serve only if nothing else can.
 func (s *State) candidates(now time.Duration, q *api.RouteQuery) ([]candidate, verdict) {
 	best := notServing
-	for _, u := range s.ordered {
-		best = max(best, s.judge(u, q))
-	}
-	if best < avoided {
-		return nil, best
-	}
 	found := s.scratch[:0]
 	var largest float64
 	for _, u := range s.ordered {
-		if s.judge(u, q) == best {
-			found = append(found, candidate{up: u, tie: s.tie(u)})
-			largest = max(largest, u.limitTokens())
+		v := s.judge(now, u, q)
+		if v < best || v < held {
+			best = max(best, v)
+			continue
+		}
+		if v > best {
+			best, found, largest = v, found[:0], 0
 		}
+		found = append(found, candidate{up: u, tie: s.tie(u)})
+		largest = max(largest, u.limitTokens())
 	}
 	s.scratch = found
 	for i := range found {
@@ -171,7 +172,7 @@
 // take records the choice. The blocks of the prompt will be in the cache of
 // the upstream, so the index has them at once.
 func (s *State) take(now time.Duration, q *api.RouteQuery, u *upstream) api.RouteChoice {
-	ticket := s.serial
+	ticket, prompt := s.serial, s.promptAt(u, q)
 	hit := u.match.serial == s.serial
 	if hit {
 		s.counters.AffinityHit++
@@ -194,5 +195,7 @@
 		Elapsed:     max(u.link.Elapsed, u.load.Elapsed),
 		Revision:    s.snapshot.Revision,
 		Ticket:      ticket,
+		Uncached:    uint32(prompt.Uncached),
+		Lost:        uint32(prompt.Lost),
 	}
 }
--- a/decide/route/eligible.go
+++ b/decide/route/eligible.go
@@ -32,6 +32,8 @@
 	alreadyTried
 	notAccepting
 	coldFull
+	// held upstreams take work only if no other upstream can.
+	held
 	avoided
 	usable
 )
@@ -58,7 +60,7 @@
 }
 
 // judge says whether an upstream can take a request.
-func (s *State) judge(u *upstream, q *api.RouteQuery) verdict {
+func (s *State) judge(now time.Duration, u *upstream, q *api.RouteQuery) verdict {
 	switch {
 	case !serves(&u.conf, q) || (q.Only != "" && q.Only != u.name):
 		return notServing
@@ -81,6 +83,9 @@
 	if bound, cold := u.coldBound(); cold && u.work().requests >= bound {
 		return coldFull
 	}
+	if q.Only == "" && !s.allowed(now, u, q) {
+		return held
+	}
 	if u.health == Ejected || (u.health == Probing && u.sends.own.requests > 0) {
 		return avoided
 	}
@@ -135,3 +140,32 @@
 	}
 	return DefaultLimitTokens
 }
+
+func (s *State) allowed(now time.Duration, u *upstream, q *api.RouteQuery) bool {
+	return s.o.Gate == nil || s.o.Gate.Allows(now, u.name, s.promptAt(u, q))
+}
+
+// promptAt compares a prompt with the cache of an upstream.
+func (s *State) promptAt(u *upstream, q *api.RouteQuery) Prompt {
+	blocks := 0
+	if u.match.serial == s.serial {
+		blocks = u.match.blocks
+	}
+	size := float64(s.o.BlockTokens)
+	return Prompt{
+		Cached:   float64(blocks) * size,
+		Uncached: float64(len(q.Prefix)-blocks) * size,
+		Lost:     float64(max(s.held-blocks, 0)) * size,
+	}
+}
+
+// longestHeld is the longest match on an upstream that can be reached.
+func (s *State) longestHeld() int {
+	longest := 0
+	for _, u := range s.ordered {
+		if u.match.serial == s.serial && u.up && !u.zoneOut && !u.conf.Leaving {
+			longest = max(longest, u.match.blocks)
+		}
+	}
+	return longest
+}
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -67,6 +67,22 @@
 	// negative compares all.
 	Sample int
 	Gap    GapRule
+	// Gate bounds the work of zones that leave or return; nil allows all.
+	Gate Gate
+}
+
+// Gate decides what upstreams may take while their zone leaves or returns.
+type Gate interface {
+	// Allows says whether an upstream may take a request.
+	Allows(now time.Duration, upstream string, p Prompt) bool
+}
+
+// Prompt tells what one upstream's cache is expected to do for a prompt, in
+// tokens. Without block hashes all of it is 0.
+type Prompt struct {
+	Cached, Uncached float64
+	// Lost is what another usable upstream holds beyond this one.
+	Lost float64
 }
 
 func (o Options) withDefaults() Options {
@@ -111,6 +127,8 @@
 	index     index
 	tickets   map[uint64]*upstream
 	serial    uint64
+	// held is the longest match of the present choice on a usable upstream.
+	held int
 	// scratch is reused by each choice.
 	scratch  []candidate
 	counters Counters
--- /dev/null
+++ b/decide/zone/zone_test.go
@@ -0,0 +1,149 @@
+package zone
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/route"
+)
+
+func snapshot(revision uint64, state api.ZoneState) *api.Snapshot {
+	c := &api.Config{
+		Members:   map[string]api.Member{"a": {Share: 3}, "b": {Share: 1}},
+		Zones:     map[string]api.Zone{"z0": {State: state}, "z1": {State: api.ZoneIn}, "z2": {State: api.ZoneIn}},
+		Upstreams: map[string]api.Upstream{},
+	}
+	for i := range 6 {
+		c.Upstreams[fmt.Sprintf("u%d", i)] = api.Upstream{
+			Kind: api.KindModel, Zone: fmt.Sprintf("z%d", i%3), Models: []string{"m"}, ColdRequests: 2,
+		}
+	}
+	return &api.Snapshot{Revision: revision, Config: c}
+}
+
+func report(s *State, running, limit uint32) {
+	for i := range 6 {
+		s.Load(api.Load{Upstream: fmt.Sprintf("u%d", i), Accepting: true, Running: running, LimitRequests: limit})
+	}
+}
+
+func moved(state api.ZoneState) *State {
+	s := New()
+	s.Configure(0, snapshot(1, api.ZoneIn))
+	s.Configure(0, snapshot(2, state))
+	return s
+}
+
+var query = api.RouteQuery{Member: "a", Model: "m"}
+
+// TestAdmit guards against queues that grow without bound during a move, and
+// against requests refused although there is room for them.
+func TestAdmit(t *testing.T) {
+	cases := []struct {
+		name    string
+		state   api.ZoneState
+		running uint32
+		own     int
+		change  func(*api.RouteQuery)
+		refused bool
+	}{
+		{"all in", api.ZoneIn, 40, 8, nil, false},
+		{"room left", api.ZoneOut, 10, 8, nil, false},
+		{"full", api.ZoneOut, 40, 8, nil, true},
+		{"full, below its share", api.ZoneOut, 12, 0, nil, false},
+		{"sent again", api.ZoneOut, 40, 8, func(q *api.RouteQuery) { q.Exclude = []string{"u0"} }, false},
+		{"bound key", api.ZoneOut, 40, 8, func(q *api.RouteQuery) { q.Only = "u1" }, false},
+		{"another model", api.ZoneOut, 40, 8, func(q *api.RouteQuery) { q.Model = "x" }, false},
+	}
+	for _, c := range cases {
+		s, q := moved(c.state), query
+		for range c.own {
+			s.Sent(0, "a", api.RouteChoice{Upstream: "u1"})
+		}
+		report(s, c.running, 10)
+		if c.change != nil {
+			c.change(&q)
+		}
+		f := s.Admit(q)
+		if (f != nil) != c.refused || (f != nil && f.Run != api.NotRun) {
+			t.Errorf("%s: %v", c.name, f)
+		}
+	}
+}
+
+// TestLeavingZoneLosesPrefixesAtAPace guards against a move that computes all
+// prompts again at once, and against one that never happens.
+func TestLeavingZoneLosesPrefixesAtAPace(t *testing.T) {
+	s := moved(api.ZoneLeaving)
+	kept, lost := 0, 0
+	for now := time.Duration(0); now < time.Minute; now += 10 * time.Millisecond {
+		s.Sent(now, "a", api.RouteChoice{Upstream: "u1", Uncached: 100})
+		if s.Allows(now, "u0", route.Prompt{Cached: 1000}) {
+			kept++
+			continue
+		}
+		lost++
+		s.Sent(now, "a", api.RouteChoice{Upstream: "u1", Uncached: 1000, Lost: 1000})
+	}
+	if s.Allows(0, "u0", route.Prompt{Uncached: 500}) {
+		t.Error("a leaving upstream takes a new prefix")
+	}
+	// 100 tokens each 10 ms for a minute are 600,000; moves are part of the rate.
+	most := LeavePart / (1 - LeavePart) * 600
+	if kept == 0 || float64(lost) > 1.1*most || float64(lost) < 0.5*most {
+		t.Errorf("%d prefixes moved, want about %.0f", lost, most)
+	}
+}
+
+// TestReturnedUpstreamIsBounded guards against a stampede on a cold upstream
+// and against a ramp that never ends.
+func TestReturnedUpstreamIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := moved(api.ZoneOut)
+		s.Configure(0, snapshot(3, api.ZoneIn))
+		report(s, 8, 10)
+		own := map[string]int{}
+		now := time.Duration(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"send": func(t *rapid.T) {
+				name := fmt.Sprintf("u%d", rapid.IntRange(0, 5).Draw(t, "upstream"))
+				lost := rapid.IntRange(0, 1).Draw(t, "lost") * 500
+				if !s.Allows(now, name, route.Prompt{Uncached: 500, Lost: float64(lost)}) {
+					return
+				}
+				s.Sent(now, "a", api.RouteChoice{Upstream: name, Uncached: 500, Lost: uint32(lost)})
+				own[name]++
+				if s.Returned(name) && own[name] > 10 {
+					t.Fatalf("%d own requests on a returned upstream that bears 10", own[name])
+				}
+			},
+			"end": func(t *rapid.T) {
+				name := fmt.Sprintf("u%d", rapid.IntRange(0, 5).Draw(t, "upstream"))
+				if own[name] > 0 {
+					own[name]--
+					s.Ended("a", name)
+				}
+			},
+			"time": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond
+			},
+		})
+	})
+	s := moved(api.ZoneOut)
+	s.Configure(0, snapshot(3, api.ZoneIn))
+	report(s, 8, 10)
+	for i := range 2 * SettleSends {
+		now := time.Duration(i) * time.Second
+		for _, name := range []string{"u0", "u3"} {
+			s.Sent(now, "a", api.RouteChoice{Upstream: name})
+			s.Ended("a", name)
+		}
+	}
+	if s.Moving() {
+		t.Error("the ramp has not ended")
+	}
+}
--- a/service/routing/routing.go
+++ b/service/routing/routing.go
@@ -12,6 +12,7 @@
 	"github.com/mulberryfork/mulberryfork/decide/poison"
 	"github.com/mulberryfork/mulberryfork/decide/route"
 	"github.com/mulberryfork/mulberryfork/decide/sharecorrect"
+	"github.com/mulberryfork/mulberryfork/decide/zone"
 	"github.com/mulberryfork/mulberryfork/kernel"
 )
 
@@ -51,6 +52,9 @@
 	outliers *outlier.State
 	suspects *poison.State
 	shares   *sharecorrect.Corrector
+	zones    *zone.State
+	// senders are the members of the choices that are not closed yet.
+	senders map[uint64]string
 }
 
 func (s *service) Provision(c *kernel.Context) (err error) {
@@ -75,7 +79,9 @@
 		return err
 	}
 	s.ejected = s.metrics.Counter("route_ejected", "")
-	s.state = route.New(route.Options{Zone: settings.Zone, Seed: seed(settings.Node)})
+	s.zones = zone.New()
+	s.senders = make(map[uint64]string)
+	s.state = route.New(route.Options{Zone: settings.Zone, Seed: seed(settings.Node), Gate: s.zones})
 	s.outliers = outlier.New()
 	s.suspects = poison.New(0)
 	s.shares = sharecorrect.New(sharecorrect.Config{Gain: correctionGain, MaxFactor: maxCorrection})
@@ -116,7 +122,10 @@
 }
 
 // LinkDown notes a link that was lost.
-func (s *service) LinkDown(_ time.Duration, upstream string) { s.state.LinkDown(upstream) }
+func (s *service) LinkDown(_ time.Duration, upstream string) {
+	s.state.LinkDown(upstream)
+	s.zones.LinkDown(upstream)
+}
 
 // LoadReport notes what an agent says of its upstream, and passes news of
 // crashes on to the agents that have not heard them.
@@ -125,13 +134,15 @@
 	if l.Served != nil {
 		s.shares.Report(l)
 	}
+	s.zones.Load(l)
 	if news := s.suspects.Learn(now, l.Suspicions); len(news) > 0 {
 		s.links.Tell(news)
 	}
 }
 
-func (s *service) configure(_ time.Duration, snap *api.Snapshot) {
+func (s *service) configure(now time.Duration, snap *api.Snapshot) {
 	s.state.Configure(snap)
+	s.zones.Configure(now, snap)
 	pools := make(map[string]string, len(snap.Config.Upstreams))
 	for name, u := range snap.Config.Upstreams {
 		pools[name] = poolOf(u)
@@ -180,9 +191,17 @@
 		c.Reply(answer{failure: failure})
 		return
 	}
+	if failure := s.zones.Admit(q); failure != nil {
+		c.Reply(answer{failure: failure})
+		return
+	}
 	choice, failure := s.state.Choose(now, q)
 	choice.Isolate = isolate
 	choice.ShareFactor = s.shares.Factor(q.Member)
+	if failure == nil {
+		s.zones.Sent(now, q.Member, choice)
+		s.senders[choice.Ticket] = q.Member
+	}
 	c.Reply(answer{choice: choice, failure: failure})
 }
 
@@ -196,7 +215,7 @@
 	if s.suspects.Status(now, q.Fingerprint) == poison.Suspect {
 		anywhere := *q
 		anywhere.Exclude = nil
-		for _, c := range s.state.Candidates(anywhere) {
+		for _, c := range s.state.Candidates(now, anywhere) {
 			candidates = append(candidates, poison.Candidate{Name: c.Name, Usable: c.Usable})
 		}
 	}
@@ -224,6 +243,10 @@
 
 func (s *service) settle(now time.Duration, r api.RouteResult) {
 	s.state.Done(now, r)
+	if member, ok := s.senders[r.Ticket]; ok {
+		delete(s.senders, r.Ticket)
+		s.zones.Ended(member, r.Upstream)
+	}
 	if r.Unsent {
 		return
 	}
