Confirm the configuration to the ledger

A caller-made key is run only while the upstream list is confirmed. Nothing told the ledger of confirmations, so that such keys were refused from 10 s after each change of configuration on. The store now notes when the platform or a peer last stated the version in force, and the agent passes it on.

--- a/api/peers.go
+++ b/api/peers.go
@@ -109,6 +109,9 @@
 type OrderCheck interface {
 	// CheckOrder decides on an order that arrived at the time received.
 	CheckOrder(now, received time.Duration, revision uint64, idempotent bool) OrderVerdict
+	// ConfirmedAt is when the platform or a peer last stated the version that
+	// is in force here. It must be called on the control loop.
+	ConfirmedAt() time.Duration
 	// MayStart is false while the process does not know whether its
 	// configuration is current: after its start and after a pause.
 	MayStart(now time.Duration) bool
--- a/decide/ledger/ledger.go
+++ b/decide/ledger/ledger.go
@@ -108,7 +108,7 @@
 }
 
 // ConfirmList notes that the platform or a peer confirmed the configuration.
-func (l *Ledger) ConfirmList(now time.Duration) { l.list.confirmed = now }
+func (l *Ledger) ConfirmList(now time.Duration) { l.list.confirmed = max(l.list.confirmed, now) }
 
 // Renew gives the agent a new incarnation, as after a VM was restored from an
 // image. Whatever is queued under the former one will not start.
--- a/service/configstore/control.go
+++ b/service/configstore/control.go
@@ -21,8 +21,10 @@
 	// first is closed once the process may take work for the first time.
 	first  chan struct{}
 	opened bool
-	begun  bool
-	halted bool
+	// confirmedAt is when the platform or a peer last stated the version in force.
+	confirmedAt time.Duration
+	begun       bool
+	halted      bool
 }
 
 // newState gives the peers of the settings the names by which the transport
@@ -69,6 +71,9 @@
 	return api.OrderVerdict(verdict)
 }
 
+// ConfirmedAt is when the platform or a peer last stated the version in force.
+func (s *service) ConfirmedAt() time.Duration { return s.control.confirmedAt }
+
 // MayStart is false while the configuration is not known to be current.
 func (s *service) MayStart(now time.Duration) bool {
 	if !s.control.begun {
@@ -185,7 +190,11 @@
 	c.service.counts.mismatches.Add(int64(now.Mismatches - before.Mismatches))
 }
 
-func (c *control) noteHealth(_ time.Duration, err error) {
+func (c *control) noteHealth(now time.Duration, err error) {
+	if err == nil {
+		// A watch that ends without a change states the version in force.
+		c.confirmedAt = now
+	}
 	s := c.service
 	if err != nil {
 		s.counts.sourceErrors.Add(1)
--- a/service/configstore/events.go
+++ b/service/configstore/events.go
@@ -42,6 +42,7 @@
 
 func (e delivered) apply(now time.Duration, c *control) []spread.Action {
 	c.arrived = e.arrival
+	c.confirm(now, e.arrival.version)
 	return c.state.Delivered(now, e.arrival.version)
 }
 
@@ -77,9 +78,16 @@
 }
 
 func (e heard) apply(now time.Duration, c *control) []spread.Action {
+	c.confirm(now, e.version)
 	return c.state.Heard(now, e.peer, e.version)
 }
 
+func (c *control) confirm(now time.Duration, v spread.Version) {
+	if v == c.state.Accepted() {
+		c.confirmedAt = now
+	}
+}
+
 type exchangeFailed struct{ peer string }
 
 func (e exchangeFailed) apply(now time.Duration, c *control) []spread.Action {
--- a/service/work/arrive.go
+++ b/service/work/arrive.go
@@ -41,6 +41,7 @@
 	}
 	// crypto/rand.Read never fails.
 	_, _ = rand.Read(a.Random[:])
+	c.ledger.ConfirmList(c.service.orders.ConfirmedAt() - c.service.started)
 	d := c.ledger.Arrive(now, a)
 	switch d.Verdict {
 	case ledger.Queue:
--- a/service/work/work_test.go
+++ b/service/work/work_test.go
@@ -35,6 +35,8 @@
 	}
 	return api.OrderHold
 }
+func (s *store) ConfirmedAt() time.Duration { return 0 }
+
 func (s *store) MayStart(time.Duration) bool { return !s.unconfirmed.Load() }
 
 func (s *store) Provision(c *kernel.Context) error {
