--- a/bench/path.go
+++ b/bench/path.go
@@ -122,15 +122,19 @@
 
 func pathThroughput(ctx context.Context, p Params, routed, direct httpCaller, baseline, measured loadResult) (Result, error) {
 	fmt.Fprintf(p.Progress, "path: %d requests over %d connections, direct and routed\n", pathRequests, pathWorkers)
+	cpu := cpuSeconds()
 	directRate, err := saturate(ctx, pathWorkers, pathRequests, direct.send)
 	if err != nil {
 		return Result{}, err
 	}
+	directCPU := cpuSeconds() - cpu
 	before := usage(direct, routed)
+	cpu = cpuSeconds()
 	rate, err := saturate(ctx, pathWorkers, pathRequests, routed.send)
 	if err != nil {
 		return Result{}, err
 	}
+	addedCPU := cpuSeconds() - cpu - directCPU
 	after := usage(direct, routed)
 	return Result{Figures: []Figure{
 		Bounded("added_p50_ms", measured.latency.ms(50)-baseline.latency.ms(50), "ms", AtMost, 0.3),
@@ -138,6 +142,7 @@
 		Bounded("requests_per_s", rate, "1/s", AtLeast, 10_000),
 		Plain("direct_requests_per_s", directRate, "1/s"),
 		Bounded("goroutines_grown", float64(after.goroutines-before.goroutines), "goroutines", AtMost, 0),
+		Plain("added_cpu_us_per_request", addedCPU*1e6/pathRequests, "us"),
 		Plain("heap_grown_mb", float64(after.heap-before.heap)/(1<<20), "MB"),
 		Plain("direct_p50_ms", baseline.latency.ms(50), "ms"),
 		Plain("direct_p99_ms", baseline.latency.ms(99), "ms"),
