--- /dev/null
+++ b/decide/expertmap/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package expertmap
+
+const raceDetector = false
