--- /dev/null
+++ b/bench/placement.go
@@ -0,0 +1,197 @@
+package bench
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/decide/placement"
+)
+
+func init() {
+	register(Experiment{
+		Name: "placement",
+		Asks: "How close to the lower bound are expert placements, and how long do they take?",
+		Run:  runPlacement,
+	})
+}
+
+// placementSpread is the standard deviation of the logarithm of expert loads:
+// the most popular of 128 experts gets about twelve times the median.
+const placementSpread = 1.0
+
+// smallInstances is the number of instances compared with the exact optimum.
+const smallInstances = 20
+
+// fullShape is a group at the size expected within two years, with two slots
+// for each expert on average four replicas.
+var fullShape = placement.Shape{Ranks: 256, Experts: 128, Layers: 60, Slots: 2, RanksPerVM: 8}
+
+func runPlacement(_ context.Context, p Params) (Result, error) {
+	rng := rand.New(rand.NewPCG(p.Seed, 1))
+	loads := drawLoads(rng, fullShape, placementSpread)
+	start := time.Now()
+	plan, err := placement.Plan(fullShape, loads)
+	if err != nil {
+		return Result{}, err
+	}
+	took := time.Since(start)
+	greedy, err := placement.PlanLargestFirst(fullShape, loads)
+	if err != nil {
+		return Result{}, err
+	}
+	bound := placement.Bound(fullShape, loads)
+	figures := []Figure{
+		Bounded("imbalance_ratio_to_bound", plan.Cost(loads)/bound, "", AtMost, 1.05),
+		Bounded("plan_ms", milliseconds(took), "ms", AtMost, 1000),
+		Plain("largest_first_ratio_to_bound", greedy.Cost(loads)/bound, ""),
+		Plain("consecutive_ratio_to_bound", consecutive(fullShape).Cost(loads)/bound, ""),
+		Plain("max_replicas_on_a_vm_over_even", vmExcess(plan), ""),
+	}
+	more, err := updates(plan, loads, rng)
+	if err != nil {
+		return Result{}, err
+	}
+	small, err := smallPlans(rng)
+	return Result{Figures: append(append(figures, more...), small...)}, err
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func drawLoads(rng *rand.Rand, s placement.Shape, spread float64) placement.Loads {
+	loads := make(placement.Loads, s.Layers)
+	for l := range loads {
+		loads[l] = make([]float64, s.Experts)
+		for e := range loads[l] {
+			loads[l][e] = math.Exp(spread * rng.NormFloat64())
+		}
+	}
+	return loads
+}
+
+// consecutive places expert after expert without regard to load.
+func consecutive(s placement.Shape) placement.Map {
+	m := placement.Map{Shape: s, Slots: make([]int16, s.Layers*s.Ranks*s.Slots)}
+	for at := range m.Slots {
+		m.Slots[at] = int16(at % (s.Ranks * s.Slots) % s.Experts)
+	}
+	return m
+}
+
+// vmExcess is the largest number of replicas of one expert on one VM beyond
+// an even spread.
+func vmExcess(m placement.Map) float64 {
+	s, worst := m.Shape, 0
+	vms := s.Ranks / s.RanksPerVM
+	for l := range s.Layers {
+		count := make([]int, s.Experts)
+		onVM := make([]int, s.Experts*vms)
+		for at, e := range m.Layer(l) {
+			count[e]++
+			onVM[int(e)*vms+at/(s.Slots*s.RanksPerVM)]++
+		}
+		for i, n := range onVM {
+			worst = max(worst, n-(count[i/vms]+vms-1)/vms)
+		}
+	}
+	return float64(worst)
+}
+
+// updates measures the incremental variant without a change of load and with
+// loads that moved by a tenth.
+func updates(plan placement.Map, loads placement.Loads, rng *rand.Rand) ([]Figure, error) {
+	const tolerance, weights = 0.05, 1 << 20
+	start := time.Now()
+	same, err := placement.Update(plan, loads, tolerance, weights)
+	if err != nil {
+		return nil, err
+	}
+	idle := time.Since(start)
+	moved := make(placement.Loads, len(loads))
+	for l := range loads {
+		for _, x := range loads[l] {
+			moved[l] = append(moved[l], x*math.Exp(0.1*rng.NormFloat64()))
+		}
+	}
+	start = time.Now()
+	after, err := placement.Update(plan, moved, tolerance, weights)
+	if err != nil {
+		return nil, err
+	}
+	took := time.Since(start)
+	again, err := placement.Plan(plan.Shape, moved)
+	if err != nil {
+		return nil, err
+	}
+	bound := placement.Bound(plan.Shape, moved)
+	return []Figure{
+		Plain("unchanged_update_ms", milliseconds(idle), "ms"),
+		Plain("unchanged_update_weights", float64(same.Moved(plan)), "experts"),
+		Plain("moved_present_ratio_to_bound", plan.Cost(moved)/bound, ""),
+		Plain("moved_update_ratio_to_bound", after.Cost(moved)/bound, ""),
+		Plain("moved_update_weights", float64(after.Moved(plan)), "experts"),
+		Plain("moved_update_ms", milliseconds(took), "ms"),
+		Plain("moved_new_plan_weights", float64(again.Moved(plan)), "experts"),
+	}, nil
+}
+
+// smallPlans compares plans with the exact optimum.
+func smallPlans(rng *rand.Rand) ([]Figure, error) {
+	s := placement.Shape{Ranks: 4, Experts: 5, Layers: 1, Slots: 2, RanksPerVM: 1}
+	var worst, sum, greedySum float64
+	for range smallInstances {
+		loads := drawLoads(rng, s, placementSpread)
+		m, err := placement.Plan(s, loads)
+		if err != nil {
+			return nil, err
+		}
+		g, err := placement.PlanLargestFirst(s, loads)
+		if err != nil {
+			return nil, err
+		}
+		best := exactCost(s, loads)
+		worst = max(worst, m.Cost(loads)/best)
+		sum += m.Cost(loads) / best
+		greedySum += g.Cost(loads) / best
+	}
+	return []Figure{
+		Plain("small_ratio_to_optimum_mean", sum/smallInstances, ""),
+		Plain("small_ratio_to_optimum_worst", worst, ""),
+		Plain("small_largest_first_ratio_to_optimum_mean", greedySum/smallInstances, ""),
+	}, nil
+}
+
+// exactCost tries every assignment of experts to slots.
+func exactCost(s placement.Shape, loads placement.Loads) float64 {
+	m := placement.Map{Shape: s, Slots: make([]int16, s.Ranks*s.Slots)}
+	best := math.Inf(1)
+	var try func(at int)
+	try = func(at int) {
+		if at == len(m.Slots) {
+			if complete(m) {
+				best = min(best, m.Cost(loads))
+			}
+			return
+		}
+		// Slots of a rank are interchangeable.
+		first := int16(0)
+		if at%s.Slots > 0 {
+			first = m.Slots[at-1]
+		}
+		for e := first; int(e) < s.Experts; e++ {
+			m.Slots[at] = e
+			try(at + 1)
+		}
+	}
+	try(0)
+	return best
+}
+
+func complete(m placement.Map) bool {
+	var seen uint64
+	for _, e := range m.Slots {
+		seen |= 1 << e
+	}
+	return seen == 1<<m.Shape.Experts-1
+}
--- a/decide/expertmap/phases.go
+++ b/decide/expertmap/phases.go
@@ -23,11 +23,8 @@
 }
 
 func (p *Proposer) afterLoad(now time.Duration) []Action {
-	for i := range p.reports {
-		g := &p.reports[i].Gate
-		if p.fresh[i] && !g.Held.Token.IsZero() && !g.Committed {
-			return p.Settle(now, g.Held)
-		}
+	if held := p.inDoubt(); !held.Token.IsZero() {
+		return p.Settle(now, held)
 	}
 	if slices.Contains(p.fresh, false) {
 		return nil
@@ -83,6 +80,7 @@
 	case slices.Contains(p.votes, VoteNo):
 		return p.decide(KindAbort, ResultAborted)
 	case slices.Contains(p.votes, VoteLost), slices.Contains(p.votes, VoteMoved):
+		p.lost = slices.Contains(p.votes, VoteLost)
 		return p.begin(now, surveying, p.cfg.VoteTimeout)
 	case !slices.ContainsFunc(p.votes, func(v Vote) bool { return v != VoteYes }):
 		return p.decide(KindCommit, ResultCommitted)
@@ -119,21 +117,25 @@
 	if slices.Contains(p.fresh, false) {
 		return nil
 	}
-	if p.uniform() && !p.anyInDoubt() {
-		return p.finish(ResultAbandoned)
+	if held := p.inDoubt(); p.uniform() && (held.Token.IsZero() || !p.lost) {
+		if held.Token.IsZero() {
+			return p.finish(ResultAbandoned)
+		}
+		return p.Settle(now, held)
 	}
 	newest := p.newestVersion()
 	p.session = Session{Token: p.draw(), Map: newest.Map, Start: p.newestStep() + 1}
 	return p.begin(now, joining, p.cfg.LoadTimeout)
 }
 
-func (p *Proposer) anyInDoubt() bool {
+// inDoubt returns a proposal that a rank holds without knowing its outcome.
+func (p *Proposer) inDoubt() Proposal {
 	for i := range p.reports {
-		if g := &p.reports[i].Gate; !g.Held.Token.IsZero() && !g.Committed {
-			return true
+		if g := &p.reports[i].Gate; p.fresh[i] && !g.Held.Token.IsZero() && !g.Committed {
+			return g.Held
 		}
 	}
-	return false
+	return Proposal{}
 }
 
 // newestVersion returns the newest map that is known to be committed.
--- a/decide/expertmap/proposer.go
+++ b/decide/expertmap/proposer.go
@@ -45,6 +45,8 @@
 	wish     MapID
 	subject  Proposal
 	session  Session
+	// lost is true if votes on a proposal cannot be recovered.
+	lost bool
 	// fresh marks the ranks that reported in this round.
 	fresh   []bool
 	reports []Report
@@ -83,7 +85,7 @@
 
 // Settle finds the outcome of a proposal that some rank holds.
 func (p *Proposer) Settle(now time.Duration, subject Proposal) []Action {
-	if p.phase != idle && p.phase != loading {
+	if p.phase != idle && p.phase != loading && p.phase != surveying {
 		return nil
 	}
 	p.subject = subject
@@ -194,7 +196,7 @@
 
 func (p *Proposer) finish(result Result) []Action {
 	done := Finished{Result: result, Proposal: p.subject, Session: p.session}
-	p.phase, p.subject, p.session = idle, Proposal{}, Session{}
+	p.phase, p.subject, p.session, p.lost = idle, Proposal{}, Session{}, false
 	clear(p.fresh)
 	clear(p.votes)
 	clear(p.reports)
--- a/decide/expertmap/rank.go
+++ b/decide/expertmap/rank.go
@@ -16,6 +16,10 @@
 	Incarnation api.Incarnation
 	// SettleAfter is how long a rank waits for an outcome before it asks.
 	SettleAfter time.Duration
+	// StallAfter is how long rank 0 sees no step before it checks that all
+	// ranks are in one session. Rank r waits r+1 times as long, so that an idle
+	// group is not surveyed by all ranks at once.
+	StallAfter time.Duration
 	// OrderTimeout is how long an order to the engine may be unanswered.
 	OrderTimeout time.Duration
 }
@@ -41,6 +45,8 @@
 	heldAt time.Duration
 	// tried is the last proposal that the engine was ordered to hold.
 	tried Proposal
+	// progressAt is when the engine last entered a step or a session.
+	progressAt time.Duration
 	// dropped is the last proposal found aborted.
 	dropped Token
 	// joined is the newest session that the engine was ordered to join.
@@ -55,7 +61,7 @@
 // sent, so it stands.
 func NewRank(cfg RankConfig, gate GateState, now time.Duration) Rank {
 	return Rank{
-		cfg: cfg, gate: gate, floor: gate.Fence, heldAt: now,
+		cfg: cfg, gate: gate, floor: gate.Fence, heldAt: now, progressAt: now,
 		asker: noAsker, joined: gate.Session.Token,
 	}
 }
@@ -261,6 +267,9 @@
 	if g.Held.Token != r.gate.Held.Token {
 		r.heldAt = now
 	}
+	if g.Step != r.gate.Step || g.Session.Token != r.gate.Session.Token {
+		r.progressAt = now
+	}
 	r.gate = g
 	if r.InDoubt() && g.Held.Token == r.dropped {
 		// A repeated order staged a proposal that is known to be aborted.
@@ -282,6 +291,9 @@
 	case r.InDoubt() && now-r.heldAt >= r.cfg.SettleAfter:
 		r.heldAt = now
 		return []Action{SettleNeeded{Proposal: r.gate.Held}}
+	case now-r.progressAt >= r.cfg.StallAfter*time.Duration(r.cfg.Self+1):
+		r.progressAt = now
+		return []Action{ReformNeeded{}}
 	}
 	return nil
 }
--- /dev/null
+++ b/decide/placement/placement_test.go
@@ -0,0 +1,131 @@
+package placement
+
+import (
+	"errors"
+	"flag"
+	"math"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the random tests unless the command line sets it.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "200"} {
+		if !given[name] {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func drawLoads(t *rapid.T, s Shape) Loads {
+	rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "loads"), 0))
+	loads := make(Loads, s.Layers)
+	for l := range loads {
+		for range s.Experts {
+			loads[l] = append(loads[l], math.Exp(rng.NormFloat64()))
+		}
+	}
+	return loads
+}
+
+func drawShape(t *rapid.T) Shape {
+	s := Shape{
+		Ranks: rapid.IntRange(1, 12).Draw(t, "ranks"), Slots: rapid.IntRange(1, 4).Draw(t, "slots"),
+		Layers: rapid.IntRange(1, 3).Draw(t, "layers"), RanksPerVM: rapid.IntRange(1, 4).Draw(t, "perVM"),
+	}
+	s.Experts = rapid.IntRange(1, s.Ranks*s.Slots).Draw(t, "experts")
+	return s
+}
+
+// check guards against an expert without a replica, which no token could
+// reach, and against loads that the search has miscounted.
+func check(t *rapid.T, m Map, loads Loads) {
+	for l := range m.Shape.Layers {
+		held := make([]int, m.Shape.Experts)
+		for _, e := range m.Layer(l) {
+			held[e]++
+		}
+		for e, n := range held {
+			if n == 0 {
+				t.Fatalf("layer %d: expert %d has no slot", l, e)
+			}
+		}
+	}
+	if c, b := m.Cost(loads), Bound(m.Shape, loads); c < b*(1-1e-9) {
+		t.Fatalf("cost %g is below the bound %g", c, b)
+	}
+}
+
+func TestPlanAndUpdate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawShape(t)
+		loads := drawLoads(t, s)
+		plain, err := PlanLargestFirst(s, loads)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m, _ := Plan(s, loads)
+		check(t, plain, loads)
+		check(t, m, loads)
+		if m.Cost(loads) > plain.Cost(loads)*(1+1e-9) {
+			t.Fatalf("the search made the plan worse: %g, %g", m.Cost(loads), plain.Cost(loads))
+		}
+		later := drawLoads(t, s)
+		allowed := rapid.IntRange(0, 8).Draw(t, "weights")
+		u, _ := Update(m, later, 0.02, allowed)
+		check(t, u, later)
+		if u.Cost(later) > m.Cost(later)*(1+1e-9) {
+			t.Fatalf("the update made the map worse: %g, %g", u.Cost(later), m.Cost(later))
+		}
+		if moved := u.Moved(m); moved > allowed {
+			t.Fatalf("%d weights loaded, %d allowed", moved, allowed)
+		}
+	})
+}
+
+// Replicas on one VM are lost and overloaded together.
+func TestReplicasAreSpreadOverVMs(t *testing.T) {
+	s := Shape{Ranks: 16, Experts: 16, Layers: 1, Slots: 2, RanksPerVM: 4}
+	expert := make([]float64, s.Experts)
+	for e := range expert {
+		expert[e] = 1
+	}
+	expert[0] = 8
+	m, err := Plan(s, Loads{expert})
+	if err != nil {
+		t.Fatal(err)
+	}
+	perVM := make([]int, s.vms())
+	total := 0
+	for at, e := range m.Layer(0) {
+		if e == 0 {
+			perVM[at/(s.Slots*s.RanksPerVM)]++
+			total++
+		}
+	}
+	for vm, n := range perVM {
+		if n > s.perVM(total) {
+			t.Errorf("VM %d holds %d of %d replicas", vm, n, total)
+		}
+	}
+}
+
+func TestRefusedInput(t *testing.T) {
+	var shape *ShapeError
+	if _, err := Plan(Shape{Ranks: 2, Experts: 5, Layers: 1, Slots: 2, RanksPerVM: 1}, nil); !errors.As(err, &shape) {
+		t.Errorf("too few slots: %v", err)
+	}
+	var loads *LoadsError
+	if _, err := Plan(Shape{Ranks: 2, Experts: 2, Layers: 1, Slots: 1, RanksPerVM: 1}, nil); !errors.As(err, &loads) {
+		t.Errorf("no loads: %v", err)
+	}
+}
--- /dev/null
+++ b/decide/placement/search.go
@@ -0,0 +1,131 @@
+package placement
+
+// change is a step of the local search. With swap the contents of two slots
+// are exchanged; otherwise slot b takes a replica of expert e.
+type change struct {
+	swap bool
+	a, b int
+	e    int16
+	// peak is the largest load among the ranks that the change touches.
+	peak float64
+}
+
+// weights is the number of experts whose weights the change loads.
+func (c change) weights() int {
+	if c.swap {
+		return 2
+	}
+	return 1
+}
+
+// minGain is the part of the largest load by which a change must lower it.
+const minGain = 1e-6
+
+// improve lowers the largest rank load step by step, until it is at or below
+// target, no change helps, or the weights or steps allowed are used up. It
+// returns the weights loaded.
+func (w *layer) improve(target float64, weights, steps int) int {
+	used := 0
+	for range steps {
+		hot := w.hottest()
+		if w.load[hot] <= target {
+			break
+		}
+		best := change{peak: w.load[hot] * (1 - minGain)}
+		if found := w.bestReplica(hot, &best); weights-used >= 2 {
+			found = w.bestSwap(hot, &best) || found
+			if !found {
+				break
+			}
+		} else if !found || weights-used < 1 {
+			break
+		}
+		used += best.weights()
+		if best.swap {
+			w.swap(best.a, best.b)
+		} else {
+			w.replace(best.b, best.e)
+		}
+	}
+	return used
+}
+
+// bestSwap looks for the exchange of a slot of the hottest rank that leaves
+// the lowest peak on the two ranks.
+func (w *layer) bestSwap(hot int, best *change) bool {
+	k, found := w.shape.Slots, false
+	for a := hot * k; a < (hot+1)*k; a++ {
+		x := w.share(w.slots[a])
+		for b, f := range w.slots {
+			d := x - w.share(f)
+			if d <= 0 || w.load[hot]-d >= best.peak {
+				continue
+			}
+			r := w.rank(b)
+			peak := max(w.load[hot]-d, w.load[r]+d)
+			if r == hot || peak >= best.peak || !w.swappable(a, b) {
+				continue
+			}
+			*best, found = change{swap: true, a: a, b: b, peak: peak}, true
+		}
+	}
+	return found
+}
+
+func (w *layer) swappable(a, b int) bool {
+	ea, eb := w.slots[a], w.slots[b]
+	return w.fits(ea, b, a, len(w.holders[ea])) && w.fits(eb, a, b, len(w.holders[eb]))
+}
+
+// bestReplica looks for a slot that takes another replica of an expert of the
+// hottest rank.
+func (w *layer) bestReplica(hot int, best *change) bool {
+	k, found := w.shape.Slots, false
+	for _, e := range w.slots[hot*k : (hot+1)*k] {
+		n := len(w.holders[e])
+		if n >= w.shape.Ranks {
+			continue
+		}
+		less := w.share(e) - w.expert[e]/float64(n+1)
+		for b, f := range w.slots {
+			if f == e || len(w.holders[f]) < 2 || w.rank(b) == hot {
+				continue
+			}
+			if w.load[hot]-less >= best.peak {
+				break
+			}
+			peak := max(w.load[hot]-less, w.peakWithout(f, b, w.share(e)-less, best.peak))
+			if peak < best.peak && !w.holds(hot, f) && w.fits(e, b, -1, n+1) {
+				*best, found = change{b: b, e: e, peak: peak}, true
+			}
+		}
+	}
+	return found
+}
+
+func (w *layer) holds(rank int, e int16) bool {
+	k := w.shape.Slots
+	for _, x := range w.slots[rank*k : (rank+1)*k] {
+		if x == e {
+			return true
+		}
+	}
+	return false
+}
+
+// peakWithout is the largest load on the holders of f once slot b holds a
+// replica with the given share instead. It stops at limit.
+func (w *layer) peakWithout(f int16, b int, share, limit float64) float64 {
+	was := w.share(f)
+	peak := w.load[w.rank(b)] - was + share
+	if peak >= limit {
+		return peak
+	}
+	more := w.expert[f]/float64(len(w.holders[f])-1) - was
+	for _, h := range w.holders[f] {
+		if int(h) != b {
+			peak = max(peak, w.load[w.rank(int(h))]+more)
+		}
+	}
+	return peak
+}
