--- a/bench/placement.go
+++ b/bench/placement.go
@@ -101,9 +101,9 @@
 // updates measures the incremental variant without a change of load and with
 // loads that moved by a tenth.
 func updates(plan placement.Map, loads placement.Loads, rng *rand.Rand) ([]Figure, error) {
-	const tolerance, weights = 0.05, 1 << 20
+	const tolerance = 0.05
 	start := time.Now()
-	same, err := placement.Update(plan, loads, tolerance, weights)
+	same, err := placement.Update(plan, loads, tolerance, placement.NoLimits())
 	if err != nil {
 		return nil, err
 	}
@@ -115,7 +115,7 @@
 		}
 	}
 	start = time.Now()
-	after, err := placement.Update(plan, moved, tolerance, weights)
+	after, err := placement.Update(plan, moved, tolerance, placement.NoLimits())
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/bench/rebalance.go
@@ -0,0 +1,242 @@
+package bench
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/decide/expertmap"
+	"github.com/mulberryfork/mulberryfork/decide/placement"
+	"github.com/mulberryfork/mulberryfork/decide/rebalance"
+)
+
+func init() {
+	register(Experiment{
+		Name: "rebalance",
+		Asks: "What do changes of the expert map gain and cost, and does any step mix maps?",
+		Run:  runRebalance,
+	})
+}
+
+const (
+	rebalanceLength = 10 * time.Minute
+	measureEvery    = 5 * time.Second
+	// measureLag is the age of a measurement's middle when it arrives.
+	measureLag   = 4 * time.Second
+	measureNoise = 0.05
+)
+
+func rebalanceConfig(p policy) rebalance.Config {
+	cfg := rebalance.Config{
+		Shape: groupShape, ExpertMB: groupExpertMB, Tolerance: 0.01, MinGain: 0.005, Margin: 2,
+		Limits:       placement.Limits{Weights: 110, PerRank: 12},
+		LoadSlowdown: loadSlowdown, SwitchCost: baseStep + expertStep,
+		Life: 5 * time.Minute, Smoothing: 0.4, Trend: 0.2, Ahead: 2,
+	}
+	if p == policyLastSeen {
+		cfg.Smoothing, cfg.Trend, cfg.Ahead = 1, 0, 0
+	}
+	return cfg
+}
+
+// policy decides about the map of a group.
+type policy uint8
+
+const (
+	policyStatic policy = iota
+	policyWeighed
+	// policyEvery places all experts anew at every measurement.
+	policyEvery
+	// policyGreedy takes every improvement regardless of its cost.
+	policyGreedy
+	// policyLastSeen weighs changes by the newest measurement alone.
+	policyLastSeen
+	policies
+)
+
+// controller runs beside rank 0 and changes the map.
+type controller struct {
+	group  *expertGroup
+	policy policy
+	state  *rebalance.State
+	last   expertmap.MapID
+	rng    *rand.Rand
+}
+
+func (c *controller) measure() {
+	g := c.group
+	now := g.tl.Now()
+	loads := measured(c.rng, g.load.at(now-measureLag))
+	if active := g.gates[0].Active.Map; active != c.last && active != 0 {
+		c.last = active
+		c.state.Switched(now, g.maps[active])
+	}
+	c.state.Observe(now, loads)
+	gate := &g.gates[0]
+	if c.policy == policyStatic || g.proposers[0].Busy() || !gate.Held.Token.IsZero() || gate.Active.Map == 0 {
+		return
+	}
+	if m, ok := c.choose(loads); ok {
+		g.maps = append(g.maps, m)
+		g.stats.weights += m.Moved(c.state.Present())
+		g.do(0, g.proposers[0].Propose(now, expertmap.MapID(len(g.maps)-1)))
+	}
+}
+
+func (c *controller) choose(loads placement.Loads) (placement.Map, bool) {
+	present := c.state.Present()
+	switch c.policy {
+	case policyEvery:
+		m, err := placement.Plan(groupShape, loads)
+		return m, err == nil
+	case policyGreedy:
+		m, err := placement.Update(present, loads, 0, placement.NoLimits())
+		return m, err == nil && m.Moved(present) > 0
+	}
+	p, ok := c.state.Decide(groupRateMBps)
+	return p.Map, ok
+}
+
+func measured(rng *rand.Rand, loads placement.Loads) placement.Loads {
+	for l := range loads {
+		for e := range loads[l] {
+			loads[l][e] *= math.Exp(measureNoise * rng.NormFloat64())
+		}
+	}
+	return loads
+}
+
+// runGroup runs a group under a policy.
+func runGroup(seed uint64, load popularity, p policy, faults bool) (*expertGroup, error) {
+	first, err := placement.Plan(groupShape, load.at(0))
+	if err != nil {
+		return nil, err
+	}
+	g := newExpertGroup(seed, load, first, faults)
+	c := &controller{group: g, policy: p, rng: rand.New(rand.NewPCG(seed, 5)), last: 1}
+	c.state = rebalance.New(rebalanceConfig(p), first)
+	g.tl.Every(measureEvery, measureEvery, c.measure)
+	if faults {
+		g.addFaults(c)
+	}
+	g.tl.Run(rebalanceLength)
+	if !g.running {
+		g.endStandstill()
+	}
+	return g, nil
+}
+
+// agentFault is the mean time between faults of agents of the group.
+const agentFault = 5 * time.Second
+
+// addFaults pauses, cuts off and restarts agents, and restarts one engine.
+func (g *expertGroup) addFaults(c *controller) {
+	rng := rand.New(rand.NewPCG(uint64(len(g.gates)), g.rng.Uint64()))
+	for at := agentFault; at < rebalanceLength; at += time.Duration(rng.ExpFloat64() * float64(agentFault)) {
+		i, kind := rng.IntN(len(g.gates)), rng.IntN(3)
+		length := time.Duration(rng.Int64N(int64(500 * time.Millisecond)))
+		g.tl.At(at, func() {
+			switch kind {
+			case 0:
+				g.awake[i] = g.tl.Now() + length
+			case 1:
+				g.reachable[i] = g.tl.Now() + length
+			default:
+				g.startAgent(i)
+			}
+		})
+	}
+	victim := rng.IntN(len(g.gates))
+	g.tl.At(rebalanceLength/2, func() {
+		g.startEngine(victim)
+		g.startAgent(victim)
+		g.running, g.crashed = false, true
+	})
+}
+
+func (g *expertGroup) tokensPerSecond() float64 {
+	return float64(g.stats.steps) / rebalanceLength.Seconds()
+}
+
+func (g *expertGroup) costPercent() float64 {
+	return 100 * (g.stats.loadingTime + g.stats.stallTime).Seconds() / rebalanceLength.Seconds()
+}
+
+func runRebalance(_ context.Context, p Params) (Result, error) {
+	rng := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(p.Seed, stream)) }
+	loads := []struct {
+		name string
+		load popularity
+	}{
+		{"drift", newDrift(rng(10), groupShape)},
+		{"burst", newBursty(rng(11), groupShape, rebalanceLength)},
+		{"swing", newSwinging(rng(12), groupShape)},
+	}
+	var r Result
+	mixed := 0
+	for _, l := range loads {
+		figures, m, err := compare(p.Seed, l.name, l.load)
+		if err != nil {
+			return r, err
+		}
+		mixed += m
+		r.Figures = append(r.Figures, figures...)
+	}
+	all := Bounded("mixed_map_steps", float64(mixed), "steps", Exactly, 0)
+	r.Figures = append([]Figure{all}, r.Figures...)
+	return r, nil
+}
+
+// compare runs all policies on one load, and counts the mixed steps of all.
+func compare(seed uint64, name string, load popularity) ([]Figure, int, error) {
+	mixed := 0
+	runs := make([]*expertGroup, policies)
+	for p := range runs {
+		g, err := runGroup(seed, load, policy(p), true)
+		if err != nil {
+			return nil, 0, err
+		}
+		mixed += g.stats.mixed
+		runs[p] = g
+	}
+	static, ours := runs[policyStatic], runs[policyWeighed]
+	var figures []Figure
+	if name == "drift" {
+		figures = driftFigures(static, ours, runs[policyLastSeen])
+	} else {
+		figures = []Figure{
+			Plain("tokens_per_s_ratio_to_static_"+name, ours.tokensPerSecond()/static.tokensPerSecond(), ""),
+			Plain("rebalance_cost_percent_"+name, ours.costPercent(), "%"),
+			Plain("switches_"+name, float64(ours.stats.switches), ""),
+		}
+	}
+	for _, b := range []struct {
+		label string
+		run   *expertGroup
+	}{{"every_interval", runs[policyEvery]}, {"greedy", runs[policyGreedy]}} {
+		figures = append(figures,
+			Plain("tokens_per_s_ratio_to_static_"+name+"_"+b.label, b.run.tokensPerSecond()/static.tokensPerSecond(), ""),
+			Plain("rebalance_cost_percent_"+name+"_"+b.label, b.run.costPercent(), "%"),
+			Plain("switches_"+name+"_"+b.label, float64(b.run.stats.switches), ""),
+		)
+	}
+	return figures, mixed, nil
+}
+
+func driftFigures(static, ours, lastSeen *expertGroup) []Figure {
+	s := &ours.stats
+	return []Figure{
+		Bounded("skew_p95", quantile(s.skew, 0.95), "", AtMost, 1.10),
+		Plain("skew_p95_last_seen", quantile(lastSeen.stats.skew, 0.95), ""),
+		Plain("skew_p95_static", quantile(static.stats.skew, 0.95), ""),
+		Bounded("tokens_per_s_ratio_to_static", ours.tokensPerSecond()/static.tokensPerSecond(), "", AtLeast, 1.3),
+		Bounded("rebalance_cost_percent", ours.costPercent(), "%", AtMost, 1),
+		Bounded("stalled_steps_per_switch", float64(s.stalled)/float64(max(s.switches, 1)), "steps", AtMost, 1),
+		Plain("longest_standstill_ms", milliseconds(s.longestHold), "ms"),
+		Plain("longest_standstill_engine_restart_ms", milliseconds(s.longestCrash), "ms"),
+		Plain("switches", float64(s.switches), ""),
+		Plain("steps", float64(s.steps), "steps"),
+		Plain("weights_loaded", float64(s.weights), "experts"),
+	}
+}
--- /dev/null
+++ b/bench/rebalance_group.go
@@ -0,0 +1,232 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/bench/timeline"
+	"github.com/mulberryfork/mulberryfork/decide/expertmap"
+	"github.com/mulberryfork/mulberryfork/decide/placement"
+)
+
+// groupShape is the modelled group. The real one is larger; the placement
+// experiment covers its size.
+var groupShape = placement.Shape{Ranks: 32, Experts: 64, Layers: 8, Slots: 4, RanksPerVM: 4}
+
+const (
+	// baseStep is the part of a step that does not depend on the map, and
+	// expertStep is that of the experts under perfect balance.
+	baseStep   = 10 * time.Millisecond
+	expertStep = 30 * time.Millisecond
+	// groupRateMBps is the group's share of the weight store.
+	groupRateMBps  = 1000.0
+	groupExpertMB  = 20.0
+	loadSlowdown   = 0.02
+	groupTick      = 20 * time.Millisecond
+	groupLeadSteps = 8
+	groupSettle    = 200 * time.Millisecond
+	groupResend    = 20 * time.Millisecond
+
+	lossRate      = 0.02
+	duplicateRate = 0.01
+	lateRate      = 0.01
+	messageDelay  = 2 * time.Millisecond
+	lateDelay     = 100 * time.Millisecond
+	orderDelay    = time.Millisecond
+)
+
+// expertGroup is a group of ranks in modelled time, with the real switch
+// protocol between its agents and an unreliable network.
+type expertGroup struct {
+	tl        timeline.Timeline
+	rng       *rand.Rand
+	load      popularity
+	faults    bool
+	gates     []expertmap.Gate
+	ranks     []expertmap.Rank
+	proposers []expertmap.Proposer
+	maps      []placement.Map
+	// staged lists the maps whose weights each engine has loaded. They stay
+	// there when its agent restarts.
+	staged [][]expertmap.MapID
+	// reachable and awake are the times from which an agent is so again.
+	reachable, awake []time.Duration
+	loadingUntil     time.Duration
+	loads            map[[2]uint64]bool
+	incarnations     api.Incarnation
+	processes        uint64
+
+	running bool
+	// done is the step that finished last, at the time finished.
+	done     stepKey
+	finished time.Duration
+	// crashed is true from an engine's restart to the next step.
+	crashed bool
+	// skew is that of the map skewOf at the time skewAt.
+	skew   float64
+	skewAt time.Duration
+	skewOf expertmap.MapID
+	stats  groupStats
+	onDone func(expertmap.Finished)
+}
+
+type groupStats struct {
+	steps, mixed, switches, stalled int
+	loadingTime, stallTime          time.Duration
+	longestHold, longestCrash       time.Duration
+	skew                            []float64
+	weights                         int
+}
+
+func newExpertGroup(seed uint64, load popularity, first placement.Map, faults bool) *expertGroup {
+	g := &expertGroup{
+		rng: rand.New(rand.NewPCG(seed, 4)), load: load, faults: faults,
+		maps: []placement.Map{{}, first}, loads: make(map[[2]uint64]bool),
+	}
+	n := first.Shape.Ranks
+	g.gates, g.ranks = make([]expertmap.Gate, n), make([]expertmap.Rank, n)
+	g.proposers = make([]expertmap.Proposer, n)
+	g.staged = make([][]expertmap.MapID, n)
+	g.reachable, g.awake = make([]time.Duration, n), make([]time.Duration, n)
+	session := expertmap.Session{Token: expertmap.Token{Counter: 1}, Map: 1, Start: 1}
+	for i := range n {
+		g.startEngine(i)
+		g.gates[i].Apply(expertmap.Order{Kind: expertmap.OrderJoin, Process: g.gates[i].Process, Session: session})
+		g.startAgent(i)
+	}
+	g.tl.Every(groupTick, groupTick, g.tick)
+	g.runStep()
+	return g
+}
+
+func (g *expertGroup) startEngine(i int) {
+	g.processes++
+	g.staged[i] = nil
+	// Engines of one kind in two ignore fencing tokens.
+	g.gates[i] = expertmap.NewGate(g.processes<<16|uint64(i), i%2 == 0)
+}
+
+func (g *expertGroup) startAgent(i int) {
+	g.incarnations += 1 << 32
+	inc := g.incarnations + api.Incarnation(i)
+	g.ranks[i] = expertmap.NewRank(expertmap.RankConfig{
+		Self: i, Incarnation: inc, SettleAfter: groupSettle,
+		StallAfter: 5 * groupSettle, OrderTimeout: groupResend,
+	}, g.gates[i].GateState, g.tl.Now())
+	for _, id := range g.staged[i] {
+		g.ranks[i].WeightsLoaded(id)
+	}
+	g.proposers[i] = expertmap.NewProposer(expertmap.ProposerConfig{
+		Self: i, Ranks: len(g.gates), Incarnation: inc, Initial: 1, LeadSteps: groupLeadSteps,
+		LoadTimeout: time.Hour, VoteTimeout: groupSettle, Resend: groupResend,
+	})
+}
+
+func (g *expertGroup) tick() {
+	now := g.tl.Now()
+	for i := range g.ranks {
+		if g.awake[i] <= now {
+			g.do(i, g.ranks[i].Tick(now))
+			g.do(i, g.proposers[i].Tick(now))
+		}
+	}
+}
+
+func (g *expertGroup) do(i int, actions []expertmap.Action) {
+	now := g.tl.Now()
+	for _, a := range actions {
+		switch a := a.(type) {
+		case expertmap.Send:
+			g.send(a.Message)
+		case expertmap.Command:
+			g.command(i, a.Order)
+		case expertmap.LoadWeights:
+			g.loadWeights(i, a.Map)
+		case expertmap.SettleNeeded:
+			g.do(i, g.proposers[i].Settle(now, a.Proposal))
+		case expertmap.ReformNeeded:
+			g.do(i, g.proposers[i].Reform(now))
+		case expertmap.Finished:
+			if g.onDone != nil && i == 0 {
+				g.onDone(a)
+			}
+		}
+	}
+}
+
+func (g *expertGroup) send(m expertmap.Message) {
+	copies := 1
+	if g.faults && m.From != m.To {
+		if g.rng.Float64() < lossRate {
+			copies = 0
+		} else if g.rng.Float64() < duplicateRate {
+			copies = 2
+		}
+	}
+	for range copies {
+		d := time.Duration(g.rng.Int64N(int64(messageDelay)))
+		if g.faults && g.rng.Float64() < lateRate {
+			d += time.Duration(g.rng.Int64N(int64(lateDelay)))
+		}
+		g.tl.After(d, func() { g.deliver(m) })
+	}
+}
+
+func (g *expertGroup) deliver(m expertmap.Message) {
+	now := g.tl.Now()
+	if m.From != m.To && (g.reachable[m.From] > now || g.reachable[m.To] > now) {
+		return
+	}
+	if g.awake[m.To] > now {
+		g.tl.At(g.awake[m.To], func() { g.deliver(m) })
+		return
+	}
+	if m.Kind == expertmap.KindReport {
+		g.do(m.To, g.proposers[m.To].Receive(now, m))
+	} else {
+		g.do(m.To, g.ranks[m.To].Receive(now, m))
+	}
+}
+
+// command delivers an order to an engine and its state back to the agent.
+func (g *expertGroup) command(i int, o expertmap.Order) {
+	g.tl.After(time.Duration(g.rng.Int64N(int64(orderDelay))), func() {
+		g.gates[i].Apply(o)
+		g.tl.After(time.Duration(g.rng.Int64N(int64(orderDelay))), func() { g.acknowledge(i, o) })
+		g.enterSteps()
+	})
+}
+
+func (g *expertGroup) acknowledge(i int, o expertmap.Order) {
+	if g.awake[i] > g.tl.Now() {
+		g.tl.At(g.awake[i], func() { g.acknowledge(i, o) })
+		return
+	}
+	if o.Agent == g.ranks[i].Incarnation() && o.Process == g.gates[i].Process {
+		g.do(i, g.ranks[i].Acknowledge(g.tl.Now(), o.Seq, g.gates[i].GateState))
+	}
+}
+
+// loadWeights loads what a rank lacks of a map. All ranks of the group share
+// the rate that the weight store grants it.
+func (g *expertGroup) loadWeights(i int, id expertmap.MapID) {
+	process := g.gates[i].Process
+	key := [2]uint64{uint64(id), process}
+	if g.loads[key] {
+		return
+	}
+	g.loads[key] = true
+	weights := groupShape.Layers * groupShape.Slots
+	if active := g.gates[i].Active.Map; active != 0 {
+		weights = g.maps[id].Moved(g.maps[active])
+	}
+	took := time.Duration(float64(weights) * groupExpertMB / groupRateMBps * float64(time.Second))
+	g.loadingUntil = max(g.loadingUntil, g.tl.Now()+took)
+	g.tl.After(took, func() {
+		if g.gates[i].Process == process {
+			g.staged[i] = append(g.staged[i], id)
+			g.ranks[i].WeightsLoaded(id)
+		}
+	})
+}
--- /dev/null
+++ b/bench/rebalance_load.go
@@ -0,0 +1,127 @@
+package bench
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/decide/placement"
+)
+
+// popularity is the load of each expert over time.
+type popularity interface {
+	at(now time.Duration) placement.Loads
+}
+
+const (
+	popularitySpread = 1.0
+	// driftShortest and driftLongest are the periods of slow changes.
+	driftShortest = 15 * time.Minute
+	driftLongest  = 45 * time.Minute
+	// burstFactor is how much more popular an expert is in a burst.
+	burstFactor   = 4.0
+	burstLength   = 60 * time.Second
+	burstsPerHour = 120
+	// swingPeriod is the time in which popularity goes back and forth.
+	swingPeriod = 40 * time.Second
+	swingFactor = 2.0
+)
+
+// drift is a slow change of every expert's popularity.
+type drift struct {
+	shape placement.Shape
+	waves []wave
+}
+
+type wave struct{ amplitude, frequency, phase, offset float64 }
+
+func newDrift(rng *rand.Rand, s placement.Shape) *drift {
+	d := &drift{shape: s}
+	for range s.Layers * s.Experts {
+		period := driftShortest.Seconds() + rng.Float64()*(driftLongest-driftShortest).Seconds()
+		d.waves = append(d.waves, wave{
+			amplitude: popularitySpread, frequency: 2 * math.Pi / period,
+			phase: 2 * math.Pi * rng.Float64(), offset: 0.5 * popularitySpread * rng.NormFloat64(),
+		})
+	}
+	return d
+}
+
+func (d *drift) at(now time.Duration) placement.Loads {
+	loads := make(placement.Loads, d.shape.Layers)
+	for l := range loads {
+		loads[l] = make([]float64, d.shape.Experts)
+		for e := range loads[l] {
+			w := d.waves[l*d.shape.Experts+e]
+			loads[l][e] = math.Exp(w.offset + w.amplitude*math.Sin(w.phase+w.frequency*now.Seconds()))
+		}
+	}
+	return loads
+}
+
+// bursty adds short bursts of single experts to a constant popularity.
+type bursty struct {
+	base   placement.Loads
+	bursts []burst
+}
+
+type burst struct {
+	layer, expert int
+	from          time.Duration
+}
+
+func newBursty(rng *rand.Rand, s placement.Shape, length time.Duration) *bursty {
+	b := &bursty{base: drawLoads(rng, s, popularitySpread/2)}
+	for range int(length.Hours() * burstsPerHour * float64(s.Layers)) {
+		b.bursts = append(b.bursts, burst{
+			layer: rng.IntN(s.Layers), expert: rng.IntN(s.Experts),
+			from: time.Duration(rng.Int64N(int64(length))),
+		})
+	}
+	return b
+}
+
+func (b *bursty) at(now time.Duration) placement.Loads {
+	loads := copyLoads(b.base)
+	for _, u := range b.bursts {
+		if now >= u.from && now < u.from+burstLength {
+			loads[u.layer][u.expert] *= burstFactor
+		}
+	}
+	return loads
+}
+
+// swinging multiplies one half of the experts, then the other.
+type swinging struct {
+	base placement.Loads
+	side []bool
+}
+
+func newSwinging(rng *rand.Rand, s placement.Shape) *swinging {
+	w := &swinging{base: drawLoads(rng, s, popularitySpread/2)}
+	for range s.Experts {
+		w.side = append(w.side, rng.IntN(2) == 0)
+	}
+	return w
+}
+
+func (w *swinging) at(now time.Duration) placement.Loads {
+	first := now%swingPeriod < swingPeriod/2
+	loads := copyLoads(w.base)
+	for l := range loads {
+		for e := range loads[l] {
+			if w.side[e] == first {
+				loads[l][e] *= swingFactor
+			}
+		}
+	}
+	return loads
+}
+
+func copyLoads(loads placement.Loads) placement.Loads {
+	c := make(placement.Loads, len(loads))
+	for l := range loads {
+		c[l] = append([]float64(nil), loads[l]...)
+	}
+	return c
+}
--- a/decide/expertmap/proposer.go
+++ b/decide/expertmap/proposer.go
@@ -22,6 +22,10 @@
 	Resend time.Duration
 }
 
+// loadResend is the factor by which questions about weights are repeated less
+// often: loading takes seconds, and no rank holds meanwhile.
+const loadResend = 10
+
 type phase uint8
 
 const (
@@ -115,6 +119,9 @@
 // ask sends the question of the phase to every rank that has not answered it.
 func (p *Proposer) ask(now time.Duration) []Action {
 	p.resendAt = now + p.cfg.Resend
+	if p.phase == loading {
+		p.resendAt += (loadResend - 1) * p.cfg.Resend
+	}
 	var actions []Action
 	for rank := range p.cfg.Ranks {
 		if m, open := p.question(rank); open {
--- a/decide/expertmap/rank.go
+++ b/decide/expertmap/rank.go
@@ -69,6 +69,9 @@
 // Gate returns the engine's state as last reported.
 func (r *Rank) Gate() GateState { return r.gate }
 
+// Incarnation returns that of the agent process.
+func (r *Rank) Incarnation() api.Incarnation { return r.cfg.Incarnation }
+
 // InDoubt says whether the rank voted yes and does not know the outcome.
 func (r *Rank) InDoubt() bool { return !r.gate.Held.Token.IsZero() && !r.gate.Committed }
 
--- a/decide/placement/layer.go
+++ b/decide/placement/layer.go
@@ -10,12 +10,15 @@
 	// shares is the load that one replica of each expert carries.
 	shares []float64
 	load   []float64
+	limits Limits
+	// staged counts the weights that each rank has to load, over all layers.
+	staged []int
 }
 
 func newLayer(s Shape, expert []float64, slots []int16) *layer {
 	w := &layer{shape: s, expert: expert, slots: slots,
 		holders: make([][]int32, s.Experts), shares: make([]float64, s.Experts),
-		load: make([]float64, s.Ranks)}
+		load: make([]float64, s.Ranks), limits: NoLimits(), staged: make([]int, s.Ranks)}
 	for at, e := range slots {
 		w.holders[e] = append(w.holders[e], int32(at))
 	}
@@ -63,6 +66,26 @@
 	return sameVM < limit
 }
 
+// spreadWithout says whether the replicas of an expert are still spread over
+// VMs once a slot has lost one. Fewer replicas allow fewer on each VM.
+func (w *layer) spreadWithout(e int16, slot int) bool {
+	limit := w.shape.perVM(len(w.holders[e]) - 1)
+	for _, h := range w.holders[e] {
+		vm, n := w.vm(int(h)), 0
+		for _, other := range w.holders[e] {
+			if int(other) != slot && w.vm(int(other)) == vm {
+				n++
+			}
+		}
+		if n > limit {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *layer) vm(slot int) int { return w.rank(slot) / w.shape.RanksPerVM }
+
 func (w *layer) swap(a, b int) {
 	ea, eb := w.slots[a], w.slots[b]
 	d := w.share(ea) - w.share(eb)
--- a/decide/placement/plan.go
+++ b/decide/placement/plan.go
@@ -24,7 +24,7 @@
 	total := make([]float64, s.Ranks)
 	for l, expert := range loads {
 		w := pack(s, expert, m.Layer(l), total)
-		w.improve(layerBound(s, expert)*(1+planTolerance), unlimited, s.searchSteps())
+		w.improve(layerBound(s, expert)*(1+planTolerance), s.searchSteps())
 		for r, x := range w.load {
 			total[r] += x
 		}
@@ -48,10 +48,20 @@
 
 const unlimited = int(^uint(0) >> 1)
 
+// Limits bound the weights that one update loads.
+type Limits struct {
+	// Weights counts experts of one layer over the whole group.
+	Weights int
+	// PerRank bounds the weights that one rank stages beside its present ones.
+	PerRank int
+}
+
+// NoLimits lets an update change the whole map.
+func NoLimits() Limits { return Limits{Weights: unlimited, PerRank: unlimited} }
+
 // Update improves the present map until each layer is within tolerance of its
-// bound, and loads the weights of at most maxWeights experts. The layers with
-// the largest excess come first.
-func Update(present Map, loads Loads, tolerance float64, maxWeights int) (Map, error) {
+// bound, within limits. The layers with the largest excess come first.
+func Update(present Map, loads Loads, tolerance float64, limits Limits) (Map, error) {
 	s := present.Shape
 	if err := s.check(loads); err != nil {
 		return Map{}, err
@@ -65,9 +75,11 @@
 		excess[l] = work[l].load[work[l].hottest()] - layerBound(s, expert)
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(excess[b], excess[a]) })
+	staged := make([]int, s.Ranks)
 	for _, l := range order {
 		target := layerBound(s, loads[l]) * (1 + tolerance)
-		maxWeights -= work[l].improve(target, maxWeights, s.searchSteps())
+		work[l].staged, work[l].limits = staged, limits
+		limits.Weights -= work[l].improve(target, s.searchSteps())
 	}
 	return m, nil
 }
--- a/decide/placement/search.go
+++ b/decide/placement/search.go
@@ -22,9 +22,9 @@
 const minGain = 1e-6
 
 // improve lowers the largest rank load step by step, until it is at or below
-// target, no change helps, or the weights or steps allowed are used up. It
-// returns the weights loaded.
-func (w *layer) improve(target float64, weights, steps int) int {
+// target, no change helps, or the limits or steps are used up. It returns the
+// weights loaded.
+func (w *layer) improve(target float64, steps int) int {
 	used := 0
 	for range steps {
 		hot := w.hottest()
@@ -32,16 +32,17 @@
 			break
 		}
 		best := change{peak: w.load[hot] * (1 - minGain)}
-		if found := w.bestReplica(hot, &best); weights-used >= 2 {
+		found := w.limits.Weights-used >= 1 && w.bestReplica(hot, &best)
+		if w.limits.Weights-used >= 2 {
 			found = w.bestSwap(hot, &best) || found
-			if !found {
-				break
-			}
-		} else if !found || weights-used < 1 {
+		}
+		if !found {
 			break
 		}
 		used += best.weights()
+		w.staged[w.rank(best.b)]++
 		if best.swap {
+			w.staged[w.rank(best.a)]++
 			w.swap(best.a, best.b)
 		} else {
 			w.replace(best.b, best.e)
@@ -54,6 +55,9 @@
 // the lowest peak on the two ranks.
 func (w *layer) bestSwap(hot int, best *change) bool {
 	k, found := w.shape.Slots, false
+	if w.full(hot) {
+		return false
+	}
 	for a := hot * k; a < (hot+1)*k; a++ {
 		x := w.share(w.slots[a])
 		for b, f := range w.slots {
@@ -63,7 +67,7 @@
 			}
 			r := w.rank(b)
 			peak := max(w.load[hot]-d, w.load[r]+d)
-			if r == hot || peak >= best.peak || !w.swappable(a, b) {
+			if r == hot || peak >= best.peak || w.full(r) || !w.swappable(a, b) {
 				continue
 			}
 			*best, found = change{swap: true, a: a, b: b, peak: peak}, true
@@ -72,6 +76,9 @@
 	return found
 }
 
+// full says whether a rank can stage no more weights.
+func (w *layer) full(rank int) bool { return w.staged[rank] >= w.limits.PerRank }
+
 func (w *layer) swappable(a, b int) bool {
 	ea, eb := w.slots[a], w.slots[b]
 	return w.fits(ea, b, a, len(w.holders[ea])) && w.fits(eb, a, b, len(w.holders[eb]))
@@ -94,8 +101,10 @@
 			if w.load[hot]-less >= best.peak {
 				break
 			}
-			peak := max(w.load[hot]-less, w.peakWithout(f, b, w.share(e)-less, best.peak))
-			if peak < best.peak && !w.holds(hot, f) && w.fits(e, b, -1, n+1) {
+			w.load[hot] -= less
+			peak := max(w.load[hot], w.peakWithout(f, b, w.share(e)-less, best.peak))
+			w.load[hot] += less
+			if peak < best.peak && !w.full(w.rank(b)) && w.fits(e, b, -1, n+1) && w.spreadWithout(f, b) {
 				*best, found = change{b: b, e: e, peak: peak}, true
 			}
 		}
@@ -103,16 +112,6 @@
 	return found
 }
 
-func (w *layer) holds(rank int, e int16) bool {
-	k := w.shape.Slots
-	for _, x := range w.slots[rank*k : (rank+1)*k] {
-		if x == e {
-			return true
-		}
-	}
-	return false
-}
-
 // peakWithout is the largest load on the holders of f once slot b holds a
 // replica with the given share instead. It stops at limit.
 func (w *layer) peakWithout(f int16, b int, share, limit float64) float64 {
--- /dev/null
+++ b/decide/rebalance/rebalance_test.go
@@ -0,0 +1,114 @@
+package rebalance
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/decide/placement"
+)
+
+var shape = placement.Shape{Ranks: 4, Experts: 8, Layers: 2, Slots: 3, RanksPerVM: 2}
+
+func config() Config {
+	return Config{
+		Shape: shape, ExpertMB: 10, Tolerance: 0.02, MinGain: 0.02, Margin: 2, Limits: placement.NoLimits(),
+		LoadSlowdown: 0.02, SwitchCost: 50 * time.Millisecond, Life: 5 * time.Minute, Smoothing: 0.5, Trend: 0.2, Ahead: 1,
+	}
+}
+
+func loadsWith(hot int) placement.Loads {
+	loads := make(placement.Loads, shape.Layers)
+	for l := range loads {
+		for e := range shape.Experts {
+			x := 1.0
+			if e == hot {
+				x = 6
+			}
+			loads[l] = append(loads[l], x)
+		}
+	}
+	return loads
+}
+
+func state(t *testing.T, cfg Config, hot int) *State {
+	t.Helper()
+	m, err := placement.Plan(shape, loadsWith(hot))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return New(cfg, m)
+}
+
+// A change that gains less than it costs slows the group down.
+func TestDecideWeighsGainAgainstCost(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*Config)
+		hot    int
+		rate   float64
+		want   bool
+	}{
+		{"nothing changed", func(*Config) {}, 0, 100, false},
+		{"another expert is hot", func(*Config) {}, 5, 100, true},
+		{"no rate granted", func(*Config) {}, 5, 0, false},
+		{"loading takes longer than the pattern lasts", func(*Config) {}, 5, 0.1, false},
+		{"the switch costs more than it saves", func(c *Config) { c.SwitchCost = time.Hour }, 5, 100, false},
+		{"no rank has memory to stage weights", func(c *Config) { c.Limits.PerRank = 0 }, 5, 100, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			cfg := config()
+			c.change(&cfg)
+			s := state(t, cfg, 0)
+			for i := range 5 {
+				s.Observe(time.Duration(i)*10*time.Second, loadsWith(c.hot))
+			}
+			if p, got := s.Decide(c.rate); got != c.want {
+				t.Errorf("decided %v, want %v: gain %.3f saved %v cost %v", got, c.want, p.Gain, p.Saved, p.Cost)
+			}
+		})
+	}
+}
+
+// Popularity that swings would otherwise cause a change at each turn.
+func TestSwingShortensTheExpectedLife(t *testing.T) {
+	s := state(t, config(), 0)
+	changes := [2]int{}
+	now := time.Duration(0)
+	for i := range 120 {
+		now += 10 * time.Second
+		s.Observe(now, loadsWith(i/3%2))
+		if p, ok := s.Decide(2); ok {
+			changes[i/60]++
+			s.Switched(now, p.Map)
+		}
+	}
+	if s.Life() > time.Minute {
+		t.Errorf("life %v after swings of 30 s", s.Life())
+	}
+	if changes[1] >= changes[0] {
+		t.Errorf("%d changes at first, %d later: swings were not recognised", changes[0], changes[1])
+	}
+	for range 400 {
+		now += 10 * time.Second
+		s.Observe(now, loadsWith(0))
+	}
+	if s.Life() != config().Life {
+		t.Errorf("life %v did not recover", s.Life())
+	}
+}
+
+// A trend must be followed at a distance, or maps are late by one interval.
+func TestPredictorFollowsTrend(t *testing.T) {
+	p, last := NewPredictor(0.5, 0.3), 0.0
+	for i := range 40 {
+		last = math.Exp(0.05 * float64(i))
+		p.Add(placement.Loads{{last, 1}})
+	}
+	got, _ := p.Loads(2)
+	want := last * math.Exp(0.1)
+	if ratio := got[0][0] / got[0][1]; math.Abs(ratio/want-1) > 0.05 {
+		t.Errorf("ratio %.2f, want %.2f", ratio, want)
+	}
+}
