--- a/decide/placement/plan.go
+++ b/decide/placement/plan.go
@@ -9,7 +9,7 @@
 const (
 	// searchSlots bounds the slots examined by the local search of one layer,
 	// so that a plan of 256 ranks and 60 layers takes less than a second.
-	searchSlots = 1 << 20
+	searchSlots = 1 << 19
 	// planTolerance is the distance to the bound at which the search of a
 	// layer ends. Closer, the search takes longer than the gain is worth.
 	planTolerance = 0.02
--- a/decide/placement/search.go
+++ b/decide/placement/search.go
@@ -1,9 +1,20 @@
 package placement
 
-// change is a step of the local search. With swap the contents of two slots
-// are exchanged; otherwise slot b takes a replica of expert e.
+// changeKind is the kind of a step of the local search.
+type changeKind uint8
+
+const (
+	// swapSlots exchanges the contents of slots a and b.
+	swapSlots changeKind = iota
+	// addReplica gives slot b to another replica of expert e.
+	addReplica
+	// addAndMove does so too, and moves what slot b held to slot a.
+	addAndMove
+)
+
+// change is a step of the local search.
 type change struct {
-	swap bool
+	kind changeKind
 	a, b int
 	e    int16
 	// peak is the largest load among the ranks that the change touches.
@@ -12,10 +23,10 @@
 
 // weights is the number of experts whose weights the change loads.
 func (c change) weights() int {
-	if c.swap {
-		return 2
+	if c.kind == addReplica {
+		return 1
 	}
-	return 1
+	return 2
 }
 
 // minGain is the part of the largest load by which a change must lower it.
@@ -35,22 +46,33 @@
 		found := w.limits.Weights-used >= 1 && w.bestReplica(hot, &best)
 		if w.limits.Weights-used >= 2 {
 			found = w.bestSwap(hot, &best) || found
+			found = found || w.bestMove(hot, &best)
 		}
 		if !found {
 			break
 		}
 		used += best.weights()
-		w.staged[w.rank(best.b)]++
-		if best.swap {
-			w.staged[w.rank(best.a)]++
-			w.swap(best.a, best.b)
-		} else {
-			w.replace(best.b, best.e)
-		}
+		w.apply(best)
 	}
 	return used
 }
 
+func (w *layer) apply(c change) {
+	w.staged[w.rank(c.b)]++
+	if c.kind != addReplica {
+		w.staged[w.rank(c.a)]++
+	}
+	switch c.kind {
+	case swapSlots:
+		w.swap(c.a, c.b)
+	case addAndMove:
+		w.replace(c.a, w.slots[c.b])
+		w.replace(c.b, c.e)
+	default:
+		w.replace(c.b, c.e)
+	}
+}
+
 // bestSwap looks for the exchange of a slot of the hottest rank that leaves
 // the lowest peak on the two ranks.
 func (w *layer) bestSwap(hot int, best *change) bool {
@@ -70,7 +92,7 @@
 			if r == hot || peak >= best.peak || w.full(r) || !w.swappable(a, b) {
 				continue
 			}
-			*best, found = change{swap: true, a: a, b: b, peak: peak}, true
+			*best, found = change{kind: swapSlots, a: a, b: b, peak: peak}, true
 		}
 	}
 	return found
@@ -94,24 +116,31 @@
 			continue
 		}
 		less := w.share(e) - w.expert[e]/float64(n+1)
+		w.relieve(e, less)
 		for b, f := range w.slots {
 			if f == e || len(w.holders[f]) < 2 || w.rank(b) == hot {
 				continue
 			}
-			if w.load[hot]-less >= best.peak {
+			if w.load[hot] >= best.peak {
 				break
 			}
-			w.load[hot] -= less
 			peak := max(w.load[hot], w.peakWithout(f, b, w.share(e)-less, best.peak))
-			w.load[hot] += less
 			if peak < best.peak && !w.full(w.rank(b)) && w.fits(e, b, -1, n+1) && w.spreadWithout(f, b) {
-				*best, found = change{b: b, e: e, peak: peak}, true
+				*best, found = change{kind: addReplica, b: b, e: e, peak: peak}, true
 			}
 		}
+		w.relieve(e, -less)
 	}
 	return found
 }
 
+// relieve takes load off every holder of an expert.
+func (w *layer) relieve(e int16, load float64) {
+	for _, h := range w.holders[e] {
+		w.load[w.rank(int(h))] -= load
+	}
+}
+
 // peakWithout is the largest load on the holders of f once slot b holds a
 // replica with the given share instead. It stops at limit.
 func (w *layer) peakWithout(f int16, b int, share, limit float64) float64 {
