Hold links to a subset of agents where there are many

Cause: a full mesh of 410 routers and 600 agents makes 600 load reports an interval at each router, far above 2 KB/s. Change: decide/subset chooses agents by zone and model with rendezvous hashing, covers each agent by two routers of its zone, and moves one link at a time; service/links follows it and opens a link on demand for a bound key. With up to 24 upstreams all are held, as before. Conclusion: the number of links no longer grows with the number of agents.

--- a/api/services.go
+++ b/api/services.go
@@ -95,6 +95,10 @@
 	State(upstream string) LinkState
 	// Tell passes news of crashes to all agents; it does not wait for them.
 	Tell(news []Suspicion)
+	// Reach makes sure that there is a link to an upstream that the process does
+	// not hold links to otherwise. It waits for a link that it opens, and
+	// returns at once if there is one already, up or down.
+	Reach(ctx context.Context, upstream string)
 	// WaitUp returns the state of a link once it is up, or false if ctx ends first.
 	WaitUp(ctx context.Context, upstream string) (LinkState, bool)
 }
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -324,6 +324,9 @@
 
 func (d *delivery) route(ctx context.Context) (api.RouteChoice, *api.Failure) {
 	r := d.request
+	if d.home != "" {
+		d.service.links.Reach(ctx, d.home)
+	}
 	choice, failure := d.service.routing.Route(ctx, api.RouteQuery{
 		Member:      r.Member,
 		Model:       r.Model,
--- a/service/links/links.go
+++ b/service/links/links.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/subset"
 	"github.com/mulberryfork/mulberryfork/kernel"
 	"github.com/mulberryfork/mulberryfork/wire"
 )
@@ -36,7 +37,12 @@
 	downs *kernel.Mailbox[string]
 	loads *kernel.Mailbox[api.Load]
 
-	// links is replaced as a whole on each change of configuration.
+	demands *kernel.Mailbox[kernel.Call[string, struct{}]]
+	// subset and upstreams are owned by the control loop.
+	subset    *subset.State
+	upstreams map[string]api.Upstream
+
+	// links is replaced as a whole on each change of the links held.
 	links   atomic.Pointer[map[string]*link]
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -84,8 +90,7 @@
 	s.loads = kernel.NewMailbox(c.Loop(), "link.load", eventMailbox, kernel.Drop, s.handleLoad)
 	s.links.Store(&map[string]*link{})
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.store.Subscribe(func(_ time.Duration, snap *api.Snapshot) { s.reconcile(snap) })
-	return nil
+	return s.provisionSubset(c)
 }
 
 // Follow adds a service that is told of link events on the control loop.
@@ -108,26 +113,6 @@
 
 func (*StopError) Error() string { return "links did not close before the deadline" }
 
-// reconcile opens links to new upstreams, and closes those that are gone. It
-// runs on the control loop.
-func (s *service) reconcile(snap *api.Snapshot) {
-	old := *s.links.Load()
-	next := make(map[string]*link, len(snap.Config.Upstreams))
-	for name, u := range snap.Config.Upstreams {
-		if l, ok := old[name]; ok && l.address == u.Agent && l.vm == u.VM {
-			next[name] = l
-			continue
-		}
-		next[name] = s.open(name, u)
-	}
-	s.links.Store(&next)
-	for name, l := range old {
-		if next[name] != l {
-			l.retire()
-		}
-	}
-}
-
 func (s *service) open(upstream string, u api.Upstream) *link {
 	l := newLink(s, upstream, u)
 	s.running.Add(1)
@@ -157,6 +142,7 @@
 
 // Query asks the agent of an upstream for an outcome.
 func (s *service) Query(ctx context.Context, q api.OutcomeQuery) (api.Outcome, error) {
+	s.Reach(ctx, q.Upstream)
 	l, failure := s.find(q.Upstream)
 	if failure != nil {
 		return api.Outcome{Run: api.Unknown}, failure
--- /dev/null
+++ b/service/links/subset.go
@@ -0,0 +1,93 @@
+package links
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/subset"
+	"github.com/mulberryfork/mulberryfork/kernel"
+)
+
+const (
+	demandMailbox = 256
+	// reachWait bounds the wait for a link that is opened on demand.
+	reachWait = dialTimeout
+)
+
+// provisionSubset connects the choice of links to what it depends on.
+func (s *service) provisionSubset(c *kernel.Context) error {
+	s.subset = subset.New(subset.Node{Name: s.settings.Node, Zone: s.settings.Zone})
+	s.demands = kernel.NewMailbox(c.Loop(), "link.demand", demandMailbox, kernel.Wait, s.handleDemand)
+	s.store.Subscribe(s.configure)
+	members, present, err := kernel.LookupOptional[api.Membership](c, api.ServiceMembership)
+	if err != nil {
+		return err
+	}
+	if present {
+		members.Subscribe(s.membership)
+	}
+	c.Loop().Every(subset.MoveInterval, func(now time.Duration) { s.apply(s.subset.Step(now)) })
+	return nil
+}
+
+func (s *service) configure(_ time.Duration, snap *api.Snapshot) {
+	moved := subset.Change{}
+	for name, l := range *s.links.Load() {
+		if u, ok := snap.Config.Upstreams[name]; ok && (u.Agent != l.address || u.VM != l.vm) {
+			moved.Close, moved.Open = append(moved.Close, name), append(moved.Open, name)
+		}
+	}
+	s.upstreams = snap.Config.Upstreams
+	s.apply(moved)
+	region := snap.Config.Zones[s.settings.Zone].Region
+	s.apply(s.subset.Upstreams(region, subset.FromConfig(snap.Config)))
+}
+
+func (s *service) membership(_ time.Duration, members []api.VM) {
+	var routers []subset.Node
+	for _, m := range members {
+		if m.Role == api.RoleRouter && m.State == api.VMLive {
+			routers = append(routers, subset.Node{Name: m.Name, Zone: m.Zone})
+		}
+	}
+	s.subset.Routers(routers)
+}
+
+// apply closes and opens links. A link that is in both lists has a new address.
+func (s *service) apply(c subset.Change) {
+	if len(c.Open)+len(c.Close) == 0 {
+		return
+	}
+	next := maps.Clone(*s.links.Load())
+	for _, name := range c.Close {
+		if l := next[name]; l != nil {
+			l.retire()
+			delete(next, name)
+		}
+	}
+	for _, name := range c.Open {
+		next[name] = s.open(name, s.upstreams[name])
+	}
+	s.links.Store(&next)
+}
+
+func (s *service) handleDemand(now time.Duration, c kernel.Call[string, struct{}]) {
+	s.apply(s.subset.Demand(now, c.Query))
+	c.Reply(struct{}{})
+}
+
+// Reach opens a link outside the subset, for a key that is bound to its
+// upstream, and waits until it is up.
+func (s *service) Reach(ctx context.Context, upstream string) {
+	if _, failure := s.find(upstream); failure == nil {
+		return
+	}
+	if _, err := kernel.Ask(ctx, s.demands, upstream); err != nil {
+		return
+	}
+	wait, cancel := context.WithTimeout(ctx, reachWait)
+	defer cancel()
+	s.WaitUp(wait, upstream)
+}
