Let the pace of load reports follow the number of links

Cause: ten load reports a second on each link exceed 2 KB/s from a few links on. Change: the time between reports and the cache changes in them follow the number of links at the end that has more (decide/subset.PaceOf).

--- a/api/names.go
+++ b/api/names.go
@@ -6,6 +6,7 @@
 	ServiceConfigStore     = "config.store"
 	ServiceMembership      = "membership"
 	ServiceTransportLinks  = "transport.links"
+	ServiceTransportSubset = "transport.subset"
 	ServiceTransportServer = "transport.server"
 	ServiceTransportPeers  = "transport.peers"
 	ServiceTrust           = "trust"
--- a/api/services.go
+++ b/api/services.go
@@ -103,6 +103,13 @@
 	WaitUp(ctx context.Context, upstream string) (LinkState, bool)
 }
 
+// LinkRouters is implemented by links that choose their agents by the routers
+// on the membership list.
+type LinkRouters interface {
+	// Routers takes the list. It must be called on the control loop.
+	Routers(members []VM)
+}
+
 // LinkEvents is implemented by services that follow links on the control loop.
 type LinkEvents interface {
 	LinkUp(now time.Duration, upstream string, s LinkState)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/mulberryfork/mulberryfork/service/peers"
 	"github.com/mulberryfork/mulberryfork/service/report"
 	"github.com/mulberryfork/mulberryfork/service/routing"
+	"github.com/mulberryfork/mulberryfork/service/subset"
 	"github.com/mulberryfork/mulberryfork/service/trust"
 	"github.com/mulberryfork/mulberryfork/service/work"
 )
@@ -46,6 +47,7 @@
 func RouterServices() []string {
 	return append(append([]string(nil), common...),
 		api.ServiceTransportLinks,
+		api.ServiceTransportSubset,
 		api.ServiceAdmission,
 		api.ServiceRouting,
 		api.ServiceDispatch,
@@ -83,6 +85,7 @@
 		peers.Register,
 		report.Register,
 		routing.Register,
+		subset.Register,
 		trust.Register,
 		work.Register,
 	} {
--- a/decide/subset/subset_test.go
+++ b/decide/subset/subset_test.go
@@ -131,3 +131,18 @@
 		}
 	})
 }
+
+// TestPaceKeepsWithinItsShare guards against reports that exceed the budget of
+// control traffic, and against an interval longer than a heartbeat.
+func TestPaceKeepsWithinItsShare(t *testing.T) {
+	for links := 1; links <= 24; links++ {
+		p := PaceOf(links)
+		bytes := float64(links*(reportBytes+p.Changes*changeBytes)) / p.Interval.Seconds()
+		if p.Interval > LongestReport || bytes > ReportBytes+1 {
+			t.Errorf("%d links: %+v makes %.0f bytes a second", links, p, bytes)
+		}
+	}
+	if p := PaceOf(1000); p.Interval != LongestReport || p.Changes != 0 {
+		t.Errorf("%+v for 1000 links", p)
+	}
+}
--- a/service/links/subset.go
+++ b/service/links/subset.go
@@ -21,13 +21,6 @@
 	s.subset = subset.New(subset.Node{Name: s.settings.Node, Zone: s.settings.Zone})
 	s.demands = kernel.NewMailbox(c.Loop(), "link.demand", demandMailbox, kernel.Wait, s.handleDemand)
 	s.store.Subscribe(s.configure)
-	members, present, err := kernel.LookupOptional[api.Membership](c, api.ServiceMembership)
-	if err != nil {
-		return err
-	}
-	if present {
-		members.Subscribe(s.membership)
-	}
 	c.Loop().Every(subset.MoveInterval, func(now time.Duration) { s.apply(s.subset.Step(now)) })
 	return nil
 }
@@ -45,7 +38,8 @@
 	s.apply(s.subset.Upstreams(region, subset.FromConfig(snap.Config)))
 }
 
-func (s *service) membership(_ time.Duration, members []api.VM) {
+// Routers takes the routers on the membership list, on the control loop.
+func (s *service) Routers(members []api.VM) {
 	var routers []subset.Node
 	for _, m := range members {
 		if m.Role == api.RoleRouter && m.State == api.VMLive {
--- a/service/linkserver/link.go
+++ b/service/linkserver/link.go
@@ -12,11 +12,6 @@
 
 const (
 	outboundFrames = 1024
-	// reportInterval is the shortest time between two load reports on a link.
-	reportInterval = 100 * time.Millisecond
-	// reportedChanges bounds the changes of the prefix cache in one report, so
-	// that control traffic stays within its budget.
-	reportedChanges = 32
 	// defaultWindow is the credit of an order that names none.
 	defaultWindow = 256 << 10
 )
@@ -168,7 +163,7 @@
 }
 
 // write sends frames as they come, a load report after a change of load but
-// not more often than the report interval, and a heartbeat when idle.
+// not more often than the pace allows, and a heartbeat when idle.
 func (l *link) write() {
 	defer l.cancel()
 	if !l.flush(l.hello(), l.report()) {
@@ -178,6 +173,7 @@
 	timer := time.NewTimer(wire.HeartbeatInterval)
 	defer timer.Stop()
 	last := time.Now()
+	due := last.Add(wire.HeartbeatInterval)
 	for {
 		select {
 		case <-l.ctx.Done():
@@ -187,14 +183,19 @@
 				return
 			}
 		case <-changed:
-			changed = nil
-			timer.Reset(l.reportWait(time.Since(last)))
+			// A later change may be more urgent than the one that waits.
+			_, changed = l.server.work.Load()
+			if at := time.Now().Add(l.reportWait(time.Since(last))); at.Before(due) {
+				due = at
+				timer.Reset(time.Until(due))
+			}
 		case <-timer.C:
+			_, changed = l.server.work.Load()
 			if !l.flush(l.report()) {
 				return
 			}
 			last = time.Now()
-			_, changed = l.server.work.Load()
+			due = last.Add(wire.HeartbeatInterval)
 			timer.Reset(wire.HeartbeatInterval)
 		}
 	}
@@ -208,7 +209,7 @@
 		l.told = load.Suspicions
 		return 0
 	}
-	return max(reportInterval-since, 0)
+	return max(l.server.pace().Interval-since, 0)
 }
 
 func (l *link) flush(frames ...*wire.AgentFrame) bool {
@@ -247,7 +248,7 @@
 // addCacheChanges adds the changes that this link has not reported yet, as far
 // as one report may hold them. What is left out shows as a gap in CacheSeq.
 func (l *link) addCacheChanges(load *api.Load) {
-	changes := l.server.work.CacheChanges()
+	changes, most := l.server.work.CacheChanges(), l.server.pace().Changes
 	if n := len(changes); n > 0 && changes[n-1].Seq < l.cacheSeq {
 		// The engine restarted and counts from the beginning.
 		l.cacheSeq = 0
@@ -256,7 +257,7 @@
 		if c.Seq <= l.cacheSeq {
 			continue
 		}
-		if len(load.PrefixAdded)+len(load.PrefixDropped) == reportedChanges {
+		if len(load.PrefixAdded)+len(load.PrefixDropped) >= most {
 			break
 		}
 		l.cacheSeq = c.Seq
--- a/service/linkserver/server.go
+++ b/service/linkserver/server.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc/drpcctx"
@@ -17,6 +18,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/subset"
 	"github.com/mulberryfork/mulberryfork/kernel"
 	"github.com/mulberryfork/mulberryfork/wire"
 )
@@ -43,6 +45,9 @@
 	draining chan struct{}
 	served   chan struct{}
 	orders   sync.WaitGroup
+	// links counts the open links, routerLinks those of a router nearby, as
+	// the configuration makes them.
+	links, routerLinks atomic.Int64
 }
 
 type counters struct {
@@ -84,9 +89,20 @@
 		return nil
 	}
 	s.work = work
+	s.store.Subscribe(s.configure)
 	return wire.DRPCRegisterLink(s.mux, s)
 }
 
+func (s *service) configure(_ time.Duration, snap *api.Snapshot) {
+	router := subset.Node{Zone: s.settings.Zone, Region: snap.Config.Zones[s.settings.Zone].Region}
+	s.routerLinks.Store(int64(subset.Size(router, subset.FromConfig(snap.Config))))
+}
+
+// pace follows the number of links at the end that has more of them.
+func (s *service) pace() subset.Pace {
+	return subset.PaceOf(int(max(s.links.Load(), s.routerLinks.Load())))
+}
+
 // RegisterPeer adds the calls between any two processes.
 func (s *service) RegisterPeer(p wire.DRPCPeerServer) error { return wire.DRPCRegisterPeer(s.mux, p) }
 
@@ -208,6 +224,8 @@
 		s.counts.foreign.Add(1)
 		return &HelloError{}
 	}
+	s.links.Add(1)
+	defer s.links.Add(-1)
 	l := newLink(s, stream)
 	l.router = hello.GetNode()
 	l.sighted(hello.GetRevision())
--- /dev/null
+++ b/service/subset/register.go
@@ -0,0 +1,30 @@
+// Package subset tells the links of a router which other routers there are.
+// Membership follows the links, so the links cannot look it up themselves.
+package subset
+
+import (
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel"
+)
+
+// Register adds the service under its name.
+func Register(r *kernel.Registry) error {
+	return r.Register(api.ServiceTransportSubset, func() any { return &service{} })
+}
+
+type service struct{}
+
+func (s *service) Provision(c *kernel.Context) error {
+	links, err := kernel.Lookup[api.LinkRouters](c, api.ServiceTransportLinks)
+	if err != nil {
+		return err
+	}
+	membership, err := kernel.Lookup[api.Membership](c, api.ServiceMembership)
+	if err != nil {
+		return err
+	}
+	membership.Subscribe(func(_ time.Duration, members []api.VM) { links.Routers(members) })
+	return nil
+}
