Hedge idempotent requests within the retry budget

Cause: decide/retrybudget.Hedge existed, but no service asked it, so an idempotent request waited for one slow upstream however long it took.

Change: dispatch keeps the times from a send to its first chunk for each pool (decide/hedge) and, after their 95th percentile, sends an idempotent request without a head to a second upstream. The first to produce a head claims the answer; the other is cancelled and its late frames are dropped. The budget is asked on the control loop by admission.SpendHedge. A send's failure no longer closes the answer while its hedge is open.

Conclusion: a request is hedged at most once, never after the caller got something, never if it is non-idempotent or runs in isolation.

--- a/api/metrics.go
+++ b/api/metrics.go
@@ -62,6 +62,7 @@
 	{"failures", MetricCounter, "answers", "code", "router", "answers that ended in a failure, by code"},
 	{"failures_run", MetricCounter, "answers", "run", "router", "answers that ended in a failure, by run state"},
 	{"retries", MetricCounter, "sends", "", "router", "sends after the first of a request"},
+	{"hedges", MetricCounter, "sends", "", "router", "second concurrent sends of idempotent requests that waited for their head"},
 	{"resumes", MetricCounter, "sends", "", "router", "streams that went on at another upstream"},
 	{"retries_denied", MetricCounter, "sends", "", "router", "retries refused by the retry budget"},
 	{"outcome_queries", MetricCounter, "queries", "", "router", "queries for the outcome of a send after a lost link"},
--- a/api/services.go
+++ b/api/services.go
@@ -125,6 +125,17 @@
 	Enter(ctx context.Context, member string, costTokens uint32) (release func(), failure *Failure)
 	// SpendRetry takes one retry from the budgets of the member and the process.
 	SpendRetry(ctx context.Context, member string) bool
+	// SpendHedge takes a second concurrent send from the same budgets.
+	SpendHedge(ctx context.Context, h Hedge) bool
+}
+
+// Hedge is a request that waits for its head and may be sent a second time.
+type Hedge struct {
+	Member     string
+	Idempotent bool
+	// Waited is the time since the send, Threshold the one to exceed.
+	Waited    time.Duration
+	Threshold time.Duration
 }
 
 // RouteQuery asks for an upstream.
--- /dev/null
+++ b/decide/hedge/hedge.go
@@ -0,0 +1,82 @@
+// Package hedge derives, for each pool of upstreams, how long a send may wait
+// for its first chunk before a second one is worth its cost.
+package hedge
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// MinThreshold keeps fast pools from hedging on scheduling delays.
+	MinThreshold = 100 * time.Millisecond
+	// MinSamples are needed before a quantile says anything about the tail.
+	MinSamples = 100
+	// keptSamples bounds the memory of a pool, so that old times fade.
+	keptSamples = 512
+	// recomputeEvery is the number of samples between two thresholds.
+	recomputeEvery = 32
+	// maxPools bounds the memory; further pools are not hedged.
+	maxPools = 256
+	// quantilePercent of the times are below the threshold.
+	quantilePercent = 95
+)
+
+// State holds the last times to the first chunk of each pool.
+type State struct {
+	pools map[string]*pool
+}
+
+type pool struct {
+	// times is a ring once it is full; next is the place of the oldest.
+	times     []time.Duration
+	next      int
+	fresh     int
+	threshold time.Duration
+}
+
+// New returns a state without samples.
+func New() *State { return &State{pools: make(map[string]*pool)} }
+
+// Observe takes one time to the first chunk and says whether the threshold of
+// the pool was computed anew.
+func (s *State) Observe(name string, d time.Duration) bool {
+	p := s.pools[name]
+	if p == nil {
+		if len(s.pools) >= maxPools {
+			return false
+		}
+		p = &pool{}
+		s.pools[name] = p
+	}
+	p.add(d)
+	if len(p.times) < MinSamples || p.threshold > 0 && p.fresh < recomputeEvery {
+		return false
+	}
+	p.fresh = 0
+	sorted := slices.Sorted(slices.Values(p.times))
+	rank := (len(sorted)*quantilePercent + 99) / 100
+	p.threshold = max(sorted[rank-1], MinThreshold)
+	return true
+}
+
+func (p *pool) add(d time.Duration) {
+	p.fresh++
+	if len(p.times) < keptSamples {
+		p.times = append(p.times, d)
+		return
+	}
+	p.times[p.next] = d
+	p.next = (p.next + 1) % keptSamples
+}
+
+// Thresholds returns the threshold of each pool that has enough samples.
+func (s *State) Thresholds() map[string]time.Duration {
+	out := make(map[string]time.Duration, len(s.pools))
+	for name, p := range s.pools {
+		if p.threshold > 0 {
+			out[name] = p.threshold
+		}
+	}
+	return out
+}
--- a/service/admission/admission.go
+++ b/service/admission/admission.go
@@ -22,6 +22,7 @@
 	retryAfterBusy = time.Second
 	firstMailbox   = 4096
 	retryMailbox   = 1024
+	hedgeMailbox   = 1024
 )
 
 // Register adds the service under its name.
@@ -37,6 +38,7 @@
 	streams  atomic.Int64
 	firsts   *kernel.Mailbox[string]
 	retries  *kernel.Mailbox[kernel.Call[string, bool]]
+	hedges   *kernel.Mailbox[kernel.Call[api.Hedge, bool]]
 	// budget belongs to the control loop.
 	budget *retrybudget.State
 }
@@ -75,6 +77,11 @@
 		func(_ time.Duration, member string) { s.budget.FirstSend(member) })
 	s.retries = kernel.NewMailbox(c.Loop(), "admission.retry", retryMailbox, kernel.Wait,
 		func(_ time.Duration, call kernel.Call[string, bool]) { call.Reply(s.budget.Retry(call.Query)) })
+	s.hedges = kernel.NewMailbox(c.Loop(), "admission.hedge", hedgeMailbox, kernel.Wait,
+		func(_ time.Duration, call kernel.Call[api.Hedge, bool]) {
+			h := call.Query
+			call.Reply(s.budget.Hedge(h.Member, h.Idempotent, h.Waited, h.Threshold))
+		})
 	s.store.Subscribe(s.configure)
 	return nil
 }
@@ -159,3 +166,9 @@
 	granted, err := kernel.Ask(ctx, s.retries, member)
 	return err == nil && granted
 }
+
+// SpendHedge takes a second concurrent send from the same budgets.
+func (s *service) SpendHedge(ctx context.Context, h api.Hedge) bool {
+	granted, err := kernel.Ask(ctx, s.hedges, h)
+	return err == nil && granted
+}
--- a/service/dispatch/attempt.go
+++ b/service/dispatch/attempt.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -12,6 +11,7 @@
 // from writing to the caller while the next one does.
 type attempt struct {
 	delivery   *delivery
+	race       *race
 	send       api.SendID
 	exchange   api.Exchange
 	done       chan api.End
@@ -38,6 +38,9 @@
 	if a.detached {
 		return &DetachedError{}
 	}
+	if !a.race.claim(a) {
+		return &DetachedError{}
+	}
 	d := a.delivery
 	if !d.assembly.Head(h) {
 		return nil
@@ -56,7 +59,7 @@
 func (a *attempt) Chunk(c api.Chunk) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.detached {
+	if a.detached || !a.race.claim(a) {
 		a.delivery.service.counts.late.Add(1)
 		return &DetachedError{}
 	}
@@ -103,28 +106,23 @@
 	if a.detached {
 		return
 	}
+	if e.Failure != nil && !a.race.claimed(a) {
+		// Another send of the race may still answer, so the answer stays open.
+		a.done <- api.End{Failure: e.Failure}
+		return
+	}
+	if !a.race.claim(a) {
+		return
+	}
 	assembly := a.delivery.assembly
 	assembly.End(e)
 	assembly.Break(api.Fail(api.CodeStreamBroken, api.Unknown, "chunks of the answer are missing"))
 	a.done <- api.End{Chunks: assembly.Delivered(), Failure: assembly.Failure()}
 }
 
-// wait returns the end of the attempt. If the caller goes away, an idempotent
-// request is cancelled; any other runs on at its agent.
-func (a *attempt) wait(ctx context.Context, x api.Exchange, cancel bool) api.End {
-	select {
-	case e := <-a.done:
-		return e
-	case <-ctx.Done():
-	}
+// detach keeps whatever still arrives for the attempt from the caller.
+func (a *attempt) detach() {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.detached = true
-	a.mu.Unlock()
-	if cancel {
-		x.Cancel()
-	}
-	if f, ok := context.Cause(ctx).(*api.Failure); ok {
-		return api.End{Failure: f}
-	}
-	return api.End{Failure: &api.Failure{Code: api.CodeCanceled, Run: api.Unknown, Err: context.Cause(ctx)}}
 }
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -58,6 +58,8 @@
 	exhausted bool
 	// uncertain is set once a send may have run.
 	uncertain bool
+	// hedged is set once a second concurrent send was made.
+	hedged bool
 }
 
 // bind settles where a request with a caller's key belongs.
@@ -271,9 +273,10 @@
 	return false
 }
 
-// send makes one attempt. The second result is false if nothing left this process.
+// send makes one attempt, and a hedge where it is worth it. The second result
+// is false if nothing left this process.
 func (d *delivery) send(ctx context.Context) (api.End, bool) {
-	choice, failure := d.route(ctx)
+	choice, failure := d.route(ctx, nil)
 	if failure != nil && d.refused != nil {
 		// That no further upstream is left says less than why the last one did
 		// not answer.
@@ -283,46 +286,15 @@
 	if failure != nil {
 		return api.End{Failure: failure}, false
 	}
-	d.attempt++
-	d.revision = choice.Revision
-	d.assembly.Resume(d.attempt)
-	a := &attempt{delivery: d, done: make(chan api.End, 1)}
-	order, failure := d.order(choice)
-	if failure != nil {
-		d.finish(choice, d.service.clock.Now(), a, failure, true)
-		return api.End{Failure: failure}, false
-	}
-	a.send = order.Send
-	began := d.service.clock.Now()
-	exchange, err := d.service.links.Send(ctx, order, a)
-	if err != nil {
-		failure := asFailure(err, api.NotRun)
-		d.finish(choice, began, a, failure, true)
+	r := newRace(d)
+	if failure := r.launch(ctx, choice); failure != nil {
 		return api.End{Failure: failure}, false
 	}
-	end := a.wait(ctx, exchange, d.request.Idempotent)
-	d.finish(choice, began, a, end.Failure, false)
-	return end, true
-}
-
-func (d *delivery) finish(choice api.RouteChoice, began time.Duration, a *attempt, f *api.Failure, unsent bool) {
-	d.last = choice.Upstream
-	if f != nil {
-		d.exclude = append(d.exclude, choice.Upstream)
-		d.refused = f
-	}
-	d.service.routing.Done(api.RouteResult{
-		Upstream:   choice.Upstream,
-		Ticket:     choice.Ticket,
-		Unsent:     unsent,
-		CostTokens: d.request.CostTokens,
-		Failure:    f,
-		FirstChunk: a.firstChunk,
-		Total:      d.service.clock.Now() - began,
-	})
+	return r.run(ctx), true
 }
 
-func (d *delivery) route(ctx context.Context) (api.RouteChoice, *api.Failure) {
+// route chooses an upstream other than those tried already and those in use.
+func (d *delivery) route(ctx context.Context, inUse []string) (api.RouteChoice, *api.Failure) {
 	r := d.request
 	choice, failure := d.service.routing.Route(ctx, api.RouteQuery{
 		Member:      r.Member,
@@ -331,7 +303,7 @@
 		Prefix:      r.Prefix,
 		CostTokens:  r.CostTokens,
 		Priority:    r.Priority,
-		Exclude:     d.exclusions(),
+		Exclude:     slices.Concat(d.exclusions(), inUse),
 		Only:        d.home,
 		Leaving:     d.home != "",
 		Fingerprint: r.Fingerprint,
@@ -351,7 +323,7 @@
 	return d.exclude
 }
 
-func (d *delivery) order(choice api.RouteChoice) (api.Order, *api.Failure) {
+func (d *delivery) order(choice api.RouteChoice, resumeFrom uint64) (api.Order, *api.Failure) {
 	r := d.request
 	left := remaining(d.begin+r.Deadline, d.service.clock.Now())
 	if left == 0 {
@@ -382,7 +354,7 @@
 		Path:         r.Path,
 		Headers:      r.Headers,
 		Body:         r.Body,
-		ResumeFrom:   d.assembly.Delivered(),
+		ResumeFrom:   resumeFrom,
 		WindowBytes:  windowBytes,
 	}, nil
 }
--- a/service/dispatch/dispatch.go
+++ b/service/dispatch/dispatch.go
@@ -34,11 +34,12 @@
 	metrics   api.Metrics
 	clock     kernel.Clock
 	counts    counters
+	tails     tails
 }
 
 type counters struct {
-	retries, resumes, denied, queries, keys api.Counter
-	duplicate, foreign, late                api.Counter
+	retries, resumes, denied, queries, keys, hedges api.Counter
+	duplicate, foreign, late                        api.Counter
 }
 
 func (s *service) Provision(c *kernel.Context) (err error) {
@@ -68,8 +69,10 @@
 		keys:      s.metrics.Counter("keys_issued", ""),
 		duplicate: s.metrics.Counter("chunks_duplicate", ""),
 		foreign:   s.metrics.Counter("chunks_foreign", ""),
+		hedges:    s.metrics.Counter("hedges", ""),
 		late:      s.metrics.Counter("chunks_late", ""),
 	}
+	s.tails.provision(c.Loop())
 	return nil
 }
 
--- a/service/dispatch/stale_test.go
+++ b/service/dispatch/stale_test.go
@@ -59,7 +59,8 @@
 func (r *router) Enter(context.Context, string, uint32) (func(), *api.Failure) {
 	return func() {}, nil
 }
-func (r *router) SpendRetry(context.Context, string) bool { r.spent++; return true }
+func (r *router) SpendHedge(context.Context, api.Hedge) bool { return false }
+func (r *router) SpendRetry(context.Context, string) bool    { r.spent++; return true }
 
 func (r *router) Route(_ context.Context, q api.RouteQuery) (api.RouteChoice, *api.Failure) {
 	r.excluded = append(r.excluded, slices.Clone(q.Exclude))
@@ -94,6 +95,16 @@
 func (s *sink) End(e api.End)         { s.end = e }
 
 func (r *router) dispatch(t *testing.T, q api.Request) *api.Failure {
+	t.Helper()
+	r.Clock = kernel.NewRuntimeClock()
+	q.ID, q.Member, q.Deadline = "r", "desk", time.Minute
+	s := &sink{}
+	start(t, r, r.Clock).Dispatch(t.Context(), q, s)
+	return s.end.Failure
+}
+
+// start runs a dispatcher with a stand-in for the services around it.
+func start(t *testing.T, r any, clock kernel.Clock) api.Dispatcher {
 	t.Helper()
 	registry := kernel.NewRegistry()
 	for _, name := range []string{api.ServiceConfigStore, api.ServiceRouting, api.ServiceTransportLinks, api.ServiceAdmission} {
@@ -106,20 +117,16 @@
 			t.Fatal(err)
 		}
 	}
-	r.Clock = kernel.NewRuntimeClock()
-	host := kernel.NewHost(registry, registry.Names(), kernel.Options{Clock: r.Clock})
+	host := kernel.NewHost(registry, registry.Names(), kernel.Options{Clock: clock})
 	if err := host.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = host.Stop(context.Background()) }()
+	t.Cleanup(func() { _ = host.Stop(context.Background()) })
 	d, err := kernel.Find[api.Dispatcher](host, api.ServiceDispatch)
 	if err != nil {
 		t.Fatal(err)
 	}
-	q.ID, q.Member, q.Deadline = "r", "desk", time.Minute
-	s := &sink{}
-	d.Dispatch(t.Context(), q, s)
-	return s.end.Failure
+	return d
 }
 
 func stale(theirs uint64) *api.Failure {
