Recall running copies of suspects, and tell suspicions in digests

Cause: news of crashes went over links only, so news lost there never arrived, and a copy that already ran elsewhere went on to crash its upstream. decide/poison had Recall and Digest, but no service used them.

Change: work stops idempotent runs outside isolation when news make them suspects, and reports the suspicion to its routers. The run ends as suspect with run state unknown, which the dispatcher sends again within the retry budget after the pause it makes after a crash.

Conclusion: recall and digests are as in the model, but for orders that wait in the queue, which are not checked again for suspects.

--- a/api/metrics.go
+++ b/api/metrics.go
@@ -87,6 +87,7 @@
 	{"work_cold_falls", MetricCounter, "events", "reason", "agent", "falls back to the cold limit, by reason"},
 	{"work_crashes", MetricCounter, "events", "", "agent", "crashes of the upstream that were noticed"},
 	{"work_isolated", MetricCounter, "requests", "", "agent", "suspect requests run in isolation"},
+	{"work_recalled", MetricCounter, "requests", "", "agent", "idempotent runs stopped because the request crashed an upstream elsewhere"},
 	{"ledger_entries", MetricGauge, "keys", "", "agent", "keys in the ledger"},
 	{"ledger_repeats", MetricCounter, "requests", "", "agent", "requests answered from the ledger"},
 	{"ledger_tombstones", MetricCounter, "sends", "", "agent", "sends that were promised not to start"},
--- a/api/peers.go
+++ b/api/peers.go
@@ -45,6 +45,8 @@
 	Seq       uint64
 	Version   ConfigVersion
 	Sightings []Sighting
+	// Suspicions are a part of what the process knows of suspects.
+	Suspicions []Suspicion
 }
 
 // DigestVerdict says what a process does with a digest.
--- a/api/suspicion.go
+++ b/api/suspicion.go
@@ -1,6 +1,9 @@
 package api
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Crash is one crash of an upstream while it ran a request.
 type Crash struct {
@@ -22,3 +25,12 @@
 	Fingerprint uint64
 	Crashes     []Crash
 }
+
+// Suspicions is implemented by the service of a process that knows suspects.
+type Suspicions interface {
+	// Learn takes news of crashes and does not wait for its effect.
+	Learn(news []Suspicion)
+	// TellSuspicions returns up to n of those known, a different part each
+	// time, for the digests between processes.
+	TellSuspicions(ctx context.Context, n int) []Suspicion
+}
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -138,7 +138,7 @@
 // backoff spreads retries out. After a crash of the upstream it also leaves
 // time for the agent's news of it, so that the request is routed as a suspect.
 func (d *delivery) backoff(f *api.Failure) time.Duration {
-	if crashed(f) {
+	if crashed(f) || recalled(f) {
 		return crashPause
 	}
 	if f.Run == api.NotRun && f.RetryAfter == 0 {
@@ -148,6 +148,10 @@
 	return retrybudget.Backoff(int(d.attempt), min(f.RetryAfter, longestBackoff), rand.Float64())
 }
 
+// recalled tells a run that the agent stopped, because the request crashed an
+// upstream elsewhere, from the refusal of a suspect.
+func recalled(f *api.Failure) bool { return f.Code == api.CodeSuspect && f.Run != api.NotRun }
+
 func crashed(f *api.Failure) bool {
 	return f.Code == api.CodeUpstreamFailed || f.Code == api.CodeStreamBroken
 }
@@ -225,7 +229,7 @@
 }
 
 func (d *delivery) repeatable(f *api.Failure) bool {
-	if !retryable(f.Code) {
+	if !retryable(f.Code) && !recalled(f) {
 		return false
 	}
 	if d.headSent && !d.resumable {
--- a/service/dispatch/race.go
+++ b/service/dispatch/race.go
@@ -144,7 +144,7 @@
 	d := r.delivery
 	d.uncertain = d.uncertain || e.Failure.Run != api.NotRun
 	d.finish(c, e.Failure, false)
-	if r.failed == nil || retryable(r.failed.Failure.Code) {
+	if r.failed == nil || retryable(r.failed.Failure.Code) || recalled(r.failed.Failure) {
 		// A failure that another send would repeat is the one to report.
 		r.failed = &e
 	}
--- a/service/dispatch/stale_test.go
+++ b/service/dispatch/stale_test.go
@@ -135,7 +135,8 @@
 
 // Guards against refusals of a changed configuration that spend the retry
 // budget, against a request that is routed to an agent which is behind, and
-// against one that is given up although it can be resent.
+// against one that is given up although it can be resent, such
+// as a recalled run, which is not the refusal of a suspect.
 func TestStaleRefusals(t *testing.T) {
 	const now, hold, elsewhere, giveUp = api.ResendNow, api.ResendHold, api.ResendElsewhere, api.ResendGiveUp
 	overloaded := api.Fail(api.CodeOverloaded, api.NotRun, "full")
@@ -153,6 +154,8 @@
 		{"elsewhere", api.Request{Idempotent: true}, []*api.Failure{stale(6), nil}, []api.ResendVerdict{elsewhere}, []string{"u1"}, 0, ""},
 		{"a booking elsewhere", api.Request{}, []*api.Failure{stale(6), nil}, []api.ResendVerdict{elsewhere}, []string{"u1"}, 0, ""},
 		{"given up", api.Request{}, []*api.Failure{stale(9)}, []api.ResendVerdict{hold, giveUp}, nil, 0, api.CodeStaleRevision},
+		{"a recalled run", api.Request{Idempotent: true}, []*api.Failure{api.Fail(api.CodeSuspect, api.Unknown, "recalled"), nil}, nil, []string{"u1"}, 1, ""},
+		{"a refused suspect", api.Request{Idempotent: true}, []*api.Failure{api.Fail(api.CodeSuspect, api.NotRun, "alone")}, nil, nil, 0, api.CodeSuspect},
 		{"another refusal", api.Request{Idempotent: true}, []*api.Failure{overloaded, nil}, nil, []string{"u1"}, 1, ""},
 	}
 	for _, c := range cases {
--- a/service/peers/client.go
+++ b/service/peers/client.go
@@ -141,7 +141,7 @@
 }
 
 // digest is what this process says of itself.
-func (s *service) digest(seq uint64) api.PeerDigest {
+func (s *service) digest(ctx context.Context, seq uint64) api.PeerDigest {
 	return api.PeerDigest{
 		Node:        s.settings.Node,
 		Role:        s.role,
@@ -150,6 +150,7 @@
 		Seq:         seq,
 		Version:     s.spread.Version(),
 		Sightings:   s.observations.Sightings(),
+		Suspicions:  s.suspicions(ctx),
 	}
 }
 
@@ -157,7 +158,7 @@
 func (s *service) Exchange(ctx context.Context, name string) (api.ConfigVersion, error) {
 	var reply api.PeerDigest
 	err := s.call(ctx, name, func(c wire.DRPCPeerClient) error {
-		m, err := c.Exchange(ctx, wire.FromDigest(s.digest(s.sent.Add(1))))
+		m, err := c.Exchange(ctx, wire.FromDigest(s.digest(ctx, s.sent.Add(1))))
 		if err == nil {
 			reply = wire.ToDigest(m)
 		}
@@ -170,6 +171,7 @@
 		s.count(verdict)
 		return api.ConfigVersion{}, &DigestError{Node: reply.Node, Verdict: verdict}
 	}
+	s.hear(reply.Suspicions)
 	return reply.Version, nil
 }
 
--- a/service/peers/peers.go
+++ b/service/peers/peers.go
@@ -35,9 +35,11 @@
 	registrar    wire.Registrar
 	spread       api.ConfigSpread
 	observations api.Observations
-	clock        kernel.Clock
-	role         string
-	incarnation  api.Incarnation
+	// suspects is nil in a process that knows none.
+	suspects    api.Suspicions
+	clock       kernel.Clock
+	role        string
+	incarnation api.Incarnation
 	// sent numbers the digests that are sent on the own initiative.
 	sent atomic.Uint64
 
@@ -84,6 +86,9 @@
 	if err := s.identify(c); err != nil {
 		return err
 	}
+	if err := s.findSuspects(c); err != nil {
+		return err
+	}
 	s.clock = c.Clock()
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.pool = drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
--- a/service/peers/peers_test.go
+++ b/service/peers/peers_test.go
@@ -35,6 +35,19 @@
 	verdict api.DigestVerdict
 	seqs    []uint64
 	told    []api.Sighting
+	learned []api.Suspicion
+}
+
+// suspects stands for the routing service of a router.
+type suspects struct{ *process }
+
+func (s suspects) Learn(news []api.Suspicion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learned = append(s.learned, news...)
+}
+func (s suspects) TellSuspicions(_ context.Context, n int) []api.Suspicion {
+	return make([]api.Suspicion, n, n+1)[:min(n, len(s.name))]
 }
 
 func (p *process) Current() *api.Snapshot                    { return nil }
@@ -87,6 +100,7 @@
 	for service, f := range map[string]kernel.Factory{
 		api.ServiceConfigStore: func() any { return store{p} },
 		api.ServiceMembership:  func() any { return membership{p} },
+		api.ServiceRouting:     func() any { return suspects{p} },
 		api.ServiceMetrics:     func() any { return p.metrics },
 	} {
 		if err := r.Register(service, f); err != nil {
@@ -162,6 +176,9 @@
 	if len(b.seqs) != 3 || b.seqs[0] >= b.seqs[1] || b.seqs[1] >= b.seqs[2] {
 		t.Errorf("digests numbered %v", b.seqs)
 	}
+	if len(a.learned) != 3 || len(b.learned) != 3 {
+		t.Errorf("a learned %d suspicions, b %d, want one with each digest", len(a.learned), len(b.learned))
+	}
 	c, err := a.carrier.Fetch(ctx, "b", b.version, a.version)
 	if err != nil || c.Version != b.version || string(c.Files["x.toml"]) != "x" {
 		t.Errorf("fetched %+v, %v", c, err)
@@ -179,7 +196,7 @@
 	if _, err := a.carrier.Exchange(ctx, "b"); err == nil {
 		t.Error("a refused digest was answered")
 	}
-	if len(b.heard) != 0 || b.total(t, "peer_replayed") != 1 {
+	if len(b.heard) != 0 || len(b.learned) != 0 || b.total(t, "peer_replayed") != 1 {
 		t.Errorf("heard %v, counted %d", b.heard, b.total(t, "peer_replayed"))
 	}
 	var backoff *peers.BackoffError
--- a/service/peers/server.go
+++ b/service/peers/server.go
@@ -54,8 +54,9 @@
 		s.count(verdict)
 		return nil, &DigestError{Node: d.Node, Verdict: verdict}
 	}
+	s.hear(d.Suspicions)
 	s.spread.Heard(ctx, d.Node, d.Version)
-	return wire.FromDigest(s.digest(0)), nil
+	return wire.FromDigest(s.digest(ctx, 0)), nil
 }
 
 // Fetch returns the content in force here.
--- a/service/routing/routing.go
+++ b/service/routing/routing.go
@@ -19,6 +19,8 @@
 const (
 	queryMailbox  = 4096
 	resultMailbox = 4096
+	learnMailbox  = 64
+	tellMailbox   = 64
 	tickInterval  = time.Second
 	// correctionInterval exceeds the interval at which agents report the cost
 	// they served.
@@ -46,6 +48,8 @@
 	ejected api.Counter
 	queries *kernel.Mailbox[kernel.Call[api.RouteQuery, answer]]
 	results *kernel.Mailbox[api.RouteResult]
+	learns  *kernel.Mailbox[[]api.Suspicion]
+	tells   *kernel.Mailbox[kernel.Call[int, []api.Suspicion]]
 
 	// The control loop owns the fields below.
 	state    *route.State
@@ -87,6 +91,10 @@
 	s.shares = sharecorrect.New(sharecorrect.Config{Gain: correctionGain, MaxFactor: maxCorrection})
 	s.queries = kernel.NewMailbox(c.Loop(), "routing.query", queryMailbox, kernel.Wait, s.answer)
 	s.results = kernel.NewMailbox(c.Loop(), "routing.result", resultMailbox, kernel.Wait, s.settle)
+	// News that are dropped come again with a later digest.
+	s.learns = kernel.NewMailbox(c.Loop(), "routing.learn", learnMailbox, kernel.Drop, s.learn)
+	s.tells = kernel.NewMailbox(c.Loop(), "routing.tell", tellMailbox, kernel.Wait,
+		func(now time.Duration, c kernel.Call[int, []api.Suspicion]) { c.Reply(s.suspects.Digest(now, c.Query)) })
 	membership, present, err := kernel.LookupOptional[api.Membership](c, api.ServiceMembership)
 	if err != nil {
 		return err
@@ -142,11 +150,28 @@
 		s.shares.Report(l)
 	}
 	s.zones.Load(l)
-	if news := s.suspects.Learn(now, l.Suspicions); len(news) > 0 {
+	s.learn(now, l.Suspicions)
+}
+
+// learn merges news of crashes and passes on what was new.
+func (s *service) learn(now time.Duration, heard []api.Suspicion) {
+	if news := s.suspects.Learn(now, heard); len(news) > 0 {
 		s.links.Tell(news)
 	}
 }
 
+// Learn takes news of crashes from another process.
+func (s *service) Learn(news []api.Suspicion) { _ = s.learns.Post(context.Background(), news) }
+
+// TellSuspicions returns a part of the suspects known.
+func (s *service) TellSuspicions(ctx context.Context, n int) []api.Suspicion {
+	told, err := kernel.Ask(ctx, s.tells, n)
+	if err != nil {
+		return nil
+	}
+	return told
+}
+
 func (s *service) configure(now time.Duration, snap *api.Snapshot) {
 	s.state.Configure(snap)
 	s.zones.Configure(now, snap)
--- a/service/work/control.go
+++ b/service/work/control.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
@@ -58,6 +59,8 @@
 	ticket   coldstart.Ticket
 	started  time.Duration
 	isolated bool
+	// recall stops an idempotent run, nil for any other.
+	recall context.CancelCauseFunc
 	// generated is counted by the traffic goroutine, sampled is what the last
 	// sample saw of it.
 	generated atomic.Int64
@@ -102,7 +105,7 @@
 }
 
 type counters struct {
-	crashes, isolated, repeats, tombstones api.Counter
+	crashes, isolated, recalled, repeats, tombstones api.Counter
 }
 
 func newControl(s *service) *control {
@@ -125,6 +128,7 @@
 		counts: counters{
 			crashes:    s.metrics.Counter("work_crashes", ""),
 			isolated:   s.metrics.Counter("work_isolated", ""),
+			recalled:   s.metrics.Counter("work_recalled", ""),
 			repeats:    s.metrics.Counter("ledger_repeats", ""),
 			tombstones: s.metrics.Counter("ledger_tombstones", ""),
 		},
--- a/service/work/pump.go
+++ b/service/work/pump.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"context"
 	"hash/fnv"
 	"strconv"
 	"time"
@@ -110,7 +111,11 @@
 	a := &active{order: o, ticket: c.cold.Start(int(o.CostTokens)), started: now, isolated: isolated}
 	c.running[o.Send] = a
 	c.service.metrics.Counter("work_started", o.Member).Add(1)
-	w.call.Reply(grant{verdict: run, expires: c.service.started + w.deadline, generated: &a.generated})
+	g := grant{verdict: run, expires: c.service.started + w.deadline, generated: &a.generated}
+	if o.Idempotent {
+		g.recalled, a.recall = context.WithCancelCause(context.Background())
+	}
+	w.call.Reply(g)
 }
 
 // finish accounts for a run that ended, whatever its result.
--- /dev/null
+++ b/service/work/recall.go
@@ -0,0 +1,85 @@
+package work
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel"
+)
+
+// Learn takes news of crashes from a router or a peer.
+func (s *service) Learn(news []api.Suspicion) { _ = s.learns.Post(context.Background(), news) }
+
+// TellSuspicions returns a part of the suspects known.
+func (s *service) TellSuspicions(ctx context.Context, n int) []api.Suspicion {
+	told, err := kernel.Ask(ctx, s.tells, n)
+	if err != nil {
+		return nil
+	}
+	return told
+}
+
+// learn merges news of crashes and stops running copies of new suspects.
+func (c *control) learn(now time.Duration, heard []api.Suspicion) {
+	if len(c.suspects.Learn(now, heard)) > 0 {
+		c.recall(now)
+	}
+}
+
+// recall stops idempotent runs that became suspects since they started, before
+// they crash this upstream as well. The news go out with the next report, so
+// that the routers place the requests in isolation.
+func (c *control) recall(now time.Duration) {
+	batch := make([]uint64, 0, len(c.running))
+	for _, a := range c.running {
+		if a.recall != nil && !a.isolated {
+			batch = append(batch, a.order.Fingerprint)
+		}
+	}
+	recalled := c.suspects.Recall(now, batch)
+	if len(recalled) == 0 {
+		return
+	}
+	for _, a := range c.running {
+		if a.recall != nil && !a.isolated && slices.Contains(recalled, a.order.Fingerprint) {
+			a.recall(recalledFailure())
+			a.recall = nil
+			c.counts.recalled.Add(1)
+		}
+	}
+	slices.Sort(recalled)
+	for _, fp := range slices.Compact(recalled) {
+		c.news = append(c.news, c.suspects.Known(now, fp)...)
+	}
+	c.publish()
+}
+
+// recalledFailure is the end of a run that was stopped. Unlike the refusal of a
+// suspect it does not claim that nothing ran.
+func recalledFailure() *api.Failure {
+	return api.Fail(api.CodeSuspect, api.Unknown, "the run was recalled because the request crashed an upstream elsewhere")
+}
+
+// recallable returns a context that also ends when the run is recalled.
+func (g grant) recallable(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(g.recalled, func() { cancel(context.Cause(g.recalled)) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// explain tells the router of a run that was recalled. Any other failure that
+// came first stands.
+func (g grant) explain(f *api.Failure) *api.Failure {
+	if f == nil || f.Code != api.CodeCanceled || g.recalled == nil {
+		return f
+	}
+	if recalled, ok := context.Cause(g.recalled).(*api.Failure); ok {
+		return recalled
+	}
+	return f
+}
--- a/service/work/work.go
+++ b/service/work/work.go
@@ -20,6 +20,7 @@
 	cancelMailbox  = 4096
 	queryMailbox   = 256
 	learnMailbox   = 64
+	tellMailbox    = 64
 	// longestRun bounds a run that no router can cancel, so that an upstream
 	// that never answers does not hold its place for good.
 	longestRun = 10 * time.Minute
@@ -49,6 +50,7 @@
 	queries  *kernel.Mailbox[kernel.Call[api.OutcomeQuery, api.Outcome]]
 	drains   *kernel.Mailbox[struct{}]
 	learns   *kernel.Mailbox[[]api.Suspicion]
+	tells    *kernel.Mailbox[kernel.Call[int, []api.Suspicion]]
 
 	control *control
 	report  atomic.Pointer[report]
@@ -83,6 +85,8 @@
 	expires time.Duration
 	// generated counts the tokens of a run while it goes on.
 	generated *atomic.Int64
+	// recalled ends when the run is to be stopped, nil if it never is.
+	recalled context.Context
 }
 
 // finish tells the control loop how a run ended.
@@ -148,7 +152,11 @@
 	s.drains = kernel.NewMailbox(l, "work.drain", 1, kernel.Latest,
 		func(now time.Duration, _ struct{}) { ctl.drain(now - s.started) })
 	s.learns = kernel.NewMailbox(l, "work.learn", learnMailbox, kernel.Drop,
-		func(now time.Duration, news []api.Suspicion) { ctl.suspects.Learn(now-s.started, news) })
+		func(now time.Duration, news []api.Suspicion) { ctl.learn(now-s.started, news) })
+	s.tells = kernel.NewMailbox(l, "work.tell", tellMailbox, kernel.Wait,
+		func(now time.Duration, c kernel.Call[int, []api.Suspicion]) {
+			c.Reply(ctl.suspects.Digest(now-s.started, c.Query))
+		})
 	l.Every(progressInterval, func(now time.Duration) { ctl.sample(now - s.started) })
 	l.Every(servedInterval, func(now time.Duration) { ctl.reportServed(now - s.started) })
 	l.Every(expiryInterval, func(now time.Duration) { ctl.pump(now - s.started) })
@@ -180,9 +188,6 @@
 // CacheChanges returns the last changes of the engine's prefix cache.
 func (s *service) CacheChanges() []api.CacheChange { return *s.cache.Load() }
 
-// Learn takes news of crashes from a router.
-func (s *service) Learn(news []api.Suspicion) { _ = s.learns.Post(context.Background(), news) }
-
 // Drain stops new work.
 func (s *service) Drain() { _ = s.drains.Post(context.Background(), struct{}{}) }
 
@@ -237,7 +242,9 @@
 func (s *service) run(ctx context.Context, o api.Order, g grant, sink api.Sink) api.End {
 	f := finish{send: o.Send}
 	if o.Idempotent {
-		f.usage, f.failure = s.start(ctx, o, g, sink)
+		recallable, release := g.recallable(ctx)
+		defer release()
+		f.usage, f.failure = s.start(recallable, o, g, sink)
 	} else {
 		limited, cancel := context.WithTimeout(ctx, longestRun)
 		defer cancel()
@@ -247,7 +254,7 @@
 		f.answer = &r.answer
 	}
 	_ = s.finishes.Post(context.Background(), f)
-	return api.End{Chunks: f.usage.Chunks, Failure: f.failure}
+	return api.End{Chunks: f.usage.Chunks, Failure: g.explain(f.failure)}
 }
 
 // start checks the grant once more, since this goroutine may have been paused
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -13,6 +13,9 @@
 // PeerSightings bounds the sightings of one digest that are read.
 const PeerSightings = 64
 
+// PeerSuspicions bounds the suspicions of one digest that are read.
+const PeerSuspicions = 16
+
 // FromDigest encodes a digest.
 func FromDigest(d api.PeerDigest) *Digest {
 	m := &Digest{
@@ -23,6 +26,7 @@
 		Seq:         d.Seq,
 		Revision:    d.Version.Revision,
 		Content:     d.Version.Content,
+		Suspicions:  FromSuspicions(d.Suspicions),
 	}
 	for _, s := range d.Sightings {
 		m.Sightings = append(m.Sightings, &Sighting{
@@ -37,7 +41,8 @@
 	return m
 }
 
-// ToDigest decodes a digest. Sightings beyond the bound are ignored.
+// ToDigest decodes a digest. Sightings and suspicions beyond their bounds are
+// ignored.
 func ToDigest(m *Digest) api.PeerDigest {
 	d := api.PeerDigest{
 		Node:        m.GetNode(),
@@ -47,6 +52,8 @@
 		Seq:         m.GetSeq(),
 		Version:     api.ConfigVersion{Revision: m.GetRevision(), Content: m.GetContent()},
 	}
+	suspicions := m.GetSuspicions()
+	d.Suspicions = ToSuspicions(suspicions[:min(len(suspicions), PeerSuspicions)])
 	sightings := m.GetSightings()
 	for _, s := range sightings[:min(len(sightings), PeerSightings)] {
 		d.Sightings = append(d.Sightings, api.Sighting{
--- a/wire/peer_test.go
+++ b/wire/peer_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against a field of a message between peers that its codec forgets,
-// and against a digest that claims more sightings than are read.
+// and against a digest that claims more sightings or suspicions than are read.
 func TestEveryPeerFieldSurvives(t *testing.T) {
 	digest, content := filled[api.PeerDigest](), filled[api.ConfigContent]()
 	if got := wire.ToDigest(through(t, wire.FromDigest(digest), &wire.Digest{})); !reflect.DeepEqual(got, digest) {
@@ -29,6 +29,10 @@
 	if n := len(wire.ToDigest(wire.FromDigest(digest)).Sightings); n != wire.PeerSightings {
 		t.Errorf("%d sightings were read", n)
 	}
+	digest.Suspicions = make([]api.Suspicion, 3*wire.PeerSuspicions)
+	if n := len(wire.ToDigest(wire.FromDigest(digest)).Suspicions); n != wire.PeerSuspicions {
+		t.Errorf("%d suspicions were read", n)
+	}
 }
 
 // FuzzPeerMessages guards the decoders against messages that crash them or
