--- a/service/dispatch/stale_test.go
+++ b/service/dispatch/stale_test.go
@@ -59,7 +59,8 @@
 func (r *router) Enter(context.Context, string, uint32) (func(), *api.Failure) {
 	return func() {}, nil
 }
-func (r *router) SpendRetry(context.Context, string) bool { r.spent++; return true }
+func (r *router) SpendHedge(context.Context, api.Hedge) bool { return false }
+func (r *router) SpendRetry(context.Context, string) bool    { r.spent++; return true }
 
 func (r *router) Route(_ context.Context, q api.RouteQuery) (api.RouteChoice, *api.Failure) {
 	r.excluded = append(r.excluded, slices.Clone(q.Exclude))
@@ -95,6 +96,16 @@
 func (s *sink) End(e api.End)         { s.end = e }
 
 func (r *router) dispatch(t *testing.T, q api.Request) *api.Failure {
+	t.Helper()
+	r.Clock = kernel.NewRuntimeClock()
+	q.ID, q.Member, q.Deadline = "r", "desk", time.Minute
+	s := &sink{}
+	start(t, r, r.Clock).Dispatch(t.Context(), q, s)
+	return s.end.Failure
+}
+
+// start runs a dispatcher with a stand-in for the services around it.
+func start(t *testing.T, r any, clock kernel.Clock) api.Dispatcher {
 	t.Helper()
 	registry := kernel.NewRegistry()
 	for _, name := range []string{api.ServiceConfigStore, api.ServiceRouting, api.ServiceTransportLinks, api.ServiceAdmission} {
@@ -107,20 +118,16 @@
 			t.Fatal(err)
 		}
 	}
-	r.Clock = kernel.NewRuntimeClock()
-	host := kernel.NewHost(registry, registry.Names(), kernel.Options{Clock: r.Clock})
+	host := kernel.NewHost(registry, registry.Names(), kernel.Options{Clock: clock})
 	if err := host.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = host.Stop(context.Background()) }()
+	t.Cleanup(func() { _ = host.Stop(context.Background()) })
 	d, err := kernel.Find[api.Dispatcher](host, api.ServiceDispatch)
 	if err != nil {
 		t.Fatal(err)
 	}
-	q.ID, q.Member, q.Deadline = "r", "desk", time.Minute
-	s := &sink{}
-	d.Dispatch(t.Context(), q, s)
-	return s.end.Failure
+	return d
 }
 
 func stale(theirs uint64) *api.Failure {
@@ -129,7 +136,8 @@
 
 // Guards against refusals of a changed configuration that spend the retry
 // budget, against a request that is routed to an agent which is behind, and
-// against one that is given up although it can be resent.
+// against one that is given up although it can be resent, such
+// as a recalled run, which is not the refusal of a suspect.
 func TestStaleRefusals(t *testing.T) {
 	const now, hold, elsewhere, giveUp = api.ResendNow, api.ResendHold, api.ResendElsewhere, api.ResendGiveUp
 	overloaded := api.Fail(api.CodeOverloaded, api.NotRun, "full")
@@ -147,6 +155,8 @@
 		{"elsewhere", api.Request{Idempotent: true}, []*api.Failure{stale(6), nil}, []api.ResendVerdict{elsewhere}, []string{"u1"}, 0, ""},
 		{"a booking elsewhere", api.Request{}, []*api.Failure{stale(6), nil}, []api.ResendVerdict{elsewhere}, []string{"u1"}, 0, ""},
 		{"given up", api.Request{}, []*api.Failure{stale(9)}, []api.ResendVerdict{hold, giveUp}, nil, 0, api.CodeStaleRevision},
+		{"a recalled run", api.Request{Idempotent: true}, []*api.Failure{api.Fail(api.CodeSuspect, api.Unknown, "recalled"), nil}, nil, []string{"u1"}, 1, ""},
+		{"a refused suspect", api.Request{Idempotent: true}, []*api.Failure{api.Fail(api.CodeSuspect, api.NotRun, "alone")}, nil, nil, 0, api.CodeSuspect},
 		{"another refusal", api.Request{Idempotent: true}, []*api.Failure{overloaded, nil}, nil, []string{"u1"}, 1, ""},
 	}
 	for _, c := range cases {
