--- a/decide/config/config_test.go
+++ b/decide/config/config_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -15,18 +14,11 @@
 
 	"github.com/mulberryfork/mulberryfork/decide/config"
 	"github.com/mulberryfork/mulberryfork/decide/tomltree"
+	"github.com/mulberryfork/mulberryfork/internal/rapidtest"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	set := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20260101", "rapid.checks": "200"} {
-		if !set[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
+	rapidtest.Main(m, rapidtest.Settings{Seed: 20260101, Checks: 200})
 }
 
 func read(t testing.TB, path string) []byte {
--- a/decide/expertmap/main_test.go
+++ b/decide/expertmap/main_test.go
@@ -1,22 +1,11 @@
 package expertmap
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/mulberryfork/mulberryfork/internal/rapidtest"
 )
 
-// TestMain fixes the seed of the random tests unless the command line sets it.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.steps": "120"} {
-		if !given[name] {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
+	rapidtest.Main(m, rapidtest.Settings{Seed: 1, Checks: 300, Steps: 120})
 }
--- a/decide/hash/hash.go
+++ b/decide/hash/hash.go
@@ -17,18 +17,3 @@
 func String(seed uint64, text string) uint64 {
 	return Mix(seed, xxhash.Sum64String(text))
 }
-
-// Rendezvous returns the index of the name with the highest weight for a key,
-// or -1 without names. All callers with the same names agree, in any order of
-// the names.
-func Rendezvous(key uint64, names []string) int {
-	best := -1
-	var top uint64
-	for i, name := range names {
-		w := String(key, name)
-		if best < 0 || w > top || (w == top && name < names[best]) {
-			best, top = i, w
-		}
-	}
-	return best
-}
--- a/decide/idemkey/home.go
+++ b/decide/idemkey/home.go
@@ -3,32 +3,18 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/mulberryfork/mulberryfork/decide/rendezvous"
 )
 
 // Home returns the upstream that a caller-made key belongs to, by rendezvous
 // hashing over the configured upstreams of the service. The order of the list
 // does not matter; it is false only for an empty list.
 func Home(member, key string, upstreams []string) (string, bool) {
-	var best string
-	var bestScore uint64
-	for i, u := range upstreams {
-		s := score(member, key, u)
-		if i == 0 || s > bestScore || (s == bestScore && u < best) {
-			best, bestScore = u, s
-		}
+	best := rendezvous.KeyOf(member, key).Top(1, upstreams)
+	if len(best) == 0 {
+		return "", false
 	}
-	return best, len(upstreams) > 0
-}
-
-// score separates the parts by a zero byte, which no part may contain.
-func score(member, key, upstream string) uint64 {
-	text := make([]byte, 0, len(member)+len(key)+len(upstream)+2)
-	text = append(text, member...)
-	text = append(text, 0)
-	text = append(text, key...)
-	text = append(text, 0)
-	return xxhash.Sum64(append(text, upstream...))
+	return best[0], true
 }
 
 // Evidence is what an agent knows when a caller-made key arrives that is not
--- a/decide/idemkey/main_test.go
+++ b/decide/idemkey/main_test.go
@@ -1,25 +1,11 @@
 package idemkey_test
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/mulberryfork/mulberryfork/internal/rapidtest"
 )
 
-// TestMain fixes the seed of rapid so that a run in CI can be repeated.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{
-		"rapid.seed": "20260801", "rapid.checks": "300", "rapid.nofailfile": "true",
-	} {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
+	rapidtest.Main(m, rapidtest.Settings{Seed: 20260801, Checks: 300})
 }
--- a/decide/limit/main_test.go
+++ b/decide/limit/main_test.go
@@ -1,15 +1,11 @@
 package limit
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/mulberryfork/mulberryfork/internal/rapidtest"
 )
 
 func TestMain(m *testing.M) {
-	// Set before the command line is parsed, which may override them.
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "200")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
+	rapidtest.Main(m, rapidtest.Settings{Seed: 1, Checks: 200})
 }
--- a/decide/poison/place.go
+++ b/decide/poison/place.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
-	"github.com/mulberryfork/mulberryfork/decide/hash"
+	"github.com/mulberryfork/mulberryfork/decide/rendezvous"
 )
 
 const (
@@ -91,11 +91,11 @@
 			names = append(names, c.Name)
 		}
 	}
-	i := hash.Rendezvous(fp, names)
-	if i < 0 {
+	best := rendezvous.Key(fp).Top(1, names)
+	if len(best) == 0 {
 		return "", false
 	}
-	return names[i], true
+	return best[0], true
 }
 
 // HoldAnswer is how long a router holds back the failure of a request that
--- a/decide/spread/main_test.go
+++ b/decide/spread/main_test.go
@@ -1,20 +1,11 @@
 package spread
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/mulberryfork/mulberryfork/internal/rapidtest"
 )
 
-// TestMain fixes the seed of rapid, so that a failure in CI can be repeated.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20261", "rapid.checks": "200"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
+	rapidtest.Main(m, rapidtest.Settings{Seed: 20261, Checks: 200})
 }
