Publish ledger_entries and route_choices

Cause: the table of metrics lists both, but nothing published them.

Change: work publishes the entries of its ledger with each load report, and routing counts choices by what decided them. A choice counts as affinity if another upstream would have been chosen without the cached prefix, as only if there was no alternative, and as work otherwise.

Conclusion: both appear in /debug/vars.

--- a/api/metrics.go
+++ b/api/metrics.go
@@ -76,7 +76,7 @@
 	{"chunk_gap", MetricHistogram, "us", "member", "router", "time between two chunks"},
 	{"request_time", MetricHistogram, "us", "member", "router", "time from arrival to the end"},
 	{"burn", MetricReport, "", "", "router", "counts for the service-level objectives; read by `mulberryfork burn`"},
-	{"route_choices", MetricCounter, "choices", "reason", "router", "choices of upstream, by what decided them"},
+	{"route_choices", MetricCounter, "choices", "reason", "router", "choices of upstream, by what decided them: `affinity` (a cached prefix), `work` (outstanding work and zone) or `only` (no alternative)"},
 	{"route_ejected", MetricCounter, "ejections", "", "router", "upstreams ejected as outliers"},
 	{"work_started", MetricCounter, "requests", "member", "agent", "requests started at the upstream"},
 	{"work_refused", MetricCounter, "requests", "code", "agent", "requests refused before the start, by code"},
--- a/api/services.go
+++ b/api/services.go
@@ -185,8 +185,26 @@
 	Uncached uint32
 	// Lost is what another upstream's cache holds beyond that.
 	Lost uint32
+	// Reason says what decided the choice.
+	Reason RouteReason
 }
 
+// RouteReason says what decided a choice of upstream.
+type RouteReason string
+
+const (
+	// RouteOnly is a choice without an alternative.
+	RouteOnly RouteReason = "only"
+	// RouteAffinity is a choice that would have been another one but for the
+	// prefix that the upstream's cache holds.
+	RouteAffinity RouteReason = "affinity"
+	// RouteWork is a choice by work and zone.
+	RouteWork RouteReason = "work"
+)
+
+// RouteReasons are all of them.
+var RouteReasons = []RouteReason{RouteAffinity, RouteWork, RouteOnly}
+
 // CacheUse says whether an engine served a prompt from its prefix cache.
 type CacheUse uint8
 
--- a/decide/route/choose.go
+++ b/decide/route/choose.go
@@ -32,7 +32,31 @@
 		return api.RouteChoice{}, refuse(best)
 	}
 	chosen := s.pick(now, &q, found, deepest)
-	return s.take(now, &q, chosen), nil
+	choice := s.take(now, &q, chosen)
+	choice.Reason = reason(&q, found, chosen)
+	return choice, nil
+}
+
+// reason compares the choice with the one that no cache would have influenced.
+func reason(q *api.RouteQuery, found []candidate, chosen *upstream) api.RouteReason {
+	if q.Only != "" || len(found) == 1 {
+		return api.RouteOnly
+	}
+	var best, taken *candidate
+	for i := range found {
+		c := &found[i]
+		if c.up == chosen {
+			taken = c
+		}
+		if best == nil || c.score+c.saved < best.score+best.saved ||
+			c.score+c.saved == best.score+best.saved && c.tie < best.tie {
+			best = c
+		}
+	}
+	if taken != best && taken.saved > 0 {
+		return api.RouteAffinity
+	}
+	return api.RouteWork
 }
 
 // candidates returns the upstreams to compare, or the best verdict if there
--- a/decide/route/route_test.go
+++ b/decide/route/route_test.go
@@ -101,6 +101,34 @@
 	}
 }
 
+// TestReasons guards against a choice that counts as decided by a cache or by
+// work when there was no alternative, or the other way round.
+func TestReasons(t *testing.T) {
+	prefix := []uint64{1, 2, 3, 4}
+	query := api.RouteQuery{Member: "a", Model: testModel, CostTokens: 10}
+	s := ready(Options{Zone: "z1", BlockTokens: 100}, config(3))
+	warm := query
+	warm.Prefix, warm.Only = prefix, "u1"
+	cached := query
+	cached.Prefix = prefix
+	for _, c := range []struct {
+		name   string
+		query  api.RouteQuery
+		want   api.RouteReason
+		chosen string
+	}{
+		{"one upstream asked for", warm, api.RouteOnly, "u1"},
+		{"cached in another zone", cached, api.RouteAffinity, "u1"},
+		{"one upstream serves", api.RouteQuery{Member: "a", Service: "book"}, api.RouteOnly, "p0"},
+		{"nothing cached", query, api.RouteWork, ""},
+	} {
+		got := chooseOK(t, s, 0, c.query)
+		if got.Reason != c.want || c.chosen != "" && got.Upstream != c.chosen {
+			t.Errorf("%s: %s for %q, want %q", c.name, got.Upstream, got.Reason, c.want)
+		}
+	}
+}
+
 // TestGapRules guards against an index that is trusted without end, or thrown
 // away, contrary to its rule after a gap in cache events.
 func TestGapRules(t *testing.T) {
--- a/service/routing/routing.go
+++ b/service/routing/routing.go
@@ -46,6 +46,7 @@
 	metrics api.Metrics
 	log     api.Logger
 	ejected api.Counter
+	choices map[api.RouteReason]api.Counter
 	queries *kernel.Mailbox[kernel.Call[api.RouteQuery, answer]]
 	results *kernel.Mailbox[api.RouteResult]
 	learns  *kernel.Mailbox[[]api.Suspicion]
@@ -83,6 +84,10 @@
 		return err
 	}
 	s.ejected = s.metrics.Counter("route_ejected", "")
+	s.choices = make(map[api.RouteReason]api.Counter, len(api.RouteReasons))
+	for _, reason := range api.RouteReasons {
+		s.choices[reason] = s.metrics.Counter("route_choices", string(reason))
+	}
 	s.zones = zone.New()
 	s.senders = make(map[uint64]string)
 	s.state = route.New(route.Options{Zone: settings.Zone, Seed: seed(settings.Node), Gate: s.zones})
@@ -233,6 +238,7 @@
 	if failure == nil {
 		s.zones.Sent(now, q.Member, choice)
 		s.senders[choice.Ticket] = q.Member
+		s.choices[choice.Reason].Add(1)
 	}
 	c.Reply(answer{choice: choice, failure: failure})
 }
--- a/service/work/control.go
+++ b/service/work/control.go
@@ -136,6 +136,7 @@
 	published := func(read func(l api.Load) int64) func() int64 {
 		return func() int64 { return read(s.report.Load().load) }
 	}
+	s.metrics.Gauge("ledger_entries", s.ledgerEntries.Load)
 	s.metrics.Gauge("work_running", published(func(l api.Load) int64 { return int64(l.Running) }))
 	s.metrics.Gauge("work_queued", published(func(l api.Load) int64 { return int64(l.Queued) }))
 	s.metrics.Gauge("work_limit", published(func(l api.Load) int64 { return int64(l.LimitRequests) }))
--- a/service/work/pump.go
+++ b/service/work/pump.go
@@ -264,6 +264,7 @@
 	if c.snap != nil {
 		load.Revision = c.snap.Revision
 	}
+	c.service.ledgerEntries.Store(int64(c.ledger.Counts().Entries))
 	load.Tokens = c.limit.InFlight().Tokens
 	c.service.report.Store(&report{load: load, changed: make(chan struct{})})
 	close(old.changed)
--- a/service/work/work.go
+++ b/service/work/work.go
@@ -57,6 +57,8 @@
 	cache   atomic.Pointer[[]api.CacheChange]
 	// answerBytes is the bound of one recorded answer.
 	answerBytes atomic.Int64
+	// ledgerEntries is published with each report.
+	ledgerEntries atomic.Int64
 }
 
 // report is the published load and the channel closed by the next one.
--- a/service/work/work_test.go
+++ b/service/work/work_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -112,6 +113,7 @@
 	store    *store
 	list     *list
 	upstream *upstream
+	metrics  *metrics.Service
 	work     api.Work
 	sends    int
 }
@@ -119,7 +121,7 @@
 // run starts an agent's work service on a synthetic clock.
 func run(t *testing.T, test func(t *testing.T, b *bed)) {
 	synctest.Test(t, func(t *testing.T) {
-		b := &bed{t: t, store: &store{}, list: &list{}, upstream: &upstream{
+		b := &bed{t: t, store: &store{}, list: &list{}, metrics: metrics.New(), upstream: &upstream{
 			started: make(chan api.Order, 100), release: make(chan *api.Failure, 100),
 		}}
 		r := kernel.NewRegistry()
@@ -127,7 +129,7 @@
 			api.ServiceConfigStore: func() any { return b.store },
 			api.ServiceMembership:  func() any { return b.list },
 			api.ServiceEngine:      func() any { return b.upstream },
-			api.ServiceMetrics:     func() any { return metrics.New() },
+			api.ServiceMetrics:     func() any { return b.metrics },
 		} {
 			if err := r.Register(name, f); err != nil {
 				t.Fatal(err)
@@ -189,7 +191,7 @@
 }
 
 // A resend that reaches the agent while the first send runs, or after it, must
-// get that answer and not run again.
+// get that answer and not run again, and is one key in the ledger.
 func TestResendsShareOneRun(t *testing.T) {
 	run(t, func(t *testing.T, b *bed) {
 		key := b.key()
@@ -197,13 +199,18 @@
 		joined := b.send(t.Context(), b.order(key))
 		b.finish(nil)
 		later := b.send(t.Context(), b.order(key))
+		b.send(t.Context(), b.order(""))
+		if !strings.Contains(b.metrics.JSON(), `"ledger_entries": 1,`) {
+			t.Errorf("one key is not counted: %s", b.metrics.JSON())
+		}
+		b.finish(nil)
 		for i, a := range []*answer{first, joined, later} {
 			if a.end == nil || a.end.Failure != nil || a.body != "booked "+key || a.head.Status != 201 {
 				t.Errorf("answer %d: %+v", i, a)
 			}
 		}
-		if n := len(b.upstream.started); n != 1 {
-			t.Errorf("%d runs", n)
+		if n := len(b.upstream.started); n != 2 {
+			t.Errorf("%d runs of a booking and a look-up", n)
 		}
 	})
 }
