Show a refused configuration revision in the detail of /readyz

Change: the check of config.store appends why the newest revision was refused, while the process stays ready on the last good one. The refusal names its revision and stays until that revision or a later one is in force; adopting an older one used to clear it.

Conclusion: ready stays true, and the detail reads "ok; configuration revision 5 refused: ...".

--- a/api/peers.go
+++ b/api/peers.go
@@ -158,6 +158,13 @@
 	WaitConfirmed(ctx context.Context) bool
 }
 
+// ConfigRefused tells of content that did not validate.
+type ConfigRefused interface {
+	// Refused returns why the newest revision seen was refused, nil if it was
+	// not. The last good one stays in force.
+	Refused() error
+}
+
 // ConfigReader reads the source once, outside a watch.
 type ConfigReader interface {
 	Read(ctx context.Context) (RawConfig, error)
--- a/service/adminhttp/adminhttp.go
+++ b/service/adminhttp/adminhttp.go
@@ -82,6 +82,14 @@
 	return nil
 }
 
+// Refused returns why the newest revision is not in force.
+func (c configured) Refused() error {
+	if r, ok := c.store.(api.ConfigRefused); ok {
+		return r.Refused()
+	}
+	return nil
+}
+
 func (s *service) Start(ctx context.Context) error {
 	var config net.ListenConfig
 	listener, err := config.Listen(ctx, "tcp", s.settings.Listen.Admin)
@@ -135,11 +143,18 @@
 		state.Checks["process"] = "shutting down"
 	}
 	for name, check := range s.checks {
-		state.Checks[name] = "ok"
+		detail := "ok"
 		if err := check.Ready(); err != nil {
 			state.Ready = false
-			state.Checks[name] = err.Error()
+			detail = err.Error()
+		}
+		// A refused revision holds nothing back, since the last good one is in force.
+		if r, ok := check.(api.ConfigRefused); ok {
+			if err := r.Refused(); err != nil {
+				detail += "; " + err.Error()
+			}
 		}
+		state.Checks[name] = detail
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if !state.Ready {
--- a/service/adminhttp/adminhttp_test.go
+++ b/service/adminhttp/adminhttp_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"testing"
 
@@ -14,12 +15,15 @@
 type others struct {
 	api.ConfigStore
 	current *api.Snapshot
+	refused error
 }
 
 func (o *others) Current() *api.Snapshot { return o.current }
+func (o *others) Refused() error         { return o.refused }
 func (o *others) JSON() string           { return "{}" }
 
-// Guards against traffic to a router that has no configuration or drains.
+// Guards against traffic to a router that has no configuration or drains, and
+// against a refused revision that holds back readiness or does not show.
 func TestReadinessNeedsAConfiguration(t *testing.T) {
 	r := kernel.NewRegistry()
 	o := &others{}
@@ -44,20 +48,30 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	expect := func(when string, want int) {
+	expect := func(when string, want int, detail string) {
 		t.Helper()
 		resp, err := http.Get("http://" + admin.Address() + "/readyz")
 		if err != nil {
 			t.Fatal(err)
 		}
-		_ = resp.Body.Close()
-		if resp.StatusCode != want {
-			t.Errorf("%s: status %d, want %d", when, resp.StatusCode, want)
+		defer resp.Body.Close()
+		var body struct {
+			Ready  bool
+			Checks map[string]string
+		}
+		if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+			t.Fatal(err)
+		}
+		if resp.StatusCode != want || body.Ready != (want == http.StatusOK) || body.Checks[api.ServiceConfigStore] != detail {
+			t.Errorf("%s: status %d, want %d, body %+v", when, resp.StatusCode, want, body)
 		}
 	}
-	expect("without a configuration", http.StatusServiceUnavailable)
+	expect("without a configuration", http.StatusServiceUnavailable, "no configuration was accepted yet")
 	o.current = &api.Snapshot{}
-	expect("with a configuration", http.StatusOK)
+	expect("with a configuration", http.StatusOK, "ok")
+	o.refused = &adminhttp.NoConfigurationError{}
+	expect("after a refused revision", http.StatusOK, "ok; no configuration was accepted yet")
+	o.refused = nil
 	admin.Drain()
-	expect("while draining", http.StatusServiceUnavailable)
+	expect("while draining", http.StatusServiceUnavailable, "ok")
 }
--- a/service/configstore/configstore.go
+++ b/service/configstore/configstore.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,7 +84,9 @@
 	Errors   *config.Errors
 }
 
-func (e *RefusedError) Error() string { return "configuration refused: " + e.Errors.Error() }
+func (e *RefusedError) Error() string {
+	return "configuration revision " + strconv.FormatUint(e.Revision, 10) + " refused: " + e.Errors.Error()
+}
 
 // Unwrap returns what is wrong with the files.
 func (e *RefusedError) Unwrap() error { return e.Errors }
@@ -211,6 +214,14 @@
 	return nil
 }
 
+// Refused says why the newest revision seen is not in force, nil if it is.
+func (s *service) Refused() error {
+	if e := s.refused.Load(); e != nil {
+		return e
+	}
+	return nil
+}
+
 // WaitConfirmed waits until the configuration is known to be current.
 func (s *service) WaitConfirmed(ctx context.Context) bool {
 	for {
--- a/service/configstore/configstore_test.go
+++ b/service/configstore/configstore_test.go
@@ -207,7 +207,8 @@
 }
 
 // A process alone, as on a single machine, must not wait for peers, and a
-// content that does not validate must leave the last good one in force.
+// content that does not validate must leave the last good one in force
+// and show until a newer one is.
 func TestAloneTakesTheSource(t *testing.T) {
 	run(t, &api.Settings{Node: "self", Zone: "za"}, func(t *testing.T, b *bed) {
 		if _, none := find[api.ConfigConfirmed](b).Confirmed().(*configstore.NoneError); !none {
@@ -224,6 +225,14 @@
 		if b.revision() != 3 {
 			t.Errorf("revision %d replaced 3", b.revision())
 		}
+		for last, shows := range []bool{true, true, false} {
+			refused, ok := find[api.ConfigRefused](b).Refused().(*configstore.RefusedError)
+			if ok != shows || ok && refused.Revision != 5 || find[api.ConfigConfirmed](b).Confirmed() != nil {
+				t.Errorf("at revision %d: refused %v, confirmed %v", b.revision(), refused, find[api.ConfigConfirmed](b).Confirmed())
+			}
+			b.platform.answers <- revision(uint64(4 + 2*last))
+			synctest.Wait()
+		}
 	})
 }
 
--- a/service/configstore/control.go
+++ b/service/configstore/control.go
@@ -147,7 +147,9 @@
 	if old.snapshot != nil {
 		next.before, next.previous = old.version, old.snapshot.Files
 	}
-	s.refused.Store(nil)
+	if e := s.refused.Load(); e != nil && e.Revision <= v.Revision {
+		s.refused.Store(nil)
+	}
 	s.held.Store(next)
 	changed := make(chan struct{})
 	close(*s.changed.Swap(&changed))
