Check a queued order for suspicion again when its turn comes

An order that was queued before its request crashed the upstream started beside others. The check after the wait now includes the suspects, and sends such an order on to a run in isolation. The new test fails without the change.

--- a/service/work/pump.go
+++ b/service/work/pump.go
@@ -9,6 +9,7 @@
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/ledger"
 	"github.com/mulberryfork/mulberryfork/decide/limit"
+	"github.com/mulberryfork/mulberryfork/decide/poison"
 )
 
 // pump starts what may start now. It runs after every event that could make
@@ -37,15 +38,37 @@
 		}
 		c.queue.Pop(now, free)
 		w := next.Value
-		if f := c.gate(w.order); f != nil {
+		alone, f := c.recheck(now, w)
+		if f != nil || alone {
 			c.queue.Finish(now, w.order.Member, next.Cost, 0)
+		}
+		if f != nil {
 			c.refuse(now, w, f)
 			continue
 		}
+		if alone {
+			// Nothing else may start until the suspect has run.
+			c.pumpIsolated(now)
+			return
+		}
 		c.start(now, w, false)
 	}
 }
 
+// recheck asks again, after the wait, whether an order may start. An order whose
+// request became a suspect meanwhile goes on to a run in isolation.
+func (c *control) recheck(now time.Duration, w *waiter) (alone bool, f *api.Failure) {
+	o := w.order
+	if f := c.gate(o); f != nil {
+		return false, f
+	}
+	alone, f = c.suspects.Check(now, o.Fingerprint, o.Upstream, o.Isolate)
+	if f != nil || !alone {
+		return false, f
+	}
+	return true, c.isolation.Add(poison.Waiting{Fingerprint: o.Fingerprint, Send: o.Send})
+}
+
 // free estimates how many more requests of the present mean size have room, so
 // that the queue can keep headroom. Whether the next one fits is checked apart.
 func (c *control) free() int {
--- a/service/work/work_test.go
+++ b/service/work/work_test.go
@@ -399,3 +399,30 @@
 		b.finish(nil)
 	})
 }
+
+// An order that waits while another copy of its request crashes the upstream
+// must not start beside others when its turn comes.
+func TestQueuedOrderBecomesASuspect(t *testing.T) {
+	run(t, func(t *testing.T, b *bed) {
+		poison := b.order("")
+		b.send(t.Context(), poison)
+		b.send(t.Context(), b.order(""))
+		copied := poison
+		copied.Send.Attempt = 2
+		b.send(t.Context(), copied)
+		b.send(t.Context(), b.order(""))
+		b.finish(api.Fail(api.CodeUpstreamFailed, api.Unknown, "connection lost"))
+		b.finish(api.Fail(api.CodeUpstreamFailed, api.Unknown, "connection lost"))
+		for range 2 {
+			<-b.upstream.started
+		}
+		if o := <-b.upstream.started; o.Fingerprint != poison.Fingerprint {
+			t.Errorf("request %s runs, want the suspect first", o.Send.Request)
+		}
+		if n := len(b.upstream.started); n != 0 {
+			t.Errorf("%d more run beside the suspect", n)
+		}
+		b.finish(nil)
+		b.finish(nil)
+	})
+}
