--- a/service/adminhttp/adminhttp.go
+++ b/service/adminhttp/adminhttp.go
@@ -29,11 +29,6 @@
 	listener net.Listener
 }
 
-// Register adds the service under its name.
-func Register(r *kernel.Registry) error {
-	return r.Register(api.ServiceAdminHTTP, func() any { return &service{} })
-}
-
 // checked are the services whose state holds back readiness, if present.
 var checked = []string{api.ServiceConfigStore, api.ServiceWork, api.ServiceRouting}
 
--- a/service/admission/admission.go
+++ b/service/admission/admission.go
@@ -25,11 +25,6 @@
 	hedgeMailbox   = 1024
 )
 
-// Register adds the service under its name.
-func Register(r *kernel.Registry) error {
-	return r.Register(api.ServiceAdmission, func() any { return &service{} })
-}
-
 type service struct {
 	settings *api.Settings
 	store    api.ConfigStore
--- a/service/configsource/configsource.go
+++ b/service/configsource/configsource.go
@@ -27,11 +27,6 @@
 	maxBytes = 4 << 20
 )
 
-// Register adds the service under its name.
-func Register(r *kernel.Registry) error {
-	return r.Register(api.ServiceConfigSource, func() any { return &service{} })
-}
-
 type service struct {
 	settings *api.Settings
 	client   *http.Client
--- a/service/configstore/configstore.go
+++ b/service/configstore/configstore.go
@@ -23,11 +23,6 @@
 	healthMailbox  = 1
 )
 
-// Register adds the service under its name.
-func Register(r *kernel.Registry) error {
-	return r.Register(api.ServiceConfigStore, func() any { return &service{} })
-}
-
 type service struct {
 	settings *api.Settings
 	source   api.ConfigSource
--- /dev/null
+++ b/service/configstore/register.go
@@ -0,0 +1,11 @@
+package configstore
+
+import (
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel"
+)
+
+// Register adds the service under its name.
+func Register(r *kernel.Registry) error {
+	return r.Register(api.ServiceConfigStore, func() any { return &service{} })
+}
--- a/service/dispatch/dispatch.go
+++ b/service/dispatch/dispatch.go
@@ -18,11 +18,6 @@
 // It exceeds one round of questions.
 const confirmWait = 2 * time.Second
 
-// Register adds the service under its name.
-func Register(r *kernel.Registry) error {
-	return r.Register(api.ServiceDispatch, func() any { return &service{} })
-}
-
 type service struct {
 	store api.ConfigStore
 	// resend and confirmed are nil where the store does not decide on them.
--- a/service/engine/engine.go
+++ b/service/engine/engine.go
@@ -41,11 +41,6 @@
 	runs     api.Counter
 }
 
-// Register adds the service under its name.
-func Register(r *kernel.Registry) error {
-	return r.Register(api.ServiceEngine, func() any { return &service{} })
-}
-
 func (s *service) Provision(c *kernel.Context) (err error) {
 	if s.settings, err = kernel.Value[*api.Settings](c); err != nil {
 		return err
--- a/service/enginefeed/enginefeed.go
+++ b/service/enginefeed/enginefeed.go
@@ -31,11 +31,6 @@
 	mailbox      = 16
 )
 
-// Register adds the service under its name.
-func Register(r *kernel.Registry) error {
-	return r.Register(api.ServiceEngineFeed, func() any { return &service{} })
-}
-
 type service struct {
 	settings  *api.Settings
 	client    *http.Client
--- a/service/frontend/frontend.go
+++ b/service/frontend/frontend.go
@@ -19,11 +19,6 @@
 // deadline of a shutdown.
 const lastWords = 500 * time.Millisecond
 
-// Register adds the service under its name.
-func Register(r *kernel.Registry) error {
-	return r.Register(api.ServiceFrontendHTTP, func() any { return &service{} })
-}
-
 type service struct {
 	settings   *api.Settings
 	store      api.ConfigStore
--- a/service/links/links.go
+++ b/service/links/links.go
@@ -59,11 +59,6 @@
 	state    api.LinkState
 }
 
-// Register adds the service under its name.
-func Register(r *kernel.Registry) error {
-	return r.Register(api.ServiceTransportLinks, func() any { return &service{} })
-}
-
 func (s *service) Provision(c *kernel.Context) (err error) {
 	if s.settings, err = kernel.Value[*api.Settings](c); err != nil {
 		return err
--- a/service/linkserver/server.go
+++ b/service/linkserver/server.go
@@ -54,11 +54,6 @@
 	foreign, refusedRole, orders, replayed api.Counter
 }
 
-// Register adds the service under its name.
-func Register(r *kernel.Registry) error {
-	return r.Register(api.ServiceTransportServer, func() any { return &service{mux: drpcmux.New()} })
-}
-
 func (s *service) Provision(c *kernel.Context) (err error) {
 	if s.settings, err = kernel.Value[*api.Settings](c); err != nil {
 		return err
--- a/service/log/log.go
+++ b/service/log/log.go
@@ -21,11 +21,6 @@
 
 type service struct{ logger *logrus.Logger }
 
-// Register adds the service under its name.
-func Register(r *kernel.Registry) error {
-	return r.Register(api.ServiceLog, func() any { return &service{logger: logrus.New()} })
-}
-
 func (s *service) Provision(c *kernel.Context) error {
 	settings, err := kernel.Value[*api.Settings](c)
 	if err != nil {
--- a/service/metrics/metrics.go
+++ b/service/metrics/metrics.go
@@ -39,11 +39,6 @@
 	unlisted   []string
 }
 
-// Register adds the service under its name.
-func Register(r *kernel.Registry) error {
-	return r.Register(api.ServiceMetrics, func() any { return New() })
-}
-
 // New returns an empty table.
 func New() *Service {
 	s := &Service{
--- a/service/routing/routing.go
+++ b/service/routing/routing.go
@@ -30,11 +30,6 @@
 	maxCorrection  = 64
 )
 
-// Register adds the service under its name.
-func Register(r *kernel.Registry) error {
-	return r.Register(api.ServiceRouting, func() any { return &service{} })
-}
-
 type answer struct {
 	choice  api.RouteChoice
 	failure *api.Failure
--- a/service/trust/trust.go
+++ b/service/trust/trust.go
@@ -50,11 +50,6 @@
 	plain    bool
 }
 
-// Register adds the service under its name.
-func Register(r *kernel.Registry) error {
-	return r.Register(api.ServiceTrust, func() any { return &service{} })
-}
-
 func (s *service) Provision(c *kernel.Context) error {
 	settings, err := kernel.Value[*api.Settings](c)
 	if err != nil {
--- a/service/work/work.go
+++ b/service/work/work.go
@@ -26,11 +26,6 @@
 	longestRun = 10 * time.Minute
 )
 
-// Register adds the service under its name.
-func Register(r *kernel.Registry) error {
-	return r.Register(api.ServiceWork, func() any { return &service{} })
-}
-
 type service struct {
 	settings *api.Settings
 	store    api.ConfigStore
