Test the HTTP front end, and keep escapes in the paths of services

A path such as /visits/caf%C3%A9 reached the upstream decoded, which is not a valid request line. The path now goes on as the caller escaped it.

--- /dev/null
+++ b/service/frontend/frontend_test.go
@@ -0,0 +1,232 @@
+package frontend_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/service/frontend"
+	"github.com/mulberryfork/mulberryfork/service/metrics"
+)
+
+// store holds one configuration.
+type store struct{ snap *api.Snapshot }
+
+func (s store) Current() *api.Snapshot                     { return s.snap }
+func (store) Subscribe(func(time.Duration, *api.Snapshot)) {}
+func (store) Ready() <-chan struct{}                       { return nil }
+func (store) WaitRevision(context.Context, uint64) bool    { return true }
+
+// admission knows one member.
+type admission struct{ api.Admission }
+
+func (admission) Authenticate(token string) (api.Caller, *api.Failure) {
+	if token != "secret" {
+		return api.Caller{}, api.Fail(api.CodeUnauthenticated, api.NotRun, "unknown bearer token")
+	}
+	return api.Caller{Member: "desk"}, nil
+}
+
+func (admission) Enter(context.Context, string, uint32) (func(), *api.Failure) { return func() {}, nil }
+
+// dispatcher answers as the test says and keeps the request.
+type dispatcher struct {
+	api.Dispatcher
+	got    api.Request
+	answer func(api.Request, api.Sink)
+}
+
+func (d *dispatcher) Dispatch(_ context.Context, r api.Request, s api.Sink) {
+	d.got = r
+	d.answer(r, s)
+}
+
+type addressed interface{ Address() string }
+
+func serve(t *testing.T, answer func(api.Request, api.Sink)) (*dispatcher, string) {
+	t.Helper()
+	d := &dispatcher{answer: answer}
+	r := kernel.NewRegistry()
+	snap := &api.Snapshot{Config: &api.Config{
+		Models:   map[string]api.Model{"m": {MaxOutputTokens: 100}},
+		Services: map[string]api.Plain{"booking": {Timeout: api.Duration(time.Second)}},
+	}}
+	for name, s := range map[string]any{
+		api.ServiceConfigStore: store{snap}, api.ServiceAdmission: admission{}, api.ServiceDispatch: d,
+	} {
+		if err := r.Register(name, func() any { return s }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := r.Register(api.ServiceMetrics, func() any { return metrics.New() }); err != nil {
+		t.Fatal(err)
+	}
+	if err := frontend.Register(r); err != nil {
+		t.Fatal(err)
+	}
+	settings := &api.Settings{
+		Listen: api.Listen{HTTP: "127.0.0.1:0"},
+		Limits: api.Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 10, ReadTimeout: api.Duration(time.Minute), RequestTimeout: api.Duration(time.Minute)},
+	}
+	host := kernel.NewHost(r, r.Names(), kernel.Options{Values: []any{settings}})
+	if err := host.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = host.Stop(context.Background()) })
+	f, err := kernel.Find[addressed](host, api.ServiceFrontendHTTP)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d, "http://" + f.Address()
+}
+
+type call struct {
+	method, path, token, body string
+	headers                   map[string]string
+}
+
+func (c call) do(t *testing.T, url string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), c.method, url+c.path, strings.NewReader(c.body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	for name, value := range c.headers {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func whole(_ api.Request, s api.Sink) {
+	_ = s.Head(api.Head{Status: http.StatusOK, Headers: []api.Header{{Name: "Content-Type", Value: "text/plain"}}})
+	_ = s.Chunk(api.Chunk{Seq: 1, Payload: []byte("done")})
+	s.End(api.End{Chunks: 1})
+}
+
+// Bad input must get a typed failure that says that nothing ran, and must not
+// reach the dispatcher.
+func TestBadRequestsAreRefused(t *testing.T) {
+	completion := `{"model":"m","prompt":"p"}`
+	cases := []struct {
+		name   string
+		call   call
+		status int
+		code   api.Code
+	}{
+		{"no token", call{"POST", "/v1/completions", "", completion, nil}, 401, api.CodeUnauthenticated},
+		{"wrong token", call{"POST", "/v1/completions", "guess", completion, nil}, 401, api.CodeUnauthenticated},
+		{"not JSON", call{"POST", "/v1/completions", "secret", "{", nil}, 400, api.CodeBadRequest},
+		{"no model", call{"POST", "/v1/completions", "secret", "{}", nil}, 400, api.CodeBadRequest},
+		{"unknown model", call{"POST", "/v1/completions", "secret", `{"model":"x"}`, nil}, 404, api.CodeUnknownModel},
+		{"unknown service", call{"GET", "/services/none/x", "secret", "", nil}, 404, api.CodeUnknownService},
+		{"unknown path", call{"GET", "/v2", "secret", "", nil}, 404, api.CodeNotFound},
+		{"wrong method", call{"DELETE", "/v1/models", "secret", "", nil}, 405, api.CodeMethodNotAllowed},
+		{"large body", call{"POST", "/v1/completions", "secret", strings.Repeat("x", 2<<10), nil}, 413, api.CodeBodyTooLarge},
+		{"timeout", call{"POST", "/v1/completions", "secret", completion, map[string]string{"X-Request-Timeout": "soon"}}, 400, api.CodeBadRequest},
+		{"priority", call{"POST", "/v1/completions", "secret", completion, map[string]string{"X-Priority": "100"}}, 400, api.CodeBadRequest},
+		{"event id", call{"POST", "/v1/completions", "secret", completion, map[string]string{"Last-Event-ID": "x"}}, 400, api.CodeBadRequest},
+		{"key for nothing", call{"POST", "/v1/keys", "secret", "{}", nil}, 400, api.CodeBadRequest},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d, url := serve(t, whole)
+			resp, body, err := c.call.do(t, url)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var failure struct {
+				Error struct {
+					Code api.Code     `json:"code"`
+					Run  api.RunState `json:"run"`
+				} `json:"error"`
+			}
+			if err := json.Unmarshal([]byte(body), &failure); err != nil {
+				t.Fatalf("body %q: %v", body, err)
+			}
+			if resp.StatusCode != c.status || failure.Error.Code != c.code || failure.Error.Run != api.NotRun {
+				t.Errorf("status %d, %+v", resp.StatusCode, failure.Error)
+			}
+			if d.got.ID != "" {
+				t.Error("the request was dispatched")
+			}
+		})
+	}
+}
+
+// Options of callers must reach the dispatcher, and the caller's secrets must
+// not reach the upstream.
+func TestRequestIsDecoded(t *testing.T) {
+	d, url := serve(t, whole)
+	resp, body, err := call{"POST", "/services/booking/visits/caf%C3%A9?day=1", "secret", "{}", map[string]string{
+		"Idempotency-Key": "k1", "X-Priority": "3", "X-Request-Timeout": "500ms", "Last-Event-ID": "r:7",
+		"X-Idempotent": "false", "Accept-Language": "pt",
+	}}.do(t, url)
+	if err != nil || resp.StatusCode != http.StatusOK || body != "done" || resp.Header.Get("X-Request-Id") != d.got.ID {
+		t.Fatalf("%d %q %v", resp.StatusCode, body, err)
+	}
+	r := d.got
+	if r.Member != "desk" || r.Service != "booking" || r.Key != "k1" || r.Priority != 3 || r.ResumeFrom != 7 ||
+		r.Idempotent || r.Deadline != 500*time.Millisecond || r.Path != "/visits/caf%C3%A9?day=1" {
+		t.Errorf("request %+v", r)
+	}
+	language := false
+	for _, h := range r.Headers {
+		language = language || h.Name == "Accept-Language"
+		if h.Name == "Authorization" || h.Name == "Idempotency-Key" {
+			t.Errorf("header %s goes to the upstream", h.Name)
+		}
+	}
+	if !language {
+		t.Error("the caller's own header is lost")
+	}
+}
+
+// An answer that breaks off must end visibly, never as a short success.
+func TestBrokenAnswersShow(t *testing.T) {
+	broken := api.Fail(api.CodeStreamBroken, api.Ran, "the upstream went away")
+	for _, kind := range []string{"text/event-stream", "application/json"} {
+		t.Run(kind, func(t *testing.T) {
+			_, url := serve(t, func(_ api.Request, s api.Sink) {
+				_ = s.Head(api.Head{Status: http.StatusOK, Headers: []api.Header{{Name: "Content-Type", Value: kind}}})
+				_ = s.Chunk(api.Chunk{Seq: 1, Payload: []byte("one")})
+				s.End(api.End{Failure: broken})
+			})
+			_, body, err := call{"POST", "/v1/completions", "secret", `{"model":"m","stream":true}`, nil}.do(t, url)
+			if err == nil {
+				t.Errorf("the body %q ended without an error", body)
+			}
+			if kind == "text/event-stream" && !strings.Contains(body, "event: error\ndata: {\"error\":{\"code\":\"stream_broken\"") {
+				t.Errorf("body %q", body)
+			}
+		})
+	}
+}
+
+// Event ids must let a caller go on after the last event it has.
+func TestEventsCarryIDs(t *testing.T) {
+	d, url := serve(t, func(r api.Request, s api.Sink) {
+		_ = s.Head(api.Head{Status: http.StatusOK, Headers: []api.Header{{Name: "Content-Type", Value: "text/event-stream"}}})
+		_ = s.Chunk(api.Chunk{Seq: r.ResumeFrom + 1, Payload: []byte("a\nb")})
+		s.End(api.End{Chunks: r.ResumeFrom + 1})
+	})
+	_, body, err := call{"POST", "/v1/completions", "secret", `{"model":"m","stream":true}`, map[string]string{"Last-Event-ID": "old:4"}}.do(t, url)
+	want := "id: " + d.got.ID + ":5\ndata: a\ndata: b\n\n"
+	if err != nil || body != want {
+		t.Errorf("body %q, want %q, %v", body, want, err)
+	}
+}
--- a/service/frontend/request.go
+++ b/service/frontend/request.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -131,7 +132,7 @@
 	if !ok {
 		return request, api.Fail(api.CodeUnknownService, api.NotRun, "no service "+name)
 	}
-	path := "/" + chi.URLParam(r, "*")
+	path := servicePath(r, name)
 	request.Service = name
 	request.Idempotent = idempotency.Of(plain, r.Method, path, callerMark(r))
 	request.Path = path
@@ -145,6 +146,11 @@
 	return request, nil
 }
 
+// servicePath returns the path below the service, escaped as the caller sent it.
+func servicePath(r *http.Request, service string) string {
+	return strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+url.PathEscape(service))
+}
+
 func (s *service) baseRequest(r *http.Request, caller api.Caller) (api.Request, *api.Failure) {
 	body, failure := s.readBody(r)
 	if failure != nil {
