--- /dev/null
+++ b/decide/fence/main_test.go
@@ -0,0 +1,15 @@
+package fence
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	// Set before the command line is parsed, which may override them.
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "200")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
