--- a/api/names.go
+++ b/api/names.go
@@ -17,7 +17,6 @@
 	ServiceWork            = "work"
 	ServiceEngine          = "engine"
 	ServiceEngineFeed      = "engine.feed"
-	ServiceExperts         = "experts"
 	ServiceMetrics         = "metrics"
 	ServiceAdminHTTP       = "admin.http"
 	ServiceLog             = "log"
--- a/service/linkserver/server.go
+++ b/service/linkserver/server.go
@@ -101,11 +101,6 @@
 // RegisterPeer adds the calls between any two processes.
 func (s *service) RegisterPeer(p wire.DRPCPeerServer) error { return wire.DRPCRegisterPeer(s.mux, p) }
 
-// RegisterGroup adds the calls between agents of one group.
-func (s *service) RegisterGroup(g wire.DRPCGroupServer) error {
-	return wire.DRPCRegisterGroup(s.mux, g)
-}
-
 // CheckRole refuses a caller whose certificate lacks a role.
 func (s *service) CheckRole(ctx context.Context, role string) error {
 	id, err := s.peer(ctx)
--- a/wire/registrar.go
+++ b/wire/registrar.go
@@ -5,9 +5,8 @@
 // Registrar is the part of the transport server that other services need to
 // answer calls on the process's link address.
 type Registrar interface {
-	// RegisterPeer and RegisterGroup add calls while services are provisioned.
+	// RegisterPeer adds the calls of peers while services are provisioned.
 	RegisterPeer(DRPCPeerServer) error
-	RegisterGroup(DRPCGroupServer) error
 	// CheckRole refuses a caller whose certificate lacks the role; an empty
 	// role accepts any process of the system.
 	CheckRole(ctx context.Context, role string) error
