--- a/api/services.go
+++ b/api/services.go
@@ -93,8 +93,8 @@
 	Query(ctx context.Context, q OutcomeQuery) (Outcome, error)
 	// State returns what is known of the link to an upstream's agent.
 	State(upstream string) LinkState
-	// Tell passes news of crashes to all agents; it does not wait for them.
-	Tell(news []Suspicion)
+	// BroadcastSuspicions passes crash reports to all agents; it does not wait for them.
+	BroadcastSuspicions(suspicions []Suspicion)
 	// Reach makes sure that there is a link to an upstream that the process does
 	// not hold links to otherwise. It waits for a link that it opens, and
 	// returns at once if there is one already, up or down.
@@ -280,8 +280,8 @@
 	// Load returns the present report and a channel that is closed once a newer
 	// one is published.
 	Load() (Load, <-chan struct{})
-	// Learn takes news of crashes from a router.
-	Learn(news []Suspicion)
+	// MergeSuspicions takes crash reports from a router.
+	MergeSuspicions(suspicions []Suspicion)
 	// CacheChanges returns the last changes of the engine's prefix cache. The
 	// slice must not be changed.
 	CacheChanges() []CacheChange
--- a/api/suspicion.go
+++ b/api/suspicion.go
@@ -28,9 +28,9 @@
 
 // Suspicions is implemented by the service of a process that knows suspects.
 type Suspicions interface {
-	// Learn takes news of crashes and does not wait for its effect.
-	Learn(news []Suspicion)
-	// TellSuspicions returns up to n of those known, a different part each
+	// MergeSuspicions takes crash reports and does not wait for its effect.
+	MergeSuspicions(suspicions []Suspicion)
+	// KnownSuspicions returns up to n of those known, a different part each
 	// time, for the digests between processes.
-	TellSuspicions(ctx context.Context, n int) []Suspicion
+	KnownSuspicions(ctx context.Context, n int) []Suspicion
 }
--- a/bench/poison_agent.go
+++ b/bench/poison_agent.go
@@ -195,7 +195,7 @@
 	if a.dead {
 		return
 	}
-	news := a.state.Learn(a.pool.events.Now(), heard)
+	news := a.state.Merge(a.pool.events.Now(), heard)
 	if len(news) == 0 {
 		return
 	}
--- a/bench/poison_router.go
+++ b/bench/poison_router.go
@@ -126,7 +126,7 @@
 }
 
 func (r *poisonRouter) learn(heard []api.Suspicion) {
-	news := r.state.Learn(r.pool.events.Now(), heard)
+	news := r.state.Merge(r.pool.events.Now(), heard)
 	if len(news) == 0 {
 		return
 	}
--- a/decide/poison/machine_test.go
+++ b/decide/poison/machine_test.go
@@ -46,8 +46,8 @@
 }
 
 type message struct {
-	to   int
-	told []api.Suspicion
+	to     int
+	shared []api.Suspicion
 }
 
 // spread drives several processes that crash, clear, restart and exchange
@@ -62,10 +62,10 @@
 
 func (m *spread) process(t *rapid.T) int { return rapid.IntRange(0, 2).Draw(t, "process") }
 
-func (m *spread) send(from int, told []api.Suspicion) {
+func (m *spread) send(from int, shared []api.Suspicion) {
 	for to := range m.states {
-		if to != from && len(told) > 0 {
-			m.messages = append(m.messages, message{to: to, told: told})
+		if to != from && len(shared) > 0 {
+			m.messages = append(m.messages, message{to: to, shared: shared})
 		}
 	}
 }
@@ -102,20 +102,20 @@
 }
 
 func (m *spread) learn(msg message) {
-	for _, s := range msg.told {
+	for _, s := range msg.shared {
 		for _, c := range s.Crashes {
-			if c.Age < tellTTL {
+			if c.Age < shareTTL {
 				m.oracle[msg.to].join(s.Fingerprint, crash{c.ID, c.Upstream, m.now - c.Age, c.Alone, c.Cleared})
 			}
 		}
 	}
-	m.send(msg.to, m.states[msg.to].Learn(m.now, msg.told))
+	m.send(msg.to, m.states[msg.to].Merge(m.now, msg.shared))
 }
 
 func (m *spread) heal(t *rapid.T) {
 	for round := 0; len(m.messages) > 0; round++ {
 		if round > 5000 {
-			t.Fatal("news never stop")
+			t.Fatal("the exchange never ends")
 		}
 		msg := m.messages[0]
 		m.messages = m.messages[1:]
@@ -124,7 +124,7 @@
 	for range 2 {
 		for _, s := range m.states {
 			for to := range m.states {
-				m.learn(message{to: to, told: s.Digest(m.now, 100)})
+				m.learn(message{to: to, shared: s.Digest(m.now, 100)})
 			}
 		}
 	}
@@ -141,11 +141,11 @@
 	}
 }
 
-// untold says whether a process knows a crash that is too old to be told.
+// untold says whether a process knows a crash that is too old to be shared.
 func (m *spread) untold(fp uint64) bool {
 	for _, o := range m.oracle {
 		for _, c := range o[fp] {
-			if m.now-c.at >= tellTTL {
+			if m.now-c.at >= shareTTL {
 				return true
 			}
 		}
@@ -153,8 +153,8 @@
 	return false
 }
 
-// TestSpread guards against processes that disagree once they have heard the
-// same news, news that circulate for ever, and a standing that depends on
+// TestSpread guards against processes that disagree once they have received the
+// same reports, reports that circulate for ever, and a standing that depends on
 // the order of messages.
 func TestSpread(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/decide/poison/place.go
+++ b/decide/poison/place.go
@@ -100,5 +100,5 @@
 
 // HoldAnswer is how long a router holds back the failure of a request that
 // was running during a crash. A caller that resends on the answer then
-// reaches routers that have heard of the crash.
+// reaches routers that know of the crash.
 const HoldAnswer = 500 * time.Millisecond
--- a/decide/poison/poison.go
+++ b/decide/poison/poison.go
@@ -20,9 +20,9 @@
 	// evidenceTTL is how long a crash counts. With 30 minutes, a caller that
 	// resent without end crashed a third upstream after the first was forgotten.
 	evidenceTTL = 24 * time.Hour
-	// tellTTL is how long a crash is told to others. It is shorter than
+	// shareTTL is how long a crash is reported to others. It is shorter than
 	// evidenceTTL, or two processes would renew each other's memory for ever.
-	tellTTL = 23 * time.Hour
+	shareTTL = 23 * time.Hour
 	// condemnFor is how long a condemned request is refused. After that it is
 	// a suspect again and gets one more run in isolation. Each further crash
 	// in isolation doubles the time, up to condemnMost.
@@ -95,21 +95,21 @@
 func (s *State) Len() int { return len(s.records) }
 
 // Crashed records the crash of an upstream and the requests that it ran, and
-// returns the news for other processes. The id must differ between crashes of
+// returns the reports for other processes. The id must differ between crashes of
 // the fleet, such as a hash of upstream, incarnation and a count.
 func (s *State) Crashed(now time.Duration, upstream string, id uint64, running []uint64) []api.Suspicion {
 	s.counters.Crashes++
 	unique := slices.Clone(running)
 	slices.Sort(unique)
 	unique = slices.Compact(unique)
-	var news []api.Suspicion
+	var updates []api.Suspicion
 	for _, fp := range unique {
 		c := crash{id: id, upstream: upstream, at: now, alone: len(running) == 1}
 		if s.merge(now, fp, []crash{c}) {
-			news = append(news, s.tell(now, s.records[fp]))
+			updates = append(updates, s.share(now, s.records[fp]))
 		}
 	}
-	return news
+	return updates
 }
 
 // Completed records that a request completed in isolation. It clears the
@@ -123,26 +123,26 @@
 	for i := range r.crashes {
 		r.crashes[i].cleared = true
 	}
-	return []api.Suspicion{s.tell(now, r)}
+	return []api.Suspicion{s.share(now, r)}
 }
 
-// Learn merges what another process knows and returns what was new here, to
-// be passed on. Nothing new means that nothing is passed on, so news stop.
-func (s *State) Learn(now time.Duration, heard []api.Suspicion) []api.Suspicion {
-	var news []api.Suspicion
-	for _, h := range heard {
+// Merge merges what another process knows and returns what was new here, to
+// be passed on. Nothing new means that nothing is passed on, so the exchange ends.
+func (s *State) Merge(now time.Duration, received []api.Suspicion) []api.Suspicion {
+	var updates []api.Suspicion
+	for _, h := range received {
 		foreign := make([]crash, 0, len(h.Crashes))
 		for _, c := range h.Crashes[:min(len(h.Crashes), maxForeignCrashes)] {
-			if c.Age >= 0 && c.Age < tellTTL {
+			if c.Age >= 0 && c.Age < shareTTL {
 				foreign = append(foreign, crash{c.ID, c.Upstream, now - c.Age, c.Alone, c.Cleared})
 			}
 		}
 		if s.merge(now, h.Fingerprint, foreign) {
 			s.counters.Learned++
-			news = append(news, s.tell(now, s.records[h.Fingerprint]))
+			updates = append(updates, s.share(now, s.records[h.Fingerprint]))
 		}
 	}
-	return news
+	return updates
 }
 
 // Status returns the standing of a request.
@@ -181,20 +181,20 @@
 	return Suspect, 0
 }
 
-// Known returns what is known of a request, to be told to a process that has
-// not heard of it.
+// Known returns what is known of a request, to be sent to a process that does
+// not know of it.
 func (s *State) Known(now time.Duration, fp uint64) []api.Suspicion {
 	r := s.records[fp]
 	if r == nil {
 		return nil
 	}
-	return []api.Suspicion{s.tell(now, r)}
+	return []api.Suspicion{s.share(now, r)}
 }
 
 func (c *crash) counts(now time.Duration) bool { return !c.cleared && now-c.at < evidenceTTL }
 
 // Digest returns up to n records for the periodic exchange, a different part
-// each time, so that news lost on the way arrive later.
+// each time, so that reports lost on the way arrive later.
 func (s *State) Digest(now time.Duration, n int) []api.Suspicion {
 	if now-s.expired >= expireEvery {
 		s.Expire(now)
@@ -205,8 +205,8 @@
 	for i := range min(n, len(keys)) {
 		fp := keys[(start+i)%len(keys)]
 		s.cursor = fp + 1
-		if told := s.tell(now, s.records[fp]); len(told.Crashes) > 0 {
-			out = append(out, told)
+		if shared := s.share(now, s.records[fp]); len(shared.Crashes) > 0 {
+			out = append(out, shared)
 		}
 	}
 	return out
@@ -225,16 +225,16 @@
 	})
 }
 
-func (s *State) tell(now time.Duration, r *record) api.Suspicion {
-	told := api.Suspicion{Fingerprint: r.fingerprint}
+func (s *State) share(now time.Duration, r *record) api.Suspicion {
+	shared := api.Suspicion{Fingerprint: r.fingerprint}
 	for _, c := range r.crashes {
-		if age := now - c.at; age < tellTTL {
-			told.Crashes = append(told.Crashes, api.Crash{
+		if age := now - c.at; age < shareTTL {
+			shared.Crashes = append(shared.Crashes, api.Crash{
 				ID: c.id, Upstream: c.upstream, Age: age, Alone: c.alone, Cleared: c.cleared,
 			})
 		}
 	}
-	return told
+	return shared
 }
 
 // merge adds crashes to a record and says whether anything was new. The
@@ -263,7 +263,7 @@
 }
 
 // add returns true for a crash, or the clearing of one, that was not known.
-// The earliest time wins, because each way of the news only makes it later.
+// The earliest time wins, because each hop only makes it later.
 func (r *record) add(c crash) bool {
 	for i := range r.crashes {
 		known := &r.crashes[i]
--- a/decide/poison/poison_test.go
+++ b/decide/poison/poison_test.go
@@ -14,7 +14,7 @@
 
 func known(crashes ...api.Crash) *State {
 	s := New(0)
-	s.Learn(start, []api.Suspicion{{Fingerprint: fp, Crashes: crashes}})
+	s.Merge(start, []api.Suspicion{{Fingerprint: fp, Crashes: crashes}})
 	return s
 }
 
@@ -38,13 +38,13 @@
 		{"in many batches", []api.Crash{at(1, "a", 0, false), at(2, "b", 0, false), at(3, "c", 0, false)}, 0, Suspect},
 		{"once alone", []api.Crash{at(1, "a", 0, false), at(2, "a", 0, true)}, 0, Suspect},
 		{"twice alone", []api.Crash{at(2, "a", 0, true), at(3, "a", 0, true)}, 0, Condemned},
-		{"one crash told twice", []api.Crash{at(2, "a", 0, true), at(2, "a", time.Second, true)}, 0, Suspect},
+		{"one crash shared twice", []api.Crash{at(2, "a", 0, true), at(2, "a", time.Second, true)}, 0, Suspect},
 		{"cleared since", []api.Crash{cleared}, 0, Clean},
 		{"cleared, then again", []api.Crash{cleared, at(2, "a", 0, false)}, 0, Suspect},
 		{"second run after the sentence", []api.Crash{at(2, "a", 0, true), at(3, "a", 0, true)}, condemnFor, Suspect},
 		{"third time lasts longer", []api.Crash{at(2, "a", 0, true), at(3, "a", 0, true), at(4, "a", 0, true)}, condemnFor, Condemned},
 		{"expired", []api.Crash{at(2, "a", 0, true), at(3, "a", 0, true)}, evidenceTTL, Clean},
-		{"too old to be told", []api.Crash{at(1, "a", tellTTL, false)}, 0, Clean},
+		{"too old to be shared", []api.Crash{at(1, "a", shareTTL, false)}, 0, Clean},
 	}
 	for _, c := range cases {
 		if got := known(c.crashes...).Status(start+c.after, fp); got != c.want {
@@ -94,7 +94,7 @@
 }
 
 // TestAgentCheck guards against a suspect that slips into a batch through a
-// router that has not heard of it.
+// router that does not know of it.
 func TestAgentCheck(t *testing.T) {
 	crash := at(1, "a", 0, false)
 	cases := []struct {
--- a/service/dispatch/stale_test.go
+++ b/service/dispatch/stale_test.go
@@ -82,9 +82,9 @@
 func (r *router) Query(context.Context, api.OutcomeQuery) (api.Outcome, error) {
 	return api.Outcome{}, nil
 }
-func (r *router) State(string) api.LinkState    { return api.LinkState{} }
-func (r *router) Tell([]api.Suspicion)          {}
-func (r *router) Reach(context.Context, string) {}
+func (r *router) State(string) api.LinkState          { return api.LinkState{} }
+func (r *router) BroadcastSuspicions([]api.Suspicion) {}
+func (r *router) Reach(context.Context, string)       {}
 func (r *router) WaitUp(context.Context, string) (api.LinkState, bool) {
 	return api.LinkState{}, true
 }
--- a/service/frontend/frontend.go
+++ b/service/frontend/frontend.go
@@ -15,9 +15,9 @@
 	"github.com/mulberryfork/mulberryfork/kernel"
 )
 
-// lastWords is the time that handlers get to tell callers the truth after the
+// finalAnswerTime is the time in which handlers end the remaining requests after the
 // deadline of a shutdown.
-const lastWords = 500 * time.Millisecond
+const finalAnswerTime = 500 * time.Millisecond
 
 type service struct {
 	settings   *api.Settings
@@ -91,7 +91,7 @@
 		return nil
 	}
 	s.cancel(api.Fail(api.CodeShuttingDown, api.Unknown, "the router had to stop before the answer was whole"))
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWords)
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalAnswerTime)
 	defer cancel()
 	if s.server.Shutdown(last) != nil {
 		_ = s.server.Close()
--- a/service/links/links.go
+++ b/service/links/links.go
@@ -88,7 +88,7 @@
 	return s.provisionSubset(c)
 }
 
-// Follow adds a service that is told of link events on the control loop.
+// Follow adds a service that is notified of link events on the control loop.
 func (s *service) Follow(f api.LinkEvents) { s.followers = append(s.followers, f) }
 
 func (s *service) Stop(ctx context.Context) error {
@@ -154,11 +154,11 @@
 	return *l.state.Load()
 }
 
-// Tell passes news of crashes to all agents. A link whose queue is full misses
-// it; the agent then hears it from another router.
-func (s *service) Tell(news []api.Suspicion) {
+// BroadcastSuspicions passes crash reports to all agents. A link whose queue is
+// full misses them; the agent then gets them from another router.
+func (s *service) BroadcastSuspicions(suspicions []api.Suspicion) {
 	frame := &wire.RouterFrame{Body: &wire.RouterFrame_Suspicions{
-		Suspicions: &wire.Suspicions{Suspicions: wire.FromSuspicions(news)},
+		Suspicions: &wire.Suspicions{Suspicions: wire.FromSuspicions(suspicions)},
 	}}
 	for _, l := range *s.links.Load() {
 		current := l.session.Load()
--- a/service/linkserver/link.go
+++ b/service/linkserver/link.go
@@ -91,7 +91,7 @@
 			o.grant(int64(body.Credit.GetBytes()))
 		}
 	case *wire.RouterFrame_Suspicions:
-		l.server.work.Learn(wire.ToSuspicions(body.Suspicions.GetSuspicions()))
+		l.server.work.MergeSuspicions(wire.ToSuspicions(body.Suspicions.GetSuspicions()))
 	case *wire.RouterFrame_Query:
 		go l.query(body.Query)
 	}
--- a/service/peers/client.go
+++ b/service/peers/client.go
@@ -171,7 +171,7 @@
 		s.count(verdict)
 		return api.ConfigVersion{}, &DigestError{Node: reply.Node, Verdict: verdict}
 	}
-	s.hear(reply.Suspicions)
+	s.mergeSuspicions(reply.Suspicions)
 	return reply.Version, nil
 }
 
--- a/service/peers/peers_test.go
+++ b/service/peers/peers_test.go
@@ -28,25 +28,25 @@
 	metrics    *metrics.Service
 	follow     func(time.Duration, []api.VM)
 
-	mu      sync.Mutex
-	version api.ConfigVersion
-	files   map[string][]byte
-	heard   map[string]api.ConfigVersion
-	verdict api.DigestVerdict
-	seqs    []uint64
-	told    []api.Sighting
-	learned []api.Suspicion
+	mu       sync.Mutex
+	version  api.ConfigVersion
+	files    map[string][]byte
+	heard    map[string]api.ConfigVersion
+	verdict  api.DigestVerdict
+	seqs     []uint64
+	reported []api.Sighting
+	merged   []api.Suspicion
 }
 
 // suspects stands for the routing service of a router.
 type suspects struct{ *process }
 
-func (s suspects) Learn(news []api.Suspicion) {
+func (s suspects) MergeSuspicions(suspicions []api.Suspicion) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.learned = append(s.learned, news...)
+	s.merged = append(s.merged, suspicions...)
 }
-func (s suspects) TellSuspicions(_ context.Context, n int) []api.Suspicion {
+func (s suspects) KnownSuspicions(_ context.Context, n int) []api.Suspicion {
 	return make([]api.Suspicion, n, n+1)[:min(n, len(s.name))]
 }
 
@@ -72,7 +72,7 @@
 	if !direct {
 		p.seqs = append(p.seqs, d.Seq)
 	}
-	p.told = d.Sightings
+	p.reported = d.Sightings
 	return p.verdict
 }
 
@@ -170,14 +170,14 @@
 			t.Fatalf("got %v, %v", v, err)
 		}
 	}
-	if b.heard["a"] != a.version || len(b.told) != 1 || b.told[0].VM != "gone" {
-		t.Errorf("b heard %v and %v", b.heard, b.told)
+	if b.heard["a"] != a.version || len(b.reported) != 1 || b.reported[0].VM != "gone" {
+		t.Errorf("b heard %v and %v", b.heard, b.reported)
 	}
 	if len(b.seqs) != 3 || b.seqs[0] >= b.seqs[1] || b.seqs[1] >= b.seqs[2] {
 		t.Errorf("digests numbered %v", b.seqs)
 	}
-	if len(a.learned) != 3 || len(b.learned) != 3 {
-		t.Errorf("a learned %d suspicions, b %d, want one with each digest", len(a.learned), len(b.learned))
+	if len(a.merged) != 3 || len(b.merged) != 3 {
+		t.Errorf("a merged %d suspicions, b %d, want one with each digest", len(a.merged), len(b.merged))
 	}
 	c, err := a.carrier.Fetch(ctx, "b", b.version, a.version)
 	if err != nil || c.Version != b.version || string(c.Files["x.toml"]) != "x" {
@@ -196,7 +196,7 @@
 	if _, err := a.carrier.Exchange(ctx, "b"); err == nil {
 		t.Error("a refused digest was answered")
 	}
-	if len(b.heard) != 0 || len(b.learned) != 0 || b.total(t, "peer_replayed") != 1 {
+	if len(b.heard) != 0 || len(b.merged) != 0 || b.total(t, "peer_replayed") != 1 {
 		t.Errorf("heard %v, counted %d", b.heard, b.total(t, "peer_replayed"))
 	}
 	var backoff *peers.BackoffError
--- a/service/peers/server.go
+++ b/service/peers/server.go
@@ -54,7 +54,7 @@
 		s.count(verdict)
 		return nil, &DigestError{Node: d.Node, Verdict: verdict}
 	}
-	s.hear(d.Suspicions)
+	s.mergeSuspicions(d.Suspicions)
 	s.spread.Heard(ctx, d.Node, d.Version)
 	return wire.FromDigest(s.digest(ctx, 0)), nil
 }
--- a/service/peers/suspicions.go
+++ b/service/peers/suspicions.go
@@ -26,18 +26,18 @@
 	return nil
 }
 
-// suspicions returns the part that goes with the next digest, so that news lost
+// suspicions returns the part that goes with the next digest, so that suspicions lost
 // on links arrive later.
 func (s *service) suspicions(ctx context.Context) []api.Suspicion {
 	if s.suspects == nil {
 		return nil
 	}
-	return s.suspects.TellSuspicions(ctx, digestSuspicions)
+	return s.suspects.KnownSuspicions(ctx, digestSuspicions)
 }
 
-// hear passes on what a digest says of suspects.
-func (s *service) hear(news []api.Suspicion) {
-	if s.suspects != nil && len(news) > 0 {
-		s.suspects.Learn(news)
+// mergeSuspicions passes on what a digest says of suspects.
+func (s *service) mergeSuspicions(suspicions []api.Suspicion) {
+	if s.suspects != nil && len(suspicions) > 0 {
+		s.suspects.MergeSuspicions(suspicions)
 	}
 }
--- a/service/routing/routing.go
+++ b/service/routing/routing.go
@@ -44,8 +44,8 @@
 	choices map[api.RouteReason]api.Counter
 	queries *kernel.Mailbox[kernel.Call[api.RouteQuery, answer]]
 	results *kernel.Mailbox[api.RouteResult]
-	learns  *kernel.Mailbox[[]api.Suspicion]
-	tells   *kernel.Mailbox[kernel.Call[int, []api.Suspicion]]
+	merges  *kernel.Mailbox[[]api.Suspicion]
+	reports *kernel.Mailbox[kernel.Call[int, []api.Suspicion]]
 
 	// The control loop owns the fields below.
 	state    *route.State
@@ -92,8 +92,8 @@
 	s.queries = kernel.NewMailbox(c.Loop(), "routing.query", queryMailbox, kernel.Wait, s.answer)
 	s.results = kernel.NewMailbox(c.Loop(), "routing.result", resultMailbox, kernel.Wait, s.settle)
 	// News that are dropped come again with a later digest.
-	s.learns = kernel.NewMailbox(c.Loop(), "routing.learn", learnMailbox, kernel.Drop, s.learn)
-	s.tells = kernel.NewMailbox(c.Loop(), "routing.tell", tellMailbox, kernel.Wait,
+	s.merges = kernel.NewMailbox(c.Loop(), "routing.learn", learnMailbox, kernel.Drop, s.learn)
+	s.reports = kernel.NewMailbox(c.Loop(), "routing.tell", tellMailbox, kernel.Wait,
 		func(now time.Duration, c kernel.Call[int, []api.Suspicion]) { c.Reply(s.suspects.Digest(now, c.Query)) })
 	membership, present, err := kernel.LookupOptional[api.Membership](c, api.ServiceMembership)
 	if err != nil {
@@ -128,7 +128,7 @@
 	return a.choice, a.failure
 }
 
-// Done tells how a send ended.
+// Done reports how a send ended.
 func (s *service) Done(r api.RouteResult) { _ = s.results.Post(context.Background(), r) }
 
 // LinkUp notes a link that came up.
@@ -142,7 +142,7 @@
 	s.zones.LinkDown(upstream)
 }
 
-// LoadReport notes what an agent says of its upstream, and passes news of
+// LoadReport notes what an agent says of its upstream, and passes suspicions of
 // crashes on to the agents that have not heard them.
 func (s *service) LoadReport(now time.Duration, l api.Load) {
 	s.state.Load(now, l)
@@ -153,23 +153,25 @@
 	s.learn(now, l.Suspicions)
 }
 
-// learn merges news of crashes and passes on what was new.
+// learn merges crash reports and passes on what was new.
 func (s *service) learn(now time.Duration, heard []api.Suspicion) {
-	if news := s.suspects.Learn(now, heard); len(news) > 0 {
-		s.links.Tell(news)
+	if suspicions := s.suspects.Merge(now, heard); len(suspicions) > 0 {
+		s.links.BroadcastSuspicions(suspicions)
 	}
 }
 
-// Learn takes news of crashes from another process.
-func (s *service) Learn(news []api.Suspicion) { _ = s.learns.Post(context.Background(), news) }
+// MergeSuspicions takes crash reports from another process.
+func (s *service) MergeSuspicions(suspicions []api.Suspicion) {
+	_ = s.merges.Post(context.Background(), suspicions)
+}
 
-// TellSuspicions returns a part of the suspects known.
-func (s *service) TellSuspicions(ctx context.Context, n int) []api.Suspicion {
-	told, err := kernel.Ask(ctx, s.tells, n)
+// KnownSuspicions returns a part of the suspects known.
+func (s *service) KnownSuspicions(ctx context.Context, n int) []api.Suspicion {
+	reported, err := kernel.Ask(ctx, s.reports, n)
 	if err != nil {
 		return nil
 	}
-	return told
+	return reported
 }
 
 func (s *service) configure(now time.Duration, snap *api.Snapshot) {
--- a/service/routing/routing_test.go
+++ b/service/routing/routing_test.go
@@ -19,14 +19,16 @@
 	api.Links
 	configure func(time.Duration, *api.Snapshot)
 	events    api.LinkEvents
-	told      [][]api.Suspicion
+	reported  [][]api.Suspicion
 }
 
 func (o *others) Subscribe(f func(time.Duration, *api.Snapshot)) { o.configure = f }
 func (o *others) Current() *api.Snapshot                         { return nil }
 func (o *others) Follow(e api.LinkEvents)                        { o.events = e }
-func (o *others) Tell(news []api.Suspicion)                      { o.told = append(o.told, news) }
-func (o *others) Change(string, api.Fields)                      {}
+func (o *others) BroadcastSuspicions(suspicions []api.Suspicion) {
+	o.reported = append(o.reported, suspicions)
+}
+func (o *others) Change(string, api.Fields) {}
 
 // ready gives routing two upstreams with links that are up.
 func (o *others) ready() {
@@ -42,8 +44,8 @@
 	}
 }
 
-// Guards against choices that no metric shows, and against news from a peer
-// that are not passed on to agents, are passed on without end, or are not told
+// Guards against choices that no metric shows, and against suspicions from a peer
+// that are not passed on to agents, are passed on without end, or are not passed
 // to other peers.
 func TestChoicesAndNews(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -82,15 +84,15 @@
 			}
 		}
 		for range 2 {
-			service.Learn([]api.Suspicion{{Fingerprint: 7, Crashes: []api.Crash{{ID: 1, Upstream: "u1"}}}})
+			service.MergeSuspicions([]api.Suspicion{{Fingerprint: 7, Crashes: []api.Crash{{ID: 1, Upstream: "u1"}}}})
 			synctest.Wait()
 		}
 		if !strings.Contains(m.JSON(), `"route_choices": {"affinity": 0, "only": 1, "work": 1}`) {
 			t.Errorf("metrics %s", m.JSON())
 		}
-		told := service.TellSuspicions(t.Context(), 5)
-		if len(o.told) != 1 || len(told) != 1 || told[0].Fingerprint != 7 {
-			t.Errorf("agents were told %v, peers %v", o.told, told)
+		reported := service.KnownSuspicions(t.Context(), 5)
+		if len(o.reported) != 1 || len(reported) != 1 || reported[0].Fingerprint != 7 {
+			t.Errorf("agents were sent %v, peers %v", o.reported, reported)
 		}
 	})
 }
--- a/service/work/control.go
+++ b/service/work/control.go
@@ -97,11 +97,11 @@
 	// engineIs and engineWas are the last two incarnations of the upstream.
 	engineIs, engineWas uint64
 	// cacheOf is the incarnation that the kept cache changes belong to.
-	cacheOf uint64
-	news    []api.Suspicion
-	step    time.Duration
-	first   time.Duration
-	counts  counters
+	cacheOf    uint64
+	unreported []api.Suspicion
+	step       time.Duration
+	first      time.Duration
+	counts     counters
 }
 
 type counters struct {
--- a/service/work/pump.go
+++ b/service/work/pump.go
@@ -156,7 +156,7 @@
 	if a.isolated {
 		c.isolation.Ended(f.send)
 		if f.failure == nil {
-			c.news = c.suspects.Completed(now, a.order.Fingerprint)
+			c.unreported = c.suspects.Completed(now, a.order.Fingerprint)
 		}
 	}
 	if !a.order.Idempotent {
@@ -246,7 +246,7 @@
 			fingerprints = append(fingerprints, r.order.Fingerprint)
 		}
 	}
-	c.news = c.suspects.Crashed(now, c.service.settings.Upstream, c.crashID(), fingerprints)
+	c.unreported = c.suspects.Crashed(now, c.service.settings.Upstream, c.crashID(), fingerprints)
 	c.lostState()
 }
 
@@ -282,7 +282,7 @@
 		Served:        c.reported,
 		Waiting:       c.waitingCost,
 		ServedSeq:     c.servedSeq,
-		Suspicions:    c.suspicions(old.load.Suspicions),
+		Suspicions:    c.reportedSuspicions(old.load.Suspicions),
 	}
 	if c.snap != nil {
 		load.Revision = c.snap.Revision
@@ -293,12 +293,12 @@
 	close(old.changed)
 }
 
-// suspicions keeps the last news in the reports until newer ones replace them.
-func (c *control) suspicions(before []api.Suspicion) []api.Suspicion {
-	if len(c.news) == 0 {
+// reportedSuspicions keeps the last ones in the reports until newer ones replace them.
+func (c *control) reportedSuspicions(before []api.Suspicion) []api.Suspicion {
+	if len(c.unreported) == 0 {
 		return before
 	}
-	news := c.news
-	c.news = nil
-	return news
+	suspicions := c.unreported
+	c.unreported = nil
+	return suspicions
 }
--- a/service/work/recall.go
+++ b/service/work/recall.go
@@ -9,27 +9,29 @@
 	"github.com/mulberryfork/mulberryfork/kernel"
 )
 
-// Learn takes news of crashes from a router or a peer.
-func (s *service) Learn(news []api.Suspicion) { _ = s.learns.Post(context.Background(), news) }
+// MergeSuspicions takes crash reports from a router or a peer.
+func (s *service) MergeSuspicions(suspicions []api.Suspicion) {
+	_ = s.merges.Post(context.Background(), suspicions)
+}
 
-// TellSuspicions returns a part of the suspects known.
-func (s *service) TellSuspicions(ctx context.Context, n int) []api.Suspicion {
-	told, err := kernel.Ask(ctx, s.tells, n)
+// KnownSuspicions returns a part of the suspects known.
+func (s *service) KnownSuspicions(ctx context.Context, n int) []api.Suspicion {
+	reported, err := kernel.Ask(ctx, s.reports, n)
 	if err != nil {
 		return nil
 	}
-	return told
+	return reported
 }
 
-// learn merges news of crashes and stops running copies of new suspects.
+// learn merges suspicions of crashes and stops running copies of new suspects.
 func (c *control) learn(now time.Duration, heard []api.Suspicion) {
-	if len(c.suspects.Learn(now, heard)) > 0 {
+	if len(c.suspects.Merge(now, heard)) > 0 {
 		c.recall(now)
 	}
 }
 
 // recall stops idempotent runs that became suspects since they started, before
-// they crash this upstream as well. The news go out with the next report, so
+// they crash this upstream as well. The suspicions go out with the next report, so
 // that the routers place the requests in isolation.
 func (c *control) recall(now time.Duration) {
 	batch := make([]uint64, 0, len(c.running))
@@ -51,7 +53,7 @@
 	}
 	slices.Sort(recalled)
 	for _, fp := range slices.Compact(recalled) {
-		c.news = append(c.news, c.suspects.Known(now, fp)...)
+		c.unreported = append(c.unreported, c.suspects.Known(now, fp)...)
 	}
 	c.publish()
 }
@@ -72,7 +74,7 @@
 	}
 }
 
-// explain tells the router of a run that was recalled. Any other failure that
+// explain reports the router of a run that was recalled. Any other failure that
 // came first stands.
 func (g grant) explain(f *api.Failure) *api.Failure {
 	if f == nil || f.Code != api.CodeCanceled || g.recalled == nil {
--- a/service/work/work.go
+++ b/service/work/work.go
@@ -44,8 +44,8 @@
 	cancels  *kernel.Mailbox[api.SendID]
 	queries  *kernel.Mailbox[kernel.Call[api.OutcomeQuery, api.Outcome]]
 	drains   *kernel.Mailbox[struct{}]
-	learns   *kernel.Mailbox[[]api.Suspicion]
-	tells    *kernel.Mailbox[kernel.Call[int, []api.Suspicion]]
+	merges   *kernel.Mailbox[[]api.Suspicion]
+	reports  *kernel.Mailbox[kernel.Call[int, []api.Suspicion]]
 
 	control *control
 	report  atomic.Pointer[report]
@@ -148,9 +148,9 @@
 		})
 	s.drains = kernel.NewMailbox(l, "work.drain", 1, kernel.Latest,
 		func(now time.Duration, _ struct{}) { ctl.drain(now - s.started) })
-	s.learns = kernel.NewMailbox(l, "work.learn", learnMailbox, kernel.Drop,
-		func(now time.Duration, news []api.Suspicion) { ctl.learn(now-s.started, news) })
-	s.tells = kernel.NewMailbox(l, "work.tell", tellMailbox, kernel.Wait,
+	s.merges = kernel.NewMailbox(l, "work.learn", learnMailbox, kernel.Drop,
+		func(now time.Duration, suspicions []api.Suspicion) { ctl.learn(now-s.started, suspicions) })
+	s.reports = kernel.NewMailbox(l, "work.tell", tellMailbox, kernel.Wait,
 		func(now time.Duration, c kernel.Call[int, []api.Suspicion]) {
 			c.Reply(ctl.suspects.Digest(now-s.started, c.Query))
 		})
--- a/service/work/work_test.go
+++ b/service/work/work_test.go
@@ -372,10 +372,10 @@
 		copied, once := b.order(""), b.order(b.key())
 		once.Fingerprint = copied.Fingerprint
 		stopped, kept := b.send(t.Context(), copied), b.send(t.Context(), once)
-		news := []api.Suspicion{{Fingerprint: copied.Fingerprint, Crashes: []api.Crash{{ID: 1, Upstream: "b2"}}}}
+		suspicions := []api.Suspicion{{Fingerprint: copied.Fingerprint, Crashes: []api.Crash{{ID: 1, Upstream: "b2"}}}}
 		known := b.work.(api.Suspicions)
 		for range 2 {
-			known.Learn(news)
+			known.MergeSuspicions(suspicions)
 			synctest.Wait()
 		}
 		wantFailure(t, stopped, api.CodeSuspect, api.Unknown)
@@ -383,15 +383,15 @@
 		if kept.end != nil || load.Running != 1 || len(load.Suspicions) != 1 {
 			t.Errorf("the other copy ended %+v, load %+v", kept.end, load)
 		}
-		if told := known.TellSuspicions(t.Context(), 5); len(told) != 1 || told[0].Fingerprint != copied.Fingerprint {
+		if told := known.KnownSuspicions(t.Context(), 5); len(told) != 1 || told[0].Fingerprint != copied.Fingerprint {
 			t.Errorf("told %+v", told)
 		}
 		b.finish(nil)
 		again := copied
 		again.Send.Attempt, again.Isolate = 2, true
 		alone := b.send(t.Context(), again)
-		news[0].Crashes[0].ID = 2
-		known.Learn(news)
+		suspicions[0].Crashes[0].ID = 2
+		known.MergeSuspicions(suspicions)
 		synctest.Wait()
 		if alone.end != nil {
 			t.Errorf("the isolated run ended %+v", alone.end)
