--- a/decide/subset/subset.go
+++ b/decide/subset/subset.go
@@ -16,15 +16,15 @@
 const (
 	// FullMesh is the number of upstreams up to which a router holds them all.
 	FullMesh = 24
-	// OwnZone, NearZone and FarRegion are the agents of one pool that a router
-	// holds in its own zone, in each other zone of its region, and in each
-	// other region.
-	OwnZone   = 3
-	NearZone  = 1
-	FarRegion = 1
+	// OwnZone and NearZone are the agents of one pool that a router holds in
+	// its own zone and in each other zone of its region. It holds none in
+	// other regions while its own has the pool: a region serves its callers by
+	// itself, and each link costs a load report every two seconds.
+	OwnZone  = 2
+	NearZone = 1
 	// Cover is the number of routers of its zone that hold an agent whatever
 	// the routers' own choices are.
-	Cover = 2
+	Cover = 1
 )
 
 // Upstream is what the choice depends on.
@@ -152,7 +152,7 @@
 		case g.distance == 1:
 			return NearZone
 		}
-		return FarRegion
+		return 0
 	}
 }
 
--- a/decide/subset/subset_test.go
+++ b/decide/subset/subset_test.go
@@ -39,6 +39,7 @@
 // the full size and with a region cut off.
 func TestCoverage(t *testing.T) {
 	upstreams, nodes := workers(600), routers(410)
+	const leastRouters = 6
 	byName := map[string]Upstream{}
 	for _, u := range upstreams {
 		byName[u.Name] = u
@@ -46,7 +47,7 @@
 	local := map[string]int{}
 	for _, r := range nodes {
 		names := Choose(r, upstreams, nodes)
-		if len(names) > 48 {
+		if len(names) > 32 {
 			t.Fatalf("%s holds %d links", r.Name, len(names))
 		}
 		models := map[string]int{}
@@ -64,7 +65,7 @@
 		}
 	}
 	for _, u := range upstreams {
-		if local[u.Name] < Cover {
+		if local[u.Name] < leastRouters {
 			t.Errorf("%s is held by %d routers of its region", u.Name, local[u.Name])
 		}
 	}
