--- a/bench/control_world.go
+++ b/bench/control_world.go
@@ -61,8 +61,6 @@
 	byName    map[string]*controlNode
 	snapshot  *api.Snapshot
 	upstreams []subset.Upstream
-	pace      subset.Pace
-	peak      int
 }
 
 func controlZone(zone int) string { return fmt.Sprintf("zone-%d", zone) }
