--- a/decide/limit/limit.go
+++ b/decide/limit/limit.go
@@ -19,6 +19,9 @@
 	StepTarget time.Duration
 	// FirstTokenTarget bounds the time from start to first token; zero ignores it.
 	FirstTokenTarget time.Duration
+	// ColdRequests is the concurrent work that the upstream is known to bear
+	// without having been tested.
+	ColdRequests int
 	// Fixed keeps the bounds at the ceilings.
 	Fixed bool
 }
@@ -74,7 +77,8 @@
 	if s.o.Fixed {
 		return 1
 	}
-	start := min(max(startPart, startRequests/float64(s.o.MaxRequests)), 1)
+	borne := float64(max(s.o.ColdRequests, startRequests))
+	start := min(max(startPart, borne/float64(s.o.MaxRequests)), 1)
 	return min(s.part, max(start, headroom*s.tested))
 }
 
--- a/decide/limit/limit_test.go
+++ b/decide/limit/limit_test.go
@@ -191,3 +191,12 @@
 		})
 	})
 }
+
+// TestStatedLoadNeedsNoTest guards against refusing work that the operators
+// state the upstream bears even in cold start.
+func TestStatedLoadNeedsNoTest(t *testing.T) {
+	s := New(Options{MaxRequests: 1000, MaxTokens: 1 << 30, ColdRequests: 700})
+	if b := s.Bounds(); b.Requests != 700 {
+		t.Errorf("bounds %+v before any load, want the 700 requests that are stated", b)
+	}
+}
--- a/service/work/control.go
+++ b/service/work/control.go
@@ -165,6 +165,7 @@
 	c.limit.Configure(limit.Options{
 		MaxRequests:      u.MaxRequests,
 		MaxTokens:        tokenCeiling(u),
+		ColdRequests:     u.ColdRequests,
 		StepTarget:       target(snap.Config, u, api.ObjectiveTokenGap),
 		FirstTokenTarget: target(snap.Config, u, api.ObjectiveFirstToken),
 	})
