--- a/bench/enginemodel/engine.go
+++ b/bench/enginemodel/engine.go
@@ -1,8 +1,12 @@
+// Package enginemodel models engines with continuous batching and a prefix
+// cache in simulated time, for experiments that must be deterministic.
 package enginemodel
 
 import (
 	"slices"
 	"time"
+
+	"github.com/mulberryfork/mulberryfork/bench/timeline"
 )
 
 // BlockTokens is the number of prompt tokens in one cache block.
@@ -51,7 +55,7 @@
 
 // Engine is one modelled engine.
 type Engine struct {
-	events  *Events
+	events  *timeline.Timeline
 	speed   Speed
 	cache   *cache
 	waiting []*Job
@@ -65,7 +69,7 @@
 }
 
 // NewEngine returns an idle engine with an empty cache.
-func NewEngine(e *Events, s Speed) *Engine {
+func NewEngine(e *timeline.Timeline, s Speed) *Engine {
 	return &Engine{events: e, speed: s, cache: newCache(s.CacheBlocks)}
 }
 
--- a/bench/overload.go
+++ b/bench/overload.go
@@ -90,7 +90,7 @@
 	o.events.After(stormOutageFrom, func() { o.outage(true) })
 	o.events.After(stormOutageTo, func() { o.outage(false) })
 	var waiting []float64
-	o.events.Every(time.Second, func() { waiting = append(waiting, float64(o.waiting)) })
+	o.events.Every(o.events.Now()+time.Second, time.Second, func() { waiting = append(waiting, float64(o.waiting)) })
 	o.events.Run(stormEnd)
 	settled := settledAt(waiting)
 	lowest, collapses := capacity.work, 0
--- a/bench/overload_capacity.go
+++ b/bench/overload_capacity.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/bench/enginemodel"
+	"github.com/mulberryfork/mulberryfork/bench/timeline"
 )
 
 // overloadBatch is the batch at which an output token is priced as work.
@@ -42,7 +43,7 @@
 // all engines together, and the mean time between tokens.
 func closedLoop(seed uint64, concurrency int) (rate overloadRate, step time.Duration) {
 	const length = 60 * time.Second
-	var events enginemodel.Events
+	var events timeline.Timeline
 	rng := rand.New(rand.NewPCG(seed, 4))
 	e := enginemodel.NewEngine(&events, overloadSpeed())
 	done, tokens, work, spent := 0, 0, 0.0, time.Duration(0)
--- a/bench/overload_model.go
+++ b/bench/overload_model.go
@@ -7,6 +7,7 @@
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/bench/enginemodel"
+	"github.com/mulberryfork/mulberryfork/bench/timeline"
 	"github.com/mulberryfork/mulberryfork/decide/limit"
 	"github.com/mulberryfork/mulberryfork/decide/retrybudget"
 	"github.com/mulberryfork/mulberryfork/decide/route"
@@ -36,7 +37,7 @@
 
 // overloadPool is one run. The plain one has neither limits nor budgets.
 type overloadPool struct {
-	events  enginemodel.Events
+	events  timeline.Timeline
 	plain   bool
 	rng     *rand.Rand
 	agents  []*overloadAgent
@@ -92,8 +93,8 @@
 		o.events.After(time.Duration(o.rng.ExpFloat64()/rate*float64(time.Second)), arrive)
 	}
 	o.events.After(0, arrive)
-	o.events.Every(overloadReportEvery, o.report)
-	o.events.Every(overloadReportEvery, o.progress)
+	o.events.Every(o.events.Now()+overloadReportEvery, overloadReportEvery, o.report)
+	o.events.Every(o.events.Now()+overloadReportEvery, overloadReportEvery, o.progress)
 	return o
 }
 
--- a/bench/poison_router.go
+++ b/bench/poison_router.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
-	"github.com/mulberryfork/mulberryfork/bench/enginemodel"
+	"github.com/mulberryfork/mulberryfork/bench/timeline"
 	"github.com/mulberryfork/mulberryfork/decide/hash"
 	"github.com/mulberryfork/mulberryfork/decide/poison"
 )
@@ -13,7 +13,7 @@
 // poisonPool is one trial.
 type poisonPool struct {
 	poisonCase
-	events  enginemodel.Events
+	events  timeline.Timeline
 	rng     *rand.Rand
 	routers []*poisonRouter
 	agents  []*poisonAgent
--- a/bench/route_model.go
+++ b/bench/route_model.go
@@ -7,6 +7,7 @@
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/bench/enginemodel"
+	"github.com/mulberryfork/mulberryfork/bench/timeline"
 	"github.com/mulberryfork/mulberryfork/decide/route"
 )
 
@@ -36,7 +37,7 @@
 
 // routePool is one run of a policy.
 type routePool struct {
-	events   enginemodel.Events
+	events   timeline.Timeline
 	engines  []*enginemodel.Engine
 	agents   []*routeAgent
 	routers  []*route.State
@@ -85,7 +86,7 @@
 		p.events.After(p.arrivals.gap(scenario.rate), arrive)
 	}
 	p.events.After(0, arrive)
-	p.events.Every(routeReportEvery, p.report)
+	p.events.Every(p.events.Now()+routeReportEvery, routeReportEvery, p.report)
 	return p
 }
 
--- a/bench/zone_world.go
+++ b/bench/zone_world.go
@@ -7,6 +7,7 @@
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/bench/enginemodel"
+	"github.com/mulberryfork/mulberryfork/bench/timeline"
 	"github.com/mulberryfork/mulberryfork/decide/route"
 	"github.com/mulberryfork/mulberryfork/decide/zone"
 )
@@ -54,7 +55,7 @@
 
 // zoneWorld is one run.
 type zoneWorld struct {
-	events   enginemodel.Events
+	events   timeline.Timeline
 	user     zoneUser
 	policy   zonePolicy
 	rng      *rand.Rand
@@ -138,7 +139,7 @@
 		}
 	}
 	w.events.After(0, arrive)
-	w.events.Every(zoneReportEvery, w.report)
+	w.events.Every(w.events.Now()+zoneReportEvery, zoneReportEvery, w.report)
 	if w.policy.notice {
 		w.events.After(zoneNoticeAt, func() { w.publish(2) })
 	}
