--- a/bench/output.go
+++ b/bench/output.go
@@ -51,3 +51,44 @@
 	}
 	return tw.Flush()
 }
+
+// SeedResult is the result of one seed.
+type SeedResult struct {
+	Seed   uint64
+	Result Result
+}
+
+// WriteSpread writes the median and the range of each figure over several
+// seeds. A target counts as met if every seed meets it.
+func WriteSpread(w io.Writer, name string, runs []SeedResult) error {
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(tw, "%s\tseeds %d to %d\t\t\t\t\t\n", name, runs[0].Seed, runs[len(runs)-1].Seed)
+	fmt.Fprintln(tw, "figure\tmedian\tleast\tmost\tunit\ttarget\tmet")
+	for _, f := range runs[0].Result.Figures {
+		values, met := collect(runs, f.Name)
+		target, answer := "-", "-"
+		if f.Target != nil {
+			target, answer = f.Target.String(), "no"
+			if met {
+				answer = "yes"
+			}
+		}
+		fmt.Fprintf(tw, "%s\t%.4g\t%.4g\t%.4g\t%s\t%s\t%s\n",
+			f.Name, quantile(values, 0.5), quantile(values, 0), quantile(values, 1), f.Unit, target, answer)
+	}
+	return tw.Flush()
+}
+
+// collect returns the values of a figure over all seeds that have it.
+func collect(runs []SeedResult, name string) (values []float64, met bool) {
+	met = true
+	for _, r := range runs {
+		for _, f := range r.Result.Figures {
+			if f.Name == name {
+				values = append(values, f.Value)
+				met = met && f.Met()
+			}
+		}
+	}
+	return values, met
+}
--- a/cmd/mulberryfork/tools.go
+++ b/cmd/mulberryfork/tools.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"text/tabwriter"
 
 	"github.com/mulberryfork/mulberryfork/bench"
@@ -42,6 +44,8 @@
 	Name    string  `arg:"" help:"Experiment, or 'list'."`
 	JSON    bool    `help:"Print one JSON object."`
 	Seed    uint64  `default:"1" help:"Seed of everything that is random."`
+	Seeds   int     `default:"1" help:"Repeat with this many seeds from --seed on and show the spread."`
+	Keep    string  `type:"existingdir" help:"Keep the result of each seed as a JSON file in this folder."`
 	Minutes float64 `help:"Length of experiments that run for a given time."`
 	Plain   bool    `help:"Run the plain version, where an experiment has one."`
 	Plot    string  `help:"Write a plot to this SVG file."`
@@ -57,19 +61,57 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	result, err := e.Run(ctx, bench.Params{Seed: c.Seed, Progress: s.err, Minutes: c.Minutes, Plain: c.Plain})
-	if err != nil {
-		return err
+	var runs []bench.SeedResult
+	for i := range max(c.Seeds, 1) {
+		seed := c.Seed + uint64(i)
+		result, err := e.Run(ctx, bench.Params{Seed: seed, Progress: s.err, Minutes: c.Minutes, Plain: c.Plain})
+		if err != nil {
+			return err
+		}
+		runs = append(runs, bench.SeedResult{Seed: seed, Result: result})
+		if err := c.keep(e.Name, seed, result); err != nil {
+			return err
+		}
 	}
 	if c.Plot != "" {
-		if err := bench.WritePlot(c.Plot, result); err != nil {
+		if err := bench.WritePlot(c.Plot, runs[0].Result); err != nil {
 			return err
 		}
 	}
+	return c.print(s, e.Name, runs)
+}
+
+// keep writes the result of one seed into the folder for results.
+func (c benchCommand) keep(name string, seed uint64, r bench.Result) error {
+	if c.Keep == "" {
+		return nil
+	}
+	path := filepath.Join(c.Keep, fmt.Sprintf("%s-%d.json", name, seed))
+	file, err := os.Create(path)
+	if err != nil {
+		return &FileError{Path: path, Err: err}
+	}
+	if err := errors.Join(bench.WriteJSON(file, name, seed, r), file.Close()); err != nil {
+		return &FileError{Path: path, Err: err}
+	}
+	return nil
+}
+
+// print writes one JSON object for each seed, a table for one seed, or the
+// spread over several.
+func (c benchCommand) print(s streams, name string, runs []bench.SeedResult) error {
 	if c.JSON {
-		return bench.WriteJSON(s.out, e.Name, c.Seed, result)
+		for _, r := range runs {
+			if err := bench.WriteJSON(s.out, name, r.Seed, r.Result); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	if len(runs) > 1 {
+		return bench.WriteSpread(s.out, name, runs)
 	}
-	return bench.WriteTable(s.out, e.Name, c.Seed, result)
+	return bench.WriteTable(s.out, name, runs[0].Seed, runs[0].Result)
 }
 
 func listExperiments(s streams) error {
