--- a/service/frontend/request.go
+++ b/service/frontend/request.go
@@ -46,6 +46,18 @@
 	Stream              bool   `json:"stream"`
 	MaxTokens           int    `json:"max_tokens"`
 	MaxCompletionTokens int    `json:"max_completion_tokens"`
+
+	Messages json.RawMessage `json:"messages"`
+	Prompt   json.RawMessage `json:"prompt"`
+}
+
+// text returns the part of the body that holds the prompt, so that requests
+// that differ in options before it still share prefixes.
+func (c completion) text() []byte {
+	if c.Messages != nil {
+		return c.Messages
+	}
+	return c.Prompt
 }
 
 func (c completion) maxOutput(m api.Model) int {
@@ -88,27 +100,11 @@
 	}
 	request.Model, request.Stream = c.Model, c.Stream
 	request.Idempotent = idempotency.OfModel(model, callerMark(r))
-	request.Prefix = prompt.Prefixes(c.Model, promptText(request.Body))
+	request.Prefix = prompt.Prefixes(c.Model, c.text())
 	request.CostTokens = prompt.Cost(len(request.Body), c.maxOutput(model))
 	return request, nil
 }
 
-// promptText returns the part of the body from the prompt on, so that requests
-// that differ in options before it still share prefixes.
-func promptText(body []byte) []byte {
-	var parts struct {
-		Messages json.RawMessage `json:"messages"`
-		Prompt   json.RawMessage `json:"prompt"`
-	}
-	if json.Unmarshal(body, &parts) != nil {
-		return body
-	}
-	if parts.Messages != nil {
-		return parts.Messages
-	}
-	return parts.Prompt
-}
-
 func (s *service) plain(w http.ResponseWriter, r *http.Request, caller api.Caller) {
 	request, failure := s.plainRequest(r, caller)
 	if failure != nil {
