--- a/decide/retrybudget/retrybudget.go
+++ b/decide/retrybudget/retrybudget.go
@@ -135,12 +135,17 @@
 	if f == nil || (f.Run != api.NotRun && !idempotent) {
 		return false
 	}
-	switch f.Code {
+	return Transient(f.Code)
+}
+
+// Transient says whether another send may succeed where one failed with a code.
+func Transient(code api.Code) bool {
+	switch code {
 	case api.CodeOverloaded, api.CodeQueueFull, api.CodeColdUpstream,
 		api.CodeZoneOut, api.CodeLeaving, api.CodeStaleRevision,
 		api.CodeWrongIncarnation, api.CodeNotReady, api.CodeShuttingDown,
 		api.CodeLinkLost, api.CodeStreamBroken, api.CodeUpstreamFailed,
-		api.CodeUpstreamUnreached, api.CodeStaleFencingToken:
+		api.CodeUpstreamUnreached, api.CodeLedgerFull, api.CodeStaleFencingToken:
 		return true
 	}
 	return false
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -229,7 +229,7 @@
 }
 
 func (d *delivery) repeatable(f *api.Failure) bool {
-	if !retryable(f.Code) && !recalled(f) {
+	if !retrybudget.Transient(f.Code) && !recalled(f) {
 		return false
 	}
 	if d.headSent && !d.resumable {
@@ -266,17 +266,6 @@
 	return ok && (d.incarnation == 0 || state.Incarnation == d.incarnation)
 }
 
-func retryable(code api.Code) bool {
-	switch code {
-	case api.CodeLinkLost, api.CodeStreamBroken, api.CodeUpstreamFailed, api.CodeUpstreamUnreached,
-		api.CodeWrongIncarnation, api.CodeStaleRevision, api.CodeZoneOut, api.CodeLeaving,
-		api.CodeShuttingDown, api.CodeQueueFull, api.CodeOverloaded, api.CodeColdUpstream,
-		api.CodeNotReady, api.CodeLedgerFull:
-		return true
-	}
-	return false
-}
-
 // send makes one attempt, and a hedge where it is worth it. The second result
 // is false if nothing left this process.
 func (d *delivery) send(ctx context.Context) (api.End, bool) {
--- a/service/dispatch/race.go
+++ b/service/dispatch/race.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/retrybudget"
 )
 
 // race is one send and at most one hedge of it. The first to produce a head
@@ -144,7 +145,7 @@
 	d := r.delivery
 	d.uncertain = d.uncertain || e.Failure.Run != api.NotRun
 	d.finish(c, e.Failure, false)
-	if r.failed == nil || retryable(r.failed.Failure.Code) || recalled(r.failed.Failure) {
+	if r.failed == nil || retrybudget.Transient(r.failed.Failure.Code) || recalled(r.failed.Failure) {
 		// A failure that another send would repeat is the one to report.
 		r.failed = &e
 	}
