Count the waiting cost of all members, served before or not

The agent added up what waits over the members that it had already served, so that the estimate for early refusal missed those that had only queued, at each arrival anew. The fair queue now keeps the sum, checked by its state machine against the oracle. Members that leave the configuration are found in the former one for the same reason.

--- a/decide/fairqueue/queue.go
+++ b/decide/fairqueue/queue.go
@@ -49,6 +49,8 @@
 	arrived   uint64
 	usage     usage
 	weights   float64
+	// waiting is the cost of all requests that wait.
+	waiting uint64
 	// running counts the running requests of members that do not borrow.
 	running int
 }
@@ -168,6 +170,7 @@
 	q.due.add(i)
 	m.queue.add(i)
 	m.waiting += uint64(e.Cost)
+	q.waiting += uint64(e.Cost)
 	q.rerank(m)
 	return nil
 }
@@ -261,6 +264,9 @@
 // Len returns the number of requests that wait.
 func (q *Queue[T]) Len() int { return len(q.entries) }
 
+// WaitingCost returns the cost of all requests that wait.
+func (q *Queue[T]) WaitingCost() uint64 { return q.waiting }
+
 // Waiting returns the cost of a member's requests that wait.
 func (q *Queue[T]) Waiting(name string) uint64 {
 	if m, ok := q.members[name]; ok {
@@ -275,6 +281,7 @@
 	q.due.remove(i)
 	m.queue.remove(i)
 	m.waiting -= uint64(i.entry.Cost)
+	q.waiting -= uint64(i.entry.Cost)
 	q.rerank(m)
 	q.forget(m)
 }
--- a/decide/fairqueue/queue_test.go
+++ b/decide/fairqueue/queue_test.go
@@ -148,6 +148,13 @@
 				if q.Len() != len(o.waiting) {
 					t.Fatalf("%d wait, want %d", q.Len(), len(o.waiting))
 				}
+				var cost uint64
+				for _, e := range o.waiting {
+					cost += uint64(max(e.Cost, 1))
+				}
+				if q.WaitingCost() != cost {
+					t.Fatalf("a cost of %d waits, want %d", q.WaitingCost(), cost)
+				}
 			},
 		})
 		if drained := q.Drain(); len(drained) != len(o.waiting) || q.Len() != 0 || q.Waiting("a") != 0 {
--- a/service/work/arrive.go
+++ b/service/work/arrive.go
@@ -106,14 +106,10 @@
 }
 
 func (c *control) arrival(o api.Order) limit.Arrival {
-	var queued uint64
-	for name := range c.served {
-		queued += c.queue.Waiting(name)
-	}
 	return limit.Arrival{
 		Cost:           o.CostTokens,
 		QueuedRequests: c.queue.Len(),
-		QueuedTokens:   queued,
+		QueuedTokens:   c.queue.WaitingCost(),
 		DeadlineLeft:   o.DeadlineLeft,
 	}
 }
--- a/service/work/control.go
+++ b/service/work/control.go
@@ -152,6 +152,7 @@
 // configure takes a new configuration. Orders that may no longer start here
 // are returned as not run.
 func (c *control) configure(now time.Duration, snap *api.Snapshot) {
+	former := c.snapMembers()
 	c.snap = snap
 	c.upstream = snap.Config.Upstreams[c.service.settings.Upstream]
 	u := c.upstream
@@ -173,7 +174,7 @@
 	for name, m := range snap.Config.Members {
 		c.queue.SetMember(name, m.Share, m.QueueRequests)
 	}
-	for name := range c.served {
+	for name := range former {
 		if _, ok := snap.Config.Members[name]; !ok {
 			c.queue.RemoveMember(name)
 			delete(c.served, name)
