Lay out the programs of the platform and the types they share

Cause: the platform can only be read, keeps nothing of ours and has no VM for control, so most of the fleet machinery has no use there.

--- /dev/null
+++ b/api/edge.go
@@ -0,0 +1,29 @@
+package api
+
+// Edge holds the settings of the processes of a platform that publishes routes
+// and upstreams in a store.
+type Edge struct {
+	// Store is the address of the platform's store.
+	Store string `toml:"store"`
+	// Ready is the address at which the platform asks for readiness.
+	Ready string `toml:"ready"`
+	// Worker is the address of the upstream beside the process.
+	Worker string `toml:"worker"`
+	// Service is the service of that upstream.
+	Service string `toml:"service"`
+	// FirstStart is true while the whole system starts for the first time.
+	FirstStart bool `toml:"first_start"`
+	// Revocation is the time within which a revoked key must be refused.
+	Revocation Duration `toml:"revocation"`
+	// RetryRatio and RetryExtra bound the repeats of all processes in a window:
+	// a part of the requests, and a number beside them.
+	RetryRatio  float64  `toml:"retry_ratio"`
+	RetryExtra  int      `toml:"retry_extra"`
+	RetryWindow Duration `toml:"retry_window"`
+	// ColdOvershoot and ColdTolerance bound the requests a second of all
+	// processes to a cold upstream: a multiple of its rate, and a number beside it.
+	ColdOvershoot float64 `toml:"cold_overshoot"`
+	ColdTolerance float64 `toml:"cold_tolerance"`
+	// MemoryMB bounds the memory of the process.
+	MemoryMB int `toml:"memory_mb"`
+}
--- a/api/names.go
+++ b/api/names.go
@@ -21,4 +21,7 @@
 	ServiceAdminHTTP       = "admin.http"
 	ServiceLog             = "log"
 	ServiceReport          = "report"
+	ServiceDiscovery       = "discovery"
+	ServicePlatformStore   = "platform.store"
+	ServicePlatformReady   = "platform.ready"
 )
--- a/api/settings.go
+++ b/api/settings.go
@@ -21,6 +21,8 @@
 	Peers []string `toml:"peers"`
 	// StopDeadline bounds a graceful shutdown.
 	StopDeadline Duration `toml:"stop_deadline"`
+	// Edge is set for the processes of a platform with a store.
+	Edge Edge `toml:"edge"`
 	// DrainDelay is how long a router that stops still takes connections, since
 	// the platform's balancer learns of its readiness with a delay.
 	DrainDelay Duration `toml:"drain_delay"`
--- /dev/null
+++ b/decide/settings/edge.go
@@ -0,0 +1,41 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/decide/tomltree"
+)
+
+// Bounds of the settings of a platform with a store.
+const (
+	minRevocation  = time.Second
+	maxRevocation  = time.Hour
+	minRetryWindow = time.Second
+	maxRetryWindow = time.Hour
+)
+
+// store checks the keys of a process that reads the platform's store.
+func (c *checker) store() {
+	e := c.settings.Edge
+	if c.Required("edge", "store") {
+		c.Address(e.Store, "edge", "store")
+	}
+	if c.role == Side {
+		if c.Required("edge", "worker") {
+			c.Address(e.Worker, "edge", "worker")
+		}
+		return
+	}
+	if c.Required("edge", "ready") {
+		c.Address(e.Ready, "edge", "ready")
+	}
+	if c.Required("edge", "revocation") {
+		c.DurationBetween(time.Duration(e.Revocation), minRevocation, maxRevocation, "edge", "revocation")
+	}
+	if c.Required("edge", "retry_window") {
+		c.DurationBetween(time.Duration(e.RetryWindow), minRetryWindow, maxRetryWindow, "edge", "retry_window")
+	}
+	if e.RetryRatio < 0 || e.RetryRatio > 1 {
+		c.Fail(tomltree.OutOfRange, "must be between 0 and 1", "edge", "retry_ratio")
+	}
+}
--- a/decide/settings/settings.go
+++ b/decide/settings/settings.go
@@ -17,6 +17,10 @@
 const (
 	Router Role = "router"
 	Agent  Role = "agent"
+	// Edge routes requests on a platform that publishes routes and upstreams in
+	// a store. Side runs beside an upstream there.
+	Edge Role = "edge"
+	Side Role = "side"
 )
 
 // MaxBytes bounds a settings file.
@@ -59,7 +63,7 @@
 }
 
 func applyDefaults(s *api.Settings, tree *tomltree.Node, role Role) {
-	if role == Router {
+	if role == Router || role == Edge {
 		tomltree.Default(tree, &s.DrainDelay, api.Duration(DefaultDrainDelay), "drain_delay")
 		tomltree.Default(tree, &s.Listen.HTTP, DefaultListenHTTP, "listen", "http")
 	}
--- a/decide/settings/validate.go
+++ b/decide/settings/validate.go
@@ -37,8 +37,12 @@
 	c.nonEmpty(s.Zone, "zone")
 	c.roleKeys()
 	c.listen()
-	c.platform()
-	c.tls()
+	if role == Edge || role == Side {
+		c.store()
+	} else {
+		c.platform()
+		c.tls()
+	}
 	c.limits()
 	c.OneOf(s.Log.Level, []string{"debug", "info", "warn", "error"}, "log", "level")
 	c.OneOf(s.Log.Format, []string{"text", "json"}, "log", "format")
@@ -53,6 +57,10 @@
 
 // roleKeys checks the keys that only one of the roles has.
 func (c *checker) roleKeys() {
+	if c.role == Edge || c.role == Side {
+		return
+	}
+	c.notFor("a "+string(c.role), "edge")
 	agentKeys := [][]string{{"upstream"}, {"engine", "url"}, {"engine", "weight_store"}}
 	if c.role == Router {
 		for _, path := range agentKeys {
@@ -80,7 +88,7 @@
 	l := c.settings.Listen
 	seen := map[string]string{}
 	for _, one := range []struct{ key, value string }{{"http", l.HTTP}, {"link", l.Link}, {"admin", l.Admin}} {
-		if one.key == "http" && c.role == Agent {
+		if one.key == "http" && (c.role == Agent || c.role == Side) || one.key == "link" && c.role != Router && c.role != Agent {
 			continue
 		}
 		c.ListenAddress(one.value, "listen", one.key)
