--- a/api/discovery.go
+++ b/api/discovery.go
@@ -168,6 +168,8 @@
 	// Learn takes news from the platform's store. Calls must come from one
 	// goroutine.
 	Learn(u DiscoveryUpdate)
+	// Misplaced says that an address no longer belongs to an upstream.
+	Misplaced(upstream string)
 }
 
 // UpstreamLoad is what an upstream says of its load in an answer.
@@ -178,10 +180,7 @@
 	Slots    int
 }
 
-// LoadObserver takes the loads that answers carry, and what they say of the
-// upstream itself.
+// LoadObserver takes the loads that answers carry.
 type LoadObserver interface {
 	ObserveLoad(l UpstreamLoad)
-	// Misplaced says that an address no longer belongs to an upstream.
-	Misplaced(upstream string)
 }
--- a/api/edge.go
+++ b/api/edge.go
@@ -11,6 +11,9 @@
 	Worker string `toml:"worker"`
 	// Service is the service of that upstream.
 	Service string `toml:"service"`
+	// Poll is the time between readings of the store by a process that does not
+	// need each change at once, 0 to watch it.
+	Poll Duration `toml:"poll"`
 	// FirstStart is true while the whole system starts for the first time.
 	FirstStart bool `toml:"first_start"`
 	// Revocation is the time within which a revoked key must be refused.
--- a/api/names.go
+++ b/api/names.go
@@ -22,6 +22,8 @@
 	ServiceLog             = "log"
 	ServiceReport          = "report"
 	ServiceDiscovery       = "discovery"
+	ServiceExperts         = "experts"
+	ServiceRankEngine      = "rank.engine"
 	ServicePlatformStore   = "platform.store"
 	ServicePlatformReady   = "platform.ready"
 )
--- a/api/services.go
+++ b/api/services.go
@@ -131,11 +131,12 @@
 type Admission interface {
 	// Authenticate maps a bearer token to a guild member.
 	Authenticate(token string) (Caller, *Failure)
-	// Enter admits a request of a member. The release function must be called
-	// once when the request has ended.
-	Enter(ctx context.Context, member string, costTokens uint32) (release func(), failure *Failure)
-	// SpendRetry takes one retry from the budgets of the member and the process.
-	SpendRetry(ctx context.Context, member string) bool
+	// Enter admits a request of a member to a plain service, or to a model if
+	// the service is empty. The release function must be called once when the
+	// request has ended.
+	Enter(ctx context.Context, member, service string, costTokens uint32) (release func(), failure *Failure)
+	// SpendRetry takes one retry from the budgets that apply.
+	SpendRetry(ctx context.Context, member, service string) bool
 	// SpendHedge takes a second concurrent send from the same budgets.
 	SpendHedge(ctx context.Context, h Hedge) bool
 }
@@ -151,9 +152,11 @@
 
 // RouteQuery asks for an upstream.
 type RouteQuery struct {
-	Member  string
-	Model   string
-	Service string
+	// RequestID is that of the request, for logs.
+	RequestID string
+	Member    string
+	Model     string
+	Service   string
 	// Prefix holds hashes of the prompt's blocks, longest prefix last.
 	Prefix     []uint64
 	CostTokens uint32
@@ -268,6 +271,11 @@
 	ResumeFrom uint64
 	// Fingerprint identifies the content across resends.
 	Fingerprint uint64
+	// MaxSends bounds the sends of the request, 0 for the dispatcher's own bound.
+	MaxSends int
+	// Unbound requests are told apart by their ID alone, so that no idempotency
+	// key is bound to an upstream for them.
+	Unbound bool
 }
 
 // Work is the agent's sole entry point to its upstream.
@@ -326,9 +334,21 @@
 	Observe(name, label string, d time.Duration)
 }
 
-// Logger writes a line for a change of state.
+// DecisionKind says which lines are given up first where there are too many.
+type DecisionKind uint8
+
+// Kinds of decision. Routine ones are given up first.
+const (
+	DecisionRoutine DecisionKind = iota
+	DecisionFailed
+)
+
+// Logger writes structured lines. It never waits for whoever reads them.
 type Logger interface {
+	// Change writes a line for a change of state.
 	Change(event string, fields Fields)
+	// Decision writes a line for a decision that touches a request.
+	Decision(event string, kind DecisionKind, fields Fields)
 }
 
 // Fields are the typed details of a log line.
--- /dev/null
+++ b/cmd/mulberryfork-platform/main.go
@@ -0,0 +1,171 @@
+// Command mulberryfork-platform runs the processes of mulberryfork on a platform
+// that publishes routes, members and upstreams in a store.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/daemon"
+	"github.com/mulberryfork/mulberryfork/decide/settings"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/platform"
+	"github.com/mulberryfork/mulberryfork/service/adminhttp"
+	"github.com/mulberryfork/mulberryfork/service/apikeys"
+	"github.com/mulberryfork/mulberryfork/service/balance"
+	"github.com/mulberryfork/mulberryfork/service/discovery"
+	"github.com/mulberryfork/mulberryfork/service/dispatch"
+	"github.com/mulberryfork/mulberryfork/service/experts"
+	"github.com/mulberryfork/mulberryfork/service/log"
+	"github.com/mulberryfork/mulberryfork/service/metrics"
+)
+
+// memoryPart is the part of the memory limit at which the collector works
+// harder; the rest is for stacks and buffers of the system.
+const memoryPart = 0.75
+
+type commands struct {
+	Edge edgeCommand `cmd:"" help:"Route callers' requests to upstreams."`
+	Side sideCommand `cmd:"" help:"Keep the expert map of the engine beside the process."`
+}
+
+type edgeCommand struct {
+	Settings string `env:"MULBERRYFORK_BOOT" type:"existingfile" required:"" help:"Settings file of this process."`
+}
+
+// edgeServices are started in this order and stopped in reverse, so that
+// requests end while everything they need still runs.
+var edgeServices = []string{
+	api.ServiceLog,
+	api.ServiceMetrics,
+	api.ServiceDiscovery,
+	api.ServicePlatformStore,
+	api.ServiceAdminHTTP,
+	api.ServicePlatformReady,
+	api.ServiceAdmission,
+	api.ServiceRouting,
+	api.ServiceTransportLinks,
+	api.ServiceDispatch,
+	api.ServiceFrontendHTTP,
+}
+
+var sideServices = []string{
+	api.ServiceLog,
+	api.ServiceMetrics,
+	api.ServiceDiscovery,
+	api.ServicePlatformStore,
+	api.ServiceAdminHTTP,
+	api.ServiceRankEngine,
+	api.ServiceExperts,
+}
+
+func registry() (*kernel.Registry, error) {
+	r := kernel.NewRegistry()
+	for _, register := range []func(*kernel.Registry) error{
+		adminhttp.Register,
+		apikeys.Register,
+		balance.Register,
+		discovery.Register,
+		dispatch.Register,
+		experts.Register,
+		log.Register,
+		metrics.Register,
+		platform.Register,
+	} {
+		if err := register(r); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+func main() {
+	var c commands
+	parsed := kong.Parse(&c,
+		kong.Name("mulberryfork-platform"),
+		kong.Description("The processes of mulberryfork on a platform with a store."))
+	if err := parsed.Run(); err != nil {
+		fmt.Fprintf(os.Stderr, "mulberryfork-platform: %T: %v\n", err, err)
+		os.Exit(1)
+	}
+}
+
+type sideCommand struct{ edgeCommand }
+
+func (c sideCommand) Run() error { return serve(c.Settings, settings.Side, sideServices) }
+
+func (c edgeCommand) Run() error { return serve(c.Settings, settings.Edge, edgeServices) }
+
+// FileError reports a file that cannot be read.
+type FileError struct {
+	Path string
+	Err  error
+}
+
+func (e *FileError) Error() string { return e.Path + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.Err }
+
+func load(path string, role settings.Role) (*api.Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &FileError{Path: path, Err: err}
+	}
+	loaded, problems := settings.Read(path, data, role)
+	if problems != nil {
+		return nil, problems
+	}
+	return loaded, nil
+}
+
+// serve runs a process until a signal asks it to stop.
+func serve(path string, role settings.Role, services []string) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	loaded, err := load(path, role)
+	if err != nil {
+		return err
+	}
+	if loaded.Edge.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(loaded.Edge.MemoryMB<<20)))
+	}
+	r, err := registry()
+	if err != nil {
+		return err
+	}
+	p, err := daemon.StartWith(context.Background(), r, services, loaded)
+	if err != nil {
+		return err
+	}
+	logger, err := kernel.Find[api.Logger](p.Host, api.ServiceLog)
+	if err != nil {
+		return err
+	}
+	logger.Change("started", api.Fields{"node": loaded.Node, "role": role, "zone": loaded.Zone, "http": loaded.Listen.HTTP})
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+		reload(logger, path, role)
+	}
+	logger.Change("stopping", api.Fields{"node": loaded.Node})
+	return p.Stop(context.Background())
+}
+
+// reload checks the settings file that has changed. A process reads its
+// settings at start; nothing that the platform changes later concerns it.
+func reload(logger api.Logger, path string, role settings.Role) {
+	if _, err := load(path, role); err != nil {
+		logger.Change("changed settings refused", api.Fields{"error": err.Error()})
+		return
+	}
+	logger.Change("changed settings are valid", nil)
+}
--- /dev/null
+++ b/decide/balance/balance.go
@@ -0,0 +1,245 @@
+// Package balance chooses the upstream of a request among the instances that
+// the platform lists, by the load that each is expected to have.
+//
+// The process knows its own running sends exactly. What other processes send
+// is estimated from the loads that upstreams state in their answers: the part
+// beyond the own sends, which fades as it ages.
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
+
+const (
+	// reportHalfLife is the time in which a stated load loses half of its
+	// weight. A model request runs for about that long.
+	reportHalfLife = time.Second
+	// farPenalty is the load, in requests, that the way to another zone is
+	// worth. It only breaks ties between equally loaded upstreams.
+	farPenalty = 0.3
+	// probingPenalty keeps an upstream on probation to what others can't take.
+	probingPenalty = 4
+	// coldWindow is the span over which requests to a cold upstream are counted.
+	coldWindow = time.Second
+	// noUpstreamRetry is when a caller may come back if no upstream is listed:
+	// a replacement registers within a heartbeat.
+	noUpstreamRetry = 500 * time.Millisecond
+	// busyRetry is when a caller may come back if all upstreams are full: a
+	// request takes about this long.
+	busyRetry = 300 * time.Millisecond
+	// queueFactor is the load, as a multiple of an upstream's slots, from which
+	// a request would wait in its queue beyond its objective.
+	queueFactor = 2
+)
+
+// Options configures a state.
+type Options struct {
+	// Zone is that of the process.
+	Zone string
+	Seed uint64
+	// ColdOvershoot and ColdTolerance bound the rate of all processes to a cold
+	// upstream, and Processes is the number of processes that share it.
+	ColdOvershoot, ColdTolerance float64
+	Processes                    int
+}
+
+// Health is the standing of an upstream.
+type Health uint8
+
+// Standings of an upstream.
+const (
+	Healthy Health = iota
+	Probing
+	Ejected
+)
+
+// State belongs to the control loop.
+type State struct {
+	options   Options
+	random    *rand.Rand
+	view      *api.View
+	upstreams map[string]*upstream
+	services  map[string][]*upstream
+}
+
+type upstream struct {
+	instance api.Instance
+	health   Health
+	own      int
+	// others is the load that other processes caused at a time.
+	others   float64
+	othersAt time.Duration
+	// sent holds the times of the sends within the cold window.
+	sent []time.Duration
+}
+
+// New returns a state without upstreams.
+func New(o Options) *State {
+	return &State{
+		options:   o,
+		random:    rand.New(rand.NewPCG(o.Seed, 1)),
+		view:      &api.View{},
+		upstreams: make(map[string]*upstream),
+	}
+}
+
+// Configure takes a view. An upstream that starts anew loses its estimates.
+func (s *State) Configure(v *api.View) {
+	s.view = v
+	kept := make(map[string]*upstream, len(v.Instances))
+	s.services = make(map[string][]*upstream)
+	for id, in := range v.Instances {
+		u := s.upstreams[id]
+		if u == nil || u.instance.Born != in.Born {
+			u = &upstream{}
+		}
+		u.instance = in
+		kept[id] = u
+		s.services[in.Service] = append(s.services[in.Service], u)
+	}
+	for _, list := range s.services {
+		slices.SortFunc(list, func(a, b *upstream) int {
+			if a.instance.ID < b.instance.ID {
+				return -1
+			}
+			return 1
+		})
+	}
+	s.upstreams = kept
+}
+
+// SetHealth takes the standing of an upstream.
+func (s *State) SetHealth(id string, h Health) {
+	if u := s.upstreams[id]; u != nil {
+		u.health = h
+	}
+}
+
+// Observe takes a stated load.
+func (s *State) Observe(now time.Duration, l api.UpstreamLoad) {
+	if u := s.upstreams[l.Upstream]; u != nil {
+		u.others = math.Max(float64(l.Running+l.Waiting-u.own), 0)
+		u.othersAt = now
+	}
+}
+
+// Done notes that a send has ended.
+func (s *State) Done(id string) {
+	if u := s.upstreams[id]; u != nil && u.own > 0 {
+		u.own--
+	}
+}
+
+// Choice is the upstream chosen and what decided it.
+type Choice struct {
+	Upstream string
+	// Load is the expected number of requests there before this one.
+	Load float64
+	// Candidates is the number of upstreams that could take the request.
+	Candidates int
+}
+
+// Choose picks the upstream with the least expected load, and counts the send.
+func (s *State) Choose(now time.Duration, service string, exclude []string) (Choice, *api.Failure) {
+	var best *upstream
+	least, candidates, listed, cold := math.Inf(1), 0, 0, 0
+	for _, pass := range []Health{Probing, Ejected} {
+		for _, u := range s.services[service] {
+			if !s.listed(u) {
+				continue
+			}
+			listed++
+			if slices.Contains(exclude, u.instance.ID) || u.health > pass {
+				continue
+			}
+			if !s.bears(now, u) {
+				cold++
+				continue
+			}
+			candidates++
+			if score := s.score(now, u); score < least {
+				best, least = u, score
+			}
+		}
+		if best != nil {
+			break
+		}
+	}
+	if best == nil {
+		return Choice{}, refusal(listed, cold)
+	}
+	load := s.load(now, best)
+	if slots := float64(best.instance.Slots); slots > 0 && load >= queueFactor*slots {
+		f := api.Fail(api.CodeOverloaded, api.NotRun, "all upstreams of the service are full")
+		f.RetryAfter = busyRetry
+		return Choice{}, f
+	}
+	best.own++
+	s.noteCold(now, best)
+	return Choice{Upstream: best.instance.ID, Load: load, Candidates: candidates}, nil
+}
+
+// listed says whether an upstream may get new work at all.
+func (s *State) listed(u *upstream) bool {
+	return !u.instance.Leaving && !s.view.ZonesOut[u.instance.Zone]
+}
+
+func (s *State) load(now time.Duration, u *upstream) float64 {
+	age := (now - u.othersAt).Seconds() / reportHalfLife.Seconds()
+	return float64(u.own) + u.others*math.Exp2(-age)
+}
+
+// score orders upstreams. The random part keeps processes from choosing the
+// same one of several that look alike.
+func (s *State) score(now time.Duration, u *upstream) float64 {
+	score := s.load(now, u) + s.random.Float64()/2
+	if u.instance.Zone != s.options.Zone {
+		score += farPenalty
+	}
+	if u.health == Probing {
+		score += probingPenalty
+	}
+	return score
+}
+
+// bears says whether an upstream may get another request now, for one that is
+// cold. The rate that it bears is shared evenly by all processes.
+func (s *State) bears(now time.Duration, u *upstream) bool {
+	if now >= u.instance.ColdUntil || s.view.Table == nil {
+		return true
+	}
+	rate := s.view.Table.Services[u.instance.Service].ColdPerSecond
+	if rate <= 0 {
+		return true
+	}
+	u.sent = slices.DeleteFunc(u.sent, func(at time.Duration) bool { return now-at > coldWindow })
+	total := rate*s.options.ColdOvershoot + s.options.ColdTolerance
+	return len(u.sent) < max(int(total/float64(s.options.Processes)), 1)
+}
+
+func (s *State) noteCold(now time.Duration, u *upstream) {
+	if now < u.instance.ColdUntil {
+		u.sent = append(u.sent, now)
+	}
+}
+
+func refusal(listed, cold int) *api.Failure {
+	switch {
+	case cold > 0:
+		f := api.Fail(api.CodeColdUpstream, api.NotRun, "the upstreams that are left are in cold start")
+		f.RetryAfter = busyRetry
+		return f
+	case listed > 0:
+		f := api.Fail(api.CodeNoUpstream, api.NotRun, "no further upstream can take the request")
+		f.RetryAfter = busyRetry
+		return f
+	}
+	f := api.Fail(api.CodeNoUpstream, api.NotRun, "no upstream of the service is listed")
+	f.RetryAfter = noUpstreamRetry
+	return f
+}
--- /dev/null
+++ b/decide/expertplan/expertplan.go
@@ -0,0 +1,176 @@
+// Package expertplan decides to which map a group should change, from the
+// choices of experts that its ranks count.
+package expertplan
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/placement"
+	"github.com/mulberryfork/mulberryfork/decide/rebalance"
+)
+
+const (
+	// tolerance is the distance to the placement bound that is left alone.
+	tolerance = 0.03
+	// minGain is the smallest part of the expert time of a pass worth a change,
+	// whose copies lengthen passes by 15% while they run.
+	minGain = 0.04
+	// newestWeight is the weight of the newest interval in the estimate. Demand
+	// shifts within seconds and counts are large, so that older ones say little.
+	newestWeight = 0.75
+	// perRank bounds the experts that a rank copies for one change: each takes
+	// hundreds of milliseconds, during which the old map is in use.
+	perRank = 3
+)
+
+// State estimates the demand of one group. It belongs to the control loop.
+type State struct {
+	shape   placement.Shape
+	predict rebalance.Predictor
+	// last are the counts of the previous reading, by rank.
+	last  [][]uint64
+	epoch uint64
+	// interval is the time of the previous reading.
+	at time.Duration
+}
+
+// New returns a state for groups of a profile.
+func New(ranks int, p api.EngineProfile) *State {
+	return &State{
+		shape: placement.Shape{
+			Ranks:      ranks,
+			Experts:    p.Experts,
+			Layers:     p.Layers,
+			Slots:      p.SlotsPerRank,
+			RanksPerVM: 1,
+		},
+		predict: rebalance.NewPredictor(newestWeight, 0),
+	}
+}
+
+// Shape returns the size of the group.
+func (s *State) Shape() placement.Shape { return s.shape }
+
+// Observe takes a reading of the counts of all ranks. Ranks without counts,
+// and those that started anew, are left out.
+func (s *State) Observe(now time.Duration, epoch uint64, counts [][]uint64) {
+	size := s.shape.Layers * s.shape.Experts
+	loads := make(placement.Loads, s.shape.Layers)
+	for l := range loads {
+		loads[l] = make([]float64, s.shape.Experts)
+	}
+	seen := false
+	if epoch == s.epoch && len(s.last) == len(counts) {
+		for r := range counts {
+			if len(counts[r]) != size || len(s.last[r]) != size {
+				continue
+			}
+			for i := range counts[r] {
+				if counts[r][i] > s.last[r][i] {
+					loads[i/s.shape.Experts][i%s.shape.Experts] += float64(counts[r][i] - s.last[r][i])
+					seen = true
+				}
+			}
+		}
+	}
+	s.last, s.epoch, s.at = counts, epoch, now
+	if seen {
+		s.predict.Add(loads)
+	}
+}
+
+// Plan returns a better map than the present one, by layer and rank, and the
+// part of the expert time that it saves; false if none is worth the change.
+func (s *State) Plan(present [][][]int) ([][][]int, float64, bool) {
+	loads, ok := s.predict.Loads(0)
+	if !ok {
+		return nil, 0, false
+	}
+	before, ok := s.pack(present)
+	if !ok {
+		return nil, 0, false
+	}
+	limits := placement.Limits{Weights: perRank * s.shape.Ranks, PerRank: perRank}
+	after, err := placement.Update(before, loads, tolerance, limits)
+	if err != nil {
+		return nil, 0, false
+	}
+	cost := before.Cost(loads)
+	if cost <= 0 {
+		return nil, 0, false
+	}
+	gain := (cost - after.Cost(loads)) / cost
+	return s.unpack(after), gain, gain >= minGain
+}
+
+// pack fills the slots of a map. A slot that is free repeats an expert that
+// the rank holds alone, which changes no load.
+func (s *State) pack(lists [][][]int) (placement.Map, bool) {
+	m := placement.Map{Shape: s.shape, Slots: make([]int16, s.shape.Layers*s.shape.Ranks*s.shape.Slots)}
+	if len(lists) != s.shape.Layers {
+		return m, false
+	}
+	for l, ranks := range lists {
+		if len(ranks) != s.shape.Ranks {
+			return m, false
+		}
+		holders := make(map[int]int)
+		for _, experts := range ranks {
+			for _, e := range experts {
+				holders[e]++
+			}
+		}
+		if len(holders) != s.shape.Experts {
+			return m, false
+		}
+		slots := m.Layer(l)
+		for r, experts := range ranks {
+			if len(experts) == 0 || len(experts) > s.shape.Slots {
+				return m, false
+			}
+			filler := experts[0]
+			for _, e := range experts {
+				if holders[e] == 1 {
+					filler = e
+				}
+			}
+			for k := range s.shape.Slots {
+				e := filler
+				if k < len(experts) {
+					e = experts[k]
+				}
+				slots[r*s.shape.Slots+k] = int16(e)
+			}
+		}
+	}
+	return m, true
+}
+
+func (s *State) unpack(m placement.Map) [][][]int {
+	out := make([][][]int, s.shape.Layers)
+	for l := range out {
+		out[l] = make([][]int, s.shape.Ranks)
+		for r := range out[l] {
+			for _, e := range m.Layer(l)[r*s.shape.Slots : (r+1)*s.shape.Slots] {
+				if !slices.Contains(out[l][r], int(e)) {
+					out[l][r] = append(out[l][r], int(e))
+				}
+			}
+		}
+	}
+	return out
+}
+
+// First is map 0, which deals the experts out in turn.
+func First(s placement.Shape) [][][]int {
+	out := make([][][]int, s.Layers)
+	for l := range out {
+		out[l] = make([][]int, s.Ranks)
+		for e := range s.Experts {
+			out[l][e%s.Ranks] = append(out[l][e%s.Ranks], e)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/decide/mapswitch/mapswitch.go
@@ -0,0 +1,413 @@
+// Package mapswitch changes the expert map of a group so that no pass begins
+// with two maps, whoever fails on the way.
+//
+// The leader has all ranks prepare the map, holds a pass that has not begun at
+// its own rank, arms all ranks for that pass, and releases it once every rank
+// has confirmed. While the pass is held nothing can begin with a part of the
+// ranks armed, so orders may be lost, late or repeated:
+//
+//   - an order that is carried out after its pass has begun is refused;
+//   - an order of an earlier leader, or of an earlier try, has a lower fencing
+//     token than the rank has seen, and is refused;
+//   - a group that was formed anew has another epoch, map 0 and nothing armed.
+//
+// A hold does not expire. A leader that finds one that is not its own fences
+// the rank that has it, so that nobody else can release it, looks again, and
+// disarms every rank before it releases, unless all are armed alike.
+package mapswitch
+
+import (
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
+
+const (
+	// resendAfter is the time after which an order without an answer is sent
+	// again. An answer takes a few milliseconds.
+	resendAfter = 80 * time.Millisecond
+	// leadPasses is the number of passes between the last known one and the one
+	// that is held. They pass while the orders are on their way.
+	leadPasses = 3
+	// prepareLimit bounds the copying of experts.
+	prepareLimit = 8 * time.Second
+	// armLimit bounds the time in which the group is held for missing answers.
+	armLimit = 1200 * time.Millisecond
+	// tokenJump exceeds what clocks of leaders differ by, in milliseconds.
+	tokenJump = 60_000
+)
+
+// Phase is the progress of a change.
+type Phase uint8
+
+// Phases of a change.
+const (
+	Idle Phase = iota
+	Preparing
+	Holding
+	Arming
+	Releasing
+	// Settling waits for the pass from which the map is in use.
+	Settling
+	// Fencing, Verifying, Disarming and Freeing undo a change that was left.
+	Fencing
+	Verifying
+	Disarming
+	Freeing
+)
+
+var phaseNames = [...]string{"idle", "preparing", "holding", "arming", "releasing", "settling", "fencing", "verifying", "disarming", "freeing"}
+
+func (p Phase) String() string { return phaseNames[p] }
+
+// Send is an order to one rank.
+type Send struct {
+	Rank  int
+	Order api.RankOrder
+}
+
+// State is the state of one leader. It belongs to the control loop.
+type State struct {
+	phase Phase
+	// since is when the phase began, for its limit.
+	since time.Duration
+	// own is the rank of the leader.
+	own   int
+	epoch uint64
+	token uint64
+	// top is the highest token heard of.
+	top     uint64
+	version uint64
+	step    uint64
+	plan    [][][]int
+	ranks   []api.RankReport
+	// waiting are the orders of the phase without an answer, by rank.
+	waiting map[int]*pending
+	// deposed is set once a rank has refused a token of this leader.
+	deposed bool
+}
+
+type pending struct {
+	order api.RankOrder
+	at    time.Duration
+	sent  bool
+}
+
+// New returns the state of a leader at a rank.
+func New(own int) *State { return &State{own: own, waiting: make(map[int]*pending)} }
+
+// Phase returns the progress of the change.
+func (s *State) Phase() Phase { return s.phase }
+
+// Version returns the version of the last change begun.
+func (s *State) Version() uint64 { return s.version }
+
+// HearToken takes a fencing token that others have used.
+func (s *State) HearToken(token uint64) { s.top = max(s.top, token) }
+
+// Ready says whether a change can begin: the last reading shows an open group
+// in which nothing is under way.
+func (s *State) Ready() bool {
+	if s.phase != Idle || len(s.ranks) == 0 {
+		return false
+	}
+	for _, r := range s.ranks {
+		if !r.Open || r.Map != s.ranks[0].Map || r.Armed != nil || r.Held != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Begin starts a change to a map, given by layer and rank. The clock is the
+// Unix time in milliseconds, from which fencing tokens derive.
+func (s *State) Begin(now time.Duration, clock uint64, plan [][][]int) []Send {
+	s.newToken(clock)
+	s.plan = plan
+	s.version++
+	for _, r := range s.ranks {
+		s.version = max(s.version, r.Map+1)
+		if r.Prepared != nil {
+			s.version = max(s.version, *r.Prepared+1)
+		}
+	}
+	return s.toAll(now, Preparing, api.RankOrder{Op: api.RankPrepare, Version: s.version, Map: plan})
+}
+
+func (s *State) newToken(clock uint64) {
+	s.token = max(clock, s.top+1)
+	if s.deposed {
+		s.token = s.top + tokenJump
+		s.deposed = false
+	}
+	s.top = s.token
+}
+
+func (s *State) enter(now time.Duration, p Phase) {
+	s.phase, s.since = p, now
+	clear(s.waiting)
+}
+
+func (s *State) toAll(now time.Duration, p Phase, o api.RankOrder) []Send {
+	s.enter(now, p)
+	for rank := range s.ranks {
+		s.expect(rank, o)
+	}
+	return s.due(now)
+}
+
+func (s *State) expect(rank int, o api.RankOrder) {
+	o.Token, o.Epoch = s.token, s.epoch
+	s.waiting[rank] = &pending{order: o}
+}
+
+// due returns the orders that have to be sent now.
+func (s *State) due(now time.Duration) []Send {
+	var sends []Send
+	for rank := range s.ranks {
+		p := s.waiting[rank]
+		if p == nil || p.sent && now-p.at < resendAfter {
+			continue
+		}
+		p.sent, p.at = true, now
+		sends = append(sends, Send{Rank: rank, Order: p.order})
+	}
+	return sends
+}
+
+// Tick sends orders again that have no answer, and gives up what takes too long.
+func (s *State) Tick(now time.Duration, clock uint64) []Send {
+	switch {
+	case s.phase == Preparing && now-s.since > prepareLimit:
+		s.enter(now, Idle)
+	case (s.phase == Holding || s.phase == Arming) && now-s.since > armLimit:
+		return s.undo(now, clock)
+	}
+	return s.due(now)
+}
+
+// Observe takes a complete reading of the group, by rank, and when it began. A
+// reading that began before the present phase says nothing of its effect.
+func (s *State) Observe(now, began time.Duration, clock uint64, ranks []api.RankReport) []Send {
+	if len(ranks) == 0 || began < s.since {
+		return s.due(now)
+	}
+	if ranks[0].Epoch != s.epoch || len(ranks) != len(s.ranks) {
+		s.epoch = ranks[0].Epoch
+		s.enter(now, Idle)
+		s.version, s.step = 0, 0
+	}
+	s.ranks = ranks
+	switch s.phase {
+	case Idle:
+		if s.foreign() {
+			return s.undo(now, clock)
+		}
+	case Preparing:
+		if s.foreign() {
+			return s.undo(now, clock)
+		}
+		if s.allPrepared() {
+			return s.hold(now)
+		}
+	case Settling:
+		return s.settle(now, clock)
+	case Verifying:
+		return s.verified(now)
+	}
+	return s.due(now)
+}
+
+// foreign says whether a rank is held or armed by a change that was left.
+func (s *State) foreign() bool {
+	for _, r := range s.ranks {
+		if r.Held != nil || r.Armed != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) allPrepared() bool {
+	for _, r := range s.ranks {
+		if r.Prepared == nil || *r.Prepared != s.version {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *State) lastStep() uint64 {
+	step := uint64(0)
+	for _, r := range s.ranks {
+		step = max(step, r.Step)
+	}
+	return step
+}
+
+func (s *State) hold(now time.Duration) []Send {
+	s.enter(now, Holding)
+	s.step = s.lastStep() + leadPasses
+	s.expect(s.own, api.RankOrder{Op: api.RankHold, Step: s.step})
+	return s.due(now)
+}
+
+// settle waits until every rank uses the map. Another leader's hold is undone.
+func (s *State) settle(now time.Duration, clock uint64) []Send {
+	settled := true
+	for _, r := range s.ranks {
+		if r.Held != nil {
+			return s.undo(now, clock)
+		}
+		settled = settled && r.Map == s.version
+	}
+	if settled {
+		s.enter(now, Idle)
+	}
+	return nil
+}
+
+// undo begins to clear what a change left. The ranks that hold a pass are
+// fenced first, so that no other leader releases it meanwhile.
+func (s *State) undo(now time.Duration, clock uint64) []Send {
+	s.newToken(clock)
+	s.enter(now, Fencing)
+	for rank, r := range s.ranks {
+		if r.Held != nil || rank == s.own && s.step > 0 {
+			// No pass has number 0, so this releases nothing.
+			s.expect(rank, api.RankOrder{Op: api.RankRelease})
+		}
+	}
+	if len(s.waiting) == 0 {
+		s.enter(now, Verifying)
+	}
+	return s.due(now)
+}
+
+// verified decides, on a reading made after the fence, how to clear up.
+func (s *State) verified(now time.Duration) []Send {
+	held := false
+	for _, r := range s.ranks {
+		held = held || r.Held != nil
+	}
+	switch {
+	case s.allAlike():
+		return s.free(now)
+	case !held:
+		// Without a hold the ranks may switch at any moment, so that they must
+		// be left alone: the leader that released has armed them all, and this
+		// reading was taken while they switched.
+		s.enter(now, Idle)
+		return nil
+	}
+	s.enter(now, Disarming)
+	for rank, r := range s.ranks {
+		version := s.version
+		if r.Armed != nil {
+			version = *r.Armed
+		}
+		s.expect(rank, api.RankOrder{Op: api.RankDisarm, Version: version})
+	}
+	return s.due(now)
+}
+
+// allAlike says whether every rank is armed with one version, or uses it.
+func (s *State) allAlike() bool {
+	var version *uint64
+	for _, r := range s.ranks {
+		if r.Armed != nil {
+			version = r.Armed
+		}
+	}
+	if version == nil {
+		return false
+	}
+	for _, r := range s.ranks {
+		if r.Map != *version && (r.Armed == nil || *r.Armed != *version) {
+			return false
+		}
+	}
+	return true
+}
+
+// free releases every hold.
+func (s *State) free(now time.Duration) []Send {
+	s.enter(now, Freeing)
+	for rank, r := range s.ranks {
+		if r.Held != nil {
+			s.expect(rank, api.RankOrder{Op: api.RankRelease, Step: *r.Held})
+		}
+	}
+	if len(s.waiting) == 0 {
+		s.enter(now, Idle)
+	}
+	return s.due(now)
+}
+
+// Answered takes the answer to an order.
+func (s *State) Answered(now time.Duration, clock uint64, sent Send, a api.RankAnswer) []Send {
+	p := s.waiting[sent.Rank]
+	if p == nil || p.order.Op != sent.Order.Op || p.order.Token != sent.Order.Token || p.order.Step != sent.Order.Step {
+		return nil
+	}
+	switch a {
+	case api.RankNoAnswer:
+		return s.due(now)
+	case api.RankFenced:
+		return s.fenced(now)
+	case api.RankRefused:
+		return s.refused(now, clock, sent.Rank)
+	}
+	delete(s.waiting, sent.Rank)
+	if len(s.waiting) > 0 {
+		return nil
+	}
+	return s.next(now)
+}
+
+// fenced gives way to a leader with a higher token, who clears up.
+func (s *State) fenced(now time.Duration) []Send {
+	s.deposed = true
+	s.enter(now, Idle)
+	return nil
+}
+
+// refused takes a refusal because of the rank's state.
+func (s *State) refused(now time.Duration, clock uint64, rank int) []Send {
+	switch s.phase {
+	case Preparing:
+		s.enter(now, Idle)
+		return nil
+	case Holding, Arming:
+		return s.undo(now, clock)
+	}
+	// What is to be disarmed is in use, or what is to be released has begun.
+	delete(s.waiting, rank)
+	if len(s.waiting) > 0 {
+		return nil
+	}
+	return s.next(now)
+}
+
+// next goes on once every order of the phase is answered.
+func (s *State) next(now time.Duration) []Send {
+	switch s.phase {
+	case Holding:
+		return s.toAll(now, Arming, api.RankOrder{Op: api.RankArm, Version: s.version, Step: s.step})
+	case Arming:
+		s.enter(now, Releasing)
+		s.expect(s.own, api.RankOrder{Op: api.RankRelease, Step: s.step})
+		return s.due(now)
+	case Releasing:
+		s.step = 0
+		s.enter(now, Settling)
+	case Fencing:
+		s.enter(now, Verifying)
+	case Disarming:
+		return s.free(now)
+	case Freeing:
+		s.step = 0
+		s.enter(now, Idle)
+	}
+	return nil
+}
--- a/service/adminhttp/adminhttp.go
+++ b/service/adminhttp/adminhttp.go
@@ -30,7 +30,7 @@
 }
 
 // checked are the services whose state holds back readiness, if present.
-var checked = []string{api.ServiceConfigStore, api.ServiceWork, api.ServiceRouting}
+var checked = []string{api.ServiceConfigStore, api.ServiceWork, api.ServiceRouting, api.ServiceDiscovery}
 
 func (s *service) Provision(c *kernel.Context) (err error) {
 	if s.settings, err = kernel.Value[*api.Settings](c); err != nil {
@@ -126,6 +126,24 @@
 	return r
 }
 
+// DrainingError reports a process that is shutting down.
+type DrainingError struct{}
+
+func (*DrainingError) Error() string { return "the process is shutting down" }
+
+// ProcessReady returns nil, or why the process must not get traffic.
+func (s *service) ProcessReady() error {
+	if s.draining.Load() {
+		return &DrainingError{}
+	}
+	for _, check := range s.checks {
+		if err := check.Ready(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 type readiness struct {
 	Ready  bool              `json:"ready"`
 	Checks map[string]string `json:"checks"`
--- a/service/admission/admission.go
+++ b/service/admission/admission.go
@@ -133,7 +133,7 @@
 
 // Enter admits a request while the process has room for it and the member's
 // rate allows it.
-func (s *service) Enter(ctx context.Context, member string, _ uint32) (func(), *api.Failure) {
+func (s *service) Enter(ctx context.Context, member, _ string, _ uint32) (func(), *api.Failure) {
 	if limiter := s.members.Load().limiters[member]; limiter != nil && !limiter.Allow() {
 		return nil, &api.Failure{
 			Code:       api.CodeRateLimited,
@@ -157,7 +157,7 @@
 }
 
 // SpendRetry takes one retry from the budgets.
-func (s *service) SpendRetry(ctx context.Context, member string) bool {
+func (s *service) SpendRetry(ctx context.Context, member, _ string) bool {
 	granted, err := kernel.Ask(ctx, s.retries, member)
 	return err == nil && granted
 }
--- /dev/null
+++ b/service/balance/balance.go
@@ -0,0 +1,181 @@
+// Package balance is the routing service of a process that reads its upstreams
+// from the platform's store. It chooses on the control loop.
+package balance
+
+import (
+	"context"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/balance"
+	"github.com/mulberryfork/mulberryfork/decide/outlier"
+	"github.com/mulberryfork/mulberryfork/kernel"
+)
+
+const (
+	queryMailbox  = 4096
+	resultMailbox = 4096
+	loadMailbox   = 1024
+	tickInterval  = time.Second
+	// assumedProcesses share the rate that a cold upstream bears. The store
+	// does not list the system's processes; no deployment has more.
+	assumedProcesses = 24
+)
+
+type answer struct {
+	choice  api.RouteChoice
+	failure *api.Failure
+}
+
+type service struct {
+	discovery api.Discovery
+	clock     kernel.Clock
+	log       api.Logger
+	ejected   api.Counter
+	choices   api.Counter
+	queries   *kernel.Mailbox[kernel.Call[api.RouteQuery, answer]]
+	results   *kernel.Mailbox[api.RouteResult]
+	loads     *kernel.Mailbox[api.UpstreamLoad]
+
+	// The control loop owns the fields below.
+	state    *balance.State
+	outliers *outlier.State
+	changed  uint64
+}
+
+func (s *service) Provision(c *kernel.Context) (err error) {
+	settings, err := kernel.Value[*api.Settings](c)
+	if err != nil {
+		return err
+	}
+	if s.discovery, err = kernel.Lookup[api.Discovery](c, api.ServiceDiscovery); err != nil {
+		return err
+	}
+	if s.log, err = kernel.Lookup[api.Logger](c, api.ServiceLog); err != nil {
+		return err
+	}
+	metrics, err := kernel.Lookup[api.Metrics](c, api.ServiceMetrics)
+	if err != nil {
+		return err
+	}
+	s.clock = c.Clock()
+	s.ejected = metrics.Counter("route_ejected", "")
+	s.choices = metrics.Counter("route_choices", string(api.RouteWork))
+	s.state = balance.New(balance.Options{
+		Zone:          settings.Zone,
+		Seed:          seed(settings.Node),
+		ColdOvershoot: settings.Edge.ColdOvershoot,
+		ColdTolerance: settings.Edge.ColdTolerance,
+		Processes:     assumedProcesses,
+	})
+	s.outliers = outlier.New()
+	s.queries = kernel.NewMailbox(c.Loop(), "routing.query", queryMailbox, kernel.Wait, s.answer)
+	s.results = kernel.NewMailbox(c.Loop(), "routing.result", resultMailbox, kernel.Wait, s.settle)
+	// A load that is dropped is followed by a newer one.
+	s.loads = kernel.NewMailbox(c.Loop(), "routing.load", loadMailbox, kernel.Drop, s.state.Observe)
+	s.discovery.Subscribe(s.configure)
+	c.Loop().Every(tickInterval, func(now time.Duration) { s.apply(s.outliers.Tick(now)) })
+	return nil
+}
+
+// seed makes processes break ties differently.
+func seed(node string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(node))
+	return h.Sum64()
+}
+
+// Route chooses an upstream.
+func (s *service) Route(ctx context.Context, q api.RouteQuery) (api.RouteChoice, *api.Failure) {
+	a, err := kernel.Ask(ctx, s.queries, q)
+	if err != nil {
+		return api.RouteChoice{}, &api.Failure{Code: api.CodeCanceled, Run: api.NotRun, Err: err}
+	}
+	return a.choice, a.failure
+}
+
+// Done reports how a send ended.
+func (s *service) Done(r api.RouteResult) { _ = s.results.Post(context.Background(), r) }
+
+// ObserveLoad takes the load that an upstream stated in an answer.
+func (s *service) ObserveLoad(l api.UpstreamLoad) { _ = s.loads.Post(context.Background(), l) }
+
+func (s *service) configure(_ time.Duration, v *api.View) {
+	s.changed = v.Changed
+	s.state.Configure(v)
+	pools := make(map[string]string, len(v.Instances))
+	for id, in := range v.Instances {
+		pools[id] = in.Service
+	}
+	s.apply(s.outliers.Configure(pools))
+	for _, id := range slices.Sorted(maps.Keys(pools)) {
+		s.state.SetHealth(id, healths[s.outliers.Status(id)])
+	}
+}
+
+var healths = map[outlier.Status]balance.Health{
+	outlier.In:      balance.Healthy,
+	outlier.Probing: balance.Probing,
+	outlier.Out:     balance.Ejected,
+}
+
+var healthNames = map[outlier.Status]string{
+	outlier.In:      "in",
+	outlier.Probing: "probing",
+	outlier.Out:     "ejected",
+}
+
+func (s *service) apply(actions []outlier.Action) {
+	for _, a := range actions {
+		s.state.SetHealth(a.Upstream, healths[a.Status])
+		if a.Status == outlier.Out {
+			s.ejected.Add(1)
+		}
+		s.log.Change("upstream health", api.Fields{"upstream": a.Upstream, "state": healthNames[a.Status]})
+	}
+}
+
+func (s *service) answer(now time.Duration, c kernel.Call[api.RouteQuery, answer]) {
+	choice, failure := s.state.Choose(now, c.Query.Service, c.Query.Exclude)
+	s.logChoice(now, c.Query, choice, failure)
+	if failure != nil {
+		c.Reply(answer{failure: failure})
+		return
+	}
+	s.choices.Add(1)
+	c.Reply(answer{choice: api.RouteChoice{
+		Upstream: choice.Upstream,
+		Revision: s.changed,
+		Reason:   api.RouteWork,
+	}})
+}
+
+func (s *service) logChoice(now time.Duration, q api.RouteQuery, choice balance.Choice, f *api.Failure) {
+	fields := api.Fields{
+		"request":     q.RequestID,
+		"service":     q.Service,
+		"view":        s.changed,
+		"view_age_ms": (now - s.discovery.AsOf()).Milliseconds(),
+	}
+	if len(q.Exclude) > 0 {
+		fields["excluded"] = q.Exclude
+	}
+	if f != nil {
+		fields["failure"] = f.Code
+		s.log.Decision("no upstream chosen", api.DecisionFailed, fields)
+		return
+	}
+	fields["upstream"], fields["load"], fields["candidates"] = choice.Upstream, choice.Load, choice.Candidates
+	s.log.Decision("upstream chosen", api.DecisionRoutine, fields)
+}
+
+func (s *service) settle(now time.Duration, r api.RouteResult) {
+	s.state.Done(r.Upstream)
+	if r.Unsent {
+		return
+	}
+	s.apply(s.outliers.Observe(now, outlier.Result{Upstream: r.Upstream, Failure: r.Failure, FirstChunk: r.FirstChunk}))
+}
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -86,7 +86,7 @@
 			d.uncertain = true
 		}
 		if !d.again(ctx, end.Failure) {
-			if crashed(end.Failure) {
+			if crashed(end.Failure) && d.request.Fingerprint != 0 {
 				// A caller that resends on this answer then reaches routers that
 				// have heard of the crash.
 				pause(ctx, poison.HoldAnswer)
@@ -113,7 +113,7 @@
 
 // again decides whether another send follows, and waits for it to be possible.
 func (d *delivery) again(ctx context.Context, f *api.Failure) bool {
-	if ctx.Err() != nil || d.attempt >= maxSends || d.attempt == 0 || d.exhausted {
+	if ctx.Err() != nil || d.attempt >= d.maxSends() || d.attempt == 0 || d.exhausted {
 		return false
 	}
 	if !d.repeatable(f) {
@@ -124,7 +124,7 @@
 		d.service.counts.retries.Add(1)
 		return d.afterStale(ctx, f.Revision)
 	}
-	if !d.service.admission.SpendRetry(ctx, d.request.Member) {
+	if !d.service.admission.SpendRetry(ctx, d.request.Member, d.request.Service) {
 		d.service.counts.denied.Add(1)
 		return false
 	}
@@ -135,6 +135,13 @@
 	return pause(ctx, d.backoff(f)) && (d.home == "" || d.awaitHome(ctx))
 }
 
+func (d *delivery) maxSends() uint32 {
+	if d.request.MaxSends > 0 {
+		return uint32(min(d.request.MaxSends, maxSends))
+	}
+	return maxSends
+}
+
 // backoff spreads retries out. After a crash of the upstream it also leaves
 // time for the agent's news of it, so that the request is routed as a suspect.
 func (d *delivery) backoff(f *api.Failure) time.Duration {
@@ -293,6 +300,7 @@
 		d.service.links.Reach(ctx, d.home)
 	}
 	choice, failure := d.service.routing.Route(ctx, api.RouteQuery{
+		RequestID:   r.ID,
 		Member:      r.Member,
 		Model:       r.Model,
 		Service:     r.Service,
@@ -304,7 +312,7 @@
 		Leaving:     d.home != "",
 		Fingerprint: r.Fingerprint,
 	})
-	if failure != nil || r.Idempotent || d.key != "" {
+	if failure != nil || r.Idempotent || r.Unbound || d.key != "" {
 		return choice, failure
 	}
 	key, failure := d.service.mint(choice)
--- a/service/dispatch/dispatch.go
+++ b/service/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 const confirmWait = 2 * time.Second
 
 type service struct {
+	// store is nil in a process that binds no keys.
 	store api.ConfigStore
 	// resend and confirmed are nil where the store does not decide on them.
 	resend    api.ResendCheck
@@ -38,7 +39,7 @@
 }
 
 func (s *service) Provision(c *kernel.Context) (err error) {
-	if s.store, err = kernel.Lookup[api.ConfigStore](c, api.ServiceConfigStore); err != nil {
+	if s.store, _, err = kernel.LookupOptional[api.ConfigStore](c, api.ServiceConfigStore); err != nil {
 		return err
 	}
 	s.resend, _ = s.store.(api.ResendCheck)
@@ -167,6 +168,9 @@
 	if key.Bound != nil {
 		return key.Bound.Upstream, key.Bound.Incarnation, nil
 	}
+	if s.store == nil {
+		return "", 0, api.Fail(api.CodeKeyNotBound, api.Unknown, "this process binds no keys")
+	}
 	snap := s.store.Current()
 	if snap == nil {
 		return "", 0, api.Fail(api.CodeNotReady, api.Unknown, "no configuration yet")
--- a/service/dispatch/hedge.go
+++ b/service/dispatch/hedge.go
@@ -27,7 +27,7 @@
 // answer, that was hedged before, or that is suspected of crashing upstreams.
 func (r *race) hedgeable() bool {
 	d := r.delivery
-	return d.request.Idempotent && r.untouched && !d.hedged && d.attempt < maxSends &&
+	return d.request.Idempotent && r.untouched && !d.hedged && d.attempt < d.maxSends() &&
 		!r.open[0].choice.Isolate
 }
 
--- a/service/frontend/answer.go
+++ b/service/frontend/answer.go
@@ -17,7 +17,7 @@
 // serve admits a request, has it dispatched and writes the answer.
 func (s *service) serve(w http.ResponseWriter, r *http.Request, request api.Request) {
 	s.metrics.Counter("requests", request.Member).Add(1)
-	release, failure := s.admission.Enter(r.Context(), request.Member, request.CostTokens)
+	release, failure := s.admission.Enter(r.Context(), request.Member, request.Service, request.CostTokens)
 	if failure != nil {
 		s.ended(request, api.RequestEnd{Failure: failure})
 		s.fail(w, failure)
--- a/service/log/register.go
+++ b/service/log/register.go
@@ -1,13 +1,11 @@
 package log
 
 import (
-	"github.com/sirupsen/logrus"
-
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/kernel"
 )
 
 // Register adds the service under its name.
 func Register(r *kernel.Registry) error {
-	return r.Register(api.ServiceLog, func() any { return &service{logger: logrus.New()} })
+	return r.Register(api.ServiceLog, func() any { return newService() })
 }
