Change expert maps in small steps on fresh counts

Cause: demand shifts every 4 s, while a change copied three experts a rank (1.2 s) and was planned on counts of a whole change, so the map lagged. Ruled out: differences of demand between ranks (each rank's own imbalance is that of the whole group).

--- a/decide/expertplan/expertplan.go
+++ b/decide/expertplan/expertplan.go
@@ -3,12 +3,12 @@
 package expertplan
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/placement"
-	"github.com/mulberryfork/mulberryfork/decide/rebalance"
 )
 
 const (
@@ -17,22 +17,23 @@
 	// minGain is the smallest part of the expert time of a pass worth a change,
 	// whose copies lengthen passes by 15% while they run.
 	minGain = 0.04
-	// newestWeight is the weight of the newest interval in the estimate. Demand
-	// shifts within seconds and counts are large, so that older ones say little.
-	newestWeight = 0.75
+	// demandHalfLife is the time in which counted choices lose half of their
+	// weight. Demand shifts within seconds, and a few dozen requests tell it.
+	demandHalfLife = 250 * time.Millisecond
 	// perRank bounds the experts that a rank copies for one change: each takes
 	// hundreds of milliseconds, during which the old map is in use.
-	perRank = 3
+	perRank = 1
 )
 
 // State estimates the demand of one group. It belongs to the control loop.
 type State struct {
-	shape   placement.Shape
-	predict rebalance.Predictor
+	shape placement.Shape
+	// demand is the share of each expert in its layer.
+	demand placement.Loads
 	// last are the counts of the previous reading, by rank.
 	last  [][]uint64
 	epoch uint64
-	// interval is the time of the previous reading.
+	// at is the time of the previous reading.
 	at time.Duration
 }
 
@@ -46,7 +47,6 @@
 			Slots:      p.SlotsPerRank,
 			RanksPerVM: 1,
 		},
-		predict: rebalance.NewPredictor(newestWeight, 0),
 	}
 }
 
@@ -75,34 +75,80 @@
 			}
 		}
 	}
+	passed := now - s.at
 	s.last, s.epoch, s.at = counts, epoch, now
 	if seen {
-		s.predict.Add(loads)
+		s.add(loads, passed)
 	}
 }
 
-// Plan returns a better map than the present one, by layer and rank, and the
-// part of the expert time that it saves; false if none is worth the change.
-func (s *State) Plan(present [][][]int) ([][][]int, float64, bool) {
-	loads, ok := s.predict.Loads(0)
-	if !ok {
-		return nil, 0, false
+// add moves the estimate towards the shares of an interval.
+func (s *State) add(loads placement.Loads, passed time.Duration) {
+	weight := 1 - math.Exp2(-float64(passed)/float64(demandHalfLife))
+	if s.demand == nil {
+		s.demand, weight = make(placement.Loads, len(loads)), 1
+		for l := range loads {
+			s.demand[l] = make([]float64, len(loads[l]))
+		}
+	}
+	for l, layer := range loads {
+		total := 0.0
+		for _, x := range layer {
+			total += x
+		}
+		if total == 0 {
+			continue
+		}
+		for e, x := range layer {
+			s.demand[l][e] += weight * (x/total - s.demand[l][e])
+		}
+	}
+}
+
+// Plan is a change of map and what it is expected to bring.
+type Plan struct {
+	// Map is by layer and rank.
+	Map [][][]int
+	// Before and After are the expert time of a pass as a multiple of that of an
+	// even spread.
+	Before, After float64
+	// Copies is the number of experts that ranks copy.
+	Copies int
+}
+
+// Plan returns a better map than the present one; false if none is worth the
+// change.
+func (s *State) Plan(present [][][]int) (Plan, bool) {
+	loads := s.demand
+	if loads == nil {
+		return Plan{}, false
 	}
 	before, ok := s.pack(present)
 	if !ok {
-		return nil, 0, false
+		return Plan{}, false
 	}
 	limits := placement.Limits{Weights: perRank * s.shape.Ranks, PerRank: perRank}
 	after, err := placement.Update(before, loads, tolerance, limits)
 	if err != nil {
-		return nil, 0, false
+		return Plan{}, false
+	}
+	even := s.evenCost(loads)
+	if even <= 0 {
+		return Plan{}, false
 	}
-	cost := before.Cost(loads)
-	if cost <= 0 {
-		return nil, 0, false
+	p := Plan{Map: s.unpack(after), Before: before.Cost(loads) / even, After: after.Cost(loads) / even, Copies: after.Moved(before)}
+	return p, p.Before-p.After >= minGain*p.Before
+}
+
+// evenCost is the expert time of a pass if each rank had the same load.
+func (s *State) evenCost(loads placement.Loads) float64 {
+	total := 0.0
+	for _, layer := range loads {
+		for _, x := range layer {
+			total += x
+		}
 	}
-	gain := (cost - after.Cost(loads)) / cost
-	return s.unpack(after), gain, gain >= minGain
+	return total / float64(s.shape.Ranks)
 }
 
 // pack fills the slots of a map. A slot that is free repeats an expert that
--- a/decide/mapswitch/mapswitch.go
+++ b/decide/mapswitch/mapswitch.go
@@ -28,7 +28,7 @@
 	resendAfter = 80 * time.Millisecond
 	// leadPasses is the number of passes between the last known one and the one
 	// that is held. They pass while the orders are on their way.
-	leadPasses = 3
+	leadPasses = 2
 	// prepareLimit bounds the copying of experts.
 	prepareLimit = 8 * time.Second
 	// armLimit bounds the time in which the group is held for missing answers.
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -28,11 +28,12 @@
 )
 
 const (
-	// tickInterval drives repeats of orders, and readings while a change is
-	// under way.
+	// tickInterval drives repeats of orders and readings.
 	tickInterval = 40 * time.Millisecond
-	// readInterval is the time between readings while nothing is under way.
-	readInterval = 300 * time.Millisecond
+	// readInterval is the time between readings while nothing is under way or
+	// experts are copied, stepInterval between those on which orders wait.
+	readInterval = 120 * time.Millisecond
+	stepInterval = 40 * time.Millisecond
 	// leaderSilence is the time without a reading by a lower rank after which
 	// a process leads itself, and rankSilence what each rank adds to it.
 	leaderSilence = 1200 * time.Millisecond
@@ -176,14 +177,14 @@
 		s.notePhase()
 	}
 	interval := readInterval
-	if s.state != nil && s.state.Phase() != mapswitch.Idle {
-		interval = tickInterval
+	if s.state != nil && s.state.Phase() > mapswitch.Preparing {
+		interval = stepInterval
 	}
 	if s.reading || now-s.readAt < interval {
 		return
 	}
 	s.reading, s.readAt = true, now
-	ask := wire.RankRead{Leader: s.rank, Group: s.group, Counts: interval == readInterval}
+	ask := wire.RankRead{Leader: s.rank, Group: s.group, Counts: true}
 	ask.Experts = s.present == nil || len(s.last) > 0 && s.last[0].Map != s.version
 	go s.read(ask, s.known)
 }
@@ -296,13 +297,14 @@
 	if s.plan == nil || s.present == nil || !s.state.Ready() || s.last[0].Map != s.version {
 		return
 	}
-	next, gain, ok := s.plan.Plan(s.present)
+	p, ok := s.plan.Plan(s.present)
 	if !ok {
 		return
 	}
-	sends := s.state.Begin(now, unixMillis(), next)
+	sends := s.state.Begin(now, unixMillis(), p.Map)
 	s.counts.changes.Add(1)
-	s.log.Change("map proposed", api.Fields{"group": s.group, "epoch": s.epoch, "version": s.state.Version(), "gain": gain})
+	s.log.Change("map proposed", api.Fields{"group": s.group, "epoch": s.epoch, "version": s.state.Version(),
+		"imbalance": p.Before, "imbalance_after": p.After, "copies": p.Copies})
 	s.send(sends)
 	s.notePhase()
 }
