Let a successor undo a change without the rank of a leader that stands still

The holder is now the rank after the leader's, the leader's own rank is armed last, and orders but prepare go to the ranks directly, so a successor can prove that the missing rank is not armed.

--- a/decide/mapswitch/mapswitch.go
+++ b/decide/mapswitch/mapswitch.go
@@ -2,9 +2,9 @@
 // with two maps, whoever fails on the way.
 //
 // The leader has all ranks prepare the map, holds a pass that has not begun at
-// its own rank, arms all ranks for that pass, and releases it once every rank
-// has confirmed. While the pass is held nothing can begin with a part of the
-// ranks armed, so orders may be lost, late or repeated:
+// the rank after its own, arms all ranks for that pass, its own last, and
+// releases it once every rank has confirmed. While the pass is held nothing can
+// begin with a part of the ranks armed, so orders may be lost, late or repeated:
 //
 //   - an order that is carried out after its pass has begun is refused;
 //   - an order of an earlier leader, or of an earlier try, has a lower fencing
@@ -14,6 +14,10 @@
 // A hold does not expire. A leader that finds one that is not its own fences
 // the rank that has it, so that nobody else can release it, looks again, and
 // disarms every rank before it releases, unless all are armed alike.
+//
+// A VM that stands still takes its rank out of reach. If that is the leader's,
+// the rank that holds is another one, and its own rank is not armed before all
+// others are: as long as one of them is not, the change can be undone without it.
 package mapswitch
 
 import (
@@ -45,7 +49,9 @@
 	Idle Phase = iota
 	Preparing
 	Holding
+	// Arming asks all ranks but the leader's own, ArmingOwn that one.
 	Arming
+	ArmingOwn
 	Releasing
 	// Settling waits for the pass from which the map is in use.
 	Settling
@@ -56,7 +62,7 @@
 	Freeing
 )
 
-var phaseNames = [...]string{"idle", "preparing", "holding", "arming", "releasing", "settling", "fencing", "verifying", "disarming", "freeing"}
+var phaseNames = [...]string{"idle", "preparing", "holding", "arming", "arming own", "releasing", "settling", "fencing", "verifying", "disarming", "freeing"}
 
 func (p Phase) String() string { return phaseNames[p] }
 
@@ -112,7 +118,7 @@
 		return false
 	}
 	for _, r := range s.ranks {
-		if !r.Open || r.Map != s.ranks[0].Map || r.Armed != nil || r.Held != nil {
+		if !present(r) || !r.Open || r.Map != s.ranks[0].Map || r.Armed != nil || r.Held != nil {
 			return false
 		}
 	}
@@ -151,12 +157,22 @@
 func (s *State) toAll(now time.Duration, p Phase, o api.RankOrder) []Send {
 	s.enter(now, p)
 	for rank := range s.ranks {
-		s.expect(rank, o)
+		if p != Arming || rank != s.own {
+			s.expect(rank, o)
+		}
 	}
 	return s.due(now)
 }
 
+// holder is the rank at which a leader holds a pass.
+func (s *State) holder(leader int) int { return (leader + 1) % len(s.ranks) }
+
+func present(r api.RankReport) bool { return r.Size > 0 }
+
 func (s *State) expect(rank int, o api.RankOrder) {
+	if !present(s.ranks[rank]) {
+		return
+	}
 	o.Token, o.Epoch = s.token, s.epoch
 	s.waiting[rank] = &pending{order: o}
 }
@@ -180,23 +196,27 @@
 	switch {
 	case s.phase == Preparing && now-s.since > prepareLimit:
 		s.enter(now, Idle)
-	case (s.phase == Holding || s.phase == Arming) && now-s.since > armLimit:
+	case s.phase >= Holding && s.phase <= ArmingOwn && now-s.since > armLimit:
 		return s.undo(now, clock)
 	}
 	return s.due(now)
 }
 
-// Observe takes a complete reading of the group, by rank, and when it began. A
-// reading that began before the present phase says nothing of its effect.
+// Observe takes a reading of the group, by rank, and when it began. A reading
+// that began before the present phase says nothing of its effect. A rank that
+// could not be read has no size; the own one must be there.
 func (s *State) Observe(now, began time.Duration, clock uint64, ranks []api.RankReport) []Send {
 	if len(ranks) == 0 || began < s.since {
 		return s.due(now)
 	}
-	if ranks[0].Epoch != s.epoch || len(ranks) != len(s.ranks) {
-		s.epoch = ranks[0].Epoch
+	if epoch := ranks[s.own].Epoch; epoch != s.epoch || len(ranks) != len(s.ranks) {
+		s.epoch = epoch
 		s.enter(now, Idle)
 		s.version, s.step = 0, 0
 	}
+	if missing := missingRanks(ranks); len(missing) > 0 {
+		return s.observePart(now, clock, ranks, missing)
+	}
 	s.ranks = ranks
 	switch s.phase {
 	case Idle:
@@ -218,6 +238,38 @@
 	return s.due(now)
 }
 
+func missingRanks(ranks []api.RankReport) []int {
+	var missing []int
+	for rank, r := range ranks {
+		if !present(r) {
+			missing = append(missing, rank)
+		}
+	}
+	return missing
+}
+
+// observePart takes a reading that lacks ranks. It only serves to undo the
+// change of a leader whose own rank is the one that is missing.
+func (s *State) observePart(now time.Duration, clock uint64, ranks []api.RankReport, missing []int) []Send {
+	switch {
+	case s.phase == Idle:
+		s.ranks = ranks
+		held := ranks[s.holder(missing[0])].Held != nil
+		if len(missing) == 1 && held && !s.allAlike() {
+			return s.undo(now, clock)
+		}
+	case s.phase == Verifying && len(missing) == 1:
+		s.ranks = ranks
+		if ranks[s.holder(missing[0])].Held == nil || s.allAlike() {
+			// The missing rank may be armed as well.
+			s.enter(now, Idle)
+			return nil
+		}
+		return s.verified(now)
+	}
+	return s.due(now)
+}
+
 // foreign says whether a rank is held or armed by a change that was left.
 func (s *State) foreign() bool {
 	for _, r := range s.ranks {
@@ -248,7 +300,7 @@
 func (s *State) hold(now time.Duration) []Send {
 	s.enter(now, Holding)
 	s.step = s.lastStep() + leadPasses
-	s.expect(s.own, api.RankOrder{Op: api.RankHold, Step: s.step})
+	s.expect(s.holder(s.own), api.RankOrder{Op: api.RankHold, Step: s.step})
 	return s.due(now)
 }
 
@@ -273,7 +325,7 @@
 	s.newToken(clock)
 	s.enter(now, Fencing)
 	for rank, r := range s.ranks {
-		if r.Held != nil || rank == s.own && s.step > 0 {
+		if r.Held != nil || rank == s.holder(s.own) && s.step > 0 {
 			// No pass has number 0, so this releases nothing.
 			s.expect(rank, api.RankOrder{Op: api.RankRelease})
 		}
@@ -323,7 +375,7 @@
 		return false
 	}
 	for _, r := range s.ranks {
-		if r.Map != *version && (r.Armed == nil || *r.Armed != *version) {
+		if present(r) && r.Map != *version && (r.Armed == nil || *r.Armed != *version) {
 			return false
 		}
 	}
@@ -378,7 +430,7 @@
 	case Preparing:
 		s.enter(now, Idle)
 		return nil
-	case Holding, Arming:
+	case Holding, Arming, ArmingOwn:
 		return s.undo(now, clock)
 	}
 	// What is to be disarmed is in use, or what is to be released has begun.
@@ -395,8 +447,12 @@
 	case Holding:
 		return s.toAll(now, Arming, api.RankOrder{Op: api.RankArm, Version: s.version, Step: s.step})
 	case Arming:
+		s.enter(now, ArmingOwn)
+		s.expect(s.own, api.RankOrder{Op: api.RankArm, Version: s.version, Step: s.step})
+		return s.due(now)
+	case ArmingOwn:
 		s.enter(now, Releasing)
-		s.expect(s.own, api.RankOrder{Op: api.RankRelease, Step: s.step})
+		s.expect(s.holder(s.own), api.RankOrder{Op: api.RankRelease, Step: s.step})
 		return s.due(now)
 	case Releasing:
 		s.step = 0
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -36,10 +36,12 @@
 	stepInterval = 40 * time.Millisecond
 	// leaderSilence is the time without a reading by a lower rank after which
 	// a process leads itself, and rankSilence what each rank adds to it.
-	leaderSilence = 1200 * time.Millisecond
-	rankSilence   = 300 * time.Millisecond
+	leaderSilence = 500 * time.Millisecond
+	rankSilence   = 200 * time.Millisecond
 	// callTimeout bounds a call to another process or rank.
-	callTimeout = 250 * time.Millisecond
+	callTimeout = 150 * time.Millisecond
+	// readTimeout bounds a reading of all ranks.
+	readTimeout = 200 * time.Millisecond
 	// downFor is how long a process beside a rank that did not answer is passed
 	// over; its rank is read directly.
 	downFor = 2 * time.Second
@@ -185,7 +187,7 @@
 	}
 	s.reading, s.readAt = true, now
 	ask := wire.RankRead{Leader: s.rank, Group: s.group, Counts: true}
-	ask.Experts = s.present == nil || len(s.last) > 0 && s.last[0].Map != s.version
+	ask.Experts = s.present == nil || len(s.last) > s.rank && s.last[s.rank].Map != s.version
 	go s.read(ask, s.known)
 }
 
@@ -222,6 +224,8 @@
 	}
 	if !r.complete {
 		s.counts.incomplete.Add(1)
+	}
+	if len(r.ranks) == 0 {
 		return
 	}
 	s.adopt(now, r)
@@ -234,9 +238,10 @@
 func (s *service) adopt(now time.Duration, r reading) {
 	if s.state == nil {
 		s.state = mapswitch.New(s.rank)
-		s.log.Change("leading", api.Fields{"group": s.group, "rank": s.rank, "epoch": r.ranks[0].Report.Epoch})
+		s.log.Change("leading", api.Fields{"group": s.group, "rank": s.rank, "epoch": r.own.Epoch})
 	}
 	s.last = make([]api.RankReport, len(r.ranks))
+	own := r.ranks[s.rank].Report
 	counts := make([][]uint64, len(r.ranks))
 	counted := false
 	lists := make([][][]int, len(r.ranks))
@@ -245,7 +250,7 @@
 		counted = counted || len(rank.Counts) > 0
 		s.state.HearToken(rank.Token)
 	}
-	epoch := s.last[0].Epoch
+	epoch := own.Epoch
 	if epoch != s.epoch {
 		s.epoch, s.present = epoch, nil
 	}
@@ -277,9 +282,9 @@
 
 // learnMap takes the map in use, by layer and rank, if all ranks told theirs.
 func (s *service) learnMap(lists [][][]int) {
-	version := s.last[0].Map
+	version := s.last[s.rank].Map
 	for i, r := range s.last {
-		if r.Map != version || len(lists[i]) == 0 || len(lists[i]) != len(lists[0]) {
+		if r.Size == 0 || r.Map != version || len(lists[i]) == 0 || len(lists[i]) != len(lists[0]) {
 			return
 		}
 	}
@@ -294,7 +299,7 @@
 
 // propose begins a change if one is worth it.
 func (s *service) propose(now time.Duration) {
-	if s.plan == nil || s.present == nil || !s.state.Ready() || s.last[0].Map != s.version {
+	if s.plan == nil || s.present == nil || !s.state.Ready() || s.last[s.rank].Map != s.version {
 		return
 	}
 	p, ok := s.plan.Plan(s.present)
@@ -386,7 +391,7 @@
 // read looks at the own rank and, where this process leads, at all others.
 func (s *service) read(ask wire.RankRead, all bool) {
 	r := reading{began: s.clock.Now()}
-	ctx, cancel := context.WithTimeout(s.ctx, 2*callTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, readTimeout)
 	defer cancel()
 	defer func() { _ = s.readings.Post(s.ctx, r) }()
 	own, err := s.local(ctx, ask)
@@ -430,6 +435,7 @@
 		wait.Go(func() {
 			state, err := s.remote(ctx, in.Address, ask)
 			if err != nil {
+				s.log.Decision("rank not read", api.DecisionRoutine, api.Fields{"upstream": in.Address, "error": err.Error()})
 				return
 			}
 			state.Report.Address = in.Address
@@ -471,10 +477,12 @@
 	return api.RankState{Report: report}, nil
 }
 
-// order gives an order through the process beside a rank, or directly.
+// order gives an order. The one to prepare, which is large, goes through the
+// process beside the rank. The others go to the rank directly: a process that
+// stands still with an order in hand would leave its rank in doubt.
 func (s *service) order(ctx context.Context, upstream string, o api.RankOrder) api.RankAnswer {
 	s.peers.heard(o.Token)
-	if upstream == s.settings.Edge.Worker {
+	if upstream == s.settings.Edge.Worker || o.Op != api.RankPrepare {
 		return s.direct(ctx, upstream, o)
 	}
 	answer := api.RankNoAnswer
