Prove changes of the expert map against a model, and mend what it found

Cause: a random model of ranks, leaders, lost and late orders and VMs that stand still broke the rule that no pass begins with two maps in four ways: a rank armed between reading and disarming kept its map; a leader with a lower token disarmed ranks that another had just released as armed alike; a change of one's own was undone without a rank that it may have armed; two leaders used one token, or one version for two maps. Now all ranks are fenced before a change is undone, the ranks are read again after they are disarmed, and tokens and versions are unique to a leader.

--- a/decide/mapswitch/mapswitch.go
+++ b/decide/mapswitch/mapswitch.go
@@ -12,8 +12,8 @@
 //   - a group that was formed anew has another epoch, map 0 and nothing armed.
 //
 // A hold does not expire. A leader that finds one that is not its own fences
-// the rank that has it, so that nobody else can release it, looks again, and
-// disarms every rank before it releases, unless all are armed alike.
+// every rank, so that nobody else can change anything, looks again, and disarms
+// every rank before it releases, unless all are armed alike.
 //
 // A VM that stands still takes its rank out of reach. If that is the leader's,
 // the rank that holds is another one, and its own rank is not armed before all
@@ -37,6 +37,9 @@
 	prepareLimit = 8 * time.Second
 	// armLimit bounds the time in which the group is held for missing answers.
 	armLimit = 1200 * time.Millisecond
+	// tokenRanks exceeds the ranks of a group. A token holds the leader's rank
+	// beside the clock, so that no two leaders use the same.
+	tokenRanks = 1024
 	// tokenJump exceeds what clocks of leaders differ by, in milliseconds.
 	tokenJump = 60_000
 )
@@ -89,6 +92,9 @@
 	ranks   []api.RankReport
 	// waiting are the orders of the phase without an answer, by rank.
 	waiting map[int]*pending
+	// disarmed is set once every rank has answered an order to disarm, and with
+	// it knows the token, so that no other leader can arm it.
+	disarmed bool
 	// deposed is set once a rank has refused a token of this leader.
 	deposed bool
 }
@@ -130,22 +136,32 @@
 func (s *State) Begin(now time.Duration, clock uint64, plan [][][]int) []Send {
 	s.newToken(clock)
 	s.plan = plan
-	s.version++
+	s.version = s.nextVersion()
+	return s.toAll(now, Preparing, api.RankOrder{Op: api.RankPrepare, Version: s.version, Map: plan})
+}
+
+// nextVersion returns a version above all that are known. Leaders use different
+// ones, so that two maps never have the same version.
+func (s *State) nextVersion() uint64 {
+	top := s.version
 	for _, r := range s.ranks {
-		s.version = max(s.version, r.Map+1)
+		top = max(top, r.Map)
 		if r.Prepared != nil {
-			s.version = max(s.version, *r.Prepared+1)
+			top = max(top, *r.Prepared)
 		}
 	}
-	return s.toAll(now, Preparing, api.RankOrder{Op: api.RankPrepare, Version: s.version, Map: plan})
+	size := uint64(len(s.ranks))
+	return (top/size+1)*size + uint64(s.own)
 }
 
+// newToken takes a token above all that are known. Leaders use different ones.
 func (s *State) newToken(clock uint64) {
-	s.token = max(clock, s.top+1)
+	base := max(clock, s.top/tokenRanks+1)
 	if s.deposed {
-		s.token = s.top + tokenJump
+		base += tokenJump
 		s.deposed = false
 	}
+	s.token = base*tokenRanks + uint64(s.own)
 	s.top = s.token
 }
 
@@ -251,25 +267,38 @@
 // observePart takes a reading that lacks ranks. It only serves to undo the
 // change of a leader whose own rank is the one that is missing.
 func (s *State) observePart(now time.Duration, clock uint64, ranks []api.RankReport, missing []int) []Send {
-	switch {
-	case s.phase == Idle:
+	switch s.phase {
+	case Idle:
 		s.ranks = ranks
-		held := ranks[s.holder(missing[0])].Held != nil
-		if len(missing) == 1 && held && !s.allAlike() {
+		if s.undoneWithout(missing) {
 			return s.undo(now, clock)
 		}
-	case s.phase == Verifying && len(missing) == 1:
+	case Verifying:
 		s.ranks = ranks
-		if ranks[s.holder(missing[0])].Held == nil || s.allAlike() {
-			// The missing rank may be armed as well.
-			s.enter(now, Idle)
-			return nil
+		if s.undoneWithout(missing) {
+			return s.verified(now)
 		}
-		return s.verified(now)
+		s.enter(now, Idle)
 	}
 	return s.due(now)
 }
 
+// undoneWithout says whether the change that is under way can be undone without
+// the missing ranks: it is the change of the one that is missing, no other is
+// under way, and a rank that its leader arms earlier is not armed.
+func (s *State) undoneWithout(missing []int) bool {
+	if len(missing) != 1 || s.allAlike() {
+		return false
+	}
+	holds := 0
+	for _, r := range s.ranks {
+		if r.Held != nil {
+			holds++
+		}
+	}
+	return holds == 1 && s.ranks[s.holder(missing[0])].Held != nil
+}
+
 // foreign says whether a rank is held or armed by a change that was left.
 func (s *State) foreign() bool {
 	for _, r := range s.ranks {
@@ -319,28 +348,24 @@
 	return nil
 }
 
-// undo begins to clear what a change left. The ranks that hold a pass are
-// fenced first, so that no other leader releases it meanwhile.
+// undo begins to clear what a change left. All ranks are fenced first, so that
+// no other leader releases the pass, arms or disarms a rank meanwhile.
 func (s *State) undo(now time.Duration, clock uint64) []Send {
 	s.newToken(clock)
+	s.disarmed = false
 	s.enter(now, Fencing)
-	for rank, r := range s.ranks {
-		if r.Held != nil || rank == s.holder(s.own) && s.step > 0 {
-			// No pass has number 0, so this releases nothing.
-			s.expect(rank, api.RankOrder{Op: api.RankRelease})
-		}
-	}
-	if len(s.waiting) == 0 {
-		s.enter(now, Verifying)
+	for rank := range s.ranks {
+		// No pass has number 0, so this releases nothing.
+		s.expect(rank, api.RankOrder{Op: api.RankRelease})
 	}
 	return s.due(now)
 }
 
 // verified decides, on a reading made after the fence, how to clear up.
 func (s *State) verified(now time.Duration) []Send {
-	held := false
+	held, armed := false, false
 	for _, r := range s.ranks {
-		held = held || r.Held != nil
+		held, armed = held || r.Held != nil, armed || r.Armed != nil
 	}
 	switch {
 	case s.allAlike():
@@ -351,12 +376,23 @@
 		// reading was taken while they switched.
 		s.enter(now, Idle)
 		return nil
+	case s.disarmed && !armed:
+		return s.free(now)
 	}
+	return s.disarm(now)
+}
+
+// disarm asks every rank, also those that were not armed when they were read:
+// an order to arm may have been on its way.
+func (s *State) disarm(now time.Duration) []Send {
 	s.enter(now, Disarming)
 	for rank, r := range s.ranks {
 		version := s.version
-		if r.Armed != nil {
+		switch {
+		case r.Armed != nil:
 			version = *r.Armed
+		case r.Prepared != nil:
+			version = *r.Prepared
 		}
 		s.expect(rank, api.RankOrder{Op: api.RankDisarm, Version: version})
 	}
@@ -460,7 +496,9 @@
 	case Fencing:
 		s.enter(now, Verifying)
 	case Disarming:
-		return s.free(now)
+		// A rank may have been armed with another version since it was read.
+		s.disarmed = true
+		s.enter(now, Verifying)
 	case Freeing:
 		s.step = 0
 		s.enter(now, Idle)
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -44,7 +44,7 @@
 	readTimeout = 200 * time.Millisecond
 	// downFor is how long a process beside a rank that did not answer is passed
 	// over; its rank is read directly.
-	downFor = 2 * time.Second
+	downFor = time.Second
 
 	readingMailbox = 4
 	answerMailbox  = 256
@@ -470,8 +470,12 @@
 	if err == nil {
 		return state, nil
 	}
+	if s.peers.isDown(s.clock.Now(), upstream) {
+		return api.RankState{}, &DownError{Address: upstream}
+	}
 	report, err := s.engine.ReadRank(ctx, upstream)
 	if err != nil {
+		s.peers.fail(s.clock.Now(), upstream)
 		return api.RankState{}, err
 	}
 	return api.RankState{Report: report}, nil
--- a/service/experts/peers.go
+++ b/service/experts/peers.go
@@ -23,7 +23,7 @@
 type peers struct {
 	mu    sync.Mutex
 	conns map[string]*drpcconn.Conn
-	// down are processes that did not answer, with the time of that.
+	// down are processes and ranks that did not answer, with the time of that.
 	down map[string]time.Duration
 	// top is the highest fencing token that went through this process.
 	top atomic.Uint64
@@ -66,9 +66,8 @@
 	p.mu.Lock()
 	conn := p.conns[address]
 	delete(p.conns, address)
-	at, down := p.down[address]
 	p.mu.Unlock()
-	if down && now-at < downFor {
+	if p.isDown(now, address) {
 		return nil, &DownError{Address: address}
 	}
 	if conn != nil {
@@ -96,6 +95,14 @@
 	p.conns[address] = conn
 }
 
+// isDown says whether an address did not answer lately.
+func (p *peers) isDown(now time.Duration, address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, ok := p.down[address]
+	return ok && now-at < downFor
+}
+
 func (p *peers) fail(now time.Duration, address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
