Measure absence from the store between calls, not by the age of the view

An edge that watches has a view of up to 2.4 s of age, which counted as absence (2 s), so that an upstream whose entry was removed was kept for the 2.2 s in which leases return. Test: TestViews, case 'removed between two quiet watches', failed before.

--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// Away is the time without the store after which leases may have run out.
-	// It is below three heartbeats of an upstream, after which they do.
+	// Away is the time between two successful calls to the store, from sending to
+	// sending, after which leases may have run out. It is below three heartbeats
+	// of an upstream, after which they do, and above the wait of a watch.
 	Away = 2 * time.Second
 	// ReturnGrace is the time in which upstreams whose lease ran out while the
 	// store was away register again, as the platform states it (2 s), with a
@@ -76,7 +77,7 @@
 	if u.Lost != nil {
 		return Change{}
 	}
-	if s.asOf != 0 && now-s.asOf > Away {
+	if s.asOf != 0 && u.AsOf-s.asOf > Away {
 		s.returned, s.absent = now, true
 	}
 	if s.absent && now-s.returned > ReturnGrace {
--- /dev/null
+++ b/decide/discovery/discovery_test.go
@@ -0,0 +1,160 @@
+package discovery_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/discovery"
+)
+
+func upstream(id string, revision uint64) api.DiscoveryItem {
+	return api.DiscoveryItem{Key: "servers/" + id, Revision: revision, Instance: &api.Instance{ID: id, Service: "s", Zone: "z"}}
+}
+
+func gone(id string, revision uint64) api.DiscoveryItem {
+	return api.DiscoveryItem{Key: "servers/" + id, Revision: revision, Deleted: true}
+}
+
+func config(version, revision uint64) api.DiscoveryItem {
+	return api.DiscoveryItem{Key: "op/config", Revision: revision, Table: &api.RouteTable{Version: version}}
+}
+
+// event is an update and the time at which it arrives.
+type event struct {
+	at     time.Duration
+	update api.DiscoveryUpdate
+}
+
+// Guards against views that go back, keep an upstream that left, or drop one
+// whose lease ran out while the store was away.
+func TestViews(t *testing.T) {
+	const wait = 1200 * time.Millisecond
+	full := api.DiscoveryUpdate{Full: true, AsOf: time.Second, Items: []api.DiscoveryItem{config(4, 1), upstream("a", 2), upstream("b", 3)}}
+	cases := []struct {
+		name    string
+		events  []event
+		want    []string
+		version uint64
+	}{
+		{
+			// A watch that ends without news is as old as its wait, which is no absence.
+			name: "removed between two quiet watches",
+			events: []event{
+				{time.Second, full},
+				{time.Second + wait, api.DiscoveryUpdate{AsOf: time.Second + time.Millisecond}},
+				{time.Second + 2*wait - time.Millisecond, api.DiscoveryUpdate{AsOf: time.Second + wait, Items: []api.DiscoveryItem{gone("a", 9)}}},
+			},
+			want: []string{"b"}, version: 4,
+		},
+		{
+			name: "lease ran out while the store was away",
+			events: []event{
+				{time.Second, full},
+				{3 * time.Second, api.DiscoveryUpdate{Lost: errors.New("down")}},
+				{6 * time.Second, api.DiscoveryUpdate{Full: true, AsOf: 6 * time.Second, Items: []api.DiscoveryItem{config(4, 1), upstream("b", 3)}}},
+			},
+			want: []string{"a", "b"}, version: 4,
+		},
+		{
+			name: "still missing after the grace",
+			events: []event{
+				{time.Second, full},
+				{6 * time.Second, api.DiscoveryUpdate{Full: true, AsOf: 6 * time.Second, Items: []api.DiscoveryItem{config(4, 1), upstream("b", 3)}}},
+				{6*time.Second + discovery.ReturnGrace, api.DiscoveryUpdate{AsOf: 6*time.Second + wait}},
+			},
+			want: []string{"b"}, version: 4,
+		},
+		{
+			name: "back within the grace",
+			events: []event{
+				{time.Second, full},
+				{6 * time.Second, api.DiscoveryUpdate{Full: true, AsOf: 6 * time.Second, Items: []api.DiscoveryItem{config(4, 1), upstream("b", 3)}}},
+				{7 * time.Second, api.DiscoveryUpdate{AsOf: 7 * time.Second, Items: []api.DiscoveryItem{upstream("a", 12)}}},
+				{9 * time.Second, api.DiscoveryUpdate{AsOf: 9 * time.Second}},
+			},
+			want: []string{"a", "b"}, version: 4,
+		},
+		{
+			name: "older configuration and entry arrive late",
+			events: []event{
+				{time.Second, full},
+				{2 * time.Second, api.DiscoveryUpdate{AsOf: 2 * time.Second, Items: []api.DiscoveryItem{config(7, 20), gone("b", 21)}}},
+				{3 * time.Second, api.DiscoveryUpdate{AsOf: 2 * time.Second, Items: []api.DiscoveryItem{config(4, 1)}}},
+			},
+			want: []string{"a"}, version: 7,
+		},
+		{
+			name: "newer revision with an older version",
+			events: []event{
+				{time.Second, full},
+				{2 * time.Second, api.DiscoveryUpdate{AsOf: 2 * time.Second, Items: []api.DiscoveryItem{config(3, 30)}}},
+			},
+			want: []string{"a", "b"}, version: 4,
+		},
+		{
+			name: "malformed entries name no upstream and harm no other",
+			events: []event{
+				{time.Second, full},
+				{2 * time.Second, api.DiscoveryUpdate{AsOf: 2 * time.Second, Items: []api.DiscoveryItem{
+					{Key: "servers/a", Revision: 30, Malformed: errors.New("bytes")},
+					{Key: "op/config", Revision: 31, Malformed: errors.New("bytes")},
+				}}},
+			},
+			want: []string{"b"}, version: 4,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := discovery.New()
+			var view *api.View
+			for _, e := range c.events {
+				if change := s.Apply(e.at, e.update); change.View != nil {
+					view = change.View
+				}
+			}
+			if len(view.Instances) != len(c.want) {
+				t.Errorf("upstreams %v, want %v", view.Instances, c.want)
+			}
+			for _, id := range c.want {
+				if _, ok := view.Instances[id]; !ok {
+					t.Errorf("no upstream %s", id)
+				}
+			}
+			if view.Table.Version != c.version {
+				t.Errorf("version %d, want %d", view.Table.Version, c.version)
+			}
+		})
+	}
+}
+
+// Guards against requests to an address that went to another upstream, and
+// against an upstream that stays out once it registered again.
+func TestMisplacedUpstreamIsOutUntilItsEntryChanges(t *testing.T) {
+	s := discovery.New()
+	s.Apply(time.Second, api.DiscoveryUpdate{Full: true, AsOf: time.Second, Items: []api.DiscoveryItem{config(4, 1), upstream("a", 2)}})
+	if view := s.Misplaced("a").View; view == nil || len(view.Instances) != 0 {
+		t.Fatalf("still listed: %v", view)
+	}
+	back := s.Apply(2*time.Second, api.DiscoveryUpdate{AsOf: 2 * time.Second, Items: []api.DiscoveryItem{upstream("a", 5)}})
+	if back.View == nil || len(back.View.Instances) != 1 {
+		t.Errorf("not listed again: %v", back.View)
+	}
+}
+
+// Guards against keys that are accepted although they may have been revoked.
+func TestKeysAreTrustedForLessThanTheRevocationBound(t *testing.T) {
+	const bound = 5 * time.Second
+	for _, c := range []struct {
+		age  time.Duration
+		want bool
+	}{{0, true}, {4 * time.Second, true}, {4600 * time.Millisecond, false}, {bound, false}} {
+		if got := discovery.KeysTrusted(time.Minute+c.age, time.Minute, bound); got != c.want {
+			t.Errorf("age %v: %v", c.age, got)
+		}
+	}
+	if discovery.KeysTrusted(time.Second, 0, bound) {
+		t.Error("trusted before the store was read")
+	}
+}
