--- a/decide/expertplan/expertplan.go
+++ b/decide/expertplan/expertplan.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// tolerance is the distance to the placement bound that is left alone.
-	tolerance = 0.03
 	// minGain is the smallest part of the expert time of a pass worth a change,
 	// whose copies lengthen passes by 15% while they run.
 	minGain = 0.04
@@ -25,6 +23,10 @@
 	perRank = 1
 )
 
+// tolerances are the distances to the placement bound that are left alone, in
+// rounds: the few copies of a change go to the layers with the largest excess.
+var tolerances = []float64{1.2, 0.8, 0.55, 0.4, 0.28, 0.18, 0.1, 0.05}
+
 // State estimates the demand of one group. It belongs to the control loop.
 type State struct {
 	shape placement.Shape
@@ -128,7 +130,7 @@
 		return Plan{}, false
 	}
 	limits := placement.Limits{Weights: perRank * s.shape.Ranks, PerRank: perRank}
-	after, err := placement.Update(before, loads, tolerance, limits)
+	after, err := placement.UpdateEvenly(before, loads, tolerances, limits)
 	if err != nil {
 		return Plan{}, false
 	}
--- a/decide/mapswitch/mapswitch.go
+++ b/decide/mapswitch/mapswitch.go
@@ -30,9 +30,9 @@
 	// resendAfter is the time after which an order without an answer is sent
 	// again. An answer takes a few milliseconds.
 	resendAfter = 80 * time.Millisecond
-	// leadPasses is the number of passes between the last known one and the one
-	// that is held. They pass while the orders are on their way.
-	leadPasses = 2
+	// leadPasses is the number of passes from the last known one to the one that
+	// is held. If that has begun when the order arrives, the next one is tried.
+	leadPasses = 1
 	// prepareLimit bounds the copying of experts.
 	prepareLimit = 8 * time.Second
 	// armLimit bounds the time in which the group is held for missing answers.
@@ -466,7 +466,11 @@
 	case Preparing:
 		s.enter(now, Idle)
 		return nil
-	case Holding, Arming, ArmingOwn:
+	case Holding:
+		// The pass has begun. The next reading shows which one can be held.
+		s.enter(now, Preparing)
+		return nil
+	case Arming, ArmingOwn:
 		return s.undo(now, clock)
 	}
 	// What is to be disarmed is in use, or what is to be released has begun.
--- a/decide/placement/plan.go
+++ b/decide/placement/plan.go
@@ -62,6 +62,12 @@
 // Update improves the present map until each layer is within tolerance of its
 // bound, within limits. The layers with the largest excess come first.
 func Update(present Map, loads Loads, tolerance float64, limits Limits) (Map, error) {
+	return UpdateEvenly(present, loads, []float64{tolerance}, limits)
+}
+
+// UpdateEvenly is Update in rounds of falling tolerances, so that tight limits
+// are not used up by the small excess of one layer while another has a large one.
+func UpdateEvenly(present Map, loads Loads, tolerances []float64, limits Limits) (Map, error) {
 	s := present.Shape
 	if err := s.check(loads); err != nil {
 		return Map{}, err
@@ -76,10 +82,12 @@
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(excess[b], excess[a]) })
 	staged := make([]int, s.Ranks)
-	for _, l := range order {
-		target := layerBound(s, loads[l]) * (1 + tolerance)
-		work[l].staged, work[l].limits = staged, limits
-		limits.Weights -= work[l].improve(target, s.searchSteps())
+	for _, tolerance := range tolerances {
+		for _, l := range order {
+			target := layerBound(s, loads[l]) * (1 + tolerance)
+			work[l].staged, work[l].limits = staged, limits
+			limits.Weights -= work[l].improve(target, s.searchSteps())
+		}
 	}
 	return m, nil
 }
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -32,7 +32,7 @@
 	tickInterval = 40 * time.Millisecond
 	// readInterval is the time between readings while nothing is under way or
 	// experts are copied, stepInterval between those on which orders wait.
-	readInterval = 120 * time.Millisecond
+	readInterval = 80 * time.Millisecond
 	stepInterval = 40 * time.Millisecond
 	// leaderSilence is the time without a reading by a lower rank after which
 	// a process leads itself, and rankSilence what each rank adds to it.
