--- a/decide/expertplan/expertplan.go
+++ b/decide/expertplan/expertplan.go
@@ -14,10 +14,10 @@
 const (
 	// minGain is the smallest part of the expert time of a pass worth a change,
 	// whose copies lengthen passes by 15% while they run.
-	minGain = 0.04
+	minGain = 0.06
 	// demandHalfLife is the time in which counted choices lose half of their
 	// weight. Demand shifts within seconds, and a few dozen requests tell it.
-	demandHalfLife = 250 * time.Millisecond
+	demandHalfLife = 150 * time.Millisecond
 	// perRank bounds the experts that a rank copies for one change: each takes
 	// hundreds of milliseconds, during which the old map is in use.
 	perRank = 1
@@ -153,8 +153,9 @@
 	return total / float64(s.shape.Ranks)
 }
 
-// pack fills the slots of a map. A slot that is free repeats an expert that
-// the rank holds alone, which changes no load.
+// pack fills the slots of a map. Each free slot repeats another expert that the
+// rank holds alone, which changes no load and can be replaced: the planner does
+// not touch an expert that a rank holds more than twice.
 func (s *State) pack(lists [][][]int) (placement.Map, bool) {
 	m := placement.Map{Shape: s.shape, Slots: make([]int16, s.shape.Layers*s.shape.Ranks*s.shape.Slots)}
 	if len(lists) != s.shape.Layers {
@@ -178,14 +179,12 @@
 			if len(experts) == 0 || len(experts) > s.shape.Slots {
 				return m, false
 			}
-			filler := experts[0]
-			for _, e := range experts {
-				if holders[e] == 1 {
-					filler = e
-				}
+			fillers := slices.DeleteFunc(slices.Clone(experts), func(e int) bool { return holders[e] > 1 })
+			if len(fillers) == 0 {
+				fillers = experts
 			}
 			for k := range s.shape.Slots {
-				e := filler
+				e := fillers[k%len(fillers)]
 				if k < len(experts) {
 					e = experts[k]
 				}
