--- a/decide/expertplan/expertplan.go
+++ b/decide/expertplan/expertplan.go
@@ -142,6 +142,16 @@
 	return p, p.Before-p.After >= minGain*p.Before
 }
 
+// Imbalance is the expert time of a pass with a map, as a multiple of that of an
+// even spread, under the present demand.
+func (s *State) Imbalance(lists [][][]int) float64 {
+	m, ok := s.pack(lists)
+	if !ok || s.demand == nil {
+		return 0
+	}
+	return m.Cost(s.demand) / s.evenCost(s.demand)
+}
+
 // evenCost is the expert time of a pass if each rank had the same load.
 func (s *State) evenCost(loads placement.Loads) float64 {
 	total := 0.0
--- a/decide/mapswitch/mapswitch.go
+++ b/decide/mapswitch/mapswitch.go
@@ -118,9 +118,9 @@
 func (s *State) HearToken(token uint64) { s.top = max(s.top, token) }
 
 // Ready says whether a change can begin: the last reading shows an open group
-// in which nothing is under way.
+// in which nothing is held or armed. It replaces one that is being prepared.
 func (s *State) Ready() bool {
-	if s.phase != Idle || len(s.ranks) == 0 {
+	if s.phase != Idle && s.phase != Preparing || len(s.ranks) == 0 {
 		return false
 	}
 	for _, r := range s.ranks {
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -46,6 +46,10 @@
 	// over; its rank is read directly.
 	downFor = time.Second
 
+	// staleFactor is how much worse than a new plan one must be that ranks are
+	// copying, for the new one to replace it.
+	staleFactor = 1.3
+
 	readingMailbox = 4
 	answerMailbox  = 256
 	visitMailbox   = 64
@@ -80,6 +84,8 @@
 	state   *mapswitch.State
 	plan    *expertplan.State
 	present [][][]int
+	// next is the map that is being copied.
+	next    [][][]int
 	version uint64
 	epoch   uint64
 	last    []api.RankReport
@@ -306,6 +312,10 @@
 	if !ok {
 		return
 	}
+	if s.state.Phase() == mapswitch.Preparing && s.plan.Imbalance(s.next) < staleFactor*p.After {
+		return
+	}
+	s.next = p.Map
 	sends := s.state.Begin(now, unixMillis(), p.Map)
 	s.counts.changes.Add(1)
 	s.log.Change("map proposed", api.Fields{"group": s.group, "epoch": s.epoch, "version": s.state.Version(),
