--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -29,11 +29,11 @@
 
 const (
 	// tickInterval drives repeats of orders and readings.
-	tickInterval = 40 * time.Millisecond
+	tickInterval = 20 * time.Millisecond
 	// readInterval is the time between readings while nothing is under way or
 	// experts are copied, stepInterval between those on which orders wait.
-	readInterval = 80 * time.Millisecond
-	stepInterval = 40 * time.Millisecond
+	readInterval = 40 * time.Millisecond
+	stepInterval = 25 * time.Millisecond
 	// leaderSilence is the time without a reading by a lower rank after which
 	// a process leads itself, and rankSilence what each rank adds to it.
 	leaderSilence = 500 * time.Millisecond
