--- a/decide/expertplan/expertplan.go
+++ b/decide/expertplan/expertplan.go
@@ -14,7 +14,7 @@
 const (
 	// minGain is the smallest part of the expert time of a pass worth a change,
 	// whose copies lengthen passes by 15% while they run.
-	minGain = 0.06
+	minGain = 0.18
 	// demandHalfLife is the time in which counted choices lose half of their
 	// weight. Demand shifts within seconds, and a few dozen requests tell it.
 	demandHalfLife = 150 * time.Millisecond
