Arm the holder by itself, and send a misplaced request elsewhere

A leader stood still right after it asked all other ranks to arm; its successor could not tell whether the leader's own rank was armed and waited 4.2 s. A request that reached another upstream at an address (421) was refused to the caller; it goes to another upstream now.

--- a/decide/mapswitch/mapswitch.go
+++ b/decide/mapswitch/mapswitch.go
@@ -18,6 +18,8 @@
 // A VM that stands still takes its rank out of reach. If that is the leader's,
 // the rank that holds is another one, and its own rank is not armed before all
 // others are: as long as one of them is not, the change can be undone without it.
+// The holder is armed after the others, one order by itself, so that a leader
+// that stops right after it asked them leaves one that is not.
 package mapswitch
 
 import (
@@ -52,8 +54,10 @@
 	Idle Phase = iota
 	Preparing
 	Holding
-	// Arming asks all ranks but the leader's own, ArmingOwn that one.
+	// Arming asks all ranks but the holder and the leader's own, ArmingHolder and
+	// ArmingOwn those.
 	Arming
+	ArmingHolder
 	ArmingOwn
 	Releasing
 	// Settling waits for the pass from which the map is in use.
@@ -65,7 +69,7 @@
 	Freeing
 )
 
-var phaseNames = [...]string{"idle", "preparing", "holding", "arming", "arming own", "releasing", "settling", "fencing", "verifying", "disarming", "freeing"}
+var phaseNames = [...]string{"idle", "preparing", "holding", "arming", "arming holder", "arming own", "releasing", "settling", "fencing", "verifying", "disarming", "freeing"}
 
 func (p Phase) String() string { return phaseNames[p] }
 
@@ -172,8 +176,11 @@
 
 func (s *State) toAll(now time.Duration, p Phase, o api.RankOrder) []Send {
 	s.enter(now, p)
+	if p == Arming && len(s.ranks) <= 2 {
+		return s.next(now)
+	}
 	for rank := range s.ranks {
-		if p != Arming || rank != s.own {
+		if p != Arming || rank != s.own && rank != s.holder(s.own) {
 			s.expect(rank, o)
 		}
 	}
@@ -470,7 +477,7 @@
 		// The pass has begun. The next reading shows which one can be held.
 		s.enter(now, Preparing)
 		return nil
-	case Arming, ArmingOwn:
+	case Arming, ArmingHolder, ArmingOwn:
 		return s.undo(now, clock)
 	}
 	// What is to be disarmed is in use, or what is to be released has begun.
@@ -487,6 +494,10 @@
 	case Holding:
 		return s.toAll(now, Arming, api.RankOrder{Op: api.RankArm, Version: s.version, Step: s.step})
 	case Arming:
+		s.enter(now, ArmingHolder)
+		s.expect(s.holder(s.own), api.RankOrder{Op: api.RankArm, Version: s.version, Step: s.step})
+		return s.due(now)
+	case ArmingHolder:
 		s.enter(now, ArmingOwn)
 		s.expect(s.own, api.RankOrder{Op: api.RankArm, Version: s.version, Step: s.step})
 		return s.due(now)
--- a/decide/retrybudget/retrybudget.go
+++ b/decide/retrybudget/retrybudget.go
@@ -143,7 +143,7 @@
 	switch code {
 	case api.CodeOverloaded, api.CodeQueueFull, api.CodeColdUpstream,
 		api.CodeZoneOut, api.CodeLeaving, api.CodeStaleRevision,
-		api.CodeWrongIncarnation, api.CodeNotReady, api.CodeShuttingDown,
+		api.CodeWrongIncarnation, api.CodeWrongUpstream, api.CodeNotReady, api.CodeShuttingDown,
 		api.CodeLinkLost, api.CodeStreamBroken, api.CodeUpstreamFailed,
 		api.CodeUpstreamUnreached, api.CodeLedgerFull, api.CodeStaleFencingToken:
 		return true
