--- a/decide/balance/balance.go
+++ b/decide/balance/balance.go
@@ -24,6 +24,11 @@
 	farPenalty = 0.3
 	// probingPenalty keeps an upstream on probation to what others can't take.
 	probingPenalty = 4
+	// avoidFirst is how long an upstream is avoided that could not be reached,
+	// doubled with each further time up to avoidMost. A VM that stands still or is
+	// cut off comes back after seconds.
+	avoidFirst = time.Second
+	avoidMost  = 4 * time.Second
 	// coldWindow is the span over which requests to a cold upstream are counted.
 	coldWindow = time.Second
 	// noUpstreamRetry is when a caller may come back if no upstream is listed:
@@ -71,6 +76,10 @@
 	instance api.Instance
 	health   Health
 	own      int
+	// avoided is until when the upstream is passed over because it could not be
+	// reached, unreached how often that was since it last answered.
+	avoided   time.Duration
+	unreached int
 	// others is the load that other processes caused at a time.
 	others   float64
 	othersAt time.Duration
@@ -128,10 +137,19 @@
 	}
 }
 
-// Done notes that a send has ended.
-func (s *State) Done(id string) {
-	if u := s.upstreams[id]; u != nil && u.own > 0 {
-		u.own--
+// Done notes that a send has ended, with its failure if it has one.
+func (s *State) Done(now time.Duration, id string, f *api.Failure) {
+	u := s.upstreams[id]
+	if u == nil {
+		return
+	}
+	u.own = max(u.own-1, 0)
+	switch {
+	case f == nil:
+		u.unreached, u.avoided = 0, 0
+	case f.Code == api.CodeUpstreamUnreached:
+		u.avoided = now + min(avoidFirst<<min(u.unreached, 8), avoidMost)
+		u.unreached++
 	}
 }
 
@@ -154,7 +172,7 @@
 				continue
 			}
 			listed++
-			if slices.Contains(exclude, u.instance.ID) || u.health > pass {
+			if slices.Contains(exclude, u.instance.ID) || u.standing(now) > pass {
 				continue
 			}
 			if !s.bears(now, u) {
@@ -184,6 +202,15 @@
 	return Choice{Upstream: best.instance.ID, Load: load, Candidates: candidates}, nil
 }
 
+// standing is the health of an upstream, with those that could not be reached
+// as the last resort.
+func (u *upstream) standing(now time.Duration) Health {
+	if now < u.avoided {
+		return Ejected
+	}
+	return u.health
+}
+
 // listed says whether an upstream may get new work at all.
 func (s *State) listed(u *upstream) bool {
 	return !u.instance.Leaving && !s.view.ZonesOut[u.instance.Zone]
--- /dev/null
+++ b/decide/balance/balance_test.go
@@ -0,0 +1,101 @@
+package balance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/balance"
+)
+
+func view(instances ...api.Instance) *api.View {
+	v := &api.View{
+		Table:     &api.RouteTable{Services: map[string]api.ServiceProfile{"s": {Name: "s", ColdPerSecond: 36}}},
+		Instances: make(map[string]api.Instance),
+		ZonesOut:  make(map[string]bool),
+	}
+	for _, in := range instances {
+		in.Service, in.Slots = "s", 12
+		v.Instances[in.ID] = in
+	}
+	return v
+}
+
+func state(v *api.View) *balance.State {
+	s := balance.New(balance.Options{Zone: "z", Seed: 1, ColdOvershoot: 1.5, ColdTolerance: 5, Processes: 24})
+	s.Configure(v)
+	return s
+}
+
+// chosen counts the choices of n requests that stay open.
+func chosen(t *testing.T, s *balance.State, now time.Duration, n int) map[string]int {
+	t.Helper()
+	counts := make(map[string]int)
+	for range n {
+		c, failure := s.Choose(now, "s", nil)
+		if failure != nil {
+			t.Fatal(failure)
+		}
+		counts[c.Upstream]++
+	}
+	return counts
+}
+
+// Guards against requests to upstreams that leave, are in a zone taken out or
+// were tried already.
+func TestOnlyUpstreamsThatTakeWorkAreChosen(t *testing.T) {
+	v := view(api.Instance{ID: "a", Zone: "z"}, api.Instance{ID: "b", Zone: "z", Leaving: true}, api.Instance{ID: "c", Zone: "out"})
+	v.ZonesOut["out"] = true
+	s := state(v)
+	if counts := chosen(t, s, time.Second, 5); counts["a"] != 5 {
+		t.Errorf("%v", counts)
+	}
+	_, failure := s.Choose(time.Second, "s", []string{"a"})
+	if failure == nil || failure.Run != api.NotRun || failure.RetryAfter <= 0 {
+		t.Errorf("%v", failure)
+	}
+}
+
+// Guards against an upstream that draws requests because none of them returns:
+// a VM that stands still looks idle.
+func TestAnUpstreamThatCannotBeReachedIsAvoided(t *testing.T) {
+	s := state(view(api.Instance{ID: "a", Zone: "z"}, api.Instance{ID: "b", Zone: "z"}))
+	s.Done(time.Second, "a", api.Fail(api.CodeUpstreamUnreached, api.NotRun, ""))
+	if counts := chosen(t, s, 1500*time.Millisecond, 8); counts["a"] != 0 {
+		t.Errorf("chosen while avoided: %v", counts)
+	}
+	if counts := chosen(t, s, 4*time.Second, 8); counts["a"] == 0 {
+		t.Errorf("not chosen again: %v", counts)
+	}
+	s.Done(5*time.Second, "a", api.Fail(api.CodeUpstreamUnreached, api.NotRun, ""))
+	s.Done(5*time.Second, "b", api.Fail(api.CodeUpstreamUnreached, api.NotRun, ""))
+	if _, failure := s.Choose(5*time.Second, "s", nil); failure != nil {
+		t.Errorf("the pool is empty: %v", failure)
+	}
+}
+
+// Guards against a cold upstream that gets more than its part of the rate that
+// all processes share.
+func TestColdUpstreamsGetAPartOfTheirRate(t *testing.T) {
+	s := state(view(api.Instance{ID: "a", Zone: "z", ColdUntil: time.Minute}))
+	got := 0
+	for i := range 1000 {
+		if c, failure := s.Choose(time.Second+time.Duration(i)*time.Millisecond, "s", nil); failure == nil {
+			s.Done(0, c.Upstream, nil)
+			got++
+		}
+	}
+	const bound = (36*1.5 + 5) / 24
+	if float64(got) > bound || got == 0 {
+		t.Errorf("%d requests in a second, bound %.1f", got, bound)
+	}
+}
+
+// Guards against a load that other processes caused and that is not counted.
+func TestStatedLoadsMoveRequestsElsewhere(t *testing.T) {
+	s := state(view(api.Instance{ID: "a", Zone: "z"}, api.Instance{ID: "b", Zone: "z"}))
+	s.Observe(time.Second, api.UpstreamLoad{Upstream: "a", Running: 9, Slots: 12})
+	if counts := chosen(t, s, time.Second, 6); counts["a"] != 0 {
+		t.Errorf("%v", counts)
+	}
+}
--- a/kernel/layout_test.go
+++ b/kernel/layout_test.go
@@ -16,6 +16,8 @@
 	"decide":  {"api", "decide"},
 	"service": {"api", "kernel", "decide", "wire", "confdir"},
 	"standin": {"api", "standin", "kernel"},
+	// The adapter names and encodes; it may ask decisions but not services.
+	"platform": {"api", "kernel", "decide"},
 }
 
 // TestLayersKeepApart guards against a service that imports another service's
--- a/service/balance/balance.go
+++ b/service/balance/balance.go
@@ -173,7 +173,7 @@
 }
 
 func (s *service) settle(now time.Duration, r api.RouteResult) {
-	s.state.Done(r.Upstream)
+	s.state.Done(now, r.Upstream, r.Failure)
 	if r.Unsent {
 		return
 	}
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// maxSends bounds the sends of one request.
-	maxSends = 8
+	// maxSends bounds the sends of one request, maxUnsent those beside them that
+	// reached no upstream.
+	maxSends  = 8
+	maxUnsent = 4
 	// windowBytes is the flow-control credit of one exchange.
 	windowBytes = 256 << 10
 	// reattachWait bounds the wait for a lost link before the outcome of a
@@ -56,6 +58,8 @@
 	// is left to try.
 	refused   *api.Failure
 	exhausted bool
+	// unsent counts the sends that reached no upstream.
+	unsent uint32
 	// uncertain is set once a send may have run.
 	uncertain bool
 	// hedged is set once a second concurrent send was made.
@@ -113,10 +117,16 @@
 
 // again decides whether another send follows, and waits for it to be possible.
 func (d *delivery) again(ctx context.Context, f *api.Failure) bool {
-	if ctx.Err() != nil || d.attempt >= d.maxSends() || d.attempt == 0 || d.exhausted {
+	if ctx.Err() != nil || d.attempt == 0 || d.exhausted || !d.repeatable(f) {
 		return false
 	}
-	if !d.repeatable(f) {
+	if neverSent(f) && d.unsent < maxUnsent {
+		// No upstream has seen the request, so it costs none anything.
+		d.unsent++
+		d.service.counts.retries.Add(1)
+		return true
+	}
+	if d.attempt-d.unsent >= d.maxSends() {
 		return false
 	}
 	if f.Code == api.CodeStaleRevision && f.Run == api.NotRun {
@@ -135,6 +145,15 @@
 	return pause(ctx, d.backoff(f)) && (d.home == "" || d.awaitHome(ctx))
 }
 
+// neverSent says whether a failure shows that nothing left for the upstream.
+func neverSent(f *api.Failure) bool {
+	switch f.Code {
+	case api.CodeUpstreamUnreached, api.CodeLeaving, api.CodeZoneOut, api.CodeWrongUpstream:
+		return f.Run == api.NotRun
+	}
+	return false
+}
+
 func (d *delivery) maxSends() uint32 {
 	if d.request.MaxSends > 0 {
 		return uint32(min(d.request.MaxSends, maxSends))
--- a/service/dispatch/hedge_test.go
+++ b/service/dispatch/hedge_test.go
@@ -50,7 +50,7 @@
 	p.closed++
 }
 
-func (p *pool) SpendRetry(context.Context, string) bool { return false }
+func (p *pool) SpendRetry(context.Context, string, string) bool { return false }
 
 func (p *pool) SpendHedge(_ context.Context, h api.Hedge) bool {
 	p.mu.Lock()
--- a/service/dispatch/stale_test.go
+++ b/service/dispatch/stale_test.go
@@ -56,11 +56,11 @@
 }
 
 func (r *router) Authenticate(string) (api.Caller, *api.Failure) { return api.Caller{}, nil }
-func (r *router) Enter(context.Context, string, uint32) (func(), *api.Failure) {
+func (r *router) Enter(context.Context, string, string, uint32) (func(), *api.Failure) {
 	return func() {}, nil
 }
-func (r *router) SpendHedge(context.Context, api.Hedge) bool { return false }
-func (r *router) SpendRetry(context.Context, string) bool    { r.spent++; return true }
+func (r *router) SpendHedge(context.Context, api.Hedge) bool      { return false }
+func (r *router) SpendRetry(context.Context, string, string) bool { r.spent++; return true }
 
 func (r *router) Route(_ context.Context, q api.RouteQuery) (api.RouteChoice, *api.Failure) {
 	r.excluded = append(r.excluded, slices.Clone(q.Exclude))
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -71,7 +71,6 @@
 	answers  *kernel.Mailbox[answered]
 	visits   *kernel.Mailbox[wire.RankRead]
 	tokens   *kernel.Mailbox[uint64]
-	// tokenNow is the highest token seen, published by the control loop.
 	peers peers
 
 	// The control loop owns the fields below.
@@ -89,7 +88,6 @@
 	version uint64
 	epoch   uint64
 	last    []api.RankReport
-	members []string
 	phase   mapswitch.Phase
 }
 
--- a/service/frontend/frontend_test.go
+++ b/service/frontend/frontend_test.go
@@ -33,7 +33,9 @@
 	return api.Caller{Member: "desk"}, nil
 }
 
-func (admission) Enter(context.Context, string, uint32) (func(), *api.Failure) { return func() {}, nil }
+func (admission) Enter(context.Context, string, string, uint32) (func(), *api.Failure) {
+	return func() {}, nil
+}
 
 // dispatcher answers as the test says and keeps the request.
 type dispatcher struct {
