--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -71,7 +71,7 @@
 	answers  *kernel.Mailbox[answered]
 	visits   *kernel.Mailbox[wire.RankRead]
 	tokens   *kernel.Mailbox[uint64]
-	peers peers
+	peers    peers
 
 	// The control loop owns the fields below.
 	rank    int
