Tell refused callers a time to come back at which they are served

Cause: after all VMs lost power, upstreams refuse until their group has formed (0.6 s) and are cold then; callers were told 0.2 to 0.3 s and repeat only once.

--- a/decide/balance/balance.go
+++ b/decide/balance/balance.go
@@ -32,11 +32,11 @@
 	// coldWindow is the span over which requests to a cold upstream are counted.
 	coldWindow = time.Second
 	// noUpstreamRetry is when a caller may come back if no upstream is listed:
-	// a replacement registers within a heartbeat.
-	noUpstreamRetry = 500 * time.Millisecond
-	// busyRetry is when a caller may come back if all upstreams are full: a
-	// request takes about this long.
-	busyRetry = 300 * time.Millisecond
+	// a replacement registers within a heartbeat (1.2 s).
+	noUpstreamRetry = time.Second
+	// busyRetry is when a caller may come back if all upstreams are full or cold:
+	// a model request takes about this long.
+	busyRetry = 700 * time.Millisecond
 	// queueFactor is the load, as a multiple of an upstream's slots, from which
 	// a request would wait in its queue beyond its objective.
 	queueFactor = 2
