Count a misplaced request as a send

After all upstreams restarted, requests met others at their addresses (421) and were sent again beside the budget, as if they had not arrived. Test: TestAMisplacedRequestCountsAsASend, failed before with 2 arrivals.

--- a/cmd/mulberryfork-platform/edge_test.go
+++ b/cmd/mulberryfork-platform/edge_test.go
@@ -39,7 +39,10 @@
 	next    int
 }
 
-func newBed(t *testing.T) *bed {
+func newBed(t *testing.T) *bed { return newBedWithRetries(t, 200) }
+
+// newBedWithRetries has a budget of repeats beside a part of the requests.
+func newBedWithRetries(t *testing.T, extra int) *bed {
 	t.Helper()
 	b := &bed{t: t, store: platformstore.New()}
 	storeServer := httptest.NewServer(b.store)
@@ -64,12 +67,12 @@
 store = %q
 ready = %q
 revocation = "5s"
-retry_ratio = 0.2
-retry_extra = 200
+retry_ratio = 0.0
+retry_extra = %d
 retry_window = "10s"
 cold_overshoot = 1.5
 cold_tolerance = 5.0
-`, storeServer.Listener.Addr(), freeAddress(t))
+`, storeServer.Listener.Addr(), freeAddress(t), extra)
 	loaded, problems := settings.Read("test", []byte(text), settings.Edge)
 	if problems != nil {
 		t.Fatal(problems)
@@ -208,6 +211,22 @@
 	}
 }
 
+// Guards against repeats beside the budget: a request that reaches another
+// upstream at an address is an arrival there.
+func TestAMisplacedRequestCountsAsASend(t *testing.T) {
+	b := newBedWithRetries(t, 0)
+	for _, w := range b.workers {
+		w.ID += "-new"
+	}
+	answer, _, err := b.send("/i/x", "key1", "whole")
+	if err != nil || answer.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("%v, %v", answer, err)
+	}
+	if n := b.workers[0].Arrivals() + b.workers[1].Arrivals(); n != 1 {
+		t.Errorf("%d arrivals without a budget for repeats", n)
+	}
+}
+
 // Guards against a member that a caller chose itself, and a key that leaks.
 func TestUpstreamsGetTheMemberAndNotTheKey(t *testing.T) {
 	b := newBed(t)
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -148,7 +148,7 @@
 // neverSent says whether a failure shows that nothing left for the upstream.
 func neverSent(f *api.Failure) bool {
 	switch f.Code {
-	case api.CodeUpstreamUnreached, api.CodeLeaving, api.CodeZoneOut, api.CodeWrongUpstream:
+	case api.CodeUpstreamUnreached, api.CodeLeaving, api.CodeZoneOut:
 		return f.Run == api.NotRun
 	}
 	return false
--- a/standin/platformworker/worker.go
+++ b/standin/platformworker/worker.go
@@ -40,7 +40,9 @@
 	// Once limits a behaviour to the first request with it over all workers.
 	Once *Once
 	runs map[string]int
-	gone int
+	// arrivals counts requests, also those that it did not run.
+	arrivals int
+	gone     int
 	last http.Header
 }
 
@@ -72,6 +74,13 @@
 	return w.runs[id]
 }
 
+// Arrivals returns the number of requests that came, run or not.
+func (w *Worker) Arrivals() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.arrivals
+}
+
 // Gone returns the number of callers that left before their answer.
 func (w *Worker) Gone() int {
 	w.mu.Lock()
@@ -89,6 +98,9 @@
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get("X-Mulberryfork-Attempt-Id")
+	w.mu.Lock()
+	w.arrivals++
+	w.mu.Unlock()
 	h := out.Header()
 	h.Set("X-Mulberryfork-Attempt-Id", id)
 	if expected := r.Header.Get("X-Mulberryfork-Expected-Instance"); expected != w.ID {
