--- a/api/edge.go
+++ b/api/edge.go
@@ -27,6 +27,8 @@
 	// processes to a cold upstream: a multiple of its rate, and a number beside it.
 	ColdOvershoot float64 `toml:"cold_overshoot"`
 	ColdTolerance float64 `toml:"cold_tolerance"`
+	// LinkMbps is the rate of the VM's link.
+	LinkMbps float64 `toml:"link_mbps"`
 	// MemoryMB bounds the memory of the process.
 	MemoryMB int `toml:"memory_mb"`
 }
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -46,6 +46,17 @@
 	// over; its rank is read directly.
 	downFor = time.Second
 
+	// countBytes is the size of one count in a message.
+	countBytes = 6
+	// linkPart is the part of the VM's link that readings may use.
+	linkPart = 0.25
+	// rankReadTime is added to readTimeout for each rank: a leader decodes its
+	// answers on a part of a core.
+	rankReadTime = 15 * time.Millisecond
+	// rescanAfter is the time of incomplete readings after which the ranks of the
+	// group are looked for among all upstreams again.
+	rescanAfter = time.Second
+
 	// staleFactor is how much worse than a new plan one must be that ranks are
 	// copying, for the new one to replace it.
 	staleFactor = 1.3
@@ -80,9 +91,15 @@
 	visited time.Duration
 	reading bool
 	readAt  time.Duration
-	state   *mapswitch.State
-	plan    *expertplan.State
-	present [][][]int
+	// countedAt is the time of the last reading with counts.
+	countedAt time.Duration
+	// completeAt is the time of the last complete reading, addresses those of the
+	// ranks that it found.
+	completeAt time.Duration
+	addresses  map[string]bool
+	state      *mapswitch.State
+	plan       *expertplan.State
+	present    [][][]int
 	// next is the map that is being copied.
 	next    [][][]int
 	version uint64
@@ -190,9 +207,27 @@
 		return
 	}
 	s.reading, s.readAt = true, now
-	ask := wire.RankRead{Leader: s.rank, Group: s.group, Counts: true}
+	ask := wire.RankRead{Leader: s.rank, Group: s.group, Counts: now-s.countedAt >= s.countInterval()}
+	if ask.Counts {
+		s.countedAt = now
+	}
 	ask.Experts = s.present == nil || len(s.last) > s.rank && s.last[s.rank].Map != s.version
-	go s.read(ask, s.known)
+	var only map[string]bool
+	if now-s.completeAt < rescanAfter {
+		only = s.addresses
+	}
+	go s.read(ask, s.known, only)
+}
+
+// countInterval is the time in which the counts of all ranks fit the part of
+// the link that readings may use.
+func (s *service) countInterval() time.Duration {
+	if s.plan == nil || s.settings.Edge.LinkMbps <= 0 {
+		return 0
+	}
+	shape := s.plan.Shape()
+	bits := float64(8 * countBytes * shape.Ranks * shape.Layers * shape.Experts)
+	return time.Duration(bits / (linkPart * s.settings.Edge.LinkMbps * 1e6) * float64(time.Second))
 }
 
 // leads says whether no lower rank has read from this process lately.
@@ -226,7 +261,9 @@
 	if !s.known || !s.leads(now) {
 		return
 	}
-	if !r.complete {
+	if r.complete {
+		s.noteMembers(now, r.ranks)
+	} else {
 		s.counts.incomplete.Add(1)
 	}
 	if len(r.ranks) == 0 {
@@ -238,6 +275,15 @@
 	s.propose(now)
 }
 
+// noteMembers remembers where the ranks of the group are.
+func (s *service) noteMembers(now time.Duration, ranks []api.RankState) {
+	s.completeAt = now
+	s.addresses = make(map[string]bool, len(ranks))
+	for _, r := range ranks {
+		s.addresses[r.Report.Address] = true
+	}
+}
+
 // adopt takes a complete reading as the present state of the group.
 func (s *service) adopt(now time.Duration, r reading) {
 	if s.state == nil {
@@ -397,9 +443,10 @@
 }
 
 // read looks at the own rank and, where this process leads, at all others.
-func (s *service) read(ask wire.RankRead, all bool) {
+// Only, if not nil, names the upstreams that are worth a look.
+func (s *service) read(ask wire.RankRead, all bool, only map[string]bool) {
 	r := reading{began: s.clock.Now()}
-	ctx, cancel := context.WithTimeout(s.ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, readTimeout+time.Duration(len(only))*rankReadTime)
 	defer cancel()
 	defer func() { _ = s.readings.Post(s.ctx, r) }()
 	own, err := s.local(ctx, ask)
@@ -411,7 +458,7 @@
 		return
 	}
 	ask.Token = own.Token
-	found := s.readOthers(ctx, ask)
+	found := s.readOthers(ctx, ask, only)
 	found = append(found, own)
 	r.ranks, r.complete = assemble(found, own.Report)
 }
@@ -432,12 +479,12 @@
 	return ranks, n == own.Size
 }
 
-func (s *service) readOthers(ctx context.Context, ask wire.RankRead) []api.RankState {
+func (s *service) readOthers(ctx context.Context, ask wire.RankRead, only map[string]bool) []api.RankState {
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	var found []api.RankState
 	for _, in := range s.discovery.View().Instances {
-		if in.Service != s.settings.Edge.Service || in.Address == s.settings.Edge.Worker {
+		if in.Service != s.settings.Edge.Service || in.Address == s.settings.Edge.Worker || only != nil && !only[in.Address] {
 			continue
 		}
 		wait.Go(func() {
