Split what grew, and drop fields that nothing reads

Fields of the platform's configuration that no decision uses are no longer decoded. 'check' on an empty folder fails.

--- a/api/discovery.go
+++ b/api/discovery.go
@@ -26,13 +26,8 @@
 	Kind   RequestKind
 	// Timeout is the longest time that a request may wait for its answer.
 	Timeout time.Duration
-	// Target is the time to the answer, or to the first event of a stream,
-	// that the operator wants kept.
-	Target time.Duration
 	// MaxSends bounds the upstreams that one request is sent to.
 	MaxSends int
-	// Priority is lower for more urgent requests.
-	Priority int
 	Splits   []Split
 	// Anonymous routes take requests without an API key.
 	Anonymous bool
@@ -48,8 +43,6 @@
 // ServiceProfile is what operators say of the upstreams of a service.
 type ServiceProfile struct {
 	Name string
-	// ConnectionLimit bounds the connections of all callers to one upstream.
-	ConnectionLimit int
 	// ColdPerSecond is the rate that a cold upstream bears, 0 if any.
 	ColdPerSecond float64
 	// Engine is nil for a plain service.
@@ -58,40 +51,13 @@
 
 // EngineProfile describes the model engine of a service.
 type EngineProfile struct {
-	// Step is the time of a token step without requests, PerSequence what each
-	// running request adds.
-	Step        time.Duration
-	PerSequence time.Duration
-	// StepsPerPass is the number of token steps of one pass of a group.
-	StepsPerPass int
-	// PrefillPerSecond is the rate at which prompt tokens are read.
-	PrefillPerSecond float64
-	Layers           int
-	Experts          int
+	// Layers are those whose experts are placed apart.
+	Layers  int
+	Experts int
 	// SlotsPerRank bounds the experts of one layer on a rank, StagedPerRank
 	// those that a rank can copy in beside them.
 	SlotsPerRank  int
 	StagedPerRank int
-	// ExpertShare is the part of the work of a token that its experts do.
-	ExpertShare float64
-	// ExpertMB is the size of one expert, LinkMbps the rate of its copying.
-	ExpertMB float64
-	LinkMbps float64
-}
-
-// RequestLimits bound what a caller may send.
-type RequestLimits struct {
-	HeaderBytes int
-	BodyBytes   int64
-	IdleTimeout time.Duration
-}
-
-// EdgeMember is a guild member as an edge knows it.
-type EdgeMember struct {
-	Name string
-	// Priority replaces that of the route where HasPriority is set.
-	Priority    int
-	HasPriority bool
 }
 
 // RouteTable is one version of the operator's configuration.
@@ -100,9 +66,10 @@
 	Routes   []Route
 	Services map[string]ServiceProfile
 	// Keys maps an API key to its member. Without members no key is needed.
-	Keys    map[string]EdgeMember
+	Keys    map[string]string
 	Members int
-	Limits  RequestLimits
+	// BodyBytes bounds the body of a request.
+	BodyBytes int64
 }
 
 // Instance is one incarnation of an upstream, as it registered itself.
--- a/api/edge.go
+++ b/api/edge.go
@@ -14,8 +14,6 @@
 	// Poll is the time between readings of the store by a process that does not
 	// need each change at once, 0 to watch it.
 	Poll Duration `toml:"poll"`
-	// FirstStart is true while the whole system starts for the first time.
-	FirstStart bool `toml:"first_start"`
 	// Revocation is the time within which a revoked key must be refused.
 	Revocation Duration `toml:"revocation"`
 	// RetryRatio and RetryExtra bound the repeats of all processes in a window:
--- a/cmd/mulberryfork-platform/main.go
+++ b/cmd/mulberryfork-platform/main.go
@@ -34,6 +34,32 @@
 type commands struct {
 	Edge edgeCommand `cmd:"" help:"Route callers' requests to upstreams."`
 	Side sideCommand `cmd:"" help:"Keep the expert map of the engine beside the process."`
+
+	Check   checkCommand   `cmd:"" help:"Check a settings file and print every problem."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+// version is set by the linker for a release.
+var version = "development"
+
+type versionCommand struct{}
+
+func (versionCommand) Run() error {
+	fmt.Println("mulberryfork-platform", version)
+	return nil
+}
+
+type checkCommand struct {
+	Role     string `arg:"" enum:"edge,side" help:"Role of the process: edge or side."`
+	Settings string `arg:"" type:"existingfile" help:"Settings file."`
+}
+
+func (c checkCommand) Run() error {
+	if _, err := load(c.Settings, settings.Role(c.Role)); err != nil {
+		return err
+	}
+	fmt.Println(c.Settings + ": ok")
+	return nil
 }
 
 type edgeCommand struct {
--- a/confdir/confdir.go
+++ b/confdir/confdir.go
@@ -36,6 +36,13 @@
 	return fmt.Sprintf("the files of %s exceed %d bytes", e.Path, e.MaxBytes)
 }
 
+// EmptyError reports a folder in which there is nothing to check.
+type EmptyError struct{ Path string }
+
+func (e *EmptyError) Error() string {
+	return "there is no file ending in " + Suffix + " in " + e.Path
+}
+
 // Read returns the files of a folder by name. Subfolders, hidden files and
 // files with another ending are left out.
 func Read(dir string) (map[string][]byte, error) {
--- a/confdir/confdir_test.go
+++ b/confdir/confdir_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"os"
 	"path/filepath"
 	"testing"
@@ -13,6 +14,14 @@
 	"github.com/mulberryfork/mulberryfork/decide/config"
 )
 
+// Guards against a folder named by mistake that passes as sound.
+func TestAnEmptyFolderIsNotSound(t *testing.T) {
+	var empty *confdir.EmptyError
+	if err := confdir.Check(io.Discard, t.TempDir()); !errors.As(err, &empty) {
+		t.Errorf("%v", err)
+	}
+}
+
 // Guards against output that scripts can no longer split by line and colon.
 func TestCheckOutput(t *testing.T) {
 	for _, name := range []string{"good", "bad"} {
--- a/confdir/render.go
+++ b/confdir/render.go
@@ -14,6 +14,11 @@
 // "file:line: key: kind: message", or a summary if there are none. It returns
 // the failure of Load.
 func Check(w io.Writer, dir string) error {
+	files, err := Read(dir)
+	if err == nil && len(files) == 0 {
+		err = &EmptyError{Path: dir}
+		return errors.Join(err, write(w, err.Error()+"\n"))
+	}
 	result, err := Load(dir)
 	var problems *config.Errors
 	if errors.As(err, &problems) {
--- /dev/null
+++ b/decide/fleetbudget/fleetbudget_test.go
@@ -0,0 +1,72 @@
+package fleetbudget_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/decide/fleetbudget"
+)
+
+// Guards against a sum of repeats over all processes beyond the bound that they
+// share, in any window, with uneven load and processes that start anew.
+func TestTheSumOfAllProcessesKeepsToTheBound(t *testing.T) {
+	const (
+		processes = 10
+		window    = 10 * time.Second
+		ratio     = 0.2
+		extra     = 184
+	)
+	options := fleetbudget.Options{Ratio: ratio, Extra: extra, Window: window, Processes: 24}
+	random := rand.New(rand.NewPCG(1, 1))
+	states := make([]*fleetbudget.State, processes)
+	for i := range states {
+		states[i] = fleetbudget.New(options)
+	}
+	var requests, repeats []time.Duration
+	for now := time.Duration(0); now < time.Minute; now += 5 * time.Millisecond {
+		if random.IntN(2000) == 0 {
+			states[random.IntN(processes)] = fleetbudget.New(options)
+		}
+		// Two processes get most requests, as a platform's hash deals them.
+		i := min(random.IntN(processes), random.IntN(processes))
+		if random.IntN(3) == 0 {
+			states[i].Request(now, "s")
+			requests = append(requests, now)
+		}
+		if states[random.IntN(processes)].Repeat(now, "s") {
+			repeats = append(repeats, now)
+		}
+	}
+	for _, begin := range repeats {
+		if n, allowed := within(repeats, begin, window), ratio*float64(within(requests, begin, window))+extra; float64(n) > allowed {
+			t.Fatalf("%d repeats from %v, %.0f allowed", n, begin, allowed)
+		}
+	}
+	if len(repeats) < 100 {
+		t.Errorf("%d repeats: the budget is not used", len(repeats))
+	}
+}
+
+func within(times []time.Duration, begin, window time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at >= begin && at < begin+window {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against one service that uses up the repeats of another.
+func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
+	s := fleetbudget.New(fleetbudget.Options{Extra: 48, Window: 10 * time.Second, Processes: 24})
+	for s.Repeat(time.Second, "a") {
+	}
+	if !s.Repeat(time.Second, "b") {
+		t.Error("no repeat left")
+	}
+	if s.Repeat(9*time.Second, "a") || !s.Repeat(25*time.Second, "a") {
+		t.Error("the window is not kept")
+	}
+}
--- a/service/apikeys/apikeys.go
+++ b/service/apikeys/apikeys.go
@@ -81,7 +81,7 @@
 	if !ok {
 		return api.Caller{}, api.Fail(api.CodeUnauthenticated, api.NotRun, "unknown API key")
 	}
-	return api.Caller{Member: member.Name}, nil
+	return api.Caller{Member: member}, nil
 }
 
 func notReady(detail string) *api.Failure {
--- /dev/null
+++ b/service/experts/read.go
@@ -0,0 +1,168 @@
+package experts
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/wire"
+)
+
+// ReadRank answers a leader with the state of the rank beside this process.
+func (s *service) ReadRank(ctx context.Context, r wire.RankRead) (api.RankState, error) {
+	_ = s.visits.Post(ctx, r)
+	return s.local(ctx, r)
+}
+
+// OrderRank carries out the order of a leader at the rank beside this process.
+func (s *service) OrderRank(ctx context.Context, o api.RankOrder) (wire.RankAnswered, error) {
+	s.peers.heard(o.Token)
+	answer, err := s.engine.OrderRank(ctx, s.settings.Edge.Worker, o)
+	return wire.RankAnswered{Answer: answer}, err
+}
+
+func (s *service) local(ctx context.Context, r wire.RankRead) (api.RankState, error) {
+	report, err := s.engine.ReadRank(ctx, s.settings.Edge.Worker)
+	if err != nil {
+		return api.RankState{}, err
+	}
+	out := api.RankState{Report: report, Token: s.peers.token()}
+	if r.Counts {
+		if out.Counts, err = s.engine.ReadCounts(ctx, s.settings.Edge.Worker); err != nil {
+			return out, err
+		}
+	}
+	if r.Experts {
+		if out.Experts, err = s.engine.ReadExperts(ctx, s.settings.Edge.Worker); err != nil {
+			return out, err
+		}
+	}
+	return out, nil
+}
+
+// read looks at the own rank and, where this process leads, at all others.
+// Only, if not nil, names the upstreams that are worth a look.
+func (s *service) read(ask wire.RankRead, all bool, only map[string]bool) {
+	r := reading{began: s.clock.Now()}
+	ctx, cancel := context.WithTimeout(s.ctx, readTimeout+time.Duration(len(only))*rankReadTime)
+	defer cancel()
+	defer func() { _ = s.readings.Post(s.ctx, r) }()
+	own, err := s.local(ctx, ask)
+	if err != nil {
+		return
+	}
+	r.own = &own.Report
+	if !all {
+		return
+	}
+	ask.Token = own.Token
+	found := s.readOthers(ctx, ask, only)
+	found = append(found, own)
+	r.ranks, r.complete = assemble(found, own.Report)
+}
+
+// assemble orders the ranks of a group. It is complete if each rank is there
+// once, in the epoch of the own one.
+func assemble(found []api.RankState, own api.RankReport) ([]api.RankState, bool) {
+	ranks := make([]api.RankState, own.Size)
+	n := 0
+	for _, f := range found {
+		r := f.Report
+		if r.Group != own.Group || r.Epoch != own.Epoch || r.Rank < 0 || r.Rank >= own.Size || ranks[r.Rank].Report.Size > 0 {
+			continue
+		}
+		ranks[r.Rank] = f
+		n++
+	}
+	return ranks, n == own.Size
+}
+
+func (s *service) readOthers(ctx context.Context, ask wire.RankRead, only map[string]bool) []api.RankState {
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	var found []api.RankState
+	for _, in := range s.discovery.View().Instances {
+		if in.Service != s.settings.Edge.Service || in.Address == s.settings.Edge.Worker || only != nil && !only[in.Address] {
+			continue
+		}
+		wait.Go(func() {
+			state, err := s.remote(ctx, in.Address, ask)
+			if err != nil {
+				s.log.Decision("rank not read", api.DecisionRoutine, api.Fields{"upstream": in.Address, "error": err.Error()})
+				return
+			}
+			state.Report.Address = in.Address
+			mu.Lock()
+			defer mu.Unlock()
+			found = append(found, state)
+		})
+	}
+	wait.Wait()
+	return found
+}
+
+// beside returns the address of the process beside an upstream: all listen on
+// the same port.
+func (s *service) beside(upstream string) string {
+	at, err := netip.ParseAddrPort(upstream)
+	own, ownErr := netip.ParseAddrPort(s.settings.Listen.Link)
+	if err != nil || ownErr != nil {
+		return ""
+	}
+	return net.JoinHostPort(at.Addr().String(), strconv.Itoa(int(own.Port())))
+}
+
+// remote reads a rank through the process beside it, or directly, without
+// counts, if that does not answer.
+func (s *service) remote(ctx context.Context, upstream string, ask wire.RankRead) (api.RankState, error) {
+	var state api.RankState
+	err := s.peers.call(ctx, s.clock.Now(), s.beside(upstream), func(ctx context.Context, c *drpcconn.Conn) (err error) {
+		state, err = wire.ReadRank(ctx, c, ask)
+		return err
+	})
+	if err == nil {
+		return state, nil
+	}
+	if s.peers.isDown(s.clock.Now(), upstream) {
+		return api.RankState{}, &DownError{Address: upstream}
+	}
+	report, err := s.engine.ReadRank(ctx, upstream)
+	if err != nil {
+		s.peers.fail(s.clock.Now(), upstream)
+		return api.RankState{}, err
+	}
+	return api.RankState{Report: report}, nil
+}
+
+// order gives an order. The one to prepare, which is large, goes through the
+// process beside the rank. The others go to the rank directly: a process that
+// stands still with an order in hand would leave its rank in doubt.
+func (s *service) order(ctx context.Context, upstream string, o api.RankOrder) api.RankAnswer {
+	s.peers.heard(o.Token)
+	if upstream == s.settings.Edge.Worker || o.Op != api.RankPrepare {
+		return s.direct(ctx, upstream, o)
+	}
+	answer := api.RankNoAnswer
+	err := s.peers.call(ctx, s.clock.Now(), s.beside(upstream), func(ctx context.Context, c *drpcconn.Conn) (err error) {
+		answer, err = wire.OrderRank(ctx, c, o)
+		return err
+	})
+	if err == nil {
+		return answer
+	}
+	return s.direct(ctx, upstream, o)
+}
+
+func (s *service) direct(ctx context.Context, upstream string, o api.RankOrder) api.RankAnswer {
+	answer, err := s.engine.OrderRank(ctx, upstream, o)
+	if err != nil {
+		s.log.Change("order without answer", api.Fields{"upstream": upstream, "op": o.Op, "token": o.Token, "error": err.Error()})
+	}
+	return answer
+}
--- a/standin/platformworker/worker.go
+++ b/standin/platformworker/worker.go
@@ -43,7 +43,7 @@
 	// arrivals counts requests, also those that it did not run.
 	arrivals int
 	gone     int
-	last http.Header
+	last     http.Header
 }
 
 // Once remembers which behaviours were shown.
--- /dev/null
+++ b/wire/rank_test.go
@@ -0,0 +1,53 @@
+package wire_test
+
+import (
+	"context"
+	"net"
+	"reflect"
+	"testing"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/wire"
+)
+
+type rankServer struct {
+	state api.RankState
+	order api.RankOrder
+}
+
+func (s *rankServer) ReadRank(context.Context, wire.RankRead) (api.RankState, error) {
+	return s.state, nil
+}
+
+func (s *rankServer) OrderRank(_ context.Context, o api.RankOrder) (wire.RankAnswered, error) {
+	s.order = o
+	return wire.RankAnswered{Answer: api.RankFenced}, nil
+}
+
+// Guards against a state or an order that loses a part on its way between two
+// processes: a missing hold or token would let two maps into one pass.
+func TestRankCallsCarryEverything(t *testing.T) {
+	held, armed := uint64(7), uint64(9)
+	server := &rankServer{state: api.RankState{
+		Report:  api.RankReport{Address: "a", Group: "g", Epoch: 2, Rank: 3, Size: 4, Open: true, Step: 5, Map: 6, Held: &held, Armed: &armed},
+		Counts:  []uint64{1, 2, 3},
+		Experts: [][]int{{1, 2}, {3}},
+		Token:   11,
+	}}
+	left, right := net.Pipe()
+	go func() { _ = drpcserver.New(&wire.RankHandler{Server: server}).ServeOne(t.Context(), right) }()
+	conn := drpcconn.New(left)
+	defer conn.Close()
+	state, err := wire.ReadRank(t.Context(), conn, wire.RankRead{Leader: 1, Group: "g", Counts: true})
+	if err != nil || !reflect.DeepEqual(state, server.state) {
+		t.Errorf("%+v, %v", state, err)
+	}
+	order := api.RankOrder{Op: api.RankArm, Token: 1, Epoch: 2, Version: 3, Step: 4, Map: [][][]int{{{1}, {2}}}}
+	answer, err := wire.OrderRank(t.Context(), conn, order)
+	if err != nil || answer != api.RankFenced || !reflect.DeepEqual(server.order, order) {
+		t.Errorf("%v, %+v, %v", answer, server.order, err)
+	}
+}
