--- a/service/routing/routing_test.go
+++ b/service/routing/routing_test.go
@@ -29,6 +29,7 @@
 	o.reported = append(o.reported, suspicions)
 }
 func (o *others) Change(string, api.Fields) {}
+func (o *others) Decision(string, api.DecisionKind, api.Fields) {}
 
 // ready gives routing two upstreams with links that are up.
 func (o *others) ready() {
