--- a/service/routing/routing_test.go
+++ b/service/routing/routing_test.go
@@ -28,7 +28,7 @@
 func (o *others) BroadcastSuspicions(suspicions []api.Suspicion) {
 	o.reported = append(o.reported, suspicions)
 }
-func (o *others) Change(string, api.Fields) {}
+func (o *others) Change(string, api.Fields)                     {}
 func (o *others) Decision(string, api.DecisionKind, api.Fields) {}
 
 // ready gives routing two upstreams with links that are up.
