--- a/decide/settings/validate.go
+++ b/decide/settings/validate.go
@@ -60,14 +60,15 @@
 	if c.role == Edge || c.role == Side {
 		return
 	}
-	c.notFor("a "+string(c.role), "edge")
 	agentKeys := [][]string{{"upstream"}, {"engine", "url"}, {"engine", "weight_store"}}
 	if c.role == Router {
+		c.notFor("a router", "edge")
 		for _, path := range agentKeys {
 			c.notFor("a router", path...)
 		}
 		return
 	}
+	c.notFor("an agent", "edge")
 	c.notFor("an agent", "listen", "http")
 	c.nonEmpty(c.settings.Upstream, "upstream")
 	if c.Required("engine", "url") {
--- a/proof/pool/node.go
+++ b/proof/pool/node.go
@@ -134,6 +134,10 @@
 			if v == 0 {
 				delete(t, key)
 			}
+		case float64:
+			if v == 0 {
+				delete(t, key)
+			}
 		case bool:
 			if !v {
 				delete(t, key)
@@ -147,11 +151,16 @@
 	cmd := exec.Command(n.pool.options.Binary, n.Role, "--log-json", n.settings)
 	// The process must not outlive a test that is killed.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	output, err := cmd.StderrPipe()
+	// Lines come on standard output, errors of the command on standard error.
+	output, input, err := os.Pipe()
 	if err != nil {
 		return &ProcessError{Node: n.Name, Err: err}
 	}
-	if err := cmd.Start(); err != nil {
+	cmd.Stdout, cmd.Stderr = input, input
+	err = cmd.Start()
+	_ = input.Close()
+	if err != nil {
+		_ = output.Close()
 		return &ProcessError{Node: n.Name, Err: err}
 	}
 	ended, listening := make(chan struct{}), make(chan map[string]string, 1)
@@ -160,6 +169,7 @@
 	n.mu.Unlock()
 	go func() {
 		n.read(output, listening)
+		_ = output.Close()
 		_ = cmd.Wait()
 		close(ended)
 	}()
