Remove what a last reading found: names twice, a mailbox nothing posts to

The experts service had a mailbox without a sender. decide/discovery wrapped its entries in a type of one field, passed parameters that nothing read, and searched all entries for the one it had at hand. Behaviour is the same; tests are unchanged.

--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -28,7 +28,7 @@
 
 // State is what the process believes. It belongs to the control loop.
 type State struct {
-	entries map[string]entry
+	entries map[string]api.DiscoveryItem
 	// vanishing upstreams are dropped at the time given unless they return.
 	vanishing map[string]time.Duration
 	// misplaced upstreams said themselves that they are not at their address.
@@ -41,10 +41,6 @@
 	changed  uint64
 }
 
-type entry struct {
-	item api.DiscoveryItem
-}
-
 // Change says what an update did, for logs and metrics.
 type Change struct {
 	// View is nil if nothing changed.
@@ -63,7 +59,7 @@
 // New returns a state without any knowledge.
 func New() *State {
 	return &State{
-		entries:   make(map[string]entry),
+		entries:   make(map[string]api.DiscoveryItem),
 		vanishing: make(map[string]time.Duration),
 		misplaced: make(map[string]uint64),
 	}
@@ -87,10 +83,10 @@
 	var c Change
 	dirty := s.changed == 0
 	for _, item := range u.Items {
-		dirty = s.take(now, item, &c) || dirty
+		dirty = s.take(item, &c) || dirty
 	}
 	if u.Full {
-		dirty = s.vanishUnlisted(now, u.Items, &c) || dirty
+		dirty = s.vanishUnlisted(u.Items, &c) || dirty
 	}
 	dirty = s.expire(now, &c) || dirty
 	return s.finish(c, dirty)
@@ -107,13 +103,13 @@
 // its entry changes.
 func (s *State) Misplaced(id string) Change {
 	for _, e := range s.entries {
-		if e.item.Instance == nil || e.item.Instance.ID != id {
+		if e.Instance == nil || e.Instance.ID != id {
 			continue
 		}
-		if s.misplaced[id] == e.item.Revision {
+		if s.misplaced[id] == e.Revision {
 			return Change{}
 		}
-		s.misplaced[id] = e.item.Revision
+		s.misplaced[id] = e.Revision
 		return s.finish(Change{Dropped: []string{id}}, true)
 	}
 	return Change{}
@@ -133,22 +129,22 @@
 }
 
 // take applies one entry and reports whether the view changed.
-func (s *State) take(now time.Duration, item api.DiscoveryItem, c *Change) bool {
+func (s *State) take(item api.DiscoveryItem, c *Change) bool {
 	known, ok := s.entries[item.Key]
-	if ok && item.Revision < known.item.Revision {
+	if ok && item.Revision < known.Revision {
 		return false
 	}
 	if item.Deleted {
-		return ok && s.vanish(now, item.Key, item.Revision, c)
+		return ok && s.vanish(item.Key, c)
 	}
 	_, wasVanishing := s.vanishing[item.Key]
 	delete(s.vanishing, item.Key)
-	if ok && item.Revision == known.item.Revision {
+	if ok && item.Revision == known.Revision {
 		return wasVanishing
 	}
 	if item.Malformed != nil {
 		c.Malformed = append(c.Malformed, item)
-		if item.Table == nil && item.Key == tableKey(s) {
+		if known.Table != nil {
 			// The last good configuration stays in force.
 			return false
 		}
@@ -160,29 +156,19 @@
 		}
 		s.table = item.Table
 	}
-	s.entries[item.Key] = entry{item: item}
+	s.entries[item.Key] = item
 	return true
 }
 
-// tableKey is the key under which the configuration in force was read.
-func tableKey(s *State) string {
-	for key, e := range s.entries {
-		if e.item.Table != nil {
-			return key
-		}
-	}
-	return ""
-}
-
 // vanish drops an entry, or marks an upstream that may yet return.
-func (s *State) vanish(now time.Duration, key string, revision uint64, c *Change) bool {
+func (s *State) vanish(key string, c *Change) bool {
 	e := s.entries[key]
-	if e.item.Table != nil {
+	if e.Table != nil {
 		// The operator replaces configurations and never removes them, so a
 		// missing one is a fault of the store's answer.
 		return false
 	}
-	if e.item.Instance != nil && s.absent && !e.item.Instance.Leaving {
+	if e.Instance != nil && s.absent && !e.Instance.Leaving {
 		if _, waiting := s.vanishing[key]; !waiting {
 			s.vanishing[key] = s.returned + ReturnGrace
 		}
@@ -193,7 +179,7 @@
 }
 
 func (s *State) drop(key string, c *Change) {
-	if in := s.entries[key].item.Instance; in != nil {
+	if in := s.entries[key].Instance; in != nil {
 		c.Dropped = append(c.Dropped, in.ID)
 		delete(s.misplaced, in.ID)
 	}
@@ -201,7 +187,7 @@
 	delete(s.vanishing, key)
 }
 
-func (s *State) vanishUnlisted(now time.Duration, items []api.DiscoveryItem, c *Change) bool {
+func (s *State) vanishUnlisted(items []api.DiscoveryItem, c *Change) bool {
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
 		listed[item.Key] = true
@@ -209,7 +195,7 @@
 	dirty := false
 	for key := range maps.Clone(s.entries) {
 		if !listed[key] {
-			dirty = s.vanish(now, key, 0, c) || dirty
+			dirty = s.vanish(key, c) || dirty
 		}
 	}
 	return dirty
@@ -234,11 +220,11 @@
 		Changed:   s.changed,
 	}
 	for _, e := range s.entries {
-		if e.item.Zone != "" {
-			v.ZonesOut[e.item.Zone] = true
+		if e.Zone != "" {
+			v.ZonesOut[e.Zone] = true
 		}
-		in := e.item.Instance
-		if in != nil && s.misplaced[in.ID] != e.item.Revision {
+		in := e.Instance
+		if in != nil && s.misplaced[in.ID] != e.Revision {
 			v.Instances[in.ID] = *in
 		}
 	}
--- a/decide/outlier/outlier.go
+++ b/decide/outlier/outlier.go
@@ -23,6 +23,10 @@
 	Out
 )
 
+var statusNames = [...]string{In: "in", Probing: "probing", Out: "ejected"}
+
+func (s Status) String() string { return statusNames[s] }
+
 const (
 	// MaxPart is the part of a pool that may be ejected or probing. A pool of
 	// two or three may lose one.
--- a/service/balance/balance.go
+++ b/service/balance/balance.go
@@ -122,19 +122,13 @@
 	outlier.Out:     balance.Ejected,
 }
 
-var healthNames = map[outlier.Status]string{
-	outlier.In:      "in",
-	outlier.Probing: "probing",
-	outlier.Out:     "ejected",
-}
-
 func (s *service) apply(actions []outlier.Action) {
 	for _, a := range actions {
 		s.state.SetHealth(a.Upstream, healths[a.Status])
 		if a.Status == outlier.Out {
 			s.ejected.Add(1)
 		}
-		s.log.Change("upstream health", api.Fields{"upstream": a.Upstream, "state": healthNames[a.Status]})
+		s.log.Change("upstream health", api.Fields{"upstream": a.Upstream, "state": a.Status.String()})
 	}
 }
 
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -78,7 +78,6 @@
 	readings *kernel.Mailbox[reading]
 	answers  *kernel.Mailbox[answered]
 	visits   *kernel.Mailbox[wire.RankRead]
-	tokens   *kernel.Mailbox[uint64]
 	peers    peers
 
 	// The control loop owns the fields below.
@@ -150,11 +149,6 @@
 	s.readings = kernel.NewMailbox(s.loop, "experts.reading", readingMailbox, kernel.Wait, s.observe)
 	s.answers = kernel.NewMailbox(s.loop, "experts.answer", answerMailbox, kernel.Wait, s.answered)
 	s.visits = kernel.NewMailbox(s.loop, "experts.visit", visitMailbox, kernel.Drop, s.visit)
-	s.tokens = kernel.NewMailbox(s.loop, "experts.token", visitMailbox, kernel.Drop, func(_ time.Duration, token uint64) {
-		if s.state != nil {
-			s.state.HearToken(token)
-		}
-	})
 	s.loop.Every(tickInterval, s.tick)
 	return nil
 }
--- a/service/experts/lead.go
+++ b/service/experts/lead.go
@@ -107,7 +107,8 @@
 	}
 }
 
-// adopt takes a complete reading as the present state of the group.
+// adopt takes a reading as the present state of the group. Ranks that it lacks
+// have no size.
 func (s *service) adopt(now time.Duration, r reading) {
 	if s.state == nil {
 		s.state = mapswitch.New(s.rank)
