Copy as many experts as time allows, and hold a later pass where orders are lost

Cause: a rank copied one expert a change, whatever its size. That fits engines that take 400 ms an expert; those of the grown sites take 76 ms and stayed at 1.8 times the even load. Where orders are carried out late, arming 24 ranks took several rounds with the group held, and an order that a rank did not answer counted as a failure of the process beside it, which was passed over for a second: its counts were missing and the next rank began to lead.

TestMapsFitTheEngines (fast copies) and TestLostOrdersHoldALaterPass fail without the change.

--- a/api/discovery.go
+++ b/api/discovery.go
@@ -58,6 +58,8 @@
 	// those that a rank can copy in beside them.
 	SlotsPerRank  int
 	StagedPerRank int
+	// CopyTime is what a rank needs to copy in one expert.
+	CopyTime time.Duration
 }
 
 // RouteTable is one version of the operator's configuration.
--- a/bench/rebalance.go
+++ b/bench/rebalance.go
@@ -30,7 +30,7 @@
 func rebalanceConfig(p policy) rebalance.Config {
 	cfg := rebalance.Config{
 		Shape: groupShape, ExpertMB: groupExpertMB, Tolerance: 0.01, MinGain: 0.002, Margin: 2,
-		Limits:       placement.Limits{Weights: 110, PerRank: 12},
+		Limits:       placement.Limits{Weights: 110, PerRank: 12, PerRankLayer: 12},
 		LoadSlowdown: loadSlowdown, SwitchCost: baseStep + expertStep,
 		Life: 5 * time.Minute, Smoothing: 0.5, Trend: 0.1, Ahead: 1.5,
 	}
--- a/decide/expertplan/expertplan.go
+++ b/decide/expertplan/expertplan.go
@@ -18,9 +18,9 @@
 	// demandHalfLife is the time in which counted choices lose half of their
 	// weight. Demand shifts within seconds, and a few dozen requests tell it.
 	demandHalfLife = 150 * time.Millisecond
-	// perRank bounds the experts that a rank copies for one change: each takes
-	// hundreds of milliseconds, during which the old map is in use.
-	perRank = 1
+	// copyLimit bounds the time in which a rank copies experts for one change:
+	// the old map is in use meanwhile, and demand shifts within seconds.
+	copyLimit = 400 * time.Millisecond
 )
 
 // tolerances are the distances to the placement bound that are left alone, in
@@ -29,7 +29,8 @@
 
 // State estimates the demand of one group. It belongs to the control loop.
 type State struct {
-	shape placement.Shape
+	shape  placement.Shape
+	limits placement.Limits
 	// demand is the share of each expert in its layer.
 	demand placement.Loads
 	// last are the counts of the previous reading, by rank.
@@ -49,9 +50,20 @@
 			Slots:      p.SlotsPerRank,
 			RanksPerVM: 1,
 		},
+		limits: limits(ranks, p),
 	}
 }
 
+// limits bounds what the ranks copy for one change. A rank copies one expert at
+// least.
+func limits(ranks int, p api.EngineProfile) placement.Limits {
+	perRank := 1
+	if p.CopyTime > 0 {
+		perRank = max(1, int(copyLimit/p.CopyTime))
+	}
+	return placement.Limits{Weights: perRank * ranks, PerRank: perRank, PerRankLayer: max(1, p.StagedPerRank)}
+}
+
 // Shape returns the size of the group.
 func (s *State) Shape() placement.Shape { return s.shape }
 
@@ -129,8 +141,7 @@
 	if !ok {
 		return Plan{}, false
 	}
-	limits := placement.Limits{Weights: perRank * s.shape.Ranks, PerRank: perRank}
-	after, err := placement.UpdateEvenly(before, loads, tolerances, limits)
+	after, err := placement.UpdateEvenly(before, loads, tolerances, s.limits)
 	if err != nil {
 		return Plan{}, false
 	}
--- a/decide/expertplan/expertplan_test.go
+++ b/decide/expertplan/expertplan_test.go
@@ -16,25 +16,25 @@
 
 // skewed counts choices so that the expert of rank k in popularity gets a part
 // that falls with k, as measured on engines.
-func skewed(first int) []uint64 {
-	counts := make([]uint64, profile.Layers*profile.Experts)
-	for l := range profile.Layers {
-		for k := range profile.Experts {
-			e := (first + 37*k) % profile.Experts
-			counts[l*profile.Experts+e] = uint64(1e6 / math.Pow(float64(k+1), 1.3))
+func skewed(engine api.EngineProfile, first int) []uint64 {
+	counts := make([]uint64, engine.Layers*engine.Experts)
+	for l := range engine.Layers {
+		for k := range engine.Experts {
+			e := (first + 37*k) % engine.Experts
+			counts[l*engine.Experts+e] = uint64(1e6 / math.Pow(float64(k+1), 1.3))
 		}
 	}
 	return counts
 }
 
 // observed returns a state that has seen a demand.
-func observed(first int) *expertplan.State {
-	s := expertplan.New(ranks, profile)
+func observed(ranks int, engine api.EngineProfile, first int) *expertplan.State {
+	s := expertplan.New(ranks, engine)
 	zero := make([][]uint64, ranks)
 	counts := make([][]uint64, ranks)
 	for r := range ranks {
-		zero[r] = make([]uint64, profile.Layers*profile.Experts)
-		counts[r] = skewed(first)
+		zero[r] = make([]uint64, engine.Layers*engine.Experts)
+		counts[r] = skewed(engine, first)
 	}
 	s.Observe(0, 1, zero)
 	s.Observe(time.Second, 1, counts)
@@ -44,7 +44,7 @@
 // Guards against a first change that leaves most of the free slots of map 0
 // unused, so that a group takes many changes to get even.
 func TestFirstChangeUsesEveryRank(t *testing.T) {
-	s := observed(5)
+	s := observed(ranks, profile, 5)
 	p, ok := s.Plan(expertplan.First(s.Shape()))
 	if !ok {
 		t.Fatal("no change of map 0")
@@ -58,21 +58,34 @@
 }
 
 // Guards against maps that the engines refuse: an expert without a rank, too
-// many on one, or more new ones than a rank can stage.
+// many on one, or more new ones than a rank can stage. Engines that copy fast
+// take many experts in one change, but no more of them in one layer.
 func TestMapsFitTheEngines(t *testing.T) {
-	s := observed(5)
-	present := expertplan.First(s.Shape())
-	for range 6 {
-		p, ok := s.Plan(present)
-		if !ok {
-			break
-		}
-		check(t, present, p.Map)
-		present = p.Map
+	cases := []struct {
+		name   string
+		ranks  int
+		engine api.EngineProfile
+	}{
+		{"slow copies", ranks, profile},
+		{"fast copies", 24, api.EngineProfile{Layers: 4, Experts: 96, SlotsPerRank: 5, StagedPerRank: 1, CopyTime: 20 * time.Millisecond}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := observed(c.ranks, c.engine, 5)
+			present := expertplan.First(s.Shape())
+			for range 6 {
+				p, ok := s.Plan(present)
+				if !ok {
+					break
+				}
+				check(t, c.engine, present, p.Map)
+				present = p.Map
+			}
+		})
 	}
 }
 
-func check(t *testing.T, before, after [][][]int) {
+func check(t *testing.T, engine api.EngineProfile, before, after [][][]int) {
 	t.Helper()
 	for l := range after {
 		held := make(map[int]bool)
@@ -84,11 +97,11 @@
 					fresh++
 				}
 			}
-			if len(experts) > profile.SlotsPerRank || fresh > profile.StagedPerRank {
+			if len(experts) > engine.SlotsPerRank || fresh > engine.StagedPerRank {
 				t.Errorf("layer %d rank %d: %d experts, %d new", l, r, len(experts), fresh)
 			}
 		}
-		if len(held) != profile.Experts {
+		if len(held) != engine.Experts {
 			t.Errorf("layer %d holds %d experts", l, len(held))
 		}
 	}
--- a/decide/mapswitch/mapswitch.go
+++ b/decide/mapswitch/mapswitch.go
@@ -30,11 +30,13 @@
 
 const (
 	// resendAfter is the time after which an order without an answer is sent
-	// again. An answer takes a few milliseconds.
-	resendAfter = 80 * time.Millisecond
+	// again. Answers of 24 ranks take 10 to 40 ms.
+	resendAfter = 60 * time.Millisecond
 	// leadPasses is the number of passes from the last known one to the one that
 	// is held. If that has begun when the order arrives, the next one is tried.
 	leadPasses = 1
+	// maxLeadPasses bounds it where orders are lost.
+	maxLeadPasses = 6
 	// prepareLimit bounds the copying of experts.
 	prepareLimit = 8 * time.Second
 	// armLimit bounds the time in which the group is held for missing answers.
@@ -96,6 +98,9 @@
 	ranks   []api.RankReport
 	// waiting are the orders of the phase without an answer, by rank.
 	waiting map[int]*pending
+	// rounds is how often an order of this change had to be sent.
+	rounds int
+	passes passClock
 	// disarmed is set once every rank has answered an order to disarm, and with
 	// it knows the token, so that no other leader can arm it.
 	disarmed bool
@@ -106,7 +111,25 @@
 type pending struct {
 	order api.RankOrder
 	at    time.Duration
-	sent  bool
+	tries int
+}
+
+// passClock measures how long passes take.
+type passClock struct {
+	step uint64
+	at   time.Duration
+	// each is the time of one pass, 0 if not known.
+	each time.Duration
+}
+
+func (c *passClock) observe(now time.Duration, step uint64) {
+	if step == c.step {
+		return
+	}
+	if step > c.step && c.step > 0 {
+		c.each = (now - c.at) / time.Duration(step-c.step)
+	}
+	c.step, c.at = step, now
 }
 
 // New returns the state of a leader at a rank.
@@ -140,6 +163,7 @@
 func (s *State) Begin(now time.Duration, clock uint64, plan [][][]int) []Send {
 	s.newToken(clock)
 	s.plan = plan
+	s.rounds = 0
 	s.version = s.nextVersion()
 	return s.toAll(now, Preparing, api.RankOrder{Op: api.RankPrepare, Version: s.version, Map: plan})
 }
@@ -205,10 +229,12 @@
 	var sends []Send
 	for rank := range s.ranks {
 		p := s.waiting[rank]
-		if p == nil || p.sent && now-p.at < resendAfter {
+		if p == nil || p.tries > 0 && now-p.at < resendAfter {
 			continue
 		}
-		p.sent, p.at = true, now
+		p.at = now
+		p.tries++
+		s.rounds = max(s.rounds, p.tries)
 		sends = append(sends, Send{Rank: rank, Order: p.order})
 	}
 	return sends
@@ -241,6 +267,7 @@
 		return s.observePart(now, clock, ranks, missing)
 	}
 	s.ranks = ranks
+	s.passes.observe(now, s.lastStep())
 	switch s.phase {
 	case Idle:
 		if s.foreign() {
@@ -278,9 +305,20 @@
 	return step
 }
 
+// lead is the number of passes to the one that is held. Where orders had to be
+// repeated to prepare, arming takes as many rounds, and the passes that begin
+// meanwhile are left to the old map: the group need not wait.
+func (s *State) lead() uint64 {
+	if s.passes.each <= 0 {
+		return leadPasses
+	}
+	arming := time.Duration(max(0, s.rounds-1)) * resendAfter
+	return min(leadPasses+uint64(arming/s.passes.each), maxLeadPasses)
+}
+
 func (s *State) hold(now time.Duration) []Send {
 	s.enter(now, Holding)
-	s.step = s.lastStep() + leadPasses
+	s.step = s.lastStep() + s.lead()
 	s.expect(s.holder(s.own), api.RankOrder{Op: api.RankHold, Step: s.step})
 	return s.due(now)
 }
--- a/decide/placement/layer.go
+++ b/decide/placement/layer.go
@@ -13,12 +13,14 @@
 	limits Limits
 	// staged counts the weights that each rank has to load, over all layers.
 	staged []int
+	// stagedHere counts those of this layer.
+	stagedHere []int
 }
 
 func newLayer(s Shape, expert []float64, slots []int16) *layer {
 	w := &layer{shape: s, expert: expert, slots: slots,
 		holders: make([][]int32, s.Experts), shares: make([]float64, s.Experts),
-		load: make([]float64, s.Ranks), limits: NoLimits(), staged: make([]int, s.Ranks)}
+		load: make([]float64, s.Ranks), limits: NoLimits(), staged: make([]int, s.Ranks), stagedHere: make([]int, s.Ranks)}
 	for at, e := range slots {
 		w.holders[e] = append(w.holders[e], int32(at))
 	}
--- a/decide/placement/placement_test.go
+++ b/decide/placement/placement_test.go
@@ -70,7 +70,7 @@
 		}
 		later := drawLoads(t, s)
 		allowed := rapid.IntRange(0, 8).Draw(t, "weights")
-		u, _ := Update(m, later, 0.02, Limits{Weights: allowed, PerRank: 2})
+		u, _ := Update(m, later, 0.02, Limits{Weights: allowed, PerRank: 2, PerRankLayer: 2})
 		check(t, u, later)
 		if u.Cost(later) > m.Cost(later)*(1+1e-9) {
 			t.Fatalf("the update made the map worse: %g, %g", u.Cost(later), m.Cost(later))
--- a/decide/placement/plan.go
+++ b/decide/placement/plan.go
@@ -54,10 +54,14 @@
 	Weights int
 	// PerRank bounds the weights that one rank stages beside its present ones.
 	PerRank int
+	// PerRankLayer bounds those of one layer.
+	PerRankLayer int
 }
 
 // NoLimits lets an update change the whole map.
-func NoLimits() Limits { return Limits{Weights: unlimited, PerRank: unlimited} }
+func NoLimits() Limits {
+	return Limits{Weights: unlimited, PerRank: unlimited, PerRankLayer: unlimited}
+}
 
 // Update improves the present map until each layer is within tolerance of its
 // bound, within limits. The layers with the largest excess come first.
--- a/decide/placement/search.go
+++ b/decide/placement/search.go
@@ -58,9 +58,9 @@
 }
 
 func (w *layer) apply(c change) {
-	w.staged[w.rank(c.b)]++
+	w.stage(c.b)
 	if c.kind != addReplica {
-		w.staged[w.rank(c.a)]++
+		w.stage(c.a)
 	}
 	switch c.kind {
 	case swapSlots:
@@ -98,8 +98,15 @@
 	return found
 }
 
+func (w *layer) stage(slot int) {
+	w.staged[w.rank(slot)]++
+	w.stagedHere[w.rank(slot)]++
+}
+
 // full says whether a rank can stage no more weights.
-func (w *layer) full(rank int) bool { return w.staged[rank] >= w.limits.PerRank }
+func (w *layer) full(rank int) bool {
+	return w.staged[rank] >= w.limits.PerRank || w.stagedHere[rank] >= w.limits.PerRankLayer
+}
 
 func (w *layer) swappable(a, b int) bool {
 	ea, eb := w.slots[a], w.slots[b]
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -37,6 +37,9 @@
 	rankSilence   = 200 * time.Millisecond
 	// callTimeout bounds a call to another process or rank.
 	callTimeout = 150 * time.Millisecond
+	// besideTimeout bounds an order to the rank beside this process. It is below
+	// the part of callTimeout that the process beside a rank gets.
+	besideTimeout = 60 * time.Millisecond
 	// readTimeout bounds a reading of all ranks.
 	readTimeout = 200 * time.Millisecond
 	// downFor is how long a process beside a rank that did not answer is passed
--- a/service/experts/read.go
+++ b/service/experts/read.go
@@ -26,10 +26,13 @@
 }
 
 // OrderRank carries out the order of a leader at the rank beside this process.
+// An order that the rank does not answer is no failure of this process, which
+// the leader would pass over then.
 func (s *service) OrderRank(ctx context.Context, o api.RankOrder) (wire.RankAnswered, error) {
 	s.peers.heard(o.Token)
-	answer, err := s.engine.OrderRank(ctx, s.settings.Edge.Worker, o)
-	return wire.RankAnswered{Answer: answer}, err
+	ctx, cancel := context.WithTimeout(ctx, besideTimeout)
+	defer cancel()
+	return wire.RankAnswered{Answer: s.direct(ctx, s.settings.Edge.Worker, o)}, nil
 }
 
 func (s *service) local(ctx context.Context, r wire.RankRead) (api.RankState, error) {
