Weigh counted choices by running requests, and look for ranks without a rush

Cause: after a loss of all processes a leader looked at 72 upstreams at once within 200 ms, on a quarter of a core. All looks timed out, all processes were passed over for a second, and so on for nine seconds, with map 0 in use. Each look now has its own time, 24 at once.

The estimate of demand forgot by time: 150 ms fit 12 ranks with 45 to 70 running requests, and is too slow for 24 ranks with 100. It now forgets by the time of running requests. Copies of a change take 250 ms at most, not 400 ms.

--- a/decide/expertplan/expertplan.go
+++ b/decide/expertplan/expertplan.go
@@ -15,12 +15,13 @@
 	// minGain is the smallest part of the expert time of a pass worth a change,
 	// whose copies lengthen passes by 15% while they run.
 	minGain = 0.18
-	// demandHalfLife is the time in which counted choices lose half of their
-	// weight. Demand shifts within seconds, and a few dozen requests tell it.
-	demandHalfLife = 150 * time.Millisecond
+	// demandHalfLife is the time of one running request in which counted choices
+	// lose half of their weight; all requests of the group count. The choices of
+	// a few dozen requests tell the demand, which shifts within seconds.
+	demandHalfLife = 11 * time.Second
 	// copyLimit bounds the time in which a rank copies experts for one change:
 	// the old map is in use meanwhile, and demand shifts within seconds.
-	copyLimit = 400 * time.Millisecond
+	copyLimit = 250 * time.Millisecond
 )
 
 // tolerances are the distances to the placement bound that are left alone, in
@@ -67,9 +68,9 @@
 // Shape returns the size of the group.
 func (s *State) Shape() placement.Shape { return s.shape }
 
-// Observe takes a reading of the counts of all ranks. Ranks without counts,
-// and those that started anew, are left out.
-func (s *State) Observe(now time.Duration, epoch uint64, counts [][]uint64) {
+// Observe takes a reading of the counts of all ranks, on which so many requests
+// run. Ranks without counts, and those that started anew, are left out.
+func (s *State) Observe(now time.Duration, epoch uint64, counts [][]uint64, running int) {
 	size := s.shape.Layers * s.shape.Experts
 	loads := make(placement.Loads, s.shape.Layers)
 	for l := range loads {
@@ -92,13 +93,13 @@
 	passed := now - s.at
 	s.last, s.epoch, s.at = counts, epoch, now
 	if seen {
-		s.add(loads, passed)
+		s.add(loads, passed, running)
 	}
 }
 
 // add moves the estimate towards the shares of an interval.
-func (s *State) add(loads placement.Loads, passed time.Duration) {
-	weight := 1 - math.Exp2(-float64(passed)/float64(demandHalfLife))
+func (s *State) add(loads placement.Loads, passed time.Duration, running int) {
+	weight := 1 - math.Exp2(-float64(passed)*float64(running)/float64(demandHalfLife))
 	if s.demand == nil {
 		s.demand, weight = make(placement.Loads, len(loads)), 1
 		for l := range loads {
--- a/decide/expertplan/expertplan_test.go
+++ b/decide/expertplan/expertplan_test.go
@@ -12,7 +12,11 @@
 
 var profile = api.EngineProfile{Layers: 3, Experts: 96, SlotsPerRank: 11, StagedPerRank: 4}
 
-const ranks = 12
+const (
+	ranks = 12
+	// running requests are five a rank.
+	running = 60
+)
 
 // skewed counts choices so that the expert of rank k in popularity gets a part
 // that falls with k, as measured on engines.
@@ -36,8 +40,8 @@
 		zero[r] = make([]uint64, engine.Layers*engine.Experts)
 		counts[r] = skewed(engine, first)
 	}
-	s.Observe(0, 1, zero)
-	s.Observe(time.Second, 1, counts)
+	s.Observe(0, 1, zero, running)
+	s.Observe(time.Second, 1, counts, running)
 	return s
 }
 
@@ -117,8 +121,8 @@
 		}
 		return all
 	}
-	s.Observe(0, 1, counts(0))
-	s.Observe(time.Second, 1, counts(1000))
+	s.Observe(0, 1, counts(0), running)
+	s.Observe(time.Second, 1, counts(1000), running)
 	if p, ok := s.Plan(expertplan.First(s.Shape())); ok {
 		t.Errorf("imbalance %.2f to %.2f", p.Before, p.After)
 	}
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -40,8 +40,11 @@
 	// besideTimeout bounds an order to the rank beside this process. It is below
 	// the part of callTimeout that the process beside a rank gets.
 	besideTimeout = 60 * time.Millisecond
-	// readTimeout bounds a reading of all ranks.
+	// readTimeout bounds the reading of a rank.
 	readTimeout = 200 * time.Millisecond
+	// readAtOnce bounds the ranks that are read at once. It is the size of the
+	// largest groups.
+	readAtOnce = 24
 	// downFor is how long a process beside a rank that did not answer is passed
 	// over; its rank is read directly.
 	downFor = time.Second
@@ -51,8 +54,8 @@
 	countBytes = 1.1
 	// linkPart is the part of the VM's link that readings may use.
 	linkPart = 0.25
-	// rankReadTime is added to readTimeout for each rank: a leader decodes its
-	// answers on a part of a core.
+	// rankReadTime is added to readTimeout for each rank read at once: a leader
+	// decodes its answers on a part of a core.
 	rankReadTime = 15 * time.Millisecond
 	// rescanAfter is the time of incomplete readings after which the ranks of the
 	// group are looked for among all upstreams again.
--- a/service/experts/lead.go
+++ b/service/experts/lead.go
@@ -137,10 +137,19 @@
 		s.plan = expertplan.New(len(s.last), *profile)
 	}
 	if counted {
-		s.plan.Observe(now, epoch, counts)
+		s.plan.Observe(now, epoch, counts, s.running())
 	}
 }
 
+// running returns the number of requests that the ranks of the group work on.
+func (s *service) running() int {
+	n := 0
+	for _, r := range s.last {
+		n += r.Running
+	}
+	return n
+}
+
 // profile returns that of the engine beside this process.
 func (s *service) profile() *api.EngineProfile {
 	table := s.discovery.View().Table
@@ -187,7 +196,7 @@
 	sends := s.state.Begin(now, unixMillis(), p.Map)
 	s.counts.changes.Add(1)
 	s.log.Change("map proposed", api.Fields{"group": s.group, "epoch": s.epoch, "version": s.state.Version(),
-		"imbalance": p.Before, "imbalance_after": p.After, "copies": p.Copies})
+		"imbalance": p.Before, "imbalance_after": p.After, "copies": p.Copies, "running": s.running()})
 	s.send(sends)
 	s.notePhase()
 }
--- a/service/experts/read.go
+++ b/service/experts/read.go
@@ -58,10 +58,10 @@
 // Only, if not nil, names the upstreams that are worth a look.
 func (s *service) read(ask wire.RankRead, all bool, only map[string]bool) {
 	r := reading{began: s.clock.Now()}
-	ctx, cancel := context.WithTimeout(s.ctx, readTimeout+time.Duration(len(only))*rankReadTime)
-	defer cancel()
 	defer func() { _ = s.readings.Post(s.ctx, r) }()
-	own, err := s.local(ctx, ask)
+	others := s.others(only)
+	timeout := readTimeout + time.Duration(min(len(others), readAtOnce))*rankReadTime
+	own, err := s.timed(timeout, func(ctx context.Context) (api.RankState, error) { return s.local(ctx, ask) })
 	if err != nil {
 		return
 	}
@@ -70,11 +70,16 @@
 		return
 	}
 	ask.Token = own.Token
-	found := s.readOthers(ctx, ask, only)
-	found = append(found, own)
+	found := append(s.readOthers(others, timeout, ask), own)
 	r.ranks, r.complete = assemble(found, own.Report)
 }
 
+func (s *service) timed(timeout time.Duration, f func(context.Context) (api.RankState, error)) (api.RankState, error) {
+	ctx, cancel := context.WithTimeout(s.ctx, timeout)
+	defer cancel()
+	return f(ctx)
+}
+
 // assemble orders the ranks of a group. It is complete if each rank is there
 // once, in the epoch of the own one.
 func assemble(found []api.RankState, own api.RankReport) ([]api.RankState, bool) {
@@ -91,21 +96,34 @@
 	return ranks, n == own.Size
 }
 
-func (s *service) readOthers(ctx context.Context, ask wire.RankRead, only map[string]bool) []api.RankState {
+// others returns the addresses of the upstreams that may be other ranks.
+func (s *service) others(only map[string]bool) []string {
+	var others []string
+	for _, in := range s.discovery.View().Instances {
+		if in.Service == s.settings.Edge.Service && in.Address != s.settings.Edge.Worker && (only == nil || only[in.Address]) {
+			others = append(others, in.Address)
+		}
+	}
+	return others
+}
+
+// readOthers reads ranks, each within the timeout from the beginning of its own
+// call: a look at all upstreams opens more connections than fit into one.
+func (s *service) readOthers(others []string, timeout time.Duration, ask wire.RankRead) []api.RankState {
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	var found []api.RankState
-	for _, in := range s.discovery.View().Instances {
-		if in.Service != s.settings.Edge.Service || in.Address == s.settings.Edge.Worker || only != nil && !only[in.Address] {
-			continue
-		}
+	places := make(chan struct{}, readAtOnce)
+	for _, address := range others {
+		places <- struct{}{}
 		wait.Go(func() {
-			state, err := s.remote(ctx, in.Address, ask)
+			defer func() { <-places }()
+			state, err := s.timed(timeout, func(ctx context.Context) (api.RankState, error) { return s.remote(ctx, address, ask) })
 			if err != nil {
-				s.log.Decision("rank not read", api.DecisionRoutine, api.Fields{"upstream": in.Address, "error": err.Error()})
+				s.log.Decision("rank not read", api.DecisionRoutine, api.Fields{"upstream": address, "error": err.Error()})
 				return
 			}
-			state.Report.Address = in.Address
+			state.Report.Address = address
 			mu.Lock()
 			defer mu.Unlock()
 			found = append(found, state)
