Wait for readiness in the tests of an edge, not only for its view

TestAnswers/whole failed once (503 not_ready). Cause: the age of a view is published after the view, so that it never counts as newer than it is; the test sent its request between the two. The process is not ready then, and the refusal is true.

--- a/cmd/mulberryfork-platform/edge_test.go
+++ b/cmd/mulberryfork-platform/edge_test.go
@@ -90,6 +90,7 @@
 	}
 	b.ready = loaded.Edge.Ready
 	b.await(func(v *api.View) bool { return v.Table != nil && len(v.Instances) == 2 })
+	b.awaitReady()
 	return b
 }
 
@@ -128,6 +129,23 @@
 	}
 }
 
+// awaitReady waits until the process accepts API keys: the age of its view is
+// published after the view.
+func (b *bed) awaitReady() {
+	b.t.Helper()
+	d, err := kernel.Find[api.Discovery](b.process.Host, api.ServiceDiscovery)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	deadline := time.Now().Add(10 * time.Second)
+	for d.Ready() != nil {
+		if time.Now().After(deadline) {
+			b.t.Fatal(d.Ready())
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // send sends a request and returns its status, header and body, and the error
 // of an answer that broke off.
 func (b *bed) send(path, key, body string) (*http.Response, string, error) {
