--- a/cmd/mulberryfork-platform/edge_test.go
+++ b/cmd/mulberryfork-platform/edge_test.go
@@ -133,14 +133,18 @@
 // published after the view.
 func (b *bed) awaitReady() {
 	b.t.Helper()
-	d, err := kernel.Find[api.Discovery](b.process.Host, api.ServiceDiscovery)
-	if err != nil {
-		b.t.Fatal(err)
-	}
 	deadline := time.Now().Add(10 * time.Second)
-	for d.Ready() != nil {
+	for {
+		answer, err := http.Get("http://" + b.ready + "/-/readiness")
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		answer.Body.Close()
+		if answer.StatusCode == http.StatusOK {
+			return
+		}
 		if time.Now().After(deadline) {
-			b.t.Fatal(d.Ready())
+			b.t.Fatal("the process does not get ready")
 		}
 		time.Sleep(time.Millisecond)
 	}
