Look for a missing rank only where it may be

Cause: a reading that lacked a rank made the leader look at all upstreams again, 72 in place of 23, on a quarter of a core. A successor that cleared up after a leader that stood still did so for each step, and the group was held for 2.7 s. Upstreams of other groups are now remembered one by one, so a new one is still looked at; the time that a reading waits for a rank fits the smaller messages.

--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -56,10 +56,11 @@
 	linkPart = 0.25
 	// rankReadTime is added to readTimeout for each rank read at once: a leader
 	// decodes its answers on a part of a core.
-	rankReadTime = 15 * time.Millisecond
+	rankReadTime = 4 * time.Millisecond
 	// rescanAfter is the time of incomplete readings after which the ranks of the
-	// group are looked for among all upstreams again.
-	rescanAfter = time.Second
+	// group are looked for among all upstreams again. A new upstream is looked at
+	// in any case.
+	rescanAfter = 3 * time.Second
 
 	// staleFactor is how much worse than a new plan one must be that ranks are
 	// copying, for the new one to replace it.
@@ -98,10 +99,10 @@
 	readAt  time.Duration
 	// countedAt is the time of the last reading with counts.
 	countedAt time.Duration
-	// completeAt is the time of the last complete reading, addresses those of the
-	// ranks that it found.
+	// completeAt is the time of the last complete reading, or of the last look at
+	// all upstreams since; elsewhere are the addresses of those of other groups.
 	completeAt time.Duration
-	addresses  map[string]bool
+	elsewhere  map[string]bool
 	state      *mapswitch.State
 	plan       *expertplan.State
 	present    [][][]int
@@ -122,6 +123,8 @@
 	// complete is false if a rank is missing or they differ in epoch.
 	complete bool
 	own      *api.RankReport
+	// elsewhere are the addresses of ranks of other groups.
+	elsewhere []string
 }
 
 type answered struct {
@@ -153,6 +156,7 @@
 		readings:   metrics.Counter("rank_readings", ""),
 		incomplete: metrics.Counter("rank_readings_incomplete", ""),
 	}
+	s.elsewhere = make(map[string]bool)
 	s.peers.conns = make(map[string]*drpcconn.Conn)
 	s.peers.down = make(map[string]time.Duration)
 	s.readings = kernel.NewMailbox(s.loop, "experts.reading", readingMailbox, kernel.Wait, s.observe)
--- a/service/experts/lead.go
+++ b/service/experts/lead.go
@@ -35,11 +35,7 @@
 		s.countedAt = now
 	}
 	ask.Experts = s.present == nil || len(s.last) > s.rank && s.last[s.rank].Map != s.version
-	var only map[string]bool
-	if now-s.completeAt < rescanAfter {
-		only = s.addresses
-	}
-	go s.read(ask, s.known, only)
+	go s.read(ask, s.known, s.others())
 }
 
 // countInterval is the time in which the counts of all ranks fit the part of
@@ -84,11 +80,7 @@
 	if !s.known || !s.leads(now) {
 		return
 	}
-	if r.complete {
-		s.noteMembers(now, r.ranks)
-	} else {
-		s.counts.incomplete.Add(1)
-	}
+	s.noteElsewhere(now, r)
 	if len(r.ranks) == 0 {
 		return
 	}
@@ -98,12 +90,20 @@
 	s.propose(now)
 }
 
-// noteMembers remembers where the ranks of the group are.
-func (s *service) noteMembers(now time.Duration, ranks []api.RankState) {
-	s.completeAt = now
-	s.addresses = make(map[string]bool, len(ranks))
-	for _, r := range ranks {
-		s.addresses[r.Report.Address] = true
+// noteElsewhere remembers which upstreams are not of this group, so that a
+// reading that lacks a rank looks for it only where it may be.
+func (s *service) noteElsewhere(now time.Duration, r reading) {
+	for _, address := range r.elsewhere {
+		s.elsewhere[address] = true
+	}
+	if r.complete {
+		s.completeAt = now
+		return
+	}
+	s.counts.incomplete.Add(1)
+	if now-s.completeAt > rescanAfter {
+		s.completeAt = now
+		clear(s.elsewhere)
 	}
 }
 
--- a/service/experts/read.go
+++ b/service/experts/read.go
@@ -54,12 +54,10 @@
 	return out, nil
 }
 
-// read looks at the own rank and, where this process leads, at all others.
-// Only, if not nil, names the upstreams that are worth a look.
-func (s *service) read(ask wire.RankRead, all bool, only map[string]bool) {
+// read looks at the own rank and, where this process leads, at the others.
+func (s *service) read(ask wire.RankRead, all bool, others []string) {
 	r := reading{began: s.clock.Now()}
 	defer func() { _ = s.readings.Post(s.ctx, r) }()
-	others := s.others(only)
 	timeout := readTimeout + time.Duration(min(len(others), readAtOnce))*rankReadTime
 	own, err := s.timed(timeout, func(ctx context.Context) (api.RankState, error) { return s.local(ctx, ask) })
 	if err != nil {
@@ -70,8 +68,13 @@
 		return
 	}
 	ask.Token = own.Token
-	found := append(s.readOthers(others, timeout, ask), own)
-	r.ranks, r.complete = assemble(found, own.Report)
+	found := s.readOthers(others, timeout, ask)
+	for _, f := range found {
+		if f.Report.Group != own.Report.Group {
+			r.elsewhere = append(r.elsewhere, f.Report.Address)
+		}
+	}
+	r.ranks, r.complete = assemble(append(found, own), own.Report)
 }
 
 func (s *service) timed(timeout time.Duration, f func(context.Context) (api.RankState, error)) (api.RankState, error) {
@@ -97,10 +100,10 @@
 }
 
 // others returns the addresses of the upstreams that may be other ranks.
-func (s *service) others(only map[string]bool) []string {
+func (s *service) others() []string {
 	var others []string
 	for _, in := range s.discovery.View().Instances {
-		if in.Service == s.settings.Edge.Service && in.Address != s.settings.Edge.Worker && (only == nil || only[in.Address]) {
+		if in.Service == s.settings.Edge.Service && in.Address != s.settings.Edge.Worker && !s.elsewhere[in.Address] {
 			others = append(others, in.Address)
 		}
 	}
