Measure a burst of repeats by the requests of one window only

Cause: requests and repeats were both counted over up to 11 s, so that a burst of repeats at the end was allowed a part of 11 s of requests. Requests are now counted for less than a window, repeats for more. TestABurstIsMeasuredByOneWindow failed first.

--- a/decide/fleetbudget/fleetbudget.go
+++ b/decide/fleetbudget/fleetbudget.go
@@ -6,8 +6,8 @@
 
 import "time"
 
-// slots is the number of parts of a window. A request or repeat counts for up
-// to one part longer than the window.
+// slots is the number of parts of a window. A repeat counts for up to one part
+// longer than the window, and a request for up to one part less.
 const slots = 10
 
 // Options configures a state.
@@ -46,7 +46,7 @@
 // Repeat takes one repeat from the budget of a service.
 func (s *State) Repeat(now time.Duration, service string) bool {
 	w := s.at(now, service)
-	requests, repeats := 0, 0
+	requests, repeats := -w.requests[w.oldest()], 0
 	for i := range w.requests {
 		requests += w.requests[i]
 		repeats += w.repeats[i]
@@ -77,3 +77,6 @@
 }
 
 func (w *window) index() int { return int(w.slot % int64(len(w.requests))) }
+
+// oldest is the part of which only some lies within the window.
+func (w *window) oldest() int { return int((w.slot + 1) % int64(len(w.requests))) }
--- a/decide/fleetbudget/fleetbudget_test.go
+++ b/decide/fleetbudget/fleetbudget_test.go
@@ -70,3 +70,23 @@
 		t.Error("the window is not kept")
 	}
 }
+
+// Guards against a burst of repeats that is measured by the requests of more
+// than one window: the sum over all processes was 792 where 785 were allowed.
+func TestABurstIsMeasuredByOneWindow(t *testing.T) {
+	const perSecond, window = 100, 10 * time.Second
+	for phase := time.Duration(0); phase < time.Second; phase += 100 * time.Millisecond {
+		s := fleetbudget.New(fleetbudget.Options{Ratio: 0.2, Window: window, Processes: 1})
+		end := 30*time.Second + phase
+		for now := time.Duration(0); now < end; now += time.Second / perSecond {
+			s.Request(now, "s")
+		}
+		repeats := 0
+		for s.Repeat(end, "s") {
+			repeats++
+		}
+		if most := int(0.2 * perSecond * window.Seconds()); repeats > most || repeats < most*8/10 {
+			t.Errorf("phase %v: %d repeats, allowed %d", phase, repeats, most)
+		}
+	}
+}
