Ask the cold-start decision for each start in its experiment

bench coldstart read Limit() alone, so it showed 0 overload events while MayStart let every start in. It now asks MayStart before each start, as an agent does, against callers that have twice the ceiling waiting.

--- a/bench/coldstart.go
+++ b/bench/coldstart.go
@@ -14,6 +14,9 @@
 	coldIdle  = 20 * time.Second
 	// coldAfter is the time from the slowest accepted ramp to the fault.
 	coldAfter = 20 * time.Second
+	// coldDemand is the number of requests that callers have waiting, as a
+	// multiple of an engine's ceiling: a rule that lets too many in is seen.
+	coldDemand = 2
 	// coldEngines is the number of model engines of each user.
 	coldEngines = 12
 )
@@ -26,9 +29,10 @@
 	})
 }
 
-// ramp is a rule for the limit of an upstream.
+// ramp is a rule for the starts at an upstream.
 type ramp interface {
-	limit(e *coldEngine) int
+	// mayStart is asked before each start, as an agent asks.
+	mayStart(e *coldEngine) bool
 	started() coldstart.Ticket
 	ended(r *coldRequest, completed bool)
 	stepped(running int, took time.Duration)
@@ -39,7 +43,7 @@
 // earned is the decision under test.
 type earned struct{ s *coldstart.State }
 
-func (r earned) limit(*coldEngine) int { return r.s.Limit() }
+func (r earned) mayStart(*coldEngine) bool { return r.s.MayStart(0) }
 func (r earned) started() coldstart.Ticket {
 	return r.s.Start(0)
 }
@@ -62,7 +66,7 @@
 // fastest is the engine's own fastest safe ramp: it knows what it bears.
 type fastest struct{ unaware }
 
-func (fastest) limit(e *coldEngine) int { return min(e.bears(), e.max) }
+func (fastest) mayStart(e *coldEngine) bool { return len(e.running) < min(e.bears(), e.max) }
 
 // timed is the baseline: the limit grows with time since the engine started.
 type timed struct {
@@ -72,9 +76,9 @@
 	id    uint64
 }
 
-func (r *timed) limit(e *coldEngine) int {
+func (r *timed) mayStart(e *coldEngine) bool {
 	part := min(float64(e.now-r.since)/float64(r.over), 1)
-	return e.cold + int(part*float64(e.max-e.cold))
+	return len(e.running) < e.cold+int(part*float64(e.max-e.cold))
 }
 
 func (r *timed) incarnation(id uint64, now time.Duration) {
@@ -129,7 +133,7 @@
 			faulted = true
 			r = sc.fault(e, r, renew)
 		}
-		for e.now >= sc.idle && len(e.running) < r.limit(e) {
+		for e.now >= sc.idle && len(e.running) < coldDemand*e.max && r.mayStart(e) {
 			e.start(r.started())
 		}
 		if len(e.running) >= e.max && full == 2*event {
--- a/bench/coldstart_test.go
+++ b/bench/coldstart_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/decide/coldstart"
 )
 
 // The baseline must overload where the decision does not; otherwise the
@@ -23,3 +27,28 @@
 		t.Errorf("figures %v", values)
 	}
 }
+
+// careless keeps the limit and does not ask whether a start fits.
+type careless struct{ earned }
+
+func (careless) mayStart(*coldEngine) bool { return true }
+
+// Guards against an experiment that reads the limit alone: it showed no overload
+// while every start was let in.
+func TestColdstartSeesStartsBeyondTheLimit(t *testing.T) {
+	shape := drawColdShape(rand.New(rand.NewPCG(3, 0)), 49*time.Millisecond)
+	overloads := func(renew func() ramp) (n int) {
+		for _, sc := range coldScenarios() {
+			e := newColdEngine(shape, 3)
+			coldRun(e, sc, 2*time.Minute, renew)
+			n += e.overloads
+		}
+		return n
+	}
+	if n := overloads(func() ramp { return earned{coldstart.New(shape.params())} }); n != 0 {
+		t.Errorf("%d overload events with the decision", n)
+	}
+	if n := overloads(func() ramp { return careless{earned{coldstart.New(shape.params())}} }); n == 0 {
+		t.Error("no overload event where every start is let in")
+	}
+}
