End both HTTP servers of callers by one piece of code

The router's front end and the platform's had the same graceful stop and the same StopError. Both call kernel/drain now, with their own times and failures.

--- a/service/frontend/frontend.go
+++ b/service/frontend/frontend.go
@@ -13,6 +13,7 @@
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/kernel/drain"
 )
 
 // finalAnswerTime is the time in which handlers end the remaining requests after the
@@ -85,42 +86,15 @@
 	if s.server == nil {
 		return nil
 	}
-	s.lingerUntilUnlisted(ctx)
-	err := s.server.Shutdown(ctx)
-	if err == nil {
-		return nil
-	}
-	s.cancel(api.Fail(api.CodeShuttingDown, api.Unknown, "the router had to stop before the answer was whole"))
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalAnswerTime)
-	defer cancel()
-	if s.server.Shutdown(last) != nil {
-		_ = s.server.Close()
-	}
-	return &StopError{Err: err}
-}
-
-// lingerUntilUnlisted keeps taking requests, each on its last connection,
-// until the platform's balancer has had time to notice that the process is
-// not ready.
-func (s *service) lingerUntilUnlisted(ctx context.Context) {
-	if s.settings.DrainDelay <= 0 {
-		return
-	}
-	s.server.SetKeepAlivesEnabled(false)
-	select {
-	case <-time.After(time.Duration(s.settings.DrainDelay)):
-	case <-ctx.Done():
-	}
+	return drain.Stop(ctx, s.server, drain.Plan{
+		Linger: time.Duration(s.settings.DrainDelay),
+		Cut: func() {
+			s.cancel(api.Fail(api.CodeShuttingDown, api.Unknown, "the router had to stop before the answer was whole"))
+		},
+		LastAnswers: finalAnswerTime,
+	})
 }
 
-// StopError reports requests that were cut off by the deadline of a shutdown.
-type StopError struct{ Err error }
-
-func (e *StopError) Error() string { return "requests were still running: " + e.Err.Error() }
-
-// Unwrap returns the cause.
-func (e *StopError) Unwrap() error { return e.Err }
-
 func (s *service) routes() http.Handler {
 	r := chi.NewRouter()
 	r.NotFound(func(w http.ResponseWriter, _ *http.Request) {
