Name once what routing and admission of an edge share

The assumed number of edges stood in both services; it is api.AssumedEdges. decide/balance had its own copy of the standings of decide/outlier, and the service a table between them; it uses those of outlier.

--- a/api/edge.go
+++ b/api/edge.go
@@ -1,5 +1,10 @@
 package api
 
+// AssumedEdges is the number of processes that share what is bounded over all of
+// them: repeats, and requests to cold upstreams. The platform's store does not
+// list the system's processes; no deployment has more.
+const AssumedEdges = 24
+
 // Edge holds the settings of the processes of a platform that publishes routes
 // and upstreams in a store.
 type Edge struct {
--- a/decide/balance/balance.go
+++ b/decide/balance/balance.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/outlier"
 )
 
 const (
@@ -53,16 +54,6 @@
 	Processes                    int
 }
 
-// Health is the standing of an upstream.
-type Health uint8
-
-// Standings of an upstream.
-const (
-	Healthy Health = iota
-	Probing
-	Ejected
-)
-
 // State belongs to the control loop.
 type State struct {
 	options   Options
@@ -74,7 +65,7 @@
 
 type upstream struct {
 	instance api.Instance
-	health   Health
+	health   outlier.Status
 	own      int
 	// avoided is until when the upstream is passed over because it could not be
 	// reached, unreached how often that was since it last answered.
@@ -123,7 +114,7 @@
 }
 
 // SetHealth takes the standing of an upstream.
-func (s *State) SetHealth(id string, h Health) {
+func (s *State) SetHealth(id string, h outlier.Status) {
 	if u := s.upstreams[id]; u != nil {
 		u.health = h
 	}
@@ -166,7 +157,7 @@
 func (s *State) Choose(now time.Duration, service string, exclude []string) (Choice, *api.Failure) {
 	var best *upstream
 	least, candidates, listed, cold := math.Inf(1), 0, 0, 0
-	for _, pass := range []Health{Probing, Ejected} {
+	for _, pass := range []outlier.Status{outlier.Probing, outlier.Out} {
 		for _, u := range s.services[service] {
 			if !s.listed(u) {
 				continue
@@ -204,9 +195,9 @@
 
 // standing is the health of an upstream, with those that could not be reached
 // as the last resort.
-func (u *upstream) standing(now time.Duration) Health {
+func (u *upstream) standing(now time.Duration) outlier.Status {
 	if now < u.avoided {
-		return Ejected
+		return outlier.Out
 	}
 	return u.health
 }
@@ -228,7 +219,7 @@
 	if u.instance.Zone != s.options.Zone {
 		score += farPenalty
 	}
-	if u.health == Probing {
+	if u.health == outlier.Probing {
 		score += probingPenalty
 	}
 	return score
--- a/service/apikeys/apikeys.go
+++ b/service/apikeys/apikeys.go
@@ -21,10 +21,6 @@
 	// store: at another one it is served at once.
 	staleRetry = 200 * time.Millisecond
 	busyRetry  = 300 * time.Millisecond
-	// assumedProcesses share the repeats that are allowed beside the part of
-	// the requests. The store does not list the system's processes; no
-	// deployment has more.
-	assumedProcesses = 24
 )
 
 type service struct {
@@ -58,7 +54,7 @@
 		Ratio:     e.RetryRatio,
 		Extra:     e.RetryExtra,
 		Window:    time.Duration(e.RetryWindow),
-		Processes: assumedProcesses,
+		Processes: api.AssumedEdges,
 	})
 	// A request that is not counted only makes the budget smaller.
 	s.firsts = kernel.NewMailbox(c.Loop(), "admission.first", firstMailbox, kernel.Drop, s.budget.Request)
--- a/service/balance/balance.go
+++ b/service/balance/balance.go
@@ -4,11 +4,12 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/balance"
 	"github.com/mulberryfork/mulberryfork/decide/outlier"
@@ -20,9 +21,6 @@
 	resultMailbox = 4096
 	loadMailbox   = 1024
 	tickInterval  = time.Second
-	// assumedProcesses share the rate that a cold upstream bears. The store
-	// does not list the system's processes; no deployment has more.
-	assumedProcesses = 24
 )
 
 type answer struct {
@@ -66,10 +64,10 @@
 	s.choices = metrics.Counter("route_choices", string(api.RouteWork))
 	s.state = balance.New(balance.Options{
 		Zone:          settings.Zone,
-		Seed:          seed(settings.Node),
+		Seed:          xxhash.Sum64String(settings.Node),
 		ColdOvershoot: settings.Edge.ColdOvershoot,
 		ColdTolerance: settings.Edge.ColdTolerance,
-		Processes:     assumedProcesses,
+		Processes:     api.AssumedEdges,
 	})
 	s.outliers = outlier.New()
 	s.queries = kernel.NewMailbox(c.Loop(), "routing.query", queryMailbox, kernel.Wait, s.answer)
@@ -81,13 +79,6 @@
 	return nil
 }
 
-// seed makes processes break ties differently.
-func seed(node string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(node))
-	return h.Sum64()
-}
-
 // Route chooses an upstream.
 func (s *service) Route(ctx context.Context, q api.RouteQuery) (api.RouteChoice, *api.Failure) {
 	a, err := kernel.Ask(ctx, s.queries, q)
@@ -112,19 +103,13 @@
 	}
 	s.apply(s.outliers.Configure(pools))
 	for _, id := range slices.Sorted(maps.Keys(pools)) {
-		s.state.SetHealth(id, healths[s.outliers.Status(id)])
+		s.state.SetHealth(id, s.outliers.Status(id))
 	}
 }
 
-var healths = map[outlier.Status]balance.Health{
-	outlier.In:      balance.Healthy,
-	outlier.Probing: balance.Probing,
-	outlier.Out:     balance.Ejected,
-}
-
 func (s *service) apply(actions []outlier.Action) {
 	for _, a := range actions {
-		s.state.SetHealth(a.Upstream, healths[a.Status])
+		s.state.SetHealth(a.Upstream, a.Status)
 		if a.Status == outlier.Out {
 			s.ejected.Add(1)
 		}
