--- a/decide/expertplan/expertplan_test.go
+++ b/decide/expertplan/expertplan_test.go
@@ -146,6 +146,9 @@
 			counts[r][i] += 9 * n
 		}
 	}
+	if _, ok := s.Plan(first); !ok {
+		t.Error("no plan for the first map")
+	}
 	s.Observe(2*time.Second, 1, counts, running)
 	if after, _ := s.Plan(first); slices.EqualFunc(after.Map, before.Map, sameLayer) {
 		t.Error("the plan stays after demand has shifted")
