--- a/cmd/mulberryfork-platform/edge_test.go
+++ b/cmd/mulberryfork-platform/edge_test.go
@@ -117,15 +117,8 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	deadline := time.After(10 * time.Second)
-	tick := time.NewTicker(5 * time.Millisecond)
-	defer tick.Stop()
-	for !holds(d.View()) {
-		select {
-		case <-tick.C:
-		case <-deadline:
-			b.t.Fatalf("the process still believes %+v", d.View())
-		}
+	if !poll(func() bool { return holds(d.View()) }) {
+		b.t.Fatalf("the process still believes %+v", d.View())
 	}
 }
 
@@ -133,21 +126,32 @@
 // published after the view.
 func (b *bed) awaitReady() {
 	b.t.Helper()
-	deadline := time.Now().Add(10 * time.Second)
-	for {
+	ready := func() bool {
 		answer, err := http.Get("http://" + b.ready + "/-/readiness")
 		if err != nil {
 			b.t.Fatal(err)
 		}
 		answer.Body.Close()
-		if answer.StatusCode == http.StatusOK {
-			return
-		}
-		if time.Now().After(deadline) {
-			b.t.Fatal("the process does not get ready")
+		return answer.StatusCode == http.StatusOK
+	}
+	if !poll(ready) {
+		b.t.Fatal("the process does not get ready")
+	}
+}
+
+// poll asks until something holds, and returns false if it does not get to.
+func poll(holds func() bool) bool {
+	deadline := time.After(10 * time.Second)
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for !holds() {
+		select {
+		case <-tick.C:
+		case <-deadline:
+			return false
 		}
-		time.Sleep(time.Millisecond)
 	}
+	return true
 }
 
 // send sends a request and returns its status, header and body, and the error
