Pause a process between two events of its loop in the test of pauses

The test sleeps for a multiple of the tick of the control loop, so a tick that is due at the same instant can run after the pause and before the order. It asks the peers, which answer in no time, and the order comes when the process may start work again.

Ruled out: a tick that does not notice the pause, an order that passes before the answers.

--- a/service/configstore/configstore_test.go
+++ b/service/configstore/configstore_test.go
@@ -287,11 +287,14 @@
 		b.list()
 		time.Sleep(2 * spread.AskWait)
 		b.peers.set("a", revision(8))
-		b.clock.pause(time.Minute)
 		var may bool
 		var verdict api.OrderVerdict
 		check := find[api.OrderCheck](b)
-		b.on(func(now time.Duration) {
+		b.on(func(time.Duration) {
+			// On the loop, so that no tick that is due at this instant asks peers
+			// between the pause and the order.
+			b.clock.pause(time.Minute)
+			now := b.clock.Now()
 			may = check.MayStart(now)
 			verdict = check.CheckOrder(now, now, 7, true)
 		})
