Count the edges that share what is bounded over all of them

Cause: repeats and requests to cold upstreams are bounded in sum over all edges, and each edge took a part of an assumed 24.

Edges now call the up to three edges named in their settings (seeds) over drpc and add up what these list; a process that no seed answered takes no share. Where there are more edges than requests, those that may send one are picked for the upstream by rendezvous hashing.

Ruled out: a count by the platform's store (it does not list the system's processes), the names of nodes (an ordinal says nothing of the number), names told on from edge to edge (a name that is gone would never be forgotten).

Tests that failed first: 300 processes sent 300 requests in a second to a cold upstream, bound 59; 75 processes repeated beyond the bound.

--- a/api/edge.go
+++ b/api/edge.go
@@ -1,9 +1,25 @@
 package api
 
-// AssumedEdges is the number of processes that share what is bounded over all of
-// them: repeats, and requests to cold upstreams. The platform's store does not
-// list the system's processes; no deployment has more.
-const AssumedEdges = 24
+import "time"
+
+// FleetView is what an edge knows of the edges that share what is bounded over
+// all of them: repeats, and requests to cold upstreams.
+type FleetView struct {
+	// Self is the name of this edge, Names are those of all known ones in order,
+	// this one among them.
+	Self  string
+	Names []string
+	// Sharers is the number of edges to share with, at least that of the names.
+	// It is 0 while the edge can't know how many there are.
+	Sharers int
+}
+
+// Fleet publishes which edges there are.
+type Fleet interface {
+	// Subscribe adds a function that runs on the control loop after each change.
+	// It must be called before the loop starts.
+	Subscribe(f func(now time.Duration, v *FleetView))
+}
 
 // Edge holds the settings of the processes of a platform that publishes routes
 // and upstreams in a store.
@@ -12,6 +28,8 @@
 	Store string `toml:"store"`
 	// Ready is the address at which the platform asks for readiness.
 	Ready string `toml:"ready"`
+	// Seeds are the addresses of a few edges, which may be stale.
+	Seeds []string `toml:"seeds"`
 	// Worker is the address of the upstream beside the process.
 	Worker string `toml:"worker"`
 	// Service is the service of that upstream.
--- a/api/names.go
+++ b/api/names.go
@@ -22,6 +22,7 @@
 	ServiceLog             = "log"
 	ServiceReport          = "report"
 	ServiceDiscovery       = "discovery"
+	ServiceFleet           = "fleet"
 	ServiceExperts         = "experts"
 	ServiceRankEngine      = "rank.engine"
 	ServicePlatformStore   = "platform.store"
--- a/cmd/mulberryfork-platform/edge_test.go
+++ b/cmd/mulberryfork-platform/edge_test.go
@@ -62,6 +62,7 @@
 drain_delay = "10ms"
 [listen]
 http = "127.0.0.1:0"
+link = "127.0.0.1:0"
 admin = "127.0.0.1:0"
 [edge]
 store = %q
--- a/cmd/mulberryfork-platform/main.go
+++ b/cmd/mulberryfork-platform/main.go
@@ -23,6 +23,7 @@
 	"github.com/mulberryfork/mulberryfork/service/discovery"
 	"github.com/mulberryfork/mulberryfork/service/dispatch"
 	"github.com/mulberryfork/mulberryfork/service/experts"
+	"github.com/mulberryfork/mulberryfork/service/fleet"
 	"github.com/mulberryfork/mulberryfork/service/log"
 	"github.com/mulberryfork/mulberryfork/service/metrics"
 )
@@ -75,6 +76,7 @@
 	api.ServicePlatformStore,
 	api.ServiceAdminHTTP,
 	api.ServicePlatformReady,
+	api.ServiceFleet,
 	api.ServiceAdmission,
 	api.ServiceRouting,
 	api.ServiceTransportLinks,
@@ -101,6 +103,7 @@
 		discovery.Register,
 		dispatch.Register,
 		experts.Register,
+		fleet.Register,
 		log.Register,
 		metrics.Register,
 		platform.Register,
--- a/decide/balance/balance.go
+++ b/decide/balance/balance.go
@@ -30,8 +30,6 @@
 	// cut off comes back after seconds.
 	avoidFirst = time.Second
 	avoidMost  = 4 * time.Second
-	// coldWindow is the span over which requests to a cold upstream are counted.
-	coldWindow = time.Second
 	// noUpstreamRetry is when a caller may come back if no upstream is listed:
 	// a replacement registers within a heartbeat (1.2 s).
 	noUpstreamRetry = time.Second
@@ -49,9 +47,8 @@
 	Zone string
 	Seed uint64
 	// ColdOvershoot and ColdTolerance bound the rate of all processes to a cold
-	// upstream, and Processes is the number of processes that share it.
+	// upstream.
 	ColdOvershoot, ColdTolerance float64
-	Processes                    int
 }
 
 // State belongs to the control loop.
@@ -59,6 +56,7 @@
 	options   Options
 	random    *rand.Rand
 	view      *api.View
+	fleet     *api.FleetView
 	upstreams map[string]*upstream
 	services  map[string][]*upstream
 }
@@ -74,8 +72,10 @@
 	// others is the load that other processes caused at a time.
 	others   float64
 	othersAt time.Duration
-	// sent holds the times of the sends within the cold window.
-	sent []time.Duration
+	// sent holds the times of the sends within the cold window, coldShare is how
+	// many of them this process may make while the upstream is cold.
+	sent      []time.Duration
+	coldShare int
 }
 
 // New returns a state without upstreams.
@@ -84,6 +84,7 @@
 		options:   o,
 		random:    rand.New(rand.NewPCG(o.Seed, 1)),
 		view:      &api.View{},
+		fleet:     &api.FleetView{},
 		upstreams: make(map[string]*upstream),
 	}
 }
@@ -111,6 +112,13 @@
 		})
 	}
 	s.upstreams = kept
+	s.shareCold()
+}
+
+// SetFleet takes the processes that share the rates of cold upstreams.
+func (s *State) SetFleet(v *api.FleetView) {
+	s.fleet = v
+	s.shareCold()
 }
 
 // SetHealth takes the standing of an upstream.
@@ -225,27 +233,6 @@
 	return score
 }
 
-// bears says whether an upstream may get another request now, for one that is
-// cold. The rate that it bears is shared evenly by all processes.
-func (s *State) bears(now time.Duration, u *upstream) bool {
-	if now >= u.instance.ColdUntil || s.view.Table == nil {
-		return true
-	}
-	rate := s.view.Table.Services[u.instance.Service].ColdPerSecond
-	if rate <= 0 {
-		return true
-	}
-	u.sent = slices.DeleteFunc(u.sent, func(at time.Duration) bool { return now-at > coldWindow })
-	total := rate*s.options.ColdOvershoot + s.options.ColdTolerance
-	return len(u.sent) < max(int(total/float64(s.options.Processes)), 1)
-}
-
-func (s *State) noteCold(now time.Duration, u *upstream) {
-	if now < u.instance.ColdUntil {
-		u.sent = append(u.sent, now)
-	}
-}
-
 func refusal(listed, cold int) *api.Failure {
 	switch {
 	case cold > 0:
--- a/decide/balance/balance_test.go
+++ b/decide/balance/balance_test.go
@@ -1,6 +1,7 @@
 package balance_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -21,8 +22,19 @@
 	return v
 }
 
+// fleet is what one of n processes knows of all.
+func fleet(self, n int) *api.FleetView {
+	v := &api.FleetView{Sharers: n}
+	for i := range n {
+		v.Names = append(v.Names, fmt.Sprintf("edge-%03d", i))
+	}
+	v.Self = v.Names[self]
+	return v
+}
+
 func state(v *api.View) *balance.State {
-	s := balance.New(balance.Options{Zone: "z", Seed: 1, ColdOvershoot: 1.5, ColdTolerance: 5, Processes: 24})
+	s := balance.New(balance.Options{Zone: "z", Seed: 1, ColdOvershoot: 1.5, ColdTolerance: 5})
+	s.SetFleet(fleet(0, 24))
 	s.Configure(v)
 	return s
 }
@@ -91,6 +103,45 @@
 	}
 }
 
+// Guards against a cold upstream that looks idle to more processes than it
+// bears requests a second, each of which sends its one: it crashes.
+func TestManyProcessesKeepToTheRateOfAColdUpstream(t *testing.T) {
+	const processes, bound = 300, 36*1.5 + 5
+	v := view(api.Instance{ID: "a", Zone: "z", ColdUntil: time.Minute}, api.Instance{ID: "b", Zone: "z", ColdUntil: time.Minute})
+	counts := make(map[string]int)
+	for i := range processes {
+		s := state(v)
+		s.SetFleet(fleet(i, processes))
+		for {
+			c, failure := s.Choose(time.Second, "s", nil)
+			if failure != nil {
+				break
+			}
+			counts[c.Upstream]++
+		}
+	}
+	for _, id := range []string{"a", "b"} {
+		if n := counts[id]; float64(n) > bound || float64(n) < bound/2 {
+			t.Errorf("%d requests in a second to %s, bound %v", n, id, bound)
+		}
+	}
+}
+
+// Guards against a process that just started and takes a part of a rate without
+// knowing how many share it.
+func TestAProcessThatCountedNobodyLeavesColdUpstreamsAlone(t *testing.T) {
+	s := balance.New(balance.Options{Zone: "z", Seed: 1, ColdOvershoot: 1.5, ColdTolerance: 5})
+	s.Configure(view(api.Instance{ID: "a", Zone: "z", ColdUntil: time.Minute}))
+	c, failure := s.Choose(time.Second, "s", nil)
+	if failure == nil || failure.Code != api.CodeColdUpstream || failure.Run != api.NotRun {
+		t.Errorf("chose %+v, %v", c, failure)
+	}
+	s.SetFleet(fleet(0, 24))
+	if _, failure = s.Choose(time.Second, "s", nil); failure != nil {
+		t.Errorf("refused in a counted fleet: %v", failure)
+	}
+}
+
 // Guards against a load that other processes caused and that is not counted.
 func TestStatedLoadsMoveRequestsElsewhere(t *testing.T) {
 	s := state(view(api.Instance{ID: "a", Zone: "z"}, api.Instance{ID: "b", Zone: "z"}))
--- /dev/null
+++ b/decide/fleet/fleet_test.go
@@ -0,0 +1,95 @@
+package fleet_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/decide/fleet"
+)
+
+// call lets an edge call a seed once.
+func call(now time.Duration, edge, seed *fleet.State, edgeName, seedName string) {
+	seed.Called(now, edgeName)
+	names, digest := seed.Listing(now)
+	if edge.Known(seedName) == digest {
+		names = nil
+	}
+	edge.Listed(now, seedName, names, digest)
+}
+
+// Guards against edges that count fewer than there are, and so take more than
+// their share of what is bounded over all: with seeds that start anew, and edges
+// that reach only one of three seeds in each round.
+func TestEveryEdgeIsCounted(t *testing.T) {
+	const edges, seeds, interval = 75, 3, 2 * time.Second
+	random := rand.New(rand.NewPCG(1, 1))
+	states := make([]*fleet.State, edges)
+	name := func(i int) string { return fmt.Sprintf("edge-%d", i) }
+	for i := range states {
+		states[i] = fleet.New(name(i), seeds-1)
+	}
+	now := time.Duration(0)
+	for round := range 60 {
+		now += interval
+		if round%20 == 19 {
+			states[round/20] = fleet.New(name(round/20), seeds-1)
+		}
+		for i, e := range states {
+			seed := random.IntN(seeds)
+			if seed != i {
+				call(now, e, states[seed], name(i), name(seed))
+			}
+		}
+		if round < 10 {
+			continue
+		}
+		for i, e := range states {
+			if v := e.View(now); v.Sharers != 0 && v.Sharers < edges*9/10 && i >= seeds {
+				t.Fatalf("round %d: edge %d shares with %d of %d", round, i, v.Sharers, edges)
+			}
+		}
+	}
+}
+
+// Guards against an edge that takes a share of an unknown whole: one that just
+// started has none until another process answered, one without other seeds
+// shares with as many as the largest deployment has.
+func TestSharersAreUnknownUntilASeedAnswers(t *testing.T) {
+	e, seed := fleet.New("a", 1), fleet.New("s", 1)
+	if v := e.View(0); v.Sharers != 0 || !slices.Equal(v.Names, []string{"a"}) {
+		t.Errorf("before any answer: %+v", v)
+	}
+	call(time.Second, e, seed, "a", "s")
+	if v := e.View(time.Second); v.Sharers != 24 {
+		t.Errorf("after an answer: %+v", v)
+	}
+	if v := seed.View(time.Second); v.Sharers != 24 || !slices.Equal(v.Names, []string{"a", "s"}) {
+		t.Errorf("a seed that was called: %+v", v)
+	}
+	if v := fleet.New("a", 0).View(0); v.Sharers != 24 {
+		t.Errorf("no other seeds: %+v", v)
+	}
+}
+
+// Guards against names that are told on for ever, and against a listing that is
+// forgotten although the seed still states it.
+func TestNamesThatCallNoMoreAreForgotten(t *testing.T) {
+	a, b, seed := fleet.New("a", 1), fleet.New("b", 1), fleet.New("s", 1)
+	call(0, b, seed, "b", "s")
+	now := time.Duration(0)
+	for ; now <= 50*time.Second; now += 2 * time.Second {
+		call(now, a, seed, "a", "s")
+	}
+	if v := a.View(now); !slices.Contains(v.Names, "b") {
+		t.Errorf("forgotten after %v: %v", now, v.Names)
+	}
+	for ; now <= 3*time.Minute; now += 2 * time.Second {
+		call(now, a, seed, "a", "s")
+	}
+	if v := a.View(now); slices.Contains(v.Names, "b") || !slices.Contains(v.Names, "a") {
+		t.Errorf("after %v: %v", now, v.Names)
+	}
+}
--- a/decide/fleetbudget/fleetbudget.go
+++ b/decide/fleetbudget/fleetbudget.go
@@ -17,14 +17,13 @@
 	// Extra is the number of repeats beside it, of all processes.
 	Extra  int
 	Window time.Duration
-	// Processes share Extra.
-	Processes int
 }
 
 // State counts the requests and repeats of each service. It belongs to the
 // control loop.
 type State struct {
 	options  Options
+	sharers  int
 	services map[string]*window
 }
 
@@ -37,6 +36,18 @@
 // New returns a state without requests.
 func New(o Options) *State { return &State{options: o, services: make(map[string]*window)} }
 
+// SetSharers says how many processes share Extra. It is 0 while that is not
+// known: nothing of it is taken then.
+func (s *State) SetSharers(n int) { s.sharers = n }
+
+// extra is the part of this process.
+func (s *State) extra() float64 {
+	if s.sharers == 0 {
+		return 0
+	}
+	return float64(s.options.Extra) / float64(s.sharers)
+}
+
 // Request counts a request of a caller.
 func (s *State) Request(now time.Duration, service string) {
 	w := s.at(now, service)
@@ -51,7 +62,7 @@
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
-	allowed := s.options.Ratio*float64(requests) + float64(s.options.Extra)/float64(max(s.options.Processes, 1))
+	allowed := s.options.Ratio*float64(requests) + s.extra()
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/decide/fleetbudget/fleetbudget_test.go
+++ b/decide/fleetbudget/fleetbudget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -11,22 +12,32 @@
 // Guards against a sum of repeats over all processes beyond the bound that they
 // share, in any window, with uneven load and processes that start anew.
 func TestTheSumOfAllProcessesKeepsToTheBound(t *testing.T) {
+	for _, c := range []struct{ processes, sharers int }{{10, 24}, {32, 32}, {75, 75}} {
+		t.Run(strconv.Itoa(c.processes), func(t *testing.T) { keepsToTheBound(t, c.processes, c.sharers) })
+	}
+}
+
+func keepsToTheBound(t *testing.T, processes, sharers int) {
 	const (
-		processes = 10
-		window    = 10 * time.Second
-		ratio     = 0.2
-		extra     = 184
+		window = 10 * time.Second
+		ratio  = 0.2
+		extra  = 184
 	)
-	options := fleetbudget.Options{Ratio: ratio, Extra: extra, Window: window, Processes: 24}
+	options := fleetbudget.Options{Ratio: ratio, Extra: extra, Window: window}
 	random := rand.New(rand.NewPCG(1, 1))
+	begin := func() *fleetbudget.State {
+		s := fleetbudget.New(options)
+		s.SetSharers(sharers)
+		return s
+	}
 	states := make([]*fleetbudget.State, processes)
 	for i := range states {
-		states[i] = fleetbudget.New(options)
+		states[i] = begin()
 	}
 	var requests, repeats []time.Duration
 	for now := time.Duration(0); now < time.Minute; now += 5 * time.Millisecond {
 		if random.IntN(2000) == 0 {
-			states[random.IntN(processes)] = fleetbudget.New(options)
+			states[random.IntN(processes)] = begin()
 		}
 		// Two processes get most requests, as a platform's hash deals them.
 		i := min(random.IntN(processes), random.IntN(processes))
@@ -58,9 +69,26 @@
 	return n
 }
 
+// Guards against a process that repeats without knowing how many share the
+// number beside the part of its requests.
+func TestAProcessThatCountedNobodyTakesNoShare(t *testing.T) {
+	s := fleetbudget.New(fleetbudget.Options{Ratio: 0.2, Extra: 480, Window: 10 * time.Second})
+	for range 10 {
+		s.Request(time.Second, "s")
+	}
+	repeats := 0
+	for s.Repeat(time.Second, "s") {
+		repeats++
+	}
+	if repeats != 2 {
+		t.Errorf("%d repeats of 10 requests", repeats)
+	}
+}
+
 // Guards against one service that uses up the repeats of another.
 func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
-	s := fleetbudget.New(fleetbudget.Options{Extra: 48, Window: 10 * time.Second, Processes: 24})
+	s := fleetbudget.New(fleetbudget.Options{Extra: 48, Window: 10 * time.Second})
+	s.SetSharers(24)
 	for s.Repeat(time.Second, "a") {
 	}
 	if !s.Repeat(time.Second, "b") {
@@ -76,7 +104,7 @@
 func TestABurstIsMeasuredByOneWindow(t *testing.T) {
 	const perSecond, window = 100, 10 * time.Second
 	for phase := time.Duration(0); phase < time.Second; phase += 100 * time.Millisecond {
-		s := fleetbudget.New(fleetbudget.Options{Ratio: 0.2, Window: window, Processes: 1})
+		s := fleetbudget.New(fleetbudget.Options{Ratio: 0.2, Window: window})
 		end := 30*time.Second + phase
 		for now := time.Duration(0); now < end; now += time.Second / perSecond {
 			s.Request(now, "s")
--- a/decide/settings/edge.go
+++ b/decide/settings/edge.go
@@ -29,6 +29,10 @@
 	if c.Required("edge", "ready") {
 		c.Address(e.Ready, "edge", "ready")
 	}
+	c.Distinct(e.Seeds, "edge", "seeds")
+	for _, seed := range e.Seeds {
+		c.Address(seed, "edge", "seeds")
+	}
 	if c.Required("edge", "revocation") {
 		c.DurationBetween(time.Duration(e.Revocation), minRevocation, maxRevocation, "edge", "revocation")
 	}
--- a/decide/settings/validate.go
+++ b/decide/settings/validate.go
@@ -89,7 +89,7 @@
 	l := c.settings.Listen
 	seen := map[string]string{}
 	for _, one := range []struct{ key, value string }{{"http", l.HTTP}, {"link", l.Link}, {"admin", l.Admin}} {
-		if one.key == "http" && (c.role == Agent || c.role == Side) || one.key == "link" && c.role == Edge {
+		if one.key == "http" && (c.role == Agent || c.role == Side) {
 			continue
 		}
 		c.ListenAddress(one.value, "listen", one.key)
--- a/service/apikeys/apikeys.go
+++ b/service/apikeys/apikeys.go
@@ -42,6 +42,10 @@
 	if s.discovery, err = kernel.Lookup[api.Discovery](c, api.ServiceDiscovery); err != nil {
 		return err
 	}
+	edges, err := kernel.Lookup[api.Fleet](c, api.ServiceFleet)
+	if err != nil {
+		return err
+	}
 	metrics, err := kernel.Lookup[api.Metrics](c, api.ServiceMetrics)
 	if err != nil {
 		return err
@@ -51,11 +55,11 @@
 	metrics.Gauge("streams", s.streams.Load)
 	e := s.settings.Edge
 	s.budget = fleetbudget.New(fleetbudget.Options{
-		Ratio:     e.RetryRatio,
-		Extra:     e.RetryExtra,
-		Window:    time.Duration(e.RetryWindow),
-		Processes: api.AssumedEdges,
+		Ratio:  e.RetryRatio,
+		Extra:  e.RetryExtra,
+		Window: time.Duration(e.RetryWindow),
 	})
+	edges.Subscribe(func(_ time.Duration, v *api.FleetView) { s.budget.SetSharers(v.Sharers) })
 	// A request that is not counted only makes the budget smaller.
 	s.firsts = kernel.NewMailbox(c.Loop(), "admission.first", firstMailbox, kernel.Drop, s.budget.Request)
 	s.retries = kernel.NewMailbox(c.Loop(), "admission.retry", retryMailbox, kernel.Wait,
--- a/service/balance/balance.go
+++ b/service/balance/balance.go
@@ -55,6 +55,10 @@
 	if s.log, err = kernel.Lookup[api.Logger](c, api.ServiceLog); err != nil {
 		return err
 	}
+	edges, err := kernel.Lookup[api.Fleet](c, api.ServiceFleet)
+	if err != nil {
+		return err
+	}
 	metrics, err := kernel.Lookup[api.Metrics](c, api.ServiceMetrics)
 	if err != nil {
 		return err
@@ -67,7 +71,6 @@
 		Seed:          xxhash.Sum64String(settings.Node),
 		ColdOvershoot: settings.Edge.ColdOvershoot,
 		ColdTolerance: settings.Edge.ColdTolerance,
-		Processes:     api.AssumedEdges,
 	})
 	s.outliers = outlier.New()
 	s.queries = kernel.NewMailbox(c.Loop(), "routing.query", queryMailbox, kernel.Wait, s.answer)
@@ -75,6 +78,7 @@
 	// A load that is dropped is followed by a newer one.
 	s.loads = kernel.NewMailbox(c.Loop(), "routing.load", loadMailbox, kernel.Drop, s.state.Observe)
 	s.discovery.Subscribe(s.configure)
+	edges.Subscribe(func(_ time.Duration, v *api.FleetView) { s.state.SetFleet(v) })
 	c.Loop().Every(tickInterval, func(now time.Duration) { s.apply(s.outliers.Tick(now)) })
 	return nil
 }
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -13,9 +13,6 @@
 	"time"
 
 	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcmanager"
-	"storj.io/drpc/drpcserver"
-	"storj.io/drpc/drpcwire"
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/expertplan"
@@ -174,10 +171,7 @@
 	}
 	s.listener = listener
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	server := drpcserver.NewWithOptions(&wire.RankHandler{Server: s}, drpcserver.Options{Manager: drpcmanager.Options{
-		Reader: drpcwire.ReaderOptions{MaximumBufferSize: wire.RankMessageBytes},
-	}})
-	go func() { _ = server.Serve(s.ctx, listener) }()
+	go func() { _ = wire.ServePlain(s.ctx, listener, &wire.RankHandler{Server: s}, wire.RankMessageBytes) }()
 	return nil
 }
 
--- a/service/experts/peers.go
+++ b/service/experts/peers.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcmanager"
-	"storj.io/drpc/drpcwire"
 
 	"github.com/mulberryfork/mulberryfork/wire"
 )
@@ -73,15 +70,11 @@
 	if conn != nil {
 		return conn, nil
 	}
-	dial := net.Dialer{Timeout: callTimeout / 2}
-	raw, err := dial.DialContext(ctx, "tcp", address)
+	conn, err := wire.DialPlain(ctx, address, callTimeout/2, wire.RankMessageBytes)
 	if err != nil {
 		p.fail(now, address)
-		return nil, err
 	}
-	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: drpcmanager.Options{
-		Reader: drpcwire.ReaderOptions{MaximumBufferSize: wire.RankMessageBytes},
-	}}), nil
+	return conn, err
 }
 
 func (p *peers) put(address string, conn *drpcconn.Conn) {
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -10,6 +10,9 @@
 // up to 1 MB with its names and framing.
 const PeerMessageBytes = 2 << 20
 
+// FleetMessageBytes bounds the listing of a seed: 1,024 names of up to 128 bytes.
+const FleetMessageBytes = 160 << 10
+
 // PeerSightings bounds the sightings of one digest that are read.
 const PeerSightings = 64
 
--- /dev/null
+++ b/wire/plain.go
@@ -0,0 +1,33 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+)
+
+// DialPlain opens a connection without TLS, for processes within the platform's
+// own network. Messages are bounded.
+func DialPlain(ctx context.Context, address string, timeout time.Duration, maxBytes int) (*drpcconn.Conn, error) {
+	dial := net.Dialer{Timeout: timeout}
+	raw, err := dial.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: plainManager(maxBytes)}), nil
+}
+
+// ServePlain answers calls on a listener without TLS until the context ends.
+func ServePlain(ctx context.Context, l net.Listener, h drpc.Handler, maxBytes int) error {
+	return drpcserver.NewWithOptions(h, drpcserver.Options{Manager: plainManager(maxBytes)}).Serve(ctx, l)
+}
+
+func plainManager(maxBytes int) drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxBytes}}
+}
