Soak edges on stand-ins for the platform, with the schedules of the other soak

The stand-in of an upstream shows a spoiled answer once for each request now, instead of once for all: requests of one test are one request, so the tests of the adapter ask the same as before.

--- a/cmd/mulberryfork-platform/main.go
+++ b/cmd/mulberryfork-platform/main.go
@@ -179,6 +179,9 @@
 		return err
 	}
 	logger.Change("started", api.Fields{"node": loaded.Node, "role": role, "zone": loaded.Zone, "http": loaded.Listen.HTTP})
+	if err := p.LogAddresses(); err != nil {
+		return err
+	}
 	for s := range signals {
 		if s != syscall.SIGHUP {
 			break
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -143,6 +143,9 @@
 var listeners = []struct{ setting, service string }{
 	{"http", api.ServiceFrontendHTTP},
 	{"link", api.ServiceTransportServer},
+	{"link", api.ServiceFleet},
+	{"link", api.ServiceExperts},
+	{"ready", api.ServicePlatformReady},
 	{"admin", api.ServiceAdminHTTP},
 }
 
--- a/decide/settings/edge.go
+++ b/decide/settings/edge.go
@@ -27,7 +27,7 @@
 		return
 	}
 	if c.Required("edge", "ready") {
-		c.Address(e.Ready, "edge", "ready")
+		c.ListenAddress(e.Ready, "edge", "ready")
 	}
 	c.Distinct(e.Seeds, "edge", "seeds")
 	for _, seed := range e.Seeds {
--- a/integration/faults_test.go
+++ b/integration/faults_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/mulberryfork/mulberryfork/proof"
 	"github.com/mulberryfork/mulberryfork/proof/pool"
+	"github.com/mulberryfork/mulberryfork/proof/schedule"
 )
 
 const (
@@ -36,6 +37,11 @@
 
 // judge fails the test for each violation of a promise.
 func judge(t *testing.T, r proof.Record) {
+	t.Helper()
+	judgeBy(t, r, proof.Verdicts())
+}
+
+func judgeBy(t *testing.T, r proof.Record, verdicts []proof.Verdict) {
 	t.Helper()
 	whole := 0
 	for _, s := range r.Sends {
@@ -47,15 +53,15 @@
 	if whole == 0 {
 		t.Error("no answer was whole, so nothing was shown")
 	}
-	for _, v := range proof.Verdicts() {
+	for _, v := range verdicts {
 		for _, found := range v.Judge(r) {
 			t.Errorf("%s (%s): %s", v.Name, v.Promise, found)
 		}
 	}
 }
 
-// schedule is run in order on one pool; the kinds of a step act beside each other.
-type schedule struct {
+// plan is run in order on one pool; the kinds of a step act beside each other.
+type plan struct {
 	deployment string
 	steps      [][]string
 }
@@ -82,21 +88,21 @@
 	}
 }
 
-func (s schedule) run(t *testing.T) {
+func (s plan) run(t *testing.T) {
 	t.Parallel()
 	ctx, p := start(t, s.deployment)
 	random := rand.New(rand.NewPCG(seed, 0))
 	load := p.StartLoad(callers, seed)
 	defer load.Stop()
 	for _, kinds := range s.steps {
-		steps, err := p.Draw(random, kinds...)
+		steps, err := schedule.Draw(p, pool.Kinds, random, kinds...)
 		if err != nil {
 			t.Fatal(err)
 		}
 		for _, step := range steps {
 			t.Logf("%8.3fs %s", p.Now().Seconds(), step.Name)
 		}
-		if err := p.Apply(ctx, steps, hold(p, load, kinds)); err != nil {
+		if err := schedule.Apply(ctx, p, steps, hold(p, load, kinds)); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -107,7 +113,7 @@
 // Each promise must hold for both users while processes and links fail, and
 // what operators do on purpose must cost no caller an answer.
 func TestPromisesHold(t *testing.T) {
-	for _, s := range []schedule{
+	for _, s := range []plan{
 		{"vale-do-sousa", [][]string{
 			{"delay", "trickle"}, {"reset", "duplicate"}, {"kill_agent", "loss"},
 			{"roll_routers"}, {"zone_out", "roll_agents"}, {"pause"},
--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -8,8 +8,9 @@
 	"testing"
 )
 
-// binary is the program that all pools of this package run. It is built once.
-var binary string
+// binary and edgeBinary are the programs that the pools of this package run.
+// They are built once.
+var binary, edgeBinary string
 
 func TestMain(m *testing.M) { os.Exit(build(m)) }
 
@@ -20,8 +21,8 @@
 		return 1
 	}
 	defer os.RemoveAll(dir)
-	binary = filepath.Join(dir, "mulberryfork")
-	out, err := exec.Command("go", "build", "-o", binary, "github.com/mulberryfork/mulberryfork/cmd/mulberryfork").CombinedOutput()
+	binary, edgeBinary = filepath.Join(dir, "mulberryfork"), filepath.Join(dir, "mulberryfork-platform")
+	out, err := exec.Command("go", "build", "-o", dir+"/", "github.com/mulberryfork/mulberryfork/cmd/...").CombinedOutput()
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "build the program: %v\n%s", err, out)
 		return 1
--- /dev/null
+++ b/proof/edgepool/edge.go
@@ -0,0 +1,175 @@
+package edgepool
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/mulberryfork/mulberryfork/proof"
+	"github.com/mulberryfork/mulberryfork/proof/process"
+	"github.com/mulberryfork/mulberryfork/proof/schedule"
+	"github.com/mulberryfork/mulberryfork/standin/faultproxy"
+)
+
+const (
+	// stopDeadline bounds a graceful stop of a process, drainDelay the time in
+	// which it still takes requests then.
+	stopDeadline = 8 * time.Second
+	drainDelay   = 500 * time.Millisecond
+	// exitWait bounds the wait for a process that was told to end.
+	exitWait  = stopDeadline + 5*time.Second
+	filePerms = 0o600
+	// settingsEnv names the settings file for a process.
+	settingsEnv = "MULBERRYFORK_BOOT"
+)
+
+// Edge is the place of one process, which may be replaced.
+type Edge struct {
+	Name, Zone string
+
+	pool     *Pool
+	settings string
+	store    string
+	callers  *faultproxy.Proxy
+	link     *faultproxy.Proxy
+
+	mu      sync.Mutex
+	process *process.Process
+	ready   string
+}
+
+// table is a part of a settings file.
+type table map[string]any
+
+// place makes the proxies around an edge.
+func (e *Edge) place(store string) (err error) {
+	p := e.pool
+	if e.callers, err = p.proxy(faultproxy.Link{From: sideCallers, To: e.Name}); err != nil {
+		return err
+	}
+	if e.link, err = p.proxy(faultproxy.Link{Source: p.source, To: e.Name}); err != nil {
+		return err
+	}
+	outbound, err := p.proxy(faultproxy.Link{From: e.Name, To: sideStore, Target: store})
+	if err != nil {
+		return err
+	}
+	e.store = outbound.Address()
+	return nil
+}
+
+func (e *Edge) writeSettings() error {
+	var known []string
+	for _, other := range e.pool.Edges[:seeds] {
+		if other != e {
+			known = append(known, other.link.Address())
+		}
+	}
+	text, err := toml.Marshal(table{
+		"node": e.Name, "zone": e.Zone,
+		"stop_deadline": stopDeadline.String(), "drain_delay": drainDelay.String(),
+		"listen": table{"http": anyPort, "link": anyPort, "admin": anyPort},
+		"log":    table{"level": "info", "format": "json"},
+		"edge": table{
+			"store": e.store, "ready": anyPort, "seeds": known,
+			"revocation":  proof.EdgeRevocation.String(),
+			"retry_ratio": proof.EdgeRetryRatio, "retry_extra": proof.EdgeRetryExtra,
+			"retry_window":   proof.EdgeRetryWindow.String(),
+			"cold_overshoot": proof.EdgeColdOvershoot, "cold_tolerance": proof.EdgeColdTolerance,
+		},
+	})
+	if err != nil {
+		return &process.Error{Name: e.Name, Err: err}
+	}
+	e.settings = filepath.Join(e.pool.options.Dir, e.Name+".toml")
+	if err := os.WriteFile(e.settings, text, filePerms); err != nil {
+		return &process.Error{Name: e.Name, Err: err}
+	}
+	return nil
+}
+
+// Start runs the process and waits until it listens.
+func (e *Edge) Start(ctx context.Context) error {
+	started, addresses, err := process.Start(ctx, process.Program{
+		Name: e.Name, Path: e.pool.options.Binary, Args: []string{"edge"}, Env: []string{settingsEnv + "=" + e.settings},
+	})
+	e.mu.Lock()
+	e.process, e.ready = started, addresses["ready"]
+	e.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	e.callers.SetTarget(addresses["http"])
+	e.link.SetTarget(addresses["link"])
+	return nil
+}
+
+func (e *Edge) now() *process.Process {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.process
+}
+
+func (e *Edge) readyAddress() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ready
+}
+
+// Signal sends a signal to the process.
+func (e *Edge) Signal(s os.Signal) error {
+	if err := e.now().Signal(s); err != nil {
+		return &process.Error{Name: e.Name, Err: err}
+	}
+	return nil
+}
+
+// Kill ends the process without warning.
+func (e *Edge) Kill() error {
+	if err := e.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	<-e.now().Ended()
+	return nil
+}
+
+// Restart stops the process by a planned stop, records how it went, and starts
+// it again.
+func (e *Edge) Restart(ctx context.Context) error {
+	stop := proof.Stop{Node: e.Name, Begin: e.pool.Now()}
+	if err := e.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	limit, cancel := context.WithTimeout(ctx, exitWait)
+	defer cancel()
+	select {
+	case <-e.now().Ended():
+	case <-limit.Done():
+		return &process.Error{Name: e.Name, Log: e.now().Log(), Err: context.Cause(limit)}
+	}
+	stop.End, stop.Code = e.pool.Now(), e.now().Code()
+	e.pool.Note(func(r *proof.Record) { r.Stops = append(r.Stops, stop) })
+	return e.Start(ctx)
+}
+
+// awaitReady asks until the process says that it takes requests.
+func (e *Edge) awaitReady(ctx context.Context, client *http.Client) error {
+	for {
+		answer, err := client.Get("http://" + e.readyAddress() + "/-/readiness")
+		if err == nil {
+			answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		if err := schedule.Wait(ctx, settleInterval); err != nil {
+			return &NotReadyError{Edge: e.Name, Log: e.now().Log(), Err: err}
+		}
+	}
+}
--- /dev/null
+++ b/proof/edgepool/faults.go
@@ -0,0 +1,313 @@
+package edgepool
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/proof/schedule"
+	"github.com/mulberryfork/mulberryfork/standin/faultproxy"
+)
+
+// Sizes of the faults in the network.
+const (
+	faultDelay  = 30 * time.Millisecond
+	faultJitter = 20 * time.Millisecond
+	slowStore   = 400 * time.Millisecond
+	faultReset  = 3000
+	faultLoss   = 0.02
+	faultStall  = 200 * time.Millisecond
+	// burst is how often an operation is made in series, burstPause the time
+	// between.
+	burst      = 3
+	burstPause = 300 * time.Millisecond
+)
+
+// Kind makes a step in a pool.
+type Kind = schedule.Kind[*Pool]
+
+// Kinds are all faults and operations. A step of any kind can run beside one of
+// any other.
+var Kinds = []Kind{
+	{Name: "delay", Make: delay},
+	{Name: "cut_one_way", Make: cutOneWay},
+	{Name: "silence", Make: silence},
+	{Name: "reset", Make: reset},
+	{Name: "loss", Make: loss},
+	{Name: "pause", Make: pause},
+	{Name: "kill_edge", Make: killEdge},
+	{Name: "kill_all_edges", Make: killAll},
+	{Name: "roll_edges", Make: roll},
+	{Name: "hangup", Make: hangup},
+	{Name: "store_down", Make: storeDown},
+	{Name: "store_refuses", Make: storeRefuses},
+	{Name: "store_slow", Make: storeSlow},
+	{Name: "store_cut", Make: storeCut},
+	{Name: "store_forgets", Make: storeForgets},
+	{Name: "garble", Make: garble},
+	{Name: "upstream_crash", Make: upstreamCrash},
+	{Name: "address_reuse", Make: addressReuse},
+	{Name: "leaving", Make: leaving},
+	{Name: "zone_out", Make: zoneOut},
+	{Name: "move_route", Make: moveRoute},
+	{Name: "revoke", Make: revoke},
+}
+
+func do(f func()) func(context.Context) error {
+	return func(context.Context) error { f(); return nil }
+}
+
+// rule is a step that puts a fault on a direction of the network.
+func (p *Pool) rule(kind, from, to string, f faultproxy.Fault) schedule.Step {
+	return schedule.Step{
+		Name: kind + " " + from + " to " + to, Targets: []string{from + " to " + to},
+		Begin: do(func() { p.Network.Set(from, to, f) }),
+		End:   do(func() { p.Network.Clear(from, to) }),
+	}
+}
+
+// link draws two sides with a link between them, in either direction.
+func (p *Pool) link(r *rand.Rand) (from, to string) {
+	edge := schedule.Pick(p.Edges, r).Name
+	from, to = edge, schedule.Pick([]string{schedule.Pick(p.upstreams, r).name, sideCallers, schedule.Pick(p.Edges, r).Name}, r)
+	if r.IntN(2) == 0 {
+		return to, from
+	}
+	return from, to
+}
+
+func delay(p *Pool, r *rand.Rand) schedule.Step {
+	from, to := p.link(r)
+	return p.rule("delay", from, to, faultproxy.Fault{Delay: faultDelay, Jitter: faultJitter})
+}
+
+func cutOneWay(p *Pool, r *rand.Rand) schedule.Step {
+	from, to := p.link(r)
+	return p.rule("cut_one_way", from, to, faultproxy.Fault{Cut: true})
+}
+
+func reset(p *Pool, r *rand.Rand) schedule.Step {
+	from, to := p.link(r)
+	return p.rule("reset", from, to, faultproxy.Fault{ResetAfter: faultReset})
+}
+
+func loss(p *Pool, r *rand.Rand) schedule.Step {
+	from, to := p.link(r)
+	return p.rule("loss", from, to, faultproxy.Fault{LossRate: faultLoss, Stall: faultStall})
+}
+
+// silence cuts an upstream off in both directions, without a reset.
+func silence(p *Pool, r *rand.Rand) schedule.Step {
+	name := schedule.Pick(p.upstreams, r).name
+	return schedule.Step{
+		Name: "silence " + name, Targets: []string{name},
+		Begin: do(func() { p.Network.Partition([]string{name}, []string{faultproxy.Any}) }),
+		End:   do(func() { p.Network.Heal([]string{name}, []string{faultproxy.Any}) }),
+	}
+}
+
+func pause(p *Pool, r *rand.Rand) schedule.Step {
+	e := schedule.Pick(p.Edges, r)
+	return schedule.Step{
+		Name: "pause " + e.Name, Nodes: []string{e.Name}, Hides: true, Targets: []string{e.Name},
+		Begin: func(context.Context) error { return e.Signal(syscall.SIGSTOP) },
+		End:   func(context.Context) error { return e.Signal(syscall.SIGCONT) },
+	}
+}
+
+func killEdge(p *Pool, r *rand.Rand) schedule.Step {
+	e := schedule.Pick(p.Edges, r)
+	return schedule.Step{
+		Name: "kill " + e.Name, Targets: []string{e.Name},
+		Begin: func(context.Context) error { return e.Kill() },
+		End:   e.Start,
+	}
+}
+
+func (p *Pool) names() []string {
+	var names []string
+	for _, e := range p.Edges {
+		names = append(names, e.Name)
+	}
+	return names
+}
+
+func killAll(p *Pool, _ *rand.Rand) schedule.Step {
+	return schedule.Step{
+		Name: "kill all edges", Targets: p.names(),
+		Begin: func(context.Context) error {
+			for _, e := range p.Edges {
+				if err := e.Kill(); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+		End: p.launch,
+	}
+}
+
+// roll restarts edges one after the other by planned stops.
+func roll(p *Pool, r *rand.Rand) schedule.Step {
+	chosen := []*Edge{schedule.Pick(p.Edges, r)}
+	if other := schedule.Pick(p.Edges, r); other != chosen[0] {
+		chosen = append(chosen, other)
+	}
+	var names []string
+	for _, e := range chosen {
+		names = append(names, e.Name)
+	}
+	return schedule.Step{
+		Name: "roll " + strings.Join(names, " "), Operation: true, Targets: names,
+		Begin: func(ctx context.Context) error {
+			for _, e := range chosen {
+				if err := e.Restart(ctx); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
+
+// hangup tells an edge several times that its settings changed.
+func hangup(p *Pool, r *rand.Rand) schedule.Step {
+	e := schedule.Pick(p.Edges, r)
+	return schedule.Step{
+		Name: "hangup " + e.Name, Operation: true, Targets: []string{e.Name},
+		Begin: series(func() error { return e.Signal(syscall.SIGHUP) }),
+	}
+}
+
+// series makes an operation several times.
+func series(f func() error) func(context.Context) error {
+	return func(ctx context.Context) error {
+		for range burst {
+			if err := f(); err != nil {
+				return err
+			}
+			if err := schedule.Wait(ctx, burstPause); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+func (p *Pool) storeFails(name string, status int) schedule.Step {
+	return schedule.Step{
+		Name: name, Hides: true, Targets: []string{sideStore},
+		Begin: do(func() { p.Store.Fail(status) }),
+		End:   do(func() { p.Store.Fail(0) }),
+	}
+}
+
+func storeDown(p *Pool, _ *rand.Rand) schedule.Step {
+	return p.storeFails("store_down", http.StatusServiceUnavailable)
+}
+
+func storeRefuses(p *Pool, _ *rand.Rand) schedule.Step {
+	return p.storeFails("store_refuses", http.StatusTooManyRequests)
+}
+
+func storeSlow(p *Pool, _ *rand.Rand) schedule.Step {
+	s := p.rule("store_slow", sideStore, faultproxy.Any, faultproxy.Fault{Delay: slowStore})
+	s.Hides = true
+	return s
+}
+
+// storeCut cuts one edge off from the store, in one direction or both.
+func storeCut(p *Pool, r *rand.Rand) schedule.Step {
+	e := schedule.Pick(p.Edges, r)
+	s := p.rule("store_cut", sideStore, e.Name, faultproxy.Fault{Cut: true})
+	if r.IntN(2) == 0 {
+		s = p.rule("store_cut", e.Name, sideStore, faultproxy.Fault{Cut: true})
+	}
+	s.Nodes, s.Hides = []string{e.Name}, true
+	return s
+}
+
+// storeForgets makes watches hear nothing while changes are made, and drops the
+// history then.
+func storeForgets(p *Pool, _ *rand.Rand) schedule.Step {
+	return schedule.Step{
+		Name: "store_forgets", Hides: true, Targets: []string{sideStore},
+		Begin: func(ctx context.Context) error {
+			p.Store.Deafen(true)
+			p.operator.move()
+			if err := schedule.Wait(ctx, time.Second); err != nil {
+				return err
+			}
+			p.Store.Forget()
+			p.Store.Deafen(false)
+			return nil
+		},
+	}
+}
+
+func garble(p *Pool, _ *rand.Rand) schedule.Step {
+	return schedule.Step{
+		Name:  "garble",
+		Begin: do(func() { p.garbling.Store(true) }),
+		End:   do(func() { p.garbling.Store(false) }),
+	}
+}
+
+// upstreamCrash replaces an upstream by a cold one of its service.
+func upstreamCrash(p *Pool, r *rand.Rand) schedule.Step {
+	u := schedule.Pick(p.upstreams, r)
+	return schedule.Step{
+		Name: "crash " + u.name, Targets: []string{u.name},
+		Begin: func(context.Context) error { return u.replace(u.service(), coldFor) },
+	}
+}
+
+// addressReuse gives the address of an upstream to one of the other service, and
+// back at the end.
+func addressReuse(p *Pool, r *rand.Rand) schedule.Step {
+	u := schedule.Pick(p.upstreams, r)
+	swap := func(context.Context) error {
+		if u.service() == services[0] {
+			return u.replace(services[1], 0)
+		}
+		return u.replace(services[0], 0)
+	}
+	return schedule.Step{Name: "reuse " + u.name, Targets: []string{u.name}, Begin: swap, End: swap}
+}
+
+func leaving(p *Pool, r *rand.Rand) schedule.Step {
+	u := schedule.Pick(p.upstreams, r)
+	return schedule.Step{
+		Name: "leaving " + u.name, Operation: true, Targets: []string{u.name},
+		Begin: do(func() { u.setLeaving(true) }),
+		End:   do(func() { u.setLeaving(false) }),
+	}
+}
+
+func zoneOut(p *Pool, r *rand.Rand) schedule.Step {
+	zone := schedule.Pick(zones, r)
+	return schedule.Step{
+		Name: "zone_out " + zone, Operation: true, Targets: []string{zone},
+		Begin: do(func() { p.setZoneOut(zone, true) }),
+		End:   do(func() { p.setZoneOut(zone, false) }),
+	}
+}
+
+func moveRoute(p *Pool, _ *rand.Rand) schedule.Step {
+	return schedule.Step{
+		Name: "move_route", Operation: true,
+		Begin: series(func() error { p.operator.move(); return nil }),
+	}
+}
+
+func revoke(p *Pool, r *rand.Rand) schedule.Step {
+	valid, _ := p.operator.credentials()
+	member := schedule.Pick(valid, r).member
+	return schedule.Step{
+		Name: "revoke " + member, Operation: true,
+		Begin: do(func() { p.operator.revoke(member) }),
+	}
+}
--- /dev/null
+++ b/proof/edgepool/upstream.go
@@ -0,0 +1,126 @@
+package edgepool
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/proof"
+	"github.com/mulberryfork/mulberryfork/standin/faultproxy"
+	"github.com/mulberryfork/mulberryfork/standin/platformstore"
+	"github.com/mulberryfork/mulberryfork/standin/platformworker"
+)
+
+const (
+	slots = 8
+	// eventPace is the time between the events of a stream, so that streams run
+	// while processes stop.
+	eventPace = 40 * time.Millisecond
+	// coldRate is what a cold upstream bears, in requests a second, and coldFor how
+	// long it is cold.
+	coldRate = 2.0
+	coldFor  = 3 * time.Second
+)
+
+// upstream is an address at which one incarnation after another runs.
+type upstream struct {
+	pool  *Pool
+	name  string
+	zone  string
+	proxy *faultproxy.Proxy
+
+	mu sync.Mutex
+	// id is that of the present incarnation, entry what it writes of itself.
+	id    string
+	entry platformstore.Upstream
+	life  int
+}
+
+func (p *Pool) addUpstream(i int) error {
+	u := &upstream{pool: p, name: fmt.Sprintf("upstream-%d", i), zone: zones[i%len(zones)]}
+	var err error
+	if u.proxy, err = p.proxy(faultproxy.Link{Source: p.source, To: u.name}); err != nil {
+		return err
+	}
+	p.upstreams = append(p.upstreams, u)
+	return u.replace(services[i/len(zones)%len(services)], 0)
+}
+
+// replace starts a new incarnation at the address. The old one is gone at once,
+// and so is its entry.
+func (u *upstream) replace(service string, cold time.Duration) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	old := u.id
+	u.life++
+	u.id = fmt.Sprintf("%s.%d", u.name, u.life)
+	address, err := u.pool.serve(u.worker(u.id, service))
+	if err != nil {
+		return err
+	}
+	u.proxy.SetTarget(address)
+	u.pool.Network.Reset(faultproxy.Any, u.name)
+	u.entry = platformstore.Upstream{
+		Service: service, Address: u.proxy.Address(), Zone: u.zone, Slots: slots, Cold: cold, Born: time.Now().UnixMilli(),
+	}
+	if cold > 0 {
+		from := u.pool.Now()
+		u.pool.Note(func(r *proof.Record) {
+			r.Cold = append(r.Cold, proof.Cold{Upstream: u.id, Rate: coldRate, From: from, Until: from + cold})
+		})
+	}
+	if old != "" {
+		u.pool.Store.DeleteUpstream(old)
+	}
+	u.pool.Store.SetUpstream(u.id, u.entry)
+	return nil
+}
+
+// service is that of the present incarnation.
+func (u *upstream) service() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.entry.Service
+}
+
+// setLeaving announces that the upstream leaves, or that it stays.
+func (u *upstream) setLeaving(leaving bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.entry.Leaving, u.entry.Cold = leaving, 0
+	id := u.id
+	if leaving {
+		u.pool.Store.SetUpstream(id, u.entry)
+		u.pool.taken(func(r *proof.Record) *[]proof.Taken { return &r.Leaving }, id, true)
+		return
+	}
+	u.pool.taken(func(r *proof.Record) *[]proof.Taken { return &r.Leaving }, id, false)
+	u.pool.Store.SetUpstream(id, u.entry)
+}
+
+// worker is one incarnation, which records what it gets and runs.
+func (u *upstream) worker(id, service string) *platformworker.Worker {
+	p := u.pool
+	return &platformworker.Worker{
+		ID: id, Once: &p.once, Pace: eventPace,
+		OnArrival: func(request string) {
+			at := p.Now()
+			p.Note(func(r *proof.Record) {
+				r.Arrivals = append(r.Arrivals, proof.Arrival{Send: request, Upstream: id, At: at})
+			})
+		},
+		OnRun: func(q platformworker.Run) func(bool) {
+			run := proof.Run{
+				Send: q.Request, Request: q.Request, Member: q.Member, Upstream: id, Zone: u.zone, Service: service,
+				Idempotent: !strings.HasPrefix(q.Request, pathOnce), Begin: p.Now(),
+			}
+			at := 0
+			p.Note(func(r *proof.Record) { at = len(r.Runs); r.Runs = append(r.Runs, run) })
+			return func(whole bool) {
+				end := p.Now()
+				p.Note(func(r *proof.Record) { r.Runs[at].End, r.Runs[at].Whole = end, whole })
+			}
+		},
+	}
+}
--- a/proof/pool/node.go
+++ b/proof/pool/node.go
@@ -1,13 +1,8 @@
 package pool
 
 import (
-	"bufio"
 	"context"
-	"encoding/json"
-	"errors"
-	"io"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -18,6 +13,7 @@
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/devcert"
 	"github.com/mulberryfork/mulberryfork/proof"
+	"github.com/mulberryfork/mulberryfork/proof/process"
 	"github.com/mulberryfork/mulberryfork/standin/faultproxy"
 )
 
@@ -28,7 +24,6 @@
 	// exitWait bounds the wait for a process that was told to end.
 	exitWait  = stopDeadline + 5*time.Second
 	filePerms = 0o600
-	logLines  = 200
 )
 
 // Node is the place of one router or agent. Its process may be replaced.
@@ -43,37 +38,12 @@
 	inbound map[string]*faultproxy.Proxy
 
 	mu       sync.Mutex
-	cmd      *exec.Cmd
+	process  *process.Process
 	life     int
 	admin    string
 	stopping bool
-	ended    chan struct{}
-	log      []string
 }
 
-// ProcessError reports a process that could not be started or stopped.
-type ProcessError struct {
-	Node string
-	Log  []string
-	Err  error
-}
-
-func (e *ProcessError) Error() string {
-	text := e.Node + ": " + e.Err.Error()
-	for _, line := range e.Log {
-		text += "\n" + line
-	}
-	return text
-}
-
-// Unwrap returns the cause.
-func (e *ProcessError) Unwrap() error { return e.Err }
-
-// EndedError reports a process that ended before it was asked to.
-type EndedError struct{}
-
-func (*EndedError) Error() string { return "the process ended" }
-
 // writeSettings puts settings and certificates into the folder of the pool.
 func (n *Node) writeSettings(s api.Settings, a *devcert.Authority) error {
 	name := n.Name
@@ -97,7 +67,7 @@
 	n.settings = path(".toml")
 	for file, data := range map[string][]byte{n.settings: text, s.TLS.Cert: cert, s.TLS.Key: key, s.TLS.CA: a.PEM()} {
 		if err := os.WriteFile(file, data, filePerms); err != nil {
-			return &ProcessError{Node: n.Name, Err: err}
+			return &process.Error{Name: n.Name, Err: err}
 		}
 	}
 	return nil
@@ -108,11 +78,11 @@
 func encodeSettings(s api.Settings) ([]byte, error) {
 	full, err := toml.Marshal(s)
 	if err != nil {
-		return nil, &ProcessError{Node: s.Node, Err: err}
+		return nil, &process.Error{Name: s.Node, Err: err}
 	}
 	var t table
 	if err := toml.Unmarshal(full, &t); err != nil {
-		return nil, &ProcessError{Node: s.Node, Err: err}
+		return nil, &process.Error{Name: s.Node, Err: err}
 	}
 	prune(t)
 	return toml.Marshal(t)
@@ -126,6 +96,10 @@
 			if len(v) == 0 {
 				delete(t, key)
 			}
+		case []any:
+			if len(v) == 0 {
+				delete(t, key)
+			}
 		case string:
 			if v == "" || v == "0s" {
 				delete(t, key)
@@ -148,40 +122,17 @@
 
 // Start runs the process and waits until it listens.
 func (n *Node) Start(ctx context.Context) error {
-	cmd := exec.Command(n.pool.options.Binary, n.Role, "--log-json", n.settings)
-	// The process must not outlive a test that is killed.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	// Lines come on standard output, errors of the command on standard error.
-	output, input, err := os.Pipe()
-	if err != nil {
-		return &ProcessError{Node: n.Name, Err: err}
-	}
-	cmd.Stdout, cmd.Stderr = input, input
-	err = cmd.Start()
-	_ = input.Close()
-	if err != nil {
-		_ = output.Close()
-		return &ProcessError{Node: n.Name, Err: err}
-	}
-	ended, listening := make(chan struct{}), make(chan map[string]string, 1)
+	started, addresses, err := process.Start(ctx, process.Program{
+		Name: n.Name, Path: n.pool.options.Binary, Args: []string{n.Role, "--log-json", n.settings},
+	})
 	n.mu.Lock()
-	n.cmd, n.ended, n.admin, n.stopping = cmd, ended, "", false
+	n.process, n.admin, n.stopping = started, "", false
 	n.mu.Unlock()
-	go func() {
-		n.read(output, listening)
-		_ = output.Close()
-		_ = cmd.Wait()
-		close(ended)
-	}()
-	select {
-	case addresses := <-listening:
-		n.listens(addresses)
-		return nil
-	case <-ended:
-		return &ProcessError{Node: n.Name, Log: n.Log(), Err: &EndedError{}}
-	case <-ctx.Done():
-		return &ProcessError{Node: n.Name, Log: n.Log(), Err: context.Cause(ctx)}
+	if err != nil {
+		return err
 	}
+	n.listens(addresses)
+	return nil
 }
 
 func (n *Node) listens(addresses map[string]string) {
@@ -195,51 +146,32 @@
 	n.admin = addresses["admin"]
 }
 
-// read keeps the last lines of the log and finds the one with the addresses.
-func (n *Node) read(r io.Reader, listening chan<- map[string]string) {
-	lines := bufio.NewScanner(r)
-	for lines.Scan() {
-		n.mu.Lock()
-		n.log = append(n.log, lines.Text())
-		n.log = n.log[max(len(n.log)-logLines, 0):]
-		n.mu.Unlock()
-		var line map[string]string
-		if json.Unmarshal(lines.Bytes(), &line) == nil && line["msg"] == "listening" {
-			listening <- line
-		}
-	}
-	_, _ = io.Copy(io.Discard, r)
-}
-
 // Log returns the last lines that the process wrote.
 func (n *Node) Log() []string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return append([]string(nil), n.log...)
+	if now := n.now(); now.process != nil {
+		return now.process.Log()
+	}
+	return nil
 }
 
 // running is a view of the present process.
 type running struct {
-	pid, life int
-	admin     string
-	stopping  bool
-	ended     chan struct{}
-	process   *os.Process
+	life     int
+	admin    string
+	stopping bool
+	process  *process.Process
 }
 
 func (n *Node) now() running {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.cmd == nil {
-		return running{}
-	}
-	return running{n.cmd.Process.Pid, n.life, n.admin, n.stopping, n.ended, n.cmd.Process}
+	return running{n.life, n.admin, n.stopping, n.process}
 }
 
 // Signal sends a signal to the process.
 func (n *Node) Signal(s os.Signal) error {
 	if err := n.now().process.Signal(s); err != nil {
-		return &ProcessError{Node: n.Name, Err: err}
+		return &process.Error{Name: n.Name, Err: err}
 	}
 	return nil
 }
@@ -250,7 +182,7 @@
 	if err := n.Signal(syscall.SIGKILL); err != nil {
 		return err
 	}
-	<-n.now().ended
+	<-n.now().process.Ended()
 	return nil
 }
 
@@ -273,28 +205,18 @@
 	limit, cancel := context.WithTimeout(ctx, exitWait)
 	defer cancel()
 	select {
-	case <-n.now().ended:
+	case <-n.now().process.Ended():
 	case <-limit.Done():
-		return &ProcessError{Node: n.Name, Log: n.Log(), Err: context.Cause(limit)}
+		return &process.Error{Name: n.Name, Log: n.Log(), Err: context.Cause(limit)}
 	}
-	stop.End, stop.Code = n.pool.Now(), n.cmd.ProcessState.ExitCode()
+	stop.End, stop.Code = n.pool.Now(), n.now().process.Code()
 	n.pool.Recorder.Add(func(r *proof.Record) { r.Stops = append(r.Stops, stop) })
 	return nil
 }
 
 // end makes sure that the process is gone.
 func (n *Node) end() {
-	now := n.now()
-	if now.process == nil {
-		return
-	}
-	select {
-	case <-now.ended:
-		return
-	default:
-	}
-	if err := now.process.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		return
+	if now := n.now(); now.process != nil {
+		now.process.End()
 	}
-	<-now.ended
 }
--- a/proof/pool/pool.go
+++ b/proof/pool/pool.go
@@ -118,6 +118,9 @@
 // Now is the clock of the record.
 func (p *Pool) Now() time.Duration { return kernel.BootClock{}.Now() - p.begin }
 
+// Note changes the record.
+func (p *Pool) Note(change func(*proof.Record)) { p.Recorder.Add(change) }
+
 // Record returns what was recorded so far.
 func (p *Pool) Record() proof.Record { return p.Recorder.Record(p.Now()) }
 
@@ -205,13 +208,12 @@
 
 // source names the process that dialled a proxy which many of them use.
 func (p *Pool) source(remote, local net.Addr) string {
-	inode := inodeOf(remote, local)
 	nodes := p.placed.Load()
 	if nodes == nil {
 		return ""
 	}
 	for _, n := range *nodes {
-		if now := n.now(); inode != "" && now.process != nil && owns(now.pid, inode) {
+		if now := n.now(); now.process != nil && now.process.Holds(remote, local) {
 			return n.Name
 		}
 	}
--- a/proof/pool/soak.go
+++ b/proof/pool/soak.go
@@ -6,22 +6,17 @@
 	"io"
 	"math/rand/v2"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/examples"
 	"github.com/mulberryfork/mulberryfork/proof"
+	"github.com/mulberryfork/mulberryfork/proof/process"
+	"github.com/mulberryfork/mulberryfork/proof/schedule"
 )
 
 const (
 	soakCallers       = 12
 	soakModelsPerZone = 1
-	// shortestHold and longestHold bound the time that faults last. The longest
-	// exceeds the silence after which a router gives a link up.
-	shortestHold = time.Second
-	longestHold  = 9 * time.Second
-	// quiet is the time between faults, in which the pool must recover.
-	quiet = time.Second
 )
 
 // SoakOptions describe a run of drawn faults.
@@ -30,9 +25,8 @@
 	Seed     uint64
 	Length   time.Duration
 	Progress io.Writer
-	// Only restricts the run to one deployment and to some kinds; empty means all.
-	Only  string
-	Kinds []string
+	// Only restricts the run to one deployment; empty means all.
+	Only string
 }
 
 // Soaked is the record of one deployment.
@@ -64,7 +58,7 @@
 func (o SoakOptions) soak(ctx context.Context, deployment string, length time.Duration, seed uint64) (Soaked, error) {
 	dir, err := os.MkdirTemp("", "mulberryfork")
 	if err != nil {
-		return Soaked{}, &ProcessError{Node: deployment, Err: err}
+		return Soaked{}, &process.Error{Name: deployment, Err: err}
 	}
 	defer os.RemoveAll(dir)
 	fmt.Fprintf(o.Progress, "soak: %s for %s, seed %d\n", deployment, length, seed)
@@ -75,54 +69,8 @@
 	defer p.Close()
 	load := p.StartLoad(soakCallers, seed)
 	s := Soaked{Deployment: deployment}
-	random := rand.New(rand.NewPCG(seed, 0))
-	for p.Now() < length && err == nil {
-		s.Steps += 2
-		err = o.pair(ctx, p, random)
-	}
+	s.Steps, err = schedule.Run(ctx, p, Kinds, rand.New(rand.NewPCG(seed, 0)), length, o.Progress)
 	load.Stop()
 	s.Record = p.Record()
 	return s, err
 }
-
-// pair draws two different kinds and applies them at once.
-func (o SoakOptions) pair(ctx context.Context, p *Pool, random *rand.Rand) error {
-	kinds := o.Kinds
-	if len(kinds) == 0 {
-		for _, k := range Kinds {
-			kinds = append(kinds, k.Name)
-		}
-	}
-	first := random.IntN(len(kinds))
-	second := (first + 1 + random.IntN(max(len(kinds)-1, 1))) % len(kinds)
-	chosen := []string{kinds[first], kinds[second]}
-	if first == second {
-		chosen = chosen[:1]
-	}
-	steps, err := p.Draw(random, chosen...)
-	if err != nil {
-		return err
-	}
-	var names []string
-	for _, step := range steps {
-		names = append(names, step.Name)
-	}
-	hold := shortestHold + time.Duration(random.Int64N(int64(longestHold-shortestHold)))
-	fmt.Fprintf(o.Progress, "%8.3fs %s for %s\n", p.Now().Seconds(), strings.Join(names, " and "), hold.Round(time.Millisecond))
-	if err := p.Apply(ctx, steps, func(ctx context.Context) error { return wait(ctx, hold) }); err != nil {
-		return err
-	}
-	return wait(ctx, quiet)
-}
-
-// wait lets time pass.
-func wait(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
--- a/proof/pool/owner.go
+++ b/proof/process/owner.go
@@ -1,4 +1,4 @@
-package pool
+package process
 
 import (
 	"encoding/binary"
--- a/proof/pool/owner_test.go
+++ b/proof/process/owner_test.go
@@ -1,4 +1,4 @@
-package pool
+package process
 
 import (
 	"net"
@@ -8,7 +8,7 @@
 
 // A proxy that takes one process for another would put faults on the wrong link.
 func TestOwnerOfAConnectionIsFound(t *testing.T) {
-	l, err := net.Listen("tcp", anyPort)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/proof/process/process.go
@@ -0,0 +1,149 @@
+// Package process runs a program of this project as a separate process, for
+// tests and soaks that end it, pause it or cut it off.
+package process
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+)
+
+// logLines bounds the lines that are kept for reports.
+const logLines = 200
+
+// Program is what a process runs.
+type Program struct {
+	// Name is shown in errors.
+	Name string
+	Path string
+	Args []string
+	// Env is added to the environment.
+	Env []string
+}
+
+// Process is one run of a program.
+type Process struct {
+	cmd   *exec.Cmd
+	ended chan struct{}
+
+	mu  sync.Mutex
+	log []string
+}
+
+// Error reports a process that could not be started or stopped.
+type Error struct {
+	Name string
+	Log  []string
+	Err  error
+}
+
+func (e *Error) Error() string {
+	text := e.Name + ": " + e.Err.Error()
+	for _, line := range e.Log {
+		text += "\n" + line
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// EndedError reports a process that ended before it was asked to.
+type EndedError struct{}
+
+func (*EndedError) Error() string { return "the process ended" }
+
+// Start runs a program and waits until it listens. It returns the addresses
+// that the process got, by the name of the setting.
+func Start(ctx context.Context, program Program) (*Process, map[string]string, error) {
+	cmd := exec.Command(program.Path, program.Args...)
+	cmd.Env = append(os.Environ(), program.Env...)
+	// The process must not outlive a test that is killed.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	// Lines come on standard output, errors of the command on standard error.
+	output, input, err := os.Pipe()
+	if err != nil {
+		return nil, nil, &Error{Name: program.Name, Err: err}
+	}
+	cmd.Stdout, cmd.Stderr = input, input
+	err = cmd.Start()
+	_ = input.Close()
+	if err != nil {
+		_ = output.Close()
+		return nil, nil, &Error{Name: program.Name, Err: err}
+	}
+	p := &Process{cmd: cmd, ended: make(chan struct{})}
+	listening := make(chan map[string]string, 1)
+	go func() {
+		p.read(output, listening)
+		_ = output.Close()
+		_ = cmd.Wait()
+		close(p.ended)
+	}()
+	select {
+	case addresses := <-listening:
+		return p, addresses, nil
+	case <-p.ended:
+		return p, nil, &Error{Name: program.Name, Log: p.Log(), Err: &EndedError{}}
+	case <-ctx.Done():
+		return p, nil, &Error{Name: program.Name, Log: p.Log(), Err: context.Cause(ctx)}
+	}
+}
+
+// read keeps the last lines of the log and finds the one with the addresses.
+func (p *Process) read(r io.Reader, listening chan<- map[string]string) {
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		p.mu.Lock()
+		p.log = append(p.log, lines.Text())
+		p.log = p.log[max(len(p.log)-logLines, 0):]
+		p.mu.Unlock()
+		var line map[string]string
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line["msg"] == "listening" {
+			listening <- line
+		}
+	}
+	_, _ = io.Copy(io.Discard, r)
+}
+
+// Log returns the last lines that the process wrote.
+func (p *Process) Log() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.log...)
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Ended is closed once the process is gone.
+func (p *Process) Ended() <-chan struct{} { return p.ended }
+
+// Code is the exit code of a process that ended.
+func (p *Process) Code() int { return p.cmd.ProcessState.ExitCode() }
+
+// End makes sure that the process is gone.
+func (p *Process) End() {
+	select {
+	case <-p.ended:
+		return
+	default:
+	}
+	if err := p.cmd.Process.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return
+	}
+	<-p.ended
+}
+
+// Holds reports whether the process opened a connection, seen from its far end.
+func (p *Process) Holds(remote, local net.Addr) bool {
+	inode := inodeOf(remote, local)
+	return inode != "" && owns(p.cmd.Process.Pid, inode)
+}
--- a/proof/record.go
+++ b/proof/record.go
@@ -19,7 +19,11 @@
 	// Router took the send.
 	Router     string
 	Idempotent bool
+	// Key and Path are set where edges serve.
+	Key, Path  string
 	Begin, End time.Duration
+	// Left says that the caller left before the answer.
+	Left bool
 	// Whole says that the answer looked whole to the caller.
 	Whole bool
 	// Answer is what was received, Expected what the request asks for.
@@ -42,8 +46,10 @@
 type Run struct {
 	Send, Request  string
 	Upstream, Zone string
-	Idempotent     bool
-	Begin, End     time.Duration
+	// Service and Member are set where edges serve.
+	Service, Member string
+	Idempotent      bool
+	Begin, End      time.Duration
 	// Bound is the concurrent work that the upstream bore when the run began.
 	Bound int
 	// Whole is false if the client left before the answer was written.
@@ -115,6 +121,11 @@
 	Observed  []Observation
 	Stops     []Stop
 	Faults    []Fault
+	// The following are recorded where edges serve.
+	Arrivals []Arrival
+	Cold     []Cold
+	Placed   []Placed
+	Revoked  []Taken
 	// End is the time of the last recorded event.
 	End time.Duration
 }
@@ -142,6 +153,8 @@
 	c.Zones, c.Leaving = slices.Clone(c.Zones), slices.Clone(c.Leaving)
 	c.Published, c.Observed = slices.Clone(c.Published), slices.Clone(c.Observed)
 	c.Stops, c.Faults = slices.Clone(c.Stops), slices.Clone(c.Faults)
+	c.Arrivals, c.Cold = slices.Clone(c.Arrivals), slices.Clone(c.Cold)
+	c.Placed, c.Revoked = slices.Clone(c.Placed), slices.Clone(c.Revoked)
 	c.End = now
 	return c
 }
--- a/standin/platformworker/worker.go
+++ b/standin/platformworker/worker.go
@@ -31,21 +31,51 @@
 // events is the length of a stream.
 const events = 6
 
+// Answer is the whole answer to a request whose body has a text after its first
+// word.
+func Answer(text string) string {
+	if text == "" {
+		return "answer"
+	}
+	return "answer to " + text
+}
+
+// Events is the whole answer to a request for a stream.
+func Events() string {
+	var text strings.Builder
+	for id := range events {
+		text.WriteString(event(id + 1))
+	}
+	return text.String()
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", id, id) }
+
 // Worker is an http.Handler.
 type Worker struct {
 	// ID is the instance that it says it is.
 	ID string
 
 	mu sync.Mutex
-	// Once limits a behaviour to the first request with it over all workers.
+	// Once limits a behaviour to the first run of a request over all workers.
 	Once *Once
-	runs map[string]int
+	// OnArrival is told of each request for this worker, run or not.
+	OnArrival func(request string)
+	// Pace is the time between the events of a stream.
+	Pace time.Duration
+	// OnRun is told of each run, and its result of the end; whole is false if the
+	// caller left before.
+	OnRun func(Run) (done func(whole bool))
+	runs  map[string]int
 	// arrivals counts requests, also those that it did not run.
 	arrivals int
 	gone     int
 	last     http.Header
 }
 
+// Run is a request that a worker begins to run.
+type Run struct{ Request, Member string }
+
 // Once remembers which behaviours were shown.
 type Once struct {
 	mu   sync.Mutex
@@ -108,11 +138,14 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	name, _, _ := strings.Cut(string(body), " ")
+	if w.OnArrival != nil {
+		w.OnArrival(id)
+	}
+	name, text, _ := strings.Cut(string(body), " ")
 	if name == "" {
 		name = Whole
 	}
-	if name == Refuse && w.Once.first(name) {
+	if name == Refuse && w.Once.first(name+id) {
 		h.Set("X-Mulberryfork-Request-Not-Executed", "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -120,7 +153,11 @@
 	w.note(id, r.Header)
 	h.Set("X-Mulberryfork-Response-Signature", "sig."+w.ID)
 	h.Set("X-Mulberryfork-Server-Load", "1,0,4")
-	w.behave(name, out, r)
+	if w.OnRun != nil {
+		done := w.OnRun(Run{Request: id, Member: r.Header.Get("X-Mulberryfork-Tenant-Name")})
+		defer func() { done(r.Context().Err() == nil) }()
+	}
+	w.behave(name, text, out, r)
 }
 
 func (w *Worker) note(id string, h http.Header) {
@@ -133,7 +170,7 @@
 	w.last = h.Clone()
 }
 
-func (w *Worker) behave(name string, out http.ResponseWriter, r *http.Request) {
+func (w *Worker) behave(name, text string, out http.ResponseWriter, r *http.Request) {
 	h := out.Header()
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	switch name {
@@ -150,7 +187,7 @@
 		}
 		return
 	}
-	if !w.Once.first(name) {
+	if !w.Once.first(name + r.Header.Get("X-Mulberryfork-Attempt-Id")) {
 		name = Whole
 	}
 	switch name {
@@ -171,7 +208,7 @@
 	case Unframed:
 		w.unframed(out, r)
 	default:
-		_, _ = out.Write([]byte("answer"))
+		_, _ = out.Write([]byte(Answer(text)))
 	}
 }
 
@@ -190,8 +227,13 @@
 // stream sends the events that follow one. A broken stream ends early once.
 func (w *Worker) stream(name string, out http.ResponseWriter, r *http.Request, from int) {
 	out.Header().Set("Content-Type", "text/event-stream")
-	breaks := name != Stream && w.Once.first(name)
+	breaks := name != Stream && w.Once.first(name+r.Header.Get("X-Mulberryfork-Attempt-Id"))
 	for id := from + 1; id <= events; id++ {
+		select {
+		case <-time.After(w.Pace):
+		case <-r.Context().Done():
+			return
+		}
 		if breaks && id == events/2 {
 			if name == MidEvent {
 				fmt.Fprintf(out, "id: %d\ndata: ha", id)
@@ -199,7 +241,7 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(out, "id: %d\ndata: e%d\n\n", id, id)
+		_, _ = io.WriteString(out, event(id))
 		_ = http.NewResponseController(out).Flush()
 	}
 }
