--- a/bench/bench.go
+++ b/bench/bench.go
@@ -86,6 +86,8 @@
 	Progress io.Writer
 	// Minutes bounds experiments that run for a given time, 0 for their default.
 	Minutes float64
+	// Only restricts an experiment of several deployments to one, empty for all.
+	Only string
 	// Plain selects the plain version of a mechanism, where an experiment has one.
 	Plain bool
 }
--- a/bench/soak.go
+++ b/bench/soak.go
@@ -4,19 +4,23 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/mulberryfork/mulberryfork/api"
-	"github.com/mulberryfork/mulberryfork/proof"
+	"github.com/mulberryfork/mulberryfork/examples"
+	"github.com/mulberryfork/mulberryfork/proof/edgepool"
 	"github.com/mulberryfork/mulberryfork/proof/pool"
+	"github.com/mulberryfork/mulberryfork/proof/schedule"
 )
 
 func init() {
 	register(Experiment{
 		Name: "soak",
-		Asks: "Do the nine promises hold for both users while real processes, links and the platform fail, two faults at a time?",
+		Asks: "Do the promises hold for both users and on a platform with a store while real processes, links and the platform fail, two faults at a time?",
 		Run:  runSoak,
 	})
 }
@@ -25,6 +29,8 @@
 	soakMinutes = 1
 	// shownViolations bounds the lines about one verdict.
 	shownViolations = 10
+	// edgeProgram is the program of edges, beside the one that runs the experiment.
+	edgeProgram = "mulberryfork-platform"
 )
 
 func runSoak(ctx context.Context, p Params) (Result, error) {
@@ -36,27 +42,32 @@
 	if minutes <= 0 {
 		minutes = soakMinutes
 	}
-	soaked, err := pool.Soak(ctx, pool.SoakOptions{
-		Binary: binary, Seed: p.Seed, Progress: p.Progress, Length: time.Duration(minutes * float64(time.Minute)),
-	})
-	if err != nil {
-		return Result{}, err
+	deployments := append(slices.Clone(examples.Deployments), edgepool.Deployment)
+	if p.Only != "" {
+		deployments = []string{p.Only}
+	}
+	length := time.Duration(minutes * float64(time.Minute) / float64(len(deployments)))
+	var all []schedule.Soaked
+	for i, d := range deployments {
+		seed := p.Seed + uint64(i)
+		var s schedule.Soaked
+		if d == edgepool.Deployment {
+			s, err = edgepool.Soak(ctx, filepath.Join(filepath.Dir(binary), edgeProgram), seed, length, p.Progress)
+		} else {
+			s, err = pool.Soak(ctx, pool.SoakOptions{Binary: binary, Deployment: d, Seed: seed, Length: length, Progress: p.Progress})
+		}
+		if err != nil {
+			return Result{}, err
+		}
+		all = append(all, s)
 	}
-	return Result{Figures: soakFigures(p, soaked)}, nil
+	return Result{Figures: soakFigures(p, all)}, nil
 }
 
-func soakFigures(p Params, soaked []pool.Soaked) []Figure {
+func soakFigures(p Params, soaked []schedule.Soaked) []Figure {
 	var figures []Figure
-	for _, v := range proof.Verdicts() {
-		count := 0
-		for _, s := range soaked {
-			found := v.Judge(s.Record)
-			count += len(found)
-			for _, f := range found[:min(len(found), shownViolations)] {
-				fmt.Fprintf(p.Progress, "%s %s: %s\n", s.Deployment, v.Name, f)
-			}
-		}
-		figures = append(figures, Bounded(v.Name, float64(count), "violations", Exactly, 0))
+	for _, s := range soaked {
+		figures = violationFigures(p, s, figures)
 	}
 	var sent, whole, unknown, refused, steps int
 	for _, s := range soaked {
@@ -81,3 +92,27 @@
 		Plain("faults_injected", float64(steps), "faults and operations"),
 	)
 }
+
+// violationFigures adds the violations of a deployment to figures, and shows
+// what was recorded around the first of each verdict.
+func violationFigures(p Params, s schedule.Soaked, figures []Figure) []Figure {
+	for _, v := range s.Verdicts {
+		found := v.Judge(s.Record)
+		for i, f := range found[:min(len(found), shownViolations)] {
+			fmt.Fprintf(p.Progress, "%s %s: %s\n", s.Deployment, v.Name, f)
+			if i > 0 {
+				continue
+			}
+			for _, line := range s.Record.Around(f.At) {
+				fmt.Fprintf(p.Progress, "    %s\n", line)
+			}
+		}
+		at := slices.IndexFunc(figures, func(f Figure) bool { return f.Name == v.Name })
+		if at < 0 {
+			figures = append(figures, Bounded(v.Name, float64(len(found)), "violations", Exactly, 0))
+			continue
+		}
+		figures[at].Value += float64(len(found))
+	}
+	return figures
+}
--- a/cmd/mulberryfork/tools.go
+++ b/cmd/mulberryfork/tools.go
@@ -47,6 +47,7 @@
 	Seeds   int     `default:"1" help:"Repeat with this many seeds from --seed on and show the spread."`
 	Keep    string  `type:"existingdir" help:"Keep the result of each seed as a JSON file in this folder."`
 	Minutes float64 `help:"Length of experiments that run for a given time."`
+	Only    string  `help:"Deployment of a soak: vale-do-sousa, slnecne-bodky or edges. All if not given."`
 	Plain   bool    `help:"Run the plain version, where an experiment has one."`
 	Plot    string  `help:"Write a plot to this SVG file."`
 }
@@ -64,7 +65,7 @@
 	var runs []bench.SeedResult
 	for i := range max(c.Seeds, 1) {
 		seed := c.Seed + uint64(i)
-		result, err := e.Run(ctx, bench.Params{Seed: seed, Progress: s.err, Minutes: c.Minutes, Plain: c.Plain})
+		result, err := e.Run(ctx, bench.Params{Seed: seed, Progress: s.err, Minutes: c.Minutes, Only: c.Only, Plain: c.Plain})
 		if err != nil {
 			return err
 		}
--- a/proof/edgepool/edge.go
+++ b/proof/edgepool/edge.go
@@ -98,6 +98,7 @@
 func (e *Edge) Start(ctx context.Context) error {
 	started, addresses, err := process.Start(ctx, process.Program{
 		Name: e.Name, Path: e.pool.options.Binary, Args: []string{"edge"}, Env: []string{settingsEnv + "=" + e.settings},
+		LogFile: e.settings + ".log",
 	})
 	e.mu.Lock()
 	e.process, e.ready = started, addresses["ready"]
--- a/proof/pool/node.go
+++ b/proof/pool/node.go
@@ -124,6 +124,7 @@
 func (n *Node) Start(ctx context.Context) error {
 	started, addresses, err := process.Start(ctx, process.Program{
 		Name: n.Name, Path: n.pool.options.Binary, Args: []string{n.Role, "--log-json", n.settings},
+		LogFile: n.settings + ".log",
 	})
 	n.mu.Lock()
 	n.process, n.admin, n.stopping = started, "", false
--- a/proof/pool/soak.go
+++ b/proof/pool/soak.go
@@ -5,12 +5,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"os"
 	"time"
 
-	"github.com/mulberryfork/mulberryfork/examples"
 	"github.com/mulberryfork/mulberryfork/proof"
-	"github.com/mulberryfork/mulberryfork/proof/process"
 	"github.com/mulberryfork/mulberryfork/proof/schedule"
 )
 
@@ -21,56 +18,31 @@
 
 // SoakOptions describe a run of drawn faults.
 type SoakOptions struct {
-	Binary   string
-	Seed     uint64
-	Length   time.Duration
-	Progress io.Writer
-	// Only restricts the run to one deployment; empty means all.
-	Only string
-}
-
-// Soaked is the record of one deployment.
-type Soaked struct {
+	Binary     string
 	Deployment string
-	Record     proof.Record
-	// Steps counts faults and operations.
-	Steps int
-}
-
-// Soak runs the example deployments one after the other under drawn faults and
-// operations, two at a time.
-func Soak(ctx context.Context, o SoakOptions) ([]Soaked, error) {
-	deployments := examples.Deployments
-	if o.Only != "" {
-		deployments = []string{o.Only}
-	}
-	var all []Soaked
-	for i, d := range deployments {
-		s, err := o.soak(ctx, d, o.Length/time.Duration(len(deployments)), o.Seed+uint64(i))
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, s)
-	}
-	return all, nil
+	Seed       uint64
+	Length     time.Duration
+	Progress   io.Writer
 }
 
-func (o SoakOptions) soak(ctx context.Context, deployment string, length time.Duration, seed uint64) (Soaked, error) {
-	dir, err := os.MkdirTemp("", "mulberryfork")
+// Soak runs an example deployment under drawn faults and operations, two at a
+// time.
+func Soak(ctx context.Context, o SoakOptions) (schedule.Soaked, error) {
+	dir, err := schedule.Dir(o.Deployment)
 	if err != nil {
-		return Soaked{}, &process.Error{Name: deployment, Err: err}
+		return schedule.Soaked{}, err
 	}
-	defer os.RemoveAll(dir)
-	fmt.Fprintf(o.Progress, "soak: %s for %s, seed %d\n", deployment, length, seed)
-	p, err := Start(ctx, Options{Binary: o.Binary, Dir: dir, Deployment: deployment, ModelsPerZone: soakModelsPerZone, Seed: seed})
+	fmt.Fprintf(o.Progress, "soak: %s for %s, seed %d\n", o.Deployment, o.Length, o.Seed)
+	p, err := Start(ctx, Options{Binary: o.Binary, Dir: dir, Deployment: o.Deployment, ModelsPerZone: soakModelsPerZone, Seed: o.Seed})
 	if err != nil {
-		return Soaked{}, err
+		return schedule.Soaked{}, err
 	}
 	defer p.Close()
-	load := p.StartLoad(soakCallers, seed)
-	s := Soaked{Deployment: deployment}
-	s.Steps, err = schedule.Run(ctx, p, Kinds, rand.New(rand.NewPCG(seed, 0)), length, o.Progress)
+	load := p.StartLoad(soakCallers, o.Seed)
+	s := schedule.Soaked{Deployment: o.Deployment, Verdicts: proof.Verdicts()}
+	s.Steps, err = schedule.Run(ctx, p, Kinds, rand.New(rand.NewPCG(o.Seed, 0)), o.Length, o.Progress)
 	load.Stop()
 	s.Record = p.Record()
+	s.Tidy(dir, o.Progress)
 	return s, err
 }
--- a/proof/process/process.go
+++ b/proof/process/process.go
@@ -15,8 +15,11 @@
 	"syscall"
 )
 
-// logLines bounds the lines that are kept for reports.
-const logLines = 200
+const (
+	// logLines bounds the lines that are kept for reports.
+	logLines = 200
+	logPerms = 0o600
+)
 
 // Program is what a process runs.
 type Program struct {
@@ -26,6 +29,9 @@
 	Args []string
 	// Env is added to the environment.
 	Env []string
+	// LogFile gets all lines that the process writes, after those of earlier
+	// processes; empty for none.
+	LogFile string
 }
 
 // Process is one run of a program.
@@ -63,6 +69,14 @@
 // Start runs a program and waits until it listens. It returns the addresses
 // that the process got, by the name of the setting.
 func Start(ctx context.Context, program Program) (*Process, map[string]string, error) {
+	kept := io.Discard
+	if program.LogFile != "" {
+		file, err := os.OpenFile(program.LogFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, logPerms)
+		if err != nil {
+			return nil, nil, &Error{Name: program.Name, Err: err}
+		}
+		kept = file
+	}
 	cmd := exec.Command(program.Path, program.Args...)
 	cmd.Env = append(os.Environ(), program.Env...)
 	// The process must not outlive a test that is killed.
@@ -82,7 +96,10 @@
 	p := &Process{cmd: cmd, ended: make(chan struct{})}
 	listening := make(chan map[string]string, 1)
 	go func() {
-		p.read(output, listening)
+		p.read(io.TeeReader(output, kept), listening)
+		if file, ok := kept.(io.Closer); ok {
+			_ = file.Close()
+		}
 		_ = output.Close()
 		_ = cmd.Wait()
 		close(p.ended)
--- a/proof/verdict_test.go
+++ b/proof/verdict_test.go
@@ -14,17 +14,17 @@
 func clean() proof.Record {
 	return proof.Record{
 		Sends: []proof.Send{
-			{ID: "a.1", Request: "a", Router: "r1", Begin: 1 * s, End: 4 * s, Whole: true, Answer: "x", Expected: "x"},
+			{ID: "a.1", Request: "a", Path: "/p/1", Router: "r1", Begin: 1 * s, End: 4 * s, Whole: true, Answer: "x", Expected: "x"},
 			{ID: "b.1", Request: "b", Router: "r1", Begin: 2 * s, End: 3 * s, Code: api.CodeZoneOut, Run: api.NotRun},
-			{ID: "b.2", Request: "b", Router: "r2", Begin: 4 * s, End: 5 * s, Run: api.Unknown, Code: api.CodeLinkLost},
-			{ID: "c.1", Request: "c", Router: "r2", Idempotent: true, Begin: 6 * s, End: 7 * s},
+			{ID: "b.2", Request: "b", Path: "/p/2", Router: "r2", Begin: 4 * s, End: 5 * s, Run: api.Unknown, Code: api.CodeLinkLost},
+			{ID: "c.1", Request: "c", Path: "/p/3", Router: "r2", Idempotent: true, Begin: 6 * s, End: 7 * s},
 		},
 		Outcomes: []proof.Outcome{{Request: "b", At: 6 * s, Run: api.Ran, Done: true}},
 		Runs: []proof.Run{
-			{Send: "a.1", Request: "a", Upstream: "u1", Zone: "z1", Begin: 2 * s, End: 4 * s, Bound: 1, Whole: true},
-			{Send: "b.2", Request: "b", Upstream: "u1", Zone: "z1", Begin: 4 * s, End: 5 * s, Bound: 1, Whole: true},
-			{Send: "c.1", Request: "c", Upstream: "u2", Zone: "z2", Idempotent: true, Begin: 6 * s, End: 7 * s, Bound: 2},
-			{Send: "c.1", Request: "c", Upstream: "u3", Zone: "z2", Idempotent: true, Begin: 6 * s, End: 7 * s, Bound: 2, Whole: true},
+			{Send: "a.1", Request: "a", Service: "s1", Upstream: "u1", Zone: "z1", Begin: 2 * s, End: 4 * s, Bound: 1, Whole: true},
+			{Send: "b.2", Request: "b", Service: "s1", Upstream: "u1", Zone: "z1", Begin: 4 * s, End: 5 * s, Bound: 1, Whole: true},
+			{Send: "c.1", Request: "c", Service: "s2", Upstream: "u2", Zone: "z2", Idempotent: true, Begin: 6 * s, End: 7 * s, Bound: 2},
+			{Send: "c.1", Request: "c", Service: "s2", Upstream: "u3", Zone: "z2", Idempotent: true, Begin: 6 * s, End: 7 * s, Bound: 2, Whole: true},
 		},
 		Steps: []proof.Step{
 			{Group: "g", Incarnation: 1, Step: 1, Rank: 0, Map: 1}, {Group: "g", Incarnation: 1, Step: 1, Rank: 1, Map: 1},
@@ -40,7 +40,14 @@
 		},
 		Stops:  []proof.Stop{{Node: "r1", Begin: 3 * s, End: 5 * s}, {Node: "vm-u1", Upstream: "u1", Begin: 3 * s, End: 4 * s}},
 		Faults: []proof.Fault{{Name: "service down", From: 9 * s, Until: 12 * s, Hides: true}, {Name: "reset", From: 5 * s, Until: 9 * s}},
-		End:    21 * s,
+		Arrivals: []proof.Arrival{
+			{Send: "a.1", Upstream: "u1", At: 2 * s}, {Send: "b.2", Upstream: "u1", At: 4 * s},
+			{Send: "c.1", Upstream: "u2", At: 6 * s}, {Send: "c.1", Upstream: "u3", At: 6 * s},
+		},
+		Cold:    []proof.Cold{{Upstream: "u1", Rate: 2, From: s, Until: 9 * s}},
+		Placed:  []proof.Placed{{Path: "/p/", Service: "s1"}, {Path: "/p/", Service: "s2", At: 2500 * time.Millisecond}},
+		Revoked: []proof.Taken{{Name: "k1", From: s}},
+		End:     21 * s,
 	}
 }
 
@@ -83,6 +90,31 @@
 	{"graceful_stop", "failed", func(r *proof.Record) { r.Stops[0].Code = 1 }},
 	{"graceful_stop", "request cut off", func(r *proof.Record) { r.Sends[0].Whole = false }},
 	{"graceful_stop", "run cut off", func(r *proof.Record) { r.Runs[0].Whole = false }},
+	{"edge_zone_out", "work after the limit", func(r *proof.Record) { r.Runs = append(r.Runs, run("d.1", "u1", "z1", 8500*time.Millisecond)) }},
+	{"edge_leaving", "work after the limit", func(r *proof.Record) { r.Runs = append(r.Runs, run("d.1", "u2", "z2", 6500*time.Millisecond)) }},
+	{"edge_whole_answers", "short", func(r *proof.Record) { r.Sends[0].Answer = "" }},
+	{"edge_not_run_true", "the send ran", func(r *proof.Record) { r.Runs = append(r.Runs, run("b.1", "u1", "z2", s)) }},
+	{"edge_at_most_once", "ran twice", func(r *proof.Record) { r.Runs = append(r.Runs, run("a", "u3", "z2", 9*s)) }},
+	{"edge_asked_for", "nobody asked", func(r *proof.Record) { r.Runs = append(r.Runs, run("d.1", "u3", "z2", 9*s)) }},
+	{"edge_asked_for", "for another member", func(r *proof.Record) { r.Runs[0].Member = "m2" }},
+	{"edge_placed", "at a service that never had it", func(r *proof.Record) { r.Runs[0].Service = "s3" }},
+	{"edge_placed", "before it was placed there", func(r *proof.Record) { r.Runs[0].Service = "s2" }},
+	{"edge_config_in_force", "under a replaced configuration", func(r *proof.Record) { r.Runs[2].Service = "s1" }},
+	{"edge_revoked_keys", "under a revoked key", func(r *proof.Record) { r.Sends[3].Begin, r.Sends[3].Key = 6500*time.Millisecond, "k1" }},
+	{"edge_retry_budget", "too many repeats", func(r *proof.Record) {
+		for range 200 {
+			r.Arrivals = append(r.Arrivals, proof.Arrival{Send: "c.1", Upstream: "u2", At: 7 * s})
+		}
+	}},
+	{"edge_cold_rate", "too many requests in a second", func(r *proof.Record) {
+		for range 9 {
+			r.Arrivals = append(r.Arrivals, proof.Arrival{Send: "b.2", Upstream: "u1", At: 4 * s})
+		}
+	}},
+	{"edge_caller_left", "works on", func(r *proof.Record) {
+		r.Sends[0].Left, r.Sends[0].End = true, 3*s
+	}},
+	{"edge_graceful_stop", "request cut off", func(r *proof.Record) { r.Sends[0].Whole = false }},
 	{"config_in_force", "late", func(r *proof.Record) { r.Observed[1].At = 6500 * time.Millisecond }},
 	{"config_in_force", "late after an outage", func(r *proof.Record) { r.Observed[3].At = 15500 * time.Millisecond }},
 	{"config_in_force", "reverted", func(r *proof.Record) { r.Observed[3].Revision = 1 }},
@@ -104,16 +136,18 @@
 			}
 		})
 	}
-	for _, v := range proof.Verdicts() {
+	for _, v := range all() {
 		if !seen[v.Name] {
 			t.Errorf("no violation is planted for %s", v.Name)
 		}
 	}
 }
 
+func all() []proof.Verdict { return append(proof.Verdicts(), proof.EdgeVerdicts()...) }
+
 func judge(t *testing.T, name string) func(proof.Record) []proof.Violation {
 	t.Helper()
-	for _, v := range proof.Verdicts() {
+	for _, v := range all() {
 		if v.Name == name {
 			return v.Judge
 		}
@@ -124,7 +158,7 @@
 
 // A verdict that fails without cause hides the failures that have one.
 func TestVerdictsPassACleanRun(t *testing.T) {
-	for _, v := range proof.Verdicts() {
+	for _, v := range all() {
 		if found := v.Judge(clean()); len(found) > 0 {
 			t.Errorf("%s: %v", v.Name, found)
 		}
