--- a/proof/edgepool/operate.go
+++ b/proof/edgepool/operate.go
@@ -53,13 +53,20 @@
 	o.issued = members
 	o.write()
 	p.Note(func(r *proof.Record) {
-		for _, path := range []string{pathOnce, pathRepeat, pathStream, pathMoved} {
-			r.Placed = append(r.Placed, proof.Placed{Path: path, Service: services[0]})
+		for path, service := range o.placement() {
+			r.Placed = append(r.Placed, proof.Placed{Path: path, Service: service})
 		}
 	})
 	return o
 }
 
+// placement is the service of each path.
+func (o *operator) placement() map[string]string {
+	return map[string]string{
+		pathOnce: services[0], pathRepeat: services[1], pathStream: services[0], pathMoved: services[o.moved],
+	}
+}
+
 func (o *operator) write() {
 	c := platformstore.Config{
 		Version: o.version, Host: host, Keys: make(map[string][]string), ColdPerSecond: make(map[string]float64),
@@ -67,10 +74,7 @@
 	for path, kind := range map[string]string{
 		pathOnce: "non_idempotent", pathRepeat: "idempotent", pathStream: "streaming", pathMoved: "idempotent",
 	} {
-		r := platformstore.Route{Prefix: path, Kind: kind, Service: services[0], Timeout: routeTimeout, MaxSends: maxSends, Resumable: true}
-		if path == pathMoved {
-			r.Service = services[o.moved]
-		}
+		r := platformstore.Route{Prefix: path, Kind: kind, Service: o.placement()[path], Timeout: routeTimeout, MaxSends: maxSends, Resumable: true}
 		if path == pathOnce {
 			r.MaxSends, r.Resumable = 1, false
 		}
