Take the latest start at an address for its only upstream

Upstreams come back under new identifiers at their old addresses, and the entries of the old ones stay until their leases run out, 3.6 s later. Each edge sent to each of them before it was told so, and a non-idempotent request has one send.

Of the entries at one address, the view now lists the one with the latest start. Entries of services that no configuration names take nobody's address. TestTheLatestStartHasTheAddress failed first (old: listed true).

--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -219,18 +219,42 @@
 		ZonesOut:  make(map[string]bool),
 		Changed:   s.changed,
 	}
+	latest := s.latestAtAddresses()
 	for _, e := range s.entries {
 		if e.Zone != "" {
 			v.ZonesOut[e.Zone] = true
 		}
 		in := e.Instance
-		if in != nil && s.misplaced[in.ID] != e.Revision {
+		if in == nil || s.misplaced[in.ID] == e.Revision {
+			continue
+		}
+		if next := latest[in.Address]; next == nil || in.Born == 0 || in.Born >= next.Born {
 			v.Instances[in.ID] = *in
 		}
 	}
 	return v
 }
 
+// latestAtAddresses returns the upstream that started last at each address. One
+// that crashed stays listed until its lease runs out, while its successor is.
+func (s *State) latestAtAddresses() map[string]*api.Instance {
+	latest := make(map[string]*api.Instance)
+	for _, e := range s.entries {
+		in := e.Instance
+		if in == nil || s.table == nil {
+			continue
+		}
+		// An entry of another writer may name a service that does not exist.
+		if _, known := s.table.Services[in.Service]; !known {
+			continue
+		}
+		if other := latest[in.Address]; other == nil || in.Born > other.Born {
+			latest[in.Address] = in
+		}
+	}
+	return latest
+}
+
 // Match returns the route of a host and path: the one with the longest prefix.
 func Match(t *api.RouteTable, host, path string) *api.Route {
 	var best *api.Route
--- a/decide/discovery/discovery_test.go
+++ b/decide/discovery/discovery_test.go
@@ -143,6 +143,33 @@
 	}
 }
 
+// Guards against requests to an upstream that crashed and stays listed until its
+// lease runs out, although its successor registered at the address: every edge
+// sends to each of them before it learns that. An entry of another writer takes
+// nobody's address.
+func TestTheLatestStartHasTheAddress(t *testing.T) {
+	entry := func(id, service, address string, born int64, revision uint64) api.DiscoveryItem {
+		item := upstream(id, revision)
+		item.Instance.Service, item.Instance.Address, item.Instance.Born = service, address, born
+		return item
+	}
+	table := config(4, 1)
+	table.Table.Services = map[string]api.ServiceProfile{"s": {Name: "s"}}
+	s := discovery.New()
+	s.Apply(time.Second, api.DiscoveryUpdate{Full: true, AsOf: time.Second, Items: []api.DiscoveryItem{
+		table, entry("old", "s", "10.0.0.1:80", 100, 2), entry("other", "s", "10.0.0.2:80", 100, 3),
+		entry("unknown", "s", "10.0.0.1:80", 0, 4),
+	}})
+	view := s.Apply(2*time.Second, api.DiscoveryUpdate{AsOf: 2 * time.Second, Items: []api.DiscoveryItem{
+		entry("new", "s", "10.0.0.1:80", 200, 5), entry("forged", "none", "10.0.0.2:80", 300, 6),
+	}}).View
+	for id, want := range map[string]bool{"old": false, "new": true, "other": true, "unknown": true} {
+		if _, listed := view.Instances[id]; listed != want {
+			t.Errorf("%s: listed %t", id, listed)
+		}
+	}
+}
+
 // Guards against keys that are accepted although they may have been revoked.
 func TestKeysAreTrustedForLessThanTheRevocationBound(t *testing.T) {
 	const bound = 5 * time.Second
