Read the configuration seldom beside upstreams

Each process beside an upstream read the whole configuration with the list of upstreams every 3 s.

An update of the store now says which entries it did not look at. TestPollingLeavesTheConfigurationAlone failed first (5 reads).

--- a/api/discovery.go
+++ b/api/discovery.go
@@ -105,8 +105,10 @@
 
 // DiscoveryUpdate is news from the platform's store.
 type DiscoveryUpdate struct {
-	// Full updates list every entry; what they lack is gone.
-	Full  bool
+	// Full updates list every entry; what they lack is gone. Those whose keys
+	// begin with Unread were not looked at and stay as they are.
+	Full   bool
+	Unread string
 	Items []DiscoveryItem
 	// AsOf is an elapsed time at which the store held nothing newer.
 	AsOf time.Duration
--- a/api/edge.go
+++ b/api/edge.go
@@ -37,6 +37,9 @@
 	// Poll is the time between readings of the store by a process that does not
 	// need each change at once, 0 to watch it.
 	Poll Duration `toml:"poll"`
+	// ConfigPoll is the time between readings of the configuration by such a
+	// process, which are larger, 0 to read it with everything else.
+	ConfigPoll Duration `toml:"config_poll"`
 	// Revocation is the time within which a revoked key must be refused.
 	Revocation Duration `toml:"revocation"`
 	// RetryRatio and RetryExtra bound the repeats of all processes in a window:
--- /dev/null
+++ b/cmd/mulberryfork-platform/side_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/daemon"
+	"github.com/mulberryfork/mulberryfork/decide/settings"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/service/log"
+	"github.com/mulberryfork/mulberryfork/standin/platformstore"
+)
+
+// Guards against a process beside an upstream that reads a large configuration
+// with each list of upstreams, which fills its link: its group was not read for
+// over a second each time.
+func TestPollingLeavesTheConfigurationAlone(t *testing.T) {
+	store := platformstore.New()
+	server := httptest.NewServer(store)
+	defer server.Close()
+	store.Put("op/config", fmt.Appendf(nil, config, 1, 1))
+	text := fmt.Sprintf(`node = "n"
+zone = "z"
+[listen]
+link = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+[edge]
+store = %q
+worker = "127.0.0.1:1"
+service = "svc"
+poll = "10ms"
+config_poll = "1h"
+`, server.Listener.Addr())
+	loaded, problems := settings.Read("test", []byte(text), settings.Side)
+	if problems != nil {
+		t.Fatal(problems)
+	}
+	r, err := registry()
+	if err != nil {
+		t.Fatal(err)
+	}
+	names := []string{api.ServiceLog, api.ServiceMetrics, api.ServiceDiscovery, api.ServicePlatformStore}
+	process, err := daemon.StartWith(t.Context(), r, names, loaded, &log.Output{Writer: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = process.Stop(context.Background()) }()
+	if !poll(func() bool { return store.Reads("servers/") >= 5 }) {
+		t.Fatal("the list of upstreams is not read")
+	}
+	d, err := kernel.Find[api.Discovery](process.Host, api.ServiceDiscovery)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n := store.Reads("op/"); n != 1 || d.View().Table == nil {
+		t.Errorf("the configuration was read %d times, known: %t", n, d.View().Table != nil)
+	}
+}
--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -86,7 +86,7 @@
 		dirty = s.take(item, &c) || dirty
 	}
 	if u.Full {
-		dirty = s.vanishUnlisted(u.Items, &c) || dirty
+		dirty = s.vanishUnlisted(u, &c) || dirty
 	}
 	dirty = s.expire(now, &c) || dirty
 	return s.finish(c, dirty)
@@ -187,14 +187,15 @@
 	delete(s.vanishing, key)
 }
 
-func (s *State) vanishUnlisted(items []api.DiscoveryItem, c *Change) bool {
-	listed := make(map[string]bool, len(items))
-	for _, item := range items {
+func (s *State) vanishUnlisted(u api.DiscoveryUpdate, c *Change) bool {
+	listed := make(map[string]bool, len(u.Items))
+	for _, item := range u.Items {
 		listed[item.Key] = true
 	}
 	dirty := false
 	for key := range maps.Clone(s.entries) {
-		if !listed[key] {
+		unread := u.Unread != "" && strings.HasPrefix(key, u.Unread)
+		if !listed[key] && !unread {
 			dirty = s.vanish(key, c) || dirty
 		}
 	}
--- a/decide/discovery/discovery_test.go
+++ b/decide/discovery/discovery_test.go
@@ -48,6 +48,15 @@
 			},
 			want: []string{"b"}, version: 4,
 		},
+		{
+			name: "entries that were not read stay",
+			events: []event{
+				{time.Second, full},
+				{2 * time.Second, api.DiscoveryUpdate{Full: true, Unread: "servers/", AsOf: 2 * time.Second, Items: []api.DiscoveryItem{config(7, 9)}}},
+				{3 * time.Second, api.DiscoveryUpdate{Full: true, Unread: "op/", AsOf: 3 * time.Second, Items: []api.DiscoveryItem{upstream("b", 3)}}},
+			},
+			want: []string{"b"}, version: 7,
+		},
 		{
 			name: "lease ran out while the store was away",
 			events: []event{
--- a/standin/platformstore/store.go
+++ b/standin/platformstore/store.go
@@ -33,11 +33,13 @@
 	deaf      bool
 	status    int
 	calls     int
+	// reads counts the first pages read, by prefix.
+	reads map[string]int
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{entries: make(map[string]item), revision: 1, changed: make(chan struct{})}
+	return &Store{entries: make(map[string]item), reads: make(map[string]int), revision: 1, changed: make(chan struct{})}
 }
 
 // Put writes an entry.
@@ -98,6 +100,13 @@
 	return s.calls
 }
 
+// Reads returns how often the entries under a prefix were read from the first.
+func (s *Store) Reads(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads[prefix]
+}
+
 // ServeHTTP answers the calls of the platform's protocol.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
@@ -124,6 +133,9 @@
 func (s *Store) list(w http.ResponseWriter, prefix, after string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if after == "" {
+		s.reads[prefix]++
+	}
 	var found []item
 	for key, i := range s.entries {
 		if strings.HasPrefix(key, prefix) && key > after {
