--- a/decide/mapswitch/answer.go
+++ b/decide/mapswitch/answer.go
@@ -41,7 +41,12 @@
 		s.enter(now, Idle)
 		return nil
 	case Holding:
-		// The pass has begun. The next reading shows which one can be held.
+		// The pass has begun, so the next one begins a whole pass later. If that
+		// can't be held either, the next reading shows which one can.
+		if !s.stepped {
+			s.step, s.stepped = s.step+1, true
+			return s.holdStep(now)
+		}
 		s.enter(now, Preparing)
 		return nil
 	case Arming, ArmingHolder, ArmingOwn:
--- a/decide/mapswitch/mapswitch.go
+++ b/decide/mapswitch/mapswitch.go
@@ -94,6 +94,8 @@
 	top     uint64
 	version uint64
 	step    uint64
+	// stepped is set once the pass to hold had begun and the next one is tried.
+	stepped bool
 	plan    [][][]int
 	ranks   []api.RankReport
 	// waiting are the orders of the phase without an answer, by rank.
@@ -318,7 +320,11 @@
 
 func (s *State) hold(now time.Duration) []Send {
 	s.enter(now, Holding)
-	s.step = s.lastStep() + s.lead()
+	s.step, s.stepped = s.lastStep()+s.lead(), false
+	return s.holdStep(now)
+}
+
+func (s *State) holdStep(now time.Duration) []Send {
 	s.expect(s.holder(s.own), api.RankOrder{Op: api.RankHold, Step: s.step})
 	return s.due(now)
 }
