Plan anew from the readings behind a shift of demand

Cause: the estimate of demand halves every 11 s of running requests.

Readings tell a shift at once: the choices of one interval lie 0.04 to 0.21 from the estimate of the same demand (small sites) and 0.03 to 0.10 (grown), 0.42 to 0.51 and 0.29 to 0.31 across a shift. The estimate now begins anew with the reading after the one that shows a shift, and that one is asked for at once.

TestAShiftIsFollowedWithinTwoReadings and TestChanceIsNoShift.

--- a/decide/expertplan/expertplan.go
+++ b/decide/expertplan/expertplan.go
@@ -3,7 +3,6 @@
 package expertplan
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -15,10 +14,6 @@
 	// minGain is the smallest part of the expert time of a pass worth a change,
 	// whose copies lengthen passes by 15% while they run.
 	minGain = 0.18
-	// demandHalfLife is the time of one running request in which counted choices
-	// lose half of their weight; all requests of the group count. The choices of
-	// a few dozen requests tell the demand, which shifts within seconds.
-	demandHalfLife = 11 * time.Second
 	// copyLimit bounds the time in which a rank copies experts for one change:
 	// the old map is in use meanwhile, and demand shifts within seconds.
 	copyLimit = 250 * time.Millisecond
@@ -32,13 +27,7 @@
 type State struct {
 	shape  placement.Shape
 	limits placement.Limits
-	// demand is the share of each expert in its layer.
-	demand placement.Loads
-	// last are the counts of the previous reading, by rank.
-	last  [][]uint64
-	epoch uint64
-	// at is the time of the previous reading.
-	at time.Duration
+	demand demand
 	// planned is the last result of Plan. Ranks are read several times as often
 	// as their counts, and a plan takes milliseconds of a part of a core.
 	planned *planned
@@ -62,6 +51,7 @@
 			RanksPerVM: 1,
 		},
 		limits: limits(ranks, p),
+		demand: demand{noise: firstNoise},
 	}
 }
 
@@ -78,59 +68,6 @@
 // Shape returns the size of the group.
 func (s *State) Shape() placement.Shape { return s.shape }
 
-// Observe takes a reading of the counts of all ranks, on which so many requests
-// run. Ranks without counts, and those that started anew, are left out.
-func (s *State) Observe(now time.Duration, epoch uint64, counts [][]uint64, running int) {
-	size := s.shape.Layers * s.shape.Experts
-	loads := make(placement.Loads, s.shape.Layers)
-	for l := range loads {
-		loads[l] = make([]float64, s.shape.Experts)
-	}
-	seen := false
-	if epoch == s.epoch && len(s.last) == len(counts) {
-		for r := range counts {
-			if len(counts[r]) != size || len(s.last[r]) != size {
-				continue
-			}
-			for i := range counts[r] {
-				if counts[r][i] > s.last[r][i] {
-					loads[i/s.shape.Experts][i%s.shape.Experts] += float64(counts[r][i] - s.last[r][i])
-					seen = true
-				}
-			}
-		}
-	}
-	passed := now - s.at
-	s.last, s.epoch, s.at = counts, epoch, now
-	if seen {
-		s.add(loads, passed, running)
-	}
-}
-
-// add moves the estimate towards the shares of an interval.
-func (s *State) add(loads placement.Loads, passed time.Duration, running int) {
-	s.planned = nil
-	weight := 1 - math.Exp2(-float64(passed)*float64(running)/float64(demandHalfLife))
-	if s.demand == nil {
-		s.demand, weight = make(placement.Loads, len(loads)), 1
-		for l := range loads {
-			s.demand[l] = make([]float64, len(loads[l]))
-		}
-	}
-	for l, layer := range loads {
-		total := 0.0
-		for _, x := range layer {
-			total += x
-		}
-		if total == 0 {
-			continue
-		}
-		for e, x := range layer {
-			s.demand[l][e] += weight * (x/total - s.demand[l][e])
-		}
-	}
-}
-
 // Plan is a change of map and what it is expected to bring.
 type Plan struct {
 	// Map is by layer and rank.
@@ -158,8 +95,8 @@
 }
 
 func (s *State) improve(present [][][]int) (Plan, bool) {
-	loads := s.demand
-	if loads == nil {
+	loads := s.demand.shares
+	if loads == nil || s.demand.shifting() {
 		return Plan{}, false
 	}
 	before, ok := s.pack(present)
@@ -182,10 +119,10 @@
 // even spread, under the present demand.
 func (s *State) Imbalance(lists [][][]int) float64 {
 	m, ok := s.pack(lists)
-	if !ok || s.demand == nil {
+	if !ok || s.demand.shares == nil {
 		return 0
 	}
-	return m.Cost(s.demand) / s.evenCost(s.demand)
+	return m.Cost(s.demand.shares) / s.evenCost(s.demand.shares)
 }
 
 // evenCost is the expert time of a pass if each rank had the same load.
--- a/decide/expertplan/expertplan_test.go
+++ b/decide/expertplan/expertplan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -153,6 +154,90 @@
 	if after, _ := s.Plan(first); slices.EqualFunc(after.Map, before.Map, sameLayer) {
 		t.Error("the plan stays after demand has shifted")
 	}
+	s.Observe(3*time.Second, 1, further(counts, 50, 9), running)
+	if after, ok := s.Plan(first); !ok || slices.EqualFunc(after.Map, before.Map, sameLayer) {
+		t.Errorf("no other plan (%t) for the demand that has shifted", ok)
+	}
+}
+
+// further returns counts to which each rank added choices.
+func further(counts [][]uint64, first int, times uint64) [][]uint64 {
+	next := make([][]uint64, len(counts))
+	for r := range counts {
+		next[r] = slices.Clone(counts[r])
+		for i, n := range skewed(profile, first) {
+			next[r][i] += times * n
+		}
+	}
+	return next
+}
+
+// Guards against an estimate that takes half a second to follow a shift, in
+// which changes of map are planned for a mixture of the former and the present
+// demand: each had to be followed by another one.
+func TestAShiftIsFollowedWithinTwoReadings(t *testing.T) {
+	const interval = 40 * time.Millisecond
+	s := expertplan.New(ranks, profile)
+	counts := make([][]uint64, ranks)
+	for r := range counts {
+		counts[r] = make([]uint64, profile.Layers*profile.Experts)
+	}
+	now := time.Duration(0)
+	read := func(first int) {
+		counts = further(counts, first, 1)
+		now += interval
+		s.Observe(now, 1, counts, running)
+	}
+	for range 20 {
+		read(5)
+	}
+	map5, _ := observed(ranks, profile, 5).Plan(expertplan.First(s.Shape()))
+	want := observed(ranks, profile, 50).Imbalance(map5.Map)
+	if before := s.Imbalance(map5.Map); before > 0.8*want {
+		t.Fatalf("imbalance %.2f before the shift, %.2f after it", before, want)
+	}
+	// The shift falls within a reading.
+	counts = further(counts, 5, 1)
+	read(50)
+	if !s.Shifting() {
+		t.Error("the shift is not noticed")
+	}
+	if _, ok := s.Plan(map5.Map); ok {
+		t.Error("a plan for a mixture of two demands")
+	}
+	read(50)
+	if got := s.Imbalance(map5.Map); math.Abs(got-want) > 0.02*want {
+		t.Errorf("imbalance %.2f after two readings, want %.2f", got, want)
+	}
+	if _, ok := s.Plan(map5.Map); !ok {
+		t.Error("no plan for the present demand")
+	}
+}
+
+// Guards against readings that differ by chance and are taken for a shift, which
+// throws away what is known.
+func TestChanceIsNoShift(t *testing.T) {
+	s := expertplan.New(ranks, profile)
+	random := rand.New(rand.NewPCG(1, 1))
+	counts := make([][]uint64, ranks)
+	for r := range counts {
+		counts[r] = make([]uint64, profile.Layers*profile.Experts)
+	}
+	for i := range 500 {
+		counts = further(counts, 5, 1)
+		// A few dozen requests prefer experts of their own.
+		for r := range counts {
+			for l := range profile.Layers {
+				for range 3 {
+					counts[r][l*profile.Experts+random.IntN(profile.Experts)] += uint64(random.IntN(400_000))
+				}
+			}
+		}
+		s.Observe(time.Duration(i)*40*time.Millisecond, 1, counts, running)
+		if s.Shifting() {
+			t.Fatalf("reading %d is taken for a shift", i)
+		}
+	}
 }
 
 func sameLayer(a, b [][]int) bool { return slices.EqualFunc(a, b, slices.Equal) }
