--- a/cmd/mulberryfork-platform/main.go
+++ b/cmd/mulberryfork-platform/main.go
@@ -37,6 +37,7 @@
 	Side sideCommand `cmd:"" help:"Keep the expert map of the engine beside the process."`
 
 	Check   checkCommand   `cmd:"" help:"Check a settings file and print every problem."`
+	Explain explainCommand `cmd:"" help:"Say what a setting is and which line sets it."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
