Weigh the gain of a change of map against what its copies cost

Cause: a change had to bring 18% whatever its copies cost. On the grown sites (229 ms of copies) the map after a shift was left at an imbalance of 1.5, where a second change brings 1.3. At 5 running streams a rank passes feed back on the number of streams: at 1.5 the passes after the next shift exceed the allowed pause, at 1.3 they don't.

The least gain follows from the time of the copies: 0.135 on the grown sites, 0.18 on the others as before.

--- a/api/discovery.go
+++ b/api/discovery.go
@@ -109,7 +109,7 @@
 	// begin with Unread were not looked at and stay as they are.
 	Full   bool
 	Unread string
-	Items []DiscoveryItem
+	Items  []DiscoveryItem
 	// AsOf is an elapsed time at which the store held nothing newer.
 	AsOf time.Duration
 	// Lost is why the store was not reached; the rest is empty then.
--- a/cmd/mulberryfork-platform/edge_test.go
+++ b/cmd/mulberryfork-platform/edge_test.go
@@ -66,14 +66,14 @@
 admin = "127.0.0.1:0"
 [edge]
 store = %q
-ready = %q
+ready = "127.0.0.1:0"
 revocation = "5s"
 retry_ratio = 0.0
 retry_extra = %d
 retry_window = "10s"
 cold_overshoot = 1.5
 cold_tolerance = 5.0
-`, storeServer.Listener.Addr(), freeAddress(t), extra)
+`, storeServer.Listener.Addr(), extra)
 	loaded, problems := settings.Read("test", []byte(text), settings.Edge)
 	if problems != nil {
 		t.Fatal(problems)
@@ -89,23 +89,14 @@
 	if b.http, err = b.process.Address(api.ServiceFrontendHTTP); err != nil {
 		t.Fatal(err)
 	}
-	b.ready = loaded.Edge.Ready
+	if b.ready, err = b.process.Address(api.ServicePlatformReady); err != nil {
+		t.Fatal(err)
+	}
 	b.await(func(v *api.View) bool { return v.Table != nil && len(v.Instances) == 2 })
 	b.awaitReady()
 	return b
 }
 
-// freeAddress returns an address that nothing listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (b *bed) register(id, address, state string) {
 	b.store.Put("servers/"+id, fmt.Appendf(nil, `{"service":"svc","address":%q,"availabilityZone":"z","version":"v1",
 "capacitySlots":4,"lifecycleState":%q,"coldRemainingMs":0,"sequenceNumber":1}`, address, state))
--- a/decide/expertplan/expertplan.go
+++ b/decide/expertplan/expertplan.go
@@ -11,9 +11,13 @@
 )
 
 const (
-	// minGain is the smallest part of the expert time of a pass worth a change,
-	// whose copies lengthen passes by 15% while they run.
-	minGain = 0.18
+	// copySlowdown is how much longer passes take while experts are copied, as the
+	// platform states it, and holdTime how long a change holds the group.
+	copySlowdown = 0.15
+	holdTime     = 40 * time.Millisecond
+	// payback is the time in which a change must save what it costs. Demand shifts
+	// every few seconds, and a part of an expected gain is chance.
+	payback = 550 * time.Millisecond
 	// copyLimit bounds the time in which a rank copies experts for one change:
 	// the old map is in use meanwhile, and demand shifts within seconds.
 	copyLimit = 250 * time.Millisecond
@@ -27,7 +31,9 @@
 type State struct {
 	shape  placement.Shape
 	limits placement.Limits
-	demand demand
+	// minGain is the smallest part of the expert time of a pass worth a change.
+	minGain float64
+	demand  demand
 	// planned is the last result of Plan. Ranks are read several times as often
 	// as their counts, and a plan takes milliseconds of a part of a core.
 	planned *planned
@@ -50,19 +56,31 @@
 			Slots:      p.SlotsPerRank,
 			RanksPerVM: 1,
 		},
-		limits: limits(ranks, p),
-		demand: demand{noise: firstNoise},
+		limits:  limits(ranks, p),
+		minGain: minGain(p),
+		demand:  demand{noise: firstNoise},
 	}
 }
 
-// limits bounds what the ranks copy for one change. A rank copies one expert at
+// perRank is the number of experts that a rank copies for one change, one at
 // least.
-func limits(ranks int, p api.EngineProfile) placement.Limits {
-	perRank := 1
-	if p.CopyTime > 0 {
-		perRank = max(1, int(copyLimit/p.CopyTime))
+func perRank(p api.EngineProfile) int {
+	if p.CopyTime <= 0 {
+		return 1
 	}
-	return placement.Limits{Weights: perRank * ranks, PerRank: perRank, PerRankLayer: max(1, p.StagedPerRank)}
+	return max(1, int(copyLimit/p.CopyTime))
+}
+
+// minGain is what a change costs as a part of the time in which it must pay.
+func minGain(p api.EngineProfile) float64 {
+	copying := time.Duration(perRank(p)) * p.CopyTime
+	return (copySlowdown*copying.Seconds() + holdTime.Seconds()) / payback.Seconds()
+}
+
+// limits bounds what the ranks copy for one change.
+func limits(ranks int, p api.EngineProfile) placement.Limits {
+	n := perRank(p)
+	return placement.Limits{Weights: n * ranks, PerRank: n, PerRankLayer: max(1, p.StagedPerRank)}
 }
 
 // Shape returns the size of the group.
@@ -112,7 +130,7 @@
 		return Plan{}, false
 	}
 	p := Plan{Map: s.unpack(after), Before: before.Cost(loads) / even, After: after.Cost(loads) / even, Copies: after.Moved(before)}
-	return p, p.Before-p.After >= minGain*p.Before
+	return p, p.Before-p.After >= s.minGain*p.Before
 }
 
 // Imbalance is the expert time of a pass with a map, as a multiple of that of an
--- a/decide/expertplan/expertplan_test.go
+++ b/decide/expertplan/expertplan_test.go
@@ -112,6 +112,33 @@
 	}
 }
 
+// Guards against a change that is left out though its copies take little time, and
+// one whose copies cost more than it brings.
+func TestChangesThatCostMoreMustBringMore(t *testing.T) {
+	quick := api.EngineProfile{Layers: 3, Experts: 96, SlotsPerRank: 11, StagedPerRank: 4, CopyTime: 76 * time.Millisecond}
+	slow := quick
+	slow.CopyTime = 400 * time.Millisecond
+	changes := func(engine api.EngineProfile) int {
+		s, present := observed(ranks, engine, 5), expertplan.First(observed(ranks, engine, 5).Shape())
+		for n := 0; ; n++ {
+			p, ok := s.Plan(present)
+			if !ok {
+				return n
+			}
+			if gain := 1 - p.After/p.Before; gain < 0.13 || engine.CopyTime == slow.CopyTime && gain < 0.18 {
+				t.Errorf("change %d with copies of %v brings %.2f", n, engine.CopyTime, gain)
+			}
+			present = p.Map
+		}
+	}
+	if n := changes(quick); n < 1 {
+		t.Errorf("%d changes with quick copies", n)
+	}
+	if n := changes(slow); n < 1 {
+		t.Errorf("%d changes with slow copies", n)
+	}
+}
+
 // Guards against a change of which nothing is gained.
 func TestEvenDemandNeedsNoChange(t *testing.T) {
 	s := expertplan.New(ranks, profile)
--- a/proof/edgepool/faults.go
+++ b/proof/edgepool/faults.go
@@ -12,14 +12,9 @@
 	"github.com/mulberryfork/mulberryfork/standin/faultproxy"
 )
 
-// Sizes of the faults in the network.
 const (
-	faultDelay  = 30 * time.Millisecond
-	faultJitter = 20 * time.Millisecond
-	slowStore   = 400 * time.Millisecond
-	faultReset  = 3000
-	faultLoss   = 0.02
-	faultStall  = 200 * time.Millisecond
+	// slowStore is added to each answer of a slow store, a hundred times the usual.
+	slowStore = 400 * time.Millisecond
 	// burst is how often an operation is made in series, burstPause the time
 	// between.
 	burst      = 3
@@ -60,15 +55,6 @@
 	return func(context.Context) error { f(); return nil }
 }
 
-// rule is a step that puts a fault on a direction of the network.
-func (p *Pool) rule(kind, from, to string, f faultproxy.Fault) schedule.Step {
-	return schedule.Step{
-		Name: kind + " " + from + " to " + to, Targets: []string{from + " to " + to},
-		Begin: do(func() { p.Network.Set(from, to, f) }),
-		End:   do(func() { p.Network.Clear(from, to) }),
-	}
-}
-
 // link draws two sides with a link between them, in either direction.
 func (p *Pool) link(r *rand.Rand) (from, to string) {
 	edge := schedule.Pick(p.Edges, r).Name
@@ -81,22 +67,22 @@
 
 func delay(p *Pool, r *rand.Rand) schedule.Step {
 	from, to := p.link(r)
-	return p.rule("delay", from, to, faultproxy.Fault{Delay: faultDelay, Jitter: faultJitter})
+	return schedule.Rule(p.Network, "delay", from, to, schedule.Delay)
 }
 
 func cutOneWay(p *Pool, r *rand.Rand) schedule.Step {
 	from, to := p.link(r)
-	return p.rule("cut_one_way", from, to, faultproxy.Fault{Cut: true})
+	return schedule.Rule(p.Network, "cut_one_way", from, to, schedule.Cut)
 }
 
 func reset(p *Pool, r *rand.Rand) schedule.Step {
 	from, to := p.link(r)
-	return p.rule("reset", from, to, faultproxy.Fault{ResetAfter: faultReset})
+	return schedule.Rule(p.Network, "reset", from, to, schedule.Reset)
 }
 
 func loss(p *Pool, r *rand.Rand) schedule.Step {
 	from, to := p.link(r)
-	return p.rule("loss", from, to, faultproxy.Fault{LossRate: faultLoss, Stall: faultStall})
+	return schedule.Rule(p.Network, "loss", from, to, schedule.Loss)
 }
 
 // silence cuts an upstream off in both directions, without a reset.
@@ -214,7 +200,7 @@
 }
 
 func storeSlow(p *Pool, _ *rand.Rand) schedule.Step {
-	s := p.rule("store_slow", sideStore, faultproxy.Any, faultproxy.Fault{Delay: slowStore})
+	s := schedule.Rule(p.Network, "store_slow", sideStore, faultproxy.Any, faultproxy.Fault{Delay: slowStore})
 	s.Hides = true
 	return s
 }
@@ -222,9 +208,9 @@
 // storeCut cuts one edge off from the store, in one direction or both.
 func storeCut(p *Pool, r *rand.Rand) schedule.Step {
 	e := schedule.Pick(p.Edges, r)
-	s := p.rule("store_cut", sideStore, e.Name, faultproxy.Fault{Cut: true})
+	s := schedule.Rule(p.Network, "store_cut", sideStore, e.Name, schedule.Cut)
 	if r.IntN(2) == 0 {
-		s = p.rule("store_cut", e.Name, sideStore, faultproxy.Fault{Cut: true})
+		s = schedule.Rule(p.Network, "store_cut", e.Name, sideStore, schedule.Cut)
 	}
 	s.Nodes, s.Hides = []string{e.Name}, true
 	return s
--- a/proof/pool/faults.go
+++ b/proof/pool/faults.go
@@ -5,22 +5,16 @@
 	"math/rand/v2"
 	"strings"
 	"syscall"
-	"time"
 
 	"github.com/mulberryfork/mulberryfork/proof/schedule"
 	"github.com/mulberryfork/mulberryfork/standin/faultproxy"
 )
 
-// Sizes of the faults in the network.
 const (
-	faultDelay  = 30 * time.Millisecond
-	faultJitter = 20 * time.Millisecond
-	// faultTrickle is slower than an answer is generated.
+	// faultTrickle is slower than an answer is generated, in bytes a second.
 	faultTrickle = 2000
-	faultReset   = 3000
-	faultLoss    = 0.02
-	faultStall   = 200 * time.Millisecond
-	duplicates   = 2
+	// duplicates is the number of further attempts for each connection.
+	duplicates = 2
 )
 
 // Kind makes a step in a pool.
@@ -48,15 +42,6 @@
 	{Name: "roll_agents", Make: func(p *Pool, r *rand.Rand) schedule.Step { return roll([]*Node{schedule.Pick(p.Agents, r)}) }},
 }
 
-// rule is a step that puts a fault on a direction of the network.
-func (p *Pool) rule(kind, from, to string, f faultproxy.Fault) schedule.Step {
-	return schedule.Step{
-		Name: kind + " " + from + " to " + to, Targets: []string{from + " to " + to},
-		Begin: func(context.Context) error { p.Network.Set(from, to, f); return nil },
-		End:   func(context.Context) error { p.Network.Clear(from, to); return nil },
-	}
-}
-
 // link draws two sides with a link between them, in either direction.
 func (p *Pool) link(r *rand.Rand) (from, to string) {
 	router, agent := schedule.Pick(p.Routers, r), schedule.Pick(p.Agents, r)
@@ -70,26 +55,26 @@
 
 func delay(p *Pool, r *rand.Rand) schedule.Step {
 	from, to := p.link(r)
-	return p.rule("delay", from, to, faultproxy.Fault{Delay: faultDelay, Jitter: faultJitter})
+	return schedule.Rule(p.Network, "delay", from, to, schedule.Delay)
 }
 
 func trickle(p *Pool, r *rand.Rand) schedule.Step {
 	from, to := p.link(r)
-	return p.rule("trickle", from, to, faultproxy.Fault{BytesPerSecond: faultTrickle})
+	return schedule.Rule(p.Network, "trickle", from, to, faultproxy.Fault{BytesPerSecond: faultTrickle})
 }
 
 func reset(p *Pool, r *rand.Rand) schedule.Step {
 	from, to := p.link(r)
-	return p.rule("reset", from, to, faultproxy.Fault{ResetAfter: faultReset})
+	return schedule.Rule(p.Network, "reset", from, to, schedule.Reset)
 }
 
 func loss(p *Pool, r *rand.Rand) schedule.Step {
 	from, to := p.link(r)
-	return p.rule("loss", from, to, faultproxy.Fault{LossRate: faultLoss, Stall: faultStall})
+	return schedule.Rule(p.Network, "loss", from, to, schedule.Loss)
 }
 
 func duplicate(p *Pool, r *rand.Rand) schedule.Step {
-	return p.rule("duplicate", schedule.Pick(p.Routers, r).Name, faultproxy.Any, faultproxy.Fault{Duplicates: duplicates})
+	return schedule.Rule(p.Network, "duplicate", schedule.Pick(p.Routers, r).Name, faultproxy.Any, faultproxy.Fault{Duplicates: duplicates})
 }
 
 // cutOneWay acts between a router and an agent, where a half-open link hides
@@ -99,7 +84,7 @@
 	if r.IntN(2) == 0 {
 		from, to = to, from
 	}
-	return p.rule("cut_one_way", from, to, faultproxy.Fault{Cut: true})
+	return schedule.Rule(p.Network, "cut_one_way", from, to, schedule.Cut)
 }
 
 // partition splits one zone from the others; the platform stays reachable.
--- /dev/null
+++ b/proof/schedule/network.go
@@ -0,0 +1,25 @@
+package schedule
+
+import (
+	"context"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/standin/faultproxy"
+)
+
+// Faults that a step puts on a direction of the network.
+var (
+	Delay = faultproxy.Fault{Delay: 30 * time.Millisecond, Jitter: 20 * time.Millisecond}
+	Reset = faultproxy.Fault{ResetAfter: 3000}
+	Loss  = faultproxy.Fault{LossRate: 0.02, Stall: 200 * time.Millisecond}
+	Cut   = faultproxy.Fault{Cut: true}
+)
+
+// Rule is a step that puts a fault on a direction of a network.
+func Rule(n *faultproxy.Network, kind, from, to string, f faultproxy.Fault) Step {
+	return Step{
+		Name: kind + " " + from + " to " + to, Targets: []string{from + " to " + to},
+		Begin: func(context.Context) error { n.Set(from, to, f); return nil },
+		End:   func(context.Context) error { n.Clear(from, to); return nil },
+	}
+}
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -179,9 +179,13 @@
 func (s *service) Address() string { return s.listener.Addr().String() }
 
 func (s *service) Stop(context.Context) error {
-	if s.cancel != nil {
-		s.cancel()
+	if s.cancel == nil {
+		return nil
 	}
+	s.cancel()
+	// The server closes its listener later than it is told to stop, and the
+	// process that follows listens on the same address.
+	_ = s.listener.Close()
 	return nil
 }
 
