Retry unbound requests without waiting for news of an agent

Cause: a retry after an upstream's failure waits 150 ms, so that an agent's news of a crash comes first.

--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -162,9 +162,13 @@
 }
 
 // backoff spreads retries out. After a crash of the upstream it also leaves
-// time for the agent's news of it, so that the request is routed as a suspect.
+// time for the agent's news of it, so that the request is routed as a suspect. An
+// unbound request goes past no agent: another upstream can take it at once.
 func (d *delivery) backoff(f *api.Failure) time.Duration {
 	if crashed(f) || recalled(f) {
+		if d.request.Unbound {
+			return 0
+		}
 		return crashPause
 	}
 	if f.Run == api.NotRun && f.RetryAfter == 0 {
