--- a/proof/edgepool/operate.go
+++ b/proof/edgepool/operate.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -118,14 +119,15 @@
 	})
 }
 
-// credentials are the keys in force, then those that were revoked lately.
+// credentials are the keys in force, in the order of members, and those that were
+// revoked lately.
 func (o *operator) credentials() (valid, revoked []credential) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for member, key := range o.keys {
 		valid = append(valid, credential{member, key})
 	}
-	slices.SortFunc(valid, func(a, b credential) int { return len(a.member+a.key) - len(b.member+b.key) })
+	slices.SortFunc(valid, func(a, b credential) int { return strings.Compare(a.member, b.member) })
 	return valid, slices.Clone(o.revoked)
 }
 
