--- a/bench/soak.go
+++ b/bench/soak.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -69,6 +70,7 @@
 	for _, s := range soaked {
 		figures = violationFigures(p, s, figures)
 	}
+	refusals := make(map[api.Code]int)
 	var sent, whole, unknown, refused, steps int
 	for _, s := range soaked {
 		steps += s.Steps
@@ -81,9 +83,13 @@
 				unknown++
 			case send.Run == api.NotRun:
 				refused++
+				refusals[send.Code]++
 			}
 		}
 	}
+	for _, code := range slices.Sorted(maps.Keys(refusals)) {
+		fmt.Fprintf(p.Progress, "refused with %s: %d\n", code, refusals[code])
+	}
 	return append(figures,
 		Plain("requests_sent", float64(sent), "sends"),
 		Plain("answers_whole", float64(whole), "answers"),
