Tell a shift of demand once

A group that goes idle right after the reading that shows a shift has no choices to tell more: the leader wrote the same line at each reading, 25 a second, and counted without a pause. Found on reading the change; the test asks a reading without choices.

--- a/decide/expertplan/demand.go
+++ b/decide/expertplan/demand.go
@@ -43,17 +43,17 @@
 }
 
 // Observe takes a reading of the counts of all ranks, on which so many requests
-// run. Ranks without counts, and those that started anew, are left out.
-func (s *State) Observe(now time.Duration, epoch uint64, counts [][]uint64, running int) {
-	if s.demand.observe(s.shape, now, epoch, counts, running) {
-		s.planned = nil
+// run. Ranks without counts, and those that started anew, are left out. It returns
+// true if demand shifted within this reading, which tells neither the former nor
+// the present one: the next reading does, and no change is planned before.
+func (s *State) Observe(now time.Duration, epoch uint64, counts [][]uint64, running int) (shifted bool) {
+	if !s.demand.observe(s.shape, now, epoch, counts, running) {
+		return false
 	}
+	s.planned = nil
+	return s.demand.shifting()
 }
 
-// Shifting says whether demand shifted within the last reading, which tells
-// neither the former nor the present one. The next reading does.
-func (s *State) Shifting() bool { return s.demand.shifting() }
-
 func (d *demand) shifting() bool { return d.since == 1 }
 
 // observe returns false for a reading without choices.
--- a/decide/expertplan/expertplan_test.go
+++ b/decide/expertplan/expertplan_test.go
@@ -210,10 +210,10 @@
 		counts[r] = make([]uint64, profile.Layers*profile.Experts)
 	}
 	now := time.Duration(0)
-	read := func(first int) {
+	read := func(first int) bool {
 		counts = further(counts, first, 1)
 		now += interval
-		s.Observe(now, 1, counts, running)
+		return s.Observe(now, 1, counts, running)
 	}
 	for range 20 {
 		read(5)
@@ -225,10 +225,14 @@
 	}
 	// The shift falls within a reading.
 	counts = further(counts, 5, 1)
-	read(50)
-	if !s.Shifting() {
+	if !read(50) {
 		t.Error("the shift is not noticed")
 	}
+	// A group that goes idle then tells nothing more, and no second shift.
+	now += interval
+	if s.Observe(now, 1, counts, running) {
+		t.Error("a reading without choices tells a shift")
+	}
 	if _, ok := s.Plan(map5.Map); ok {
 		t.Error("a plan for a mixture of two demands")
 	}
@@ -260,8 +264,7 @@
 				}
 			}
 		}
-		s.Observe(time.Duration(i)*40*time.Millisecond, 1, counts, running)
-		if s.Shifting() {
+		if s.Observe(time.Duration(i)*40*time.Millisecond, 1, counts, running) {
 			t.Fatalf("reading %d is taken for a shift", i)
 		}
 	}
--- a/service/experts/lead.go
+++ b/service/experts/lead.go
@@ -136,13 +136,10 @@
 	if s.plan == nil {
 		s.plan = expertplan.New(len(s.last), *profile)
 	}
-	if counted {
-		s.plan.Observe(now, epoch, counts, s.running())
-		if s.plan.Shifting() {
-			s.log.Change("demand shifted", api.Fields{"group": s.group, "epoch": epoch, "running": s.running()})
-			// The next reading counts at once.
-			s.countedAt = 0
-		}
+	if counted && s.plan.Observe(now, epoch, counts, s.running()) {
+		s.log.Change("demand shifted", api.Fields{"group": s.group, "epoch": epoch, "running": s.running()})
+		// The next reading counts at once.
+		s.countedAt = 0
 	}
 }
 
