--- a/proof/edgepool/edge.go
+++ b/proof/edgepool/edge.go
@@ -15,6 +15,7 @@
 	"github.com/mulberryfork/mulberryfork/proof/process"
 	"github.com/mulberryfork/mulberryfork/proof/schedule"
 	"github.com/mulberryfork/mulberryfork/standin/faultproxy"
+	"github.com/mulberryfork/mulberryfork/standin/platformcaller"
 )
 
 const (
@@ -162,12 +163,8 @@
 // awaitReady asks until the process says that it takes requests.
 func (e *Edge) awaitReady(ctx context.Context, client *http.Client) error {
 	for {
-		answer, err := client.Get("http://" + e.readyAddress() + "/-/readiness")
-		if err == nil {
-			answer.Body.Close()
-			if answer.StatusCode == http.StatusOK {
-				return nil
-			}
+		if platformcaller.Ready(client, e.readyAddress()) {
+			return nil
 		}
 		if err := schedule.Wait(ctx, settleInterval); err != nil {
 			return &NotReadyError{Edge: e.Name, Log: e.now().Log(), Err: err}
--- a/standin/platformcaller/caller.go
+++ b/standin/platformcaller/caller.go
@@ -48,6 +48,16 @@
 	return &Caller{address: address, transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true}}
 }
 
+// Ready asks a process, as the platform does, whether it takes new connections.
+func Ready(client *http.Client, address string) bool {
+	answer, err := client.Get("http://" + address + "/-/readiness")
+	if err != nil {
+		return false
+	}
+	answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
 // Close ends the open connection.
 func (c *Caller) Close() { c.transport.CloseIdleConnections() }
 
