Pause, kill and roll processes by one piece of code in both soaks

The soak of edges had copies of three steps of the other soak, alike but for the type of the process. proof/schedule makes them now for anything that can be signalled, killed, started and restarted.

--- a/proof/edgepool/edge.go
+++ b/proof/edgepool/edge.go
@@ -124,6 +124,9 @@
 	return e.ready
 }
 
+// ID is the name of the edge.
+func (e *Edge) ID() string { return e.Name }
+
 // Signal sends a signal to the process.
 func (e *Edge) Signal(s os.Signal) error {
 	if err := e.now().Signal(s); err != nil {
--- a/proof/edgepool/faults.go
+++ b/proof/edgepool/faults.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"syscall"
 	"time"
 
@@ -95,23 +94,9 @@
 	}
 }
 
-func pause(p *Pool, r *rand.Rand) schedule.Step {
-	e := schedule.Pick(p.Edges, r)
-	return schedule.Step{
-		Name: "pause " + e.Name, Nodes: []string{e.Name}, Hides: true, Targets: []string{e.Name},
-		Begin: func(context.Context) error { return e.Signal(syscall.SIGSTOP) },
-		End:   func(context.Context) error { return e.Signal(syscall.SIGCONT) },
-	}
-}
+func pause(p *Pool, r *rand.Rand) schedule.Step { return schedule.Pause(schedule.Pick(p.Edges, r)) }
 
-func killEdge(p *Pool, r *rand.Rand) schedule.Step {
-	e := schedule.Pick(p.Edges, r)
-	return schedule.Step{
-		Name: "kill " + e.Name, Targets: []string{e.Name},
-		Begin: func(context.Context) error { return e.Kill() },
-		End:   e.Start,
-	}
-}
+func killEdge(p *Pool, r *rand.Rand) schedule.Step { return schedule.Kill(schedule.Pick(p.Edges, r)) }
 
 func (p *Pool) names() []string {
 	var names []string
@@ -142,21 +127,7 @@
 	if other := schedule.Pick(p.Edges, r); other != chosen[0] {
 		chosen = append(chosen, other)
 	}
-	var names []string
-	for _, e := range chosen {
-		names = append(names, e.Name)
-	}
-	return schedule.Step{
-		Name: "roll " + strings.Join(names, " "), Operation: true, Targets: names,
-		Begin: func(ctx context.Context) error {
-			for _, e := range chosen {
-				if err := e.Restart(ctx); err != nil {
-					return err
-				}
-			}
-			return nil
-		},
-	}
+	return schedule.Roll(chosen)
 }
 
 // hangup tells an edge several times that its settings changed.
--- a/proof/pool/faults.go
+++ b/proof/pool/faults.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strings"
-	"syscall"
 
 	"github.com/mulberryfork/mulberryfork/proof/schedule"
 	"github.com/mulberryfork/mulberryfork/standin/faultproxy"
@@ -30,16 +28,16 @@
 	{Name: "reset", Make: reset},
 	{Name: "loss", Make: loss},
 	{Name: "duplicate", Make: duplicate},
-	{Name: "pause", Make: pause},
-	{Name: "kill_router", Make: func(p *Pool, r *rand.Rand) schedule.Step { return kill(schedule.Pick(p.Routers, r)) }},
-	{Name: "kill_agent", Make: func(p *Pool, r *rand.Rand) schedule.Step { return kill(schedule.Pick(p.Agents, r)) }},
+	{Name: "pause", Make: func(p *Pool, r *rand.Rand) schedule.Step { return schedule.Pause(schedule.Pick(p.Nodes(), r)) }},
+	{Name: "kill_router", Make: func(p *Pool, r *rand.Rand) schedule.Step { return schedule.Kill(schedule.Pick(p.Routers, r)) }},
+	{Name: "kill_agent", Make: func(p *Pool, r *rand.Rand) schedule.Step { return schedule.Kill(schedule.Pick(p.Agents, r)) }},
 	{Name: "engine_crash", Make: crash},
 	{Name: "config_down", Make: configDown},
 	{Name: "config_stale", Make: configStale},
 	{Name: "zone_out", Make: zoneOut},
 	{Name: "leaving", Make: leaving},
-	{Name: "roll_routers", Make: func(p *Pool, _ *rand.Rand) schedule.Step { return roll(p.Routers) }},
-	{Name: "roll_agents", Make: func(p *Pool, r *rand.Rand) schedule.Step { return roll([]*Node{schedule.Pick(p.Agents, r)}) }},
+	{Name: "roll_routers", Make: func(p *Pool, _ *rand.Rand) schedule.Step { return schedule.Roll(p.Routers) }},
+	{Name: "roll_agents", Make: func(p *Pool, r *rand.Rand) schedule.Step { return schedule.Roll([]*Node{schedule.Pick(p.Agents, r)}) }},
 }
 
 // link draws two sides with a link between them, in either direction.
@@ -105,23 +103,6 @@
 	}
 }
 
-func pause(p *Pool, r *rand.Rand) schedule.Step {
-	n := schedule.Pick(p.Nodes(), r)
-	return schedule.Step{
-		Name: "pause " + n.Name, Nodes: []string{n.Name}, Hides: true, Targets: []string{n.Name},
-		Begin: func(context.Context) error { return n.Signal(syscall.SIGSTOP) },
-		End:   func(context.Context) error { return n.Signal(syscall.SIGCONT) },
-	}
-}
-
-func kill(n *Node) schedule.Step {
-	return schedule.Step{
-		Name: "kill " + n.Name, Targets: []string{n.Name},
-		Begin: func(context.Context) error { return n.Kill() },
-		End:   n.Start,
-	}
-}
-
 func crash(p *Pool, r *rand.Rand) schedule.Step {
 	name := schedule.Pick(p.Upstreams, r)
 	for p.upstreams[name].engine == nil {
@@ -193,22 +174,3 @@
 		End:   func(context.Context) error { return p.SetLeaving(name, false) },
 	}
 }
-
-// roll restarts processes one after the other by planned stops.
-func roll(nodes []*Node) schedule.Step {
-	var names []string
-	for _, n := range nodes {
-		names = append(names, n.Name)
-	}
-	return schedule.Step{
-		Name: "roll " + strings.Join(names, " "), Operation: true, Targets: names,
-		Begin: func(ctx context.Context) error {
-			for _, n := range nodes {
-				if err := n.Restart(ctx); err != nil {
-					return err
-				}
-			}
-			return nil
-		},
-	}
-}
--- a/proof/pool/node.go
+++ b/proof/pool/node.go
@@ -169,6 +169,9 @@
 	return running{n.life, n.admin, n.stopping, n.process}
 }
 
+// ID is the name of the VM.
+func (n *Node) ID() string { return n.Name }
+
 // Signal sends a signal to the process.
 func (n *Node) Signal(s os.Signal) error {
 	if err := n.now().process.Signal(s); err != nil {
