Change expert maps of large groups in time

Cause: at 64 ranks and 6 Mbit/s no expert map changed. A rank whose read timed out in the last poll got a zero report, and orders to it went to an empty address; a prepare order carried the whole map to 63 ranks at once, each with 150 ms, and again after 60 ms; one slow rank held up each poll; one failed read blocked all calls to that process for a second.

Change: decide/rankview keeps what is known of a rank over failed reads, with its age. decide/rankpacing derives intervals, timeouts, the ranks whose counts are read and the fan-out from the ranks, the shape of the map, the link and the processor share. Orders carry the difference to a map that the receiver has (decide/mapdelta) and are relayed by other processes where that saves time; no second copy of a prepare order is sent while the first is on its way. Reads do not wait for each other. Failed orders are counted in one log line a second.

--- a/api/edge.go
+++ b/api/edge.go
@@ -47,7 +47,7 @@
 	// RetryRatio and RetryExtra define the retry budget of all processes in one
 	// RetryWindow: RetryRatio times the requests, plus RetryExtra.
 	RetryRatio  float64  `toml:"retry_ratio"`
-	RetryExtra  int      `toml:"retry_extra"`
+	RetryExtra  float64  `toml:"retry_extra"`
 	RetryWindow Duration `toml:"retry_window"`
 	// ColdOvershoot and ColdTolerance limit the request rate of all processes to
 	// a cold upstream: ColdOvershoot times the rate of its service profile, plus
@@ -57,5 +57,7 @@
 	// LinkMbps is the bandwidth of the VM's link in Mbit/s.
 	LinkMbps float64 `toml:"link_mbps"`
 	// MemoryMB is the memory limit of the process in MB.
-	MemoryMB int `toml:"memory_mb"`
+	MemoryMB float64 `toml:"memory_mb"`
+	// CPUShare is the processor share of the process as a fraction of a core.
+	CPUShare float64 `toml:"cpu_share"`
 }
--- a/api/experts.go
+++ b/api/experts.go
@@ -71,6 +71,14 @@
 	Map [][][]int
 }
 
+// MapCell is the change of an expert map on one rank in one layer.
+type MapCell struct {
+	Layer, Rank int
+	// Removed and Added are the experts that the rank no longer holds and those that
+	// it holds in addition.
+	Removed, Added []int
+}
+
 // RankResult is the result of an order to a rank.
 type RankResult uint8
 
@@ -82,6 +90,9 @@
 	RankRefused
 	// RankFenced means that the order was refused because of a stale fencing token.
 	RankFenced
+	// RankBaseUnknown means that the process of the rank did not give the order,
+	// because it does not have the map on which the ordered map is based.
+	RankBaseUnknown
 )
 
 // RankEngine reads and changes the ranks of a group through their engines. The
--- a/cmd/mulberryfork-platform/main.go
+++ b/cmd/mulberryfork-platform/main.go
@@ -32,6 +32,8 @@
 // its soft limit. The rest is for stacks and buffers of the operating system.
 const memoryFraction = 0.75
 
+const bytesPerMB = 1 << 20
+
 type commands struct {
 	Edge edgeCommand `cmd:"" help:"Route requests of callers to upstreams."`
 	Side sideCommand `cmd:"" help:"Manage the expert map of the engine on this VM."`
@@ -165,7 +167,7 @@
 		return err
 	}
 	if loaded.Edge.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryFraction * float64(loaded.Edge.MemoryMB<<20)))
+		debug.SetMemoryLimit(int64(memoryFraction * loaded.Edge.MemoryMB * bytesPerMB))
 	}
 	r, err := registry()
 	if err != nil {
--- a/decide/fleetbudget/fleetbudget.go
+++ b/decide/fleetbudget/fleetbudget.go
@@ -15,7 +15,7 @@
 	Ratio float64
 	// ExtraRetries is the number of further retries per window, shared by all
 	// processes.
-	ExtraRetries int
+	ExtraRetries float64
 	Window       time.Duration
 }
 
@@ -45,7 +45,7 @@
 	if s.processCount == 0 {
 		return 0
 	}
-	return float64(s.options.ExtraRetries) / float64(s.processCount)
+	return s.options.ExtraRetries / float64(s.processCount)
 }
 
 // RecordRequest counts a request of a caller.
--- a/decide/mapswitch/mapswitch.go
+++ b/decide/mapswitch/mapswitch.go
@@ -33,9 +33,15 @@
 )
 
 const (
-	// resendInterval is the time after which an order without a result is resent.
-	// The results of 24 ranks take 10 to 40 ms.
+	// resendInterval is the minimum time after which an order without a result is
+	// resent.
 	resendInterval = 60 * time.Millisecond
+	// resendOrderTimes is the number of expected durations of orders to all ranks after
+	// which an order is resent.
+	resendOrderTimes = 2
+	// awaitedResendIntervals is the number of resend intervals after which a prepare
+	// order is resent although its result is still awaited.
+	awaitedResendIntervals = 10
 	// minPassesAhead is the distance from the last known pass to the held one if no
 	// order was lost. If the pass has begun when the order arrives, the leader
 	// tries to hold the next one.
@@ -87,6 +93,8 @@
 type OutgoingOrder struct {
 	Rank  int
 	Order api.RankOrder
+	// Attempt counts how often the order was sent, from 1.
+	Attempt int
 }
 
 // State is the state of one leader. Only the control loop uses it.
@@ -115,7 +123,9 @@
 	pending map[int]*pendingOrder
 	// peakAttempts is the highest number of attempts of any order of this change.
 	peakAttempts int
-	passes       passClock
+	// orderTime is how long orders to all ranks are expected to take.
+	orderTime time.Duration
+	passes    passClock
 	// allDisarmed is set once every rank has executed or refused a disarm order. The
 	// token of that order prevents leaders with a lower token from arming the rank
 	// again.
@@ -129,6 +139,17 @@
 	order    api.RankOrder
 	sentAt   time.Duration
 	attempts int
+	// awaited is true from sending the order until its result.
+	awaited bool
+}
+
+// mayResend reports whether the order may be sent again now. A prepare order is large:
+// a second copy while the first is on its way would only delay both.
+func (p *pendingOrder) mayResend(now, interval time.Duration) bool {
+	if p.awaited && p.order.Op == api.RankPrepare {
+		interval *= awaitedResendIntervals
+	}
+	return now-p.sentAt >= interval
 }
 
 // passClock measures the duration of passes.
@@ -158,6 +179,12 @@
 // Phase returns the progress of the change.
 func (s *State) Phase() Phase { return s.phase }
 
+// Token returns the fencing token of this leader's orders.
+func (s *State) Token() uint64 { return s.token }
+
+// SetOrderTime sets how long orders to all ranks are expected to take.
+func (s *State) SetOrderTime(d time.Duration) { s.orderTime = d }
+
 // Version returns the map version of the last change.
 func (s *State) Version() uint64 { return s.version }
 
@@ -255,17 +282,21 @@
 	var due []OutgoingOrder
 	for rank := range s.ranks {
 		p := s.pending[rank]
-		if p == nil || p.attempts > 0 && now-p.sentAt < resendInterval {
+		if p == nil || p.attempts > 0 && !p.mayResend(now, s.resendInterval()) {
 			continue
 		}
-		p.sentAt = now
+		p.sentAt, p.awaited = now, true
 		p.attempts++
 		s.peakAttempts = max(s.peakAttempts, p.attempts)
-		due = append(due, OutgoingOrder{Rank: rank, Order: p.order})
+		due = append(due, OutgoingOrder{Rank: rank, Order: p.order, Attempt: p.attempts})
 	}
 	return due
 }
 
+func (s *State) resendInterval() time.Duration {
+	return max(resendInterval, resendOrderTimes*s.orderTime)
+}
+
 // Tick returns the orders to send or resend now. It abandons or undoes a change
 // whose phase has timed out. unixMillis is as for Begin.
 func (s *State) Tick(now time.Duration, unixMillis uint64) []OutgoingOrder {
@@ -335,15 +366,16 @@
 	return step
 }
 
-// passesAhead returns the distance from the last known pass to the one to hold.
-// If prepare orders had to be resent, arm orders are expected to need as many
-// attempts. The leader then holds a later pass, so that the passes before it run with
-// the old map instead of waiting.
+// passesAhead returns the distance from the last known pass to the one to hold. Arming
+// takes the time of orders to all ranks. If prepare orders had to be resent, arm orders
+// are expected to need as many attempts. If passes are shorter than that, the leader
+// holds a later pass, so that the passes before it run with the old map instead of
+// waiting.
 func (s *State) passesAhead() uint64 {
 	if s.passes.passTime <= 0 {
 		return minPassesAhead
 	}
-	armTime := time.Duration(max(0, s.peakAttempts-1)) * resendInterval
+	armTime := s.orderTime + time.Duration(max(0, s.peakAttempts-1))*s.resendInterval()
 	return min(minPassesAhead+uint64(armTime/s.passes.passTime), maxPassesAhead)
 }
 
--- a/decide/mapswitch/result.go
+++ b/decide/mapswitch/result.go
@@ -16,6 +16,7 @@
 	}
 	switch result {
 	case api.RankNoResult:
+		p.awaited = false
 		return s.dueOrders(now)
 	case api.RankFenced:
 		return s.handleFenced(now)
--- /dev/null
+++ b/decide/rankpacing/rankpacing.go
@@ -0,0 +1,171 @@
+// Package rankpacing derives the intervals, timeouts and fan-out of the calls between
+// a leader and the ranks of its group from the number of ranks, the shape of the expert
+// map, and the bandwidth and processor share of the leader's VM.
+//
+// It answers for large groups on small VMs: calls that are right for 12 ranks and
+// 20 Mbit/s saturate the link and the processor of a leader of 64 ranks at 6 Mbit/s,
+// so that every call times out and no map ever changes.
+package rankpacing
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minReadInterval is the minimum time between reads of all ranks, and
+	// minChangeInterval that during the later phases of a change, in which the next
+	// orders wait for a read.
+	minReadInterval   = 40 * time.Millisecond
+	minChangeInterval = 25 * time.Millisecond
+	// callTime is the processor time of a call at the leader, on a whole core.
+	callTime = 150 * time.Microsecond
+	// maxReadProcessorFraction is the fraction of the process's processor share that
+	// regular reads may use.
+	maxReadProcessorFraction = 0.4
+	// callOverheadBytes is the size of a small call or of its reply, with the headers
+	// of all protocols.
+	callOverheadBytes = 300
+	// baseCallTimeout bounds a small call to one rank. It allows for a lost packet on a
+	// new connection between zones.
+	baseCallTimeout = 150 * time.Millisecond
+	// baseReadTimeout bounds the read of one rank. No other read waits for it, so it
+	// allows for the retransmission of a lost packet.
+	baseReadTimeout = 600 * time.Millisecond
+	// contentionFactor is the ratio of a call's timeout to the processor and link time
+	// of all concurrent calls, because other work shares both.
+	contentionFactor = 2
+	// countsBytes is the mean encoded size of one count. Most deltas are below 128 and
+	// take one byte.
+	countsBytes = 1.1
+	// maxCountsLinkFraction is the fraction of the link that counts may use.
+	maxCountsLinkFraction = 0.25
+	// maxCountsInterval is the longest time between samples of the counts that still
+	// finds a shift of demand soon. Counts are read from a part of the ranks if the
+	// link is too slow to read all within it.
+	maxCountsInterval = 250 * time.Millisecond
+	// minCountedRanks is the minimum number of ranks in a sample. Fewer ranks run too
+	// few requests to estimate the demand.
+	minCountedRanks = 12
+	// minRelayGain is the saved time that justifies sending orders through other ranks'
+	// processes. Each relayed order depends on one more process.
+	minRelayGain = 25 * time.Millisecond
+	// leaderTimeoutReads is the number of missed reads after which a process takes the
+	// lead, but not before minLeaderTimeout.
+	leaderTimeoutReads = 6
+	minLeaderTimeout   = 500 * time.Millisecond
+)
+
+// Group describes a group and the VM of its leader. A zero LinkMbps or CPUShare means
+// that it is unknown and does not limit anything.
+type Group struct {
+	Ranks, Layers, Experts int
+	LinkMbps               float64
+	// CPUShare is the processor share of the process, as a fraction of a core.
+	CPUShare float64
+}
+
+// transfer returns the time that bytes take on the leader's link.
+func (g Group) transfer(bytes float64) time.Duration {
+	if g.LinkMbps <= 0 {
+		return 0
+	}
+	return time.Duration(8 * bytes / (g.LinkMbps * 1e6) * float64(time.Second))
+}
+
+// processing returns the time that calls take on the process's processor share.
+func (g Group) processing(calls int) time.Duration {
+	share := g.CPUShare
+	if share <= 0 {
+		share = 1
+	}
+	return time.Duration(float64(calls) * float64(callTime) / share)
+}
+
+// callsTime returns the time that concurrent calls take at the leader, each of which
+// transfers bytes in addition to its overhead.
+func (g Group) callsTime(calls int, bytes float64) time.Duration {
+	return g.processing(calls) + g.transfer(float64(calls)*(bytes+callOverheadBytes))
+}
+
+// ReadInterval returns the time between reads of all ranks. changing is true in the
+// later phases of a change.
+func (g Group) ReadInterval(changing bool) time.Duration {
+	interval := minReadInterval
+	if changing {
+		interval = minChangeInterval
+	}
+	return max(interval, time.Duration(float64(g.processing(g.Ranks))/maxReadProcessorFraction))
+}
+
+// countsSize returns the encoded size of the counts of one rank.
+func (g Group) countsSize() float64 { return countsBytes * float64(g.Layers*g.Experts) }
+
+// CountedRanks returns the number of ranks whose counts are read.
+func (g Group) CountedRanks() int {
+	if g.LinkMbps <= 0 || g.countsSize() == 0 {
+		return g.Ranks
+	}
+	perRank := g.transfer(g.countsSize())
+	n := int(maxCountsLinkFraction * float64(maxCountsInterval) / float64(perRank))
+	return min(g.Ranks, max(n, minCountedRanks))
+}
+
+// CountsInterval returns the minimum time between reads of the counts of
+// CountedRanks ranks.
+func (g Group) CountsInterval() time.Duration {
+	return time.Duration(float64(g.transfer(float64(g.CountedRanks())*g.countsSize())) / maxCountsLinkFraction)
+}
+
+// Counted reports whether the counts of a rank are read. The counted ranks are spread
+// evenly over the group.
+func (g Group) Counted(rank int) bool {
+	n := g.CountedRanks()
+	return n >= g.Ranks || rank*n/g.Ranks != (rank+1)*n/g.Ranks
+}
+
+// ReadTimeout bounds the read of one rank while all others are read. counts is true if
+// counts are read.
+func (g Group) ReadTimeout(counts bool) time.Duration {
+	timeout := baseReadTimeout + contentionFactor*g.callsTime(g.Ranks, 0)
+	if counts {
+		timeout += contentionFactor * g.transfer(float64(g.CountedRanks())*g.countsSize())
+	}
+	return timeout
+}
+
+// RoundTime returns the time after which a round of reads ends without the ranks that
+// have not responded. counts is true if counts are read.
+func (g Group) RoundTime(counts bool) time.Duration {
+	return g.ReadTimeout(counts) - baseReadTimeout + minReadInterval
+}
+
+// CallTimeout bounds one of several concurrent calls that each transfer bytes.
+func (g Group) CallTimeout(calls int, bytes float64) time.Duration {
+	return baseCallTimeout + contentionFactor*g.callsTime(calls, bytes)
+}
+
+// ArmTime returns how long small orders to all ranks are expected to take.
+func (g Group) ArmTime() time.Duration { return g.callsTime(g.Ranks, 0) }
+
+// Fanout returns the number of ranks to which the leader itself sends an order of a
+// given size; each of their processes relays it to an equal part of the others. It
+// returns the number of receivers if relaying saves too little.
+func (g Group) Fanout(receivers int, bytes float64) int {
+	if receivers <= 1 {
+		return receivers
+	}
+	direct := g.callsTime(receivers, bytes)
+	fanout := int(math.Ceil(math.Sqrt(float64(receivers))))
+	relayed := g.callsTime(fanout, bytes) + g.callsTime((receivers+fanout-1)/fanout-1, bytes)
+	if direct-relayed < minRelayGain {
+		return receivers
+	}
+	return fanout
+}
+
+// LeaderTimeout returns the time without a read by a lower rank after which a process
+// takes the lead.
+func (g Group) LeaderTimeout() time.Duration {
+	return max(minLeaderTimeout, leaderTimeoutReads*g.ReadInterval(false))
+}
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -17,6 +17,8 @@
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/expertplan"
 	"github.com/mulberryfork/mulberryfork/decide/mapswitch"
+	"github.com/mulberryfork/mulberryfork/decide/rankpacing"
+	"github.com/mulberryfork/mulberryfork/decide/rankview"
 	"github.com/mulberryfork/mulberryfork/kernel"
 	"github.com/mulberryfork/mulberryfork/wire"
 )
@@ -25,51 +27,32 @@
 	// tickInterval is how often the service checks whether a poll is due or an order
 	// must be resent.
 	tickInterval = 20 * time.Millisecond
-	// pollInterval is the time between polls while no map change is in progress, or
-	// while ranks are still copying experts for one. changePollInterval is the time
-	// between polls in the later phases of a change, in which the next orders wait
-	// for a poll.
-	pollInterval       = 40 * time.Millisecond
-	changePollInterval = 25 * time.Millisecond
-	// leaderTimeout is the time without a poll by a lower rank after which a
-	// process becomes the leader. Each rank adds leaderTimeoutPerRank, so that lower
+	// leaderTimeoutPerRank is added to the leader timeout for each rank, so that lower
 	// ranks take over first.
-	leaderTimeout        = 500 * time.Millisecond
 	leaderTimeoutPerRank = 200 * time.Millisecond
-	// callTimeout bounds an order sent to another process or rank.
-	callTimeout = 150 * time.Millisecond
-	// localOrderTimeout bounds the execution of a leader's order at the local rank.
-	// It must be below peerTimeFraction*callTimeout, after which the leader no longer
-	// waits for this process.
-	localOrderTimeout = 60 * time.Millisecond
-	// readTimeout bounds the read of a rank.
-	readTimeout = 200 * time.Millisecond
-	// maxConcurrentReads bounds the ranks read at the same time. It is the size of
-	// the largest groups.
-	maxConcurrentReads = 24
-	// downRetryDelay is the time for which a process is not called after a failed
-	// call. Its rank is read directly instead.
+	// dialTimeout bounds the dial of another process.
+	dialTimeout = 75 * time.Millisecond
+	// downRetryDelay is the time for which a process is not read after failed calls.
+	// Its rank is read directly instead.
 	downRetryDelay = time.Second
-
-	// bytesPerCount is the mean encoded size of one count. Most deltas are below 128
-	// and take one byte.
-	bytesPerCount = 1.1
-	// maxLinkFraction is the fraction of the VM's bandwidth that counts may use.
-	maxLinkFraction = 0.25
-	// readTimeoutPerRank is added to readTimeout for each concurrent read, because
-	// the leader decodes all responses on a fraction of a core.
-	readTimeoutPerRank = 4 * time.Millisecond
-	// rescanAfter is the time without a complete poll after which the leader polls
+	// reportMaxReads is the number of read intervals for which a report of a rank is
+	// used, and minReportAge the least such time.
+	reportMaxReads = 4
+	minReportAge   = 300 * time.Millisecond
+	// rescanAfter is the time without a complete snapshot after which the leader polls
 	// the upstreams of other groups again, to find missing ranks. New upstreams are
 	// always polled.
 	rescanAfter = 3 * time.Second
+	// failureLogInterval is the time between log lines on orders without confirmation.
+	// One line counts all since the last.
+	failureLogInterval = time.Second
 
 	// replacementFactor is the factor by which the imbalance of the map that ranks
 	// are copying must exceed that of a new plan for the new plan to replace it.
 	replacementFactor = 1.3
 
 	pollMailboxSize        = 4
-	orderResultMailboxSize = 256
+	orderResultMailboxSize = 1024
 	leaderReadMailboxSize  = 64
 )
 
@@ -89,6 +72,8 @@
 	orderResults *kernel.Mailbox[orderResult]
 	leaderReads  *kernel.Mailbox[wire.RankReadRequest]
 	peers        peers
+	reader       *reader
+	maps         mapCache
 	countEncoder countEncoder
 	countDecoder countDecoder
 
@@ -102,20 +87,25 @@
 	lastPollAt   time.Duration
 	// lastCountsAt is the time of the last poll that requested counts.
 	lastCountsAt time.Duration
-	// lastCompleteAt is the time of the last complete poll or of the last rescan.
+	// lastCompleteAt is the time of the last complete snapshot or of the last rescan.
 	lastCompleteAt time.Duration
 	// otherGroupAddresses holds the addresses of upstreams of other groups.
 	otherGroupAddresses map[string]bool
 	state               *mapswitch.State
 	planner             *expertplan.State
-	// currentMap holds the experts by layer and rank, nil if they are not known.
-	currentMap [][][]int
-	// nextMap is the map of the last proposed change.
-	nextMap        [][][]int
-	currentVersion uint64
-	epoch          uint64
-	lastReports    []api.RankReport
-	loggedPhase    mapswitch.Phase
+	view                *rankview.State
+	// pacing holds the timeouts and intervals for the size of the group.
+	pacing rankpacing.Group
+	// current is the map in use. Its experts are nil if they are not known.
+	current knownMap
+	// next is the map of the last proposed change, and delta its difference from the
+	// current one.
+	next        knownMap
+	delta       mapDelta
+	epoch       uint64
+	lastReports []api.RankReport
+	loggedPhase mapswitch.Phase
+	failures    orderFailures
 }
 
 type counters struct{ changes, rolledBack, polls, incompletePolls api.Counter }
@@ -123,17 +113,26 @@
 // pollResult is the result of one poll of all ranks of the group.
 type pollResult struct {
 	startedAt time.Duration
-	ranks     []api.RankState
-	// complete is false if a rank is missing or is in another epoch.
-	complete bool
-	local    *api.RankReport
-	// otherGroupAddresses holds the addresses of ranks of other groups.
-	otherGroupAddresses []string
+	// local is nil if the local rank did not respond.
+	local *api.RankState
+	// readings holds the responses that arrived during the poll, also to reads that
+	// an earlier poll started.
+	readings []reading
+	// counts is true if the poll requested counts.
+	counts bool
+}
+
+// reading is the response of one rank.
+type reading struct {
+	startedAt time.Duration
+	state     api.RankState
 }
 
 type orderResult struct {
 	outgoing mapswitch.OutgoingOrder
 	result   api.RankResult
+	// err is the error of the call, if any.
+	err error
 }
 
 func (s *service) Provision(c *kernel.Context) (err error) {
@@ -161,8 +160,11 @@
 		incompletePolls: metrics.Counter("rank_readings_incomplete", ""),
 	}
 	s.otherGroupAddresses = make(map[string]bool)
-	s.peers.conns = make(map[string]*drpcconn.Conn)
-	s.peers.down = make(map[string]time.Duration)
+	s.peers.conns = make(map[string][]*drpcconn.Conn)
+	s.peers.failures = make(map[string]callFailures)
+	s.reader = newReader(s.clock, s.log, s.readRemote)
+	s.view = rankview.New()
+	s.pacing = s.groupPacing(0)
 	s.pollResults = kernel.NewMailbox(s.loop, "experts.reading", pollMailboxSize, kernel.Wait, s.handlePoll)
 	s.orderResults = kernel.NewMailbox(s.loop, "experts.answer", orderResultMailboxSize, kernel.Wait, s.handleOrderResult)
 	s.leaderReads = kernel.NewMailbox(s.loop, "experts.visit", leaderReadMailboxSize, kernel.Drop, s.handleLeaderRead)
@@ -197,17 +199,3 @@
 	_ = s.listener.Close()
 	return nil
 }
-
-func (s *service) handleOrderResult(now time.Duration, r orderResult) {
-	if s.state == nil {
-		return
-	}
-	if r.result != api.RankDone {
-		s.log.Change("order not confirmed", api.Fields{
-			"rank": r.outgoing.Rank, "op": r.outgoing.Order.Op, "answer": r.result, "token": r.outgoing.Order.Token,
-			"version": r.outgoing.Order.MapVersion, "step": r.outgoing.Order.Step, "phase": s.state.Phase().String(),
-		})
-	}
-	s.sendOrders(s.state.HandleResult(now, unixMillis(), r.outgoing, r.result))
-	s.logPhase()
-}
--- a/service/experts/leader.go
+++ b/service/experts/leader.go
@@ -1,12 +1,14 @@
 package experts
 
 import (
-	"context"
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/expertplan"
+	"github.com/mulberryfork/mulberryfork/decide/mapdelta"
 	"github.com/mulberryfork/mulberryfork/decide/mapswitch"
+	"github.com/mulberryfork/mulberryfork/decide/rankpacing"
+	"github.com/mulberryfork/mulberryfork/decide/rankview"
 	"github.com/mulberryfork/mulberryfork/wire"
 )
 
@@ -23,38 +25,50 @@
 		s.sendOrders(s.state.Tick(now, unixMillis()))
 		s.logPhase()
 	}
-	interval := pollInterval
-	if s.state != nil && s.state.Phase() > mapswitch.Preparing {
-		interval = changePollInterval
-	}
-	if s.polling || now-s.lastPollAt < interval {
+	s.logFailures(now)
+	changing := s.state != nil && s.state.Phase() > mapswitch.Preparing
+	if s.polling || now-s.lastPollAt < s.pacing.ReadInterval(changing) {
 		return
 	}
 	s.polling, s.lastPollAt = true, now
-	request := wire.RankReadRequest{Leader: s.rank, Group: s.group, Counts: now-s.lastCountsAt >= s.countInterval()}
-	if request.Counts {
+	request := wire.RankReadRequest{Leader: s.rank, Group: s.group, Experts: s.mapUnknown()}
+	counts := !changing && now-s.lastCountsAt >= s.pacing.CountsInterval()
+	if counts {
 		s.lastCountsAt = now
 	}
-	request.Experts = s.currentMap == nil || len(s.lastReports) > s.rank && s.lastReports[s.rank].MapVersion != s.currentVersion
-	go s.poll(request, s.rankKnown, s.candidateAddresses())
+	targets := make([]target, 0, s.pacing.Ranks)
+	if s.rankKnown {
+		for _, address := range s.candidateAddresses() {
+			rank := s.view.Rank(address)
+			targets = append(targets, target{address: address, counts: counts && (rank < 0 || s.pacing.Counted(rank))})
+		}
+	}
+	go s.poll(request, targets, counts, s.pacing)
+}
+
+// groupPacing returns the pacing for a group of a size, 0 if it is unknown.
+func (s *service) groupPacing(ranks int) rankpacing.Group {
+	g := rankpacing.Group{Ranks: ranks, LinkMbps: s.settings.Edge.LinkMbps, CPUShare: s.settings.Edge.CPUShare}
+	if p := s.engineProfile(); p != nil {
+		g.Layers, g.Experts = p.Layers, p.Experts
+	}
+	return g
 }
 
-// countInterval returns the minimum time between polls that request counts. At this
-// interval, the counts of all ranks use maxLinkFraction of the VM's bandwidth. It is
-// 0 if the bandwidth or the shape of the group is not known.
-func (s *service) countInterval() time.Duration {
-	if s.planner == nil || s.settings.Edge.LinkMbps <= 0 {
-		return 0
+// mapUnknown reports whether the experts of the map in use must be read from the
+// ranks.
+func (s *service) mapUnknown() bool {
+	if s.current.experts == nil || len(s.lastReports) <= s.rank {
+		return true
 	}
-	shape := s.planner.Shape()
-	bits := 8 * bytesPerCount * float64(shape.Ranks*shape.Layers*shape.Experts)
-	return time.Duration(bits / (maxLinkFraction * s.settings.Edge.LinkMbps * 1e6) * float64(time.Second))
+	version := s.lastReports[s.rank].MapVersion
+	return version != s.current.version && (s.next.experts == nil || version != s.next.version)
 }
 
 // isLeader reports whether this process is the leader: no lower rank has polled it
 // within the leader timeout.
 func (s *service) isLeader(now time.Duration) bool {
-	return s.rank == 0 || now-s.leaderReadAt > leaderTimeout+time.Duration(s.rank)*leaderTimeoutPerRank
+	return s.rank == 0 || now-s.leaderReadAt > s.pacing.LeaderTimeout()+time.Duration(s.rank)*leaderTimeoutPerRank
 }
 
 // handleLeaderRead handles a poll by another process.
@@ -63,7 +77,8 @@
 		s.leaderReadAt = now
 		// A replaced leader discards its state, because it is outdated when this
 		// process becomes the leader again.
-		s.state, s.currentMap = nil, nil
+		s.state = nil
+		s.current, s.next = knownMap{}, knownMap{}
 	}
 	if s.state != nil {
 		s.state.ObserveToken(r.Token)
@@ -74,33 +89,49 @@
 	s.polling = false
 	s.counters.polls.Add(1)
 	if r.local != nil {
-		if !s.rankKnown || s.group != r.local.Group || s.rank != r.local.Rank {
-			s.rank, s.group, s.rankKnown = r.local.Rank, r.local.Group, true
-			s.leaderReadAt = now
-			s.state, s.planner, s.currentMap = nil, nil, nil
-			s.log.Change("rank identified", api.Fields{"group": s.group, "rank": s.rank, "epoch": r.local.Epoch})
-		}
+		s.recordLocal(now, r)
 	}
 	if !s.rankKnown || !s.isLeader(now) {
 		return
 	}
-	s.updateOtherGroupAddresses(now, r)
-	if len(r.ranks) == 0 {
+	for _, reading := range r.readings {
+		if !s.view.Record(reading.startedAt, reading.state) {
+			s.otherGroupAddresses[reading.state.Report.Address] = true
+		}
+		if s.state != nil {
+			s.state.ObserveToken(reading.state.Token)
+		}
+	}
+	if r.local == nil {
 		return
 	}
-	s.updateState(now, r)
-	s.sendOrders(s.state.Observe(now, r.startedAt, unixMillis(), s.lastReports))
+	snapshot := s.view.Snapshot(now, max(minReportAge, reportMaxReads*s.pacing.ReadInterval(false)))
+	s.rescanIfIncomplete(now, snapshot.Complete)
+	s.updateState(now, r, snapshot)
+	s.sendOrders(s.state.Observe(now, snapshot.StartedAt, unixMillis(), s.lastReports))
 	s.logPhase()
 	s.proposeChange(now)
 }
 
-// updateOtherGroupAddresses records the upstreams of other groups, which later polls skip.
-// After rescanAfter without a complete poll, it forgets them to find missing ranks.
-func (s *service) updateOtherGroupAddresses(now time.Duration, r pollResult) {
-	for _, address := range r.otherGroupAddresses {
-		s.otherGroupAddresses[address] = true
+// recordLocal updates what depends on the local rank: its group, the size of the group
+// and its epoch.
+func (s *service) recordLocal(now time.Duration, r pollResult) {
+	local := r.local.Report
+	if !s.rankKnown || s.group != local.Group || s.rank != local.Rank || s.pacing.Ranks != local.Size {
+		s.rank, s.group, s.rankKnown = local.Rank, local.Group, true
+		s.leaderReadAt = now
+		s.state, s.planner = nil, nil
+		s.current, s.next = knownMap{}, knownMap{}
+		s.log.Change("rank identified", api.Fields{"group": s.group, "rank": s.rank, "ranks": local.Size, "epoch": local.Epoch})
 	}
-	if r.complete {
+	s.pacing = s.groupPacing(local.Size)
+	s.view.RecordLocal(r.startedAt, *r.local)
+}
+
+// rescanIfIncomplete forgets the upstreams of other groups after rescanAfter without a
+// complete snapshot, to find missing ranks.
+func (s *service) rescanIfIncomplete(now time.Duration, complete bool) {
+	if complete {
 		s.lastCompleteAt = now
 		return
 	}
@@ -111,28 +142,20 @@
 	}
 }
 
-// updateState applies a poll to the state of the group. Missing ranks get a zero
-// report, whose Size is 0.
-func (s *service) updateState(now time.Duration, r pollResult) {
+// updateState applies a poll and the snapshot after it to the state of the group.
+func (s *service) updateState(now time.Duration, r pollResult, snapshot rankview.Snapshot) {
 	if s.state == nil {
 		s.state = mapswitch.New(s.rank)
-		s.log.Change("leading", api.Fields{"group": s.group, "rank": s.rank, "epoch": r.local.Epoch})
-	}
-	s.lastReports = make([]api.RankReport, len(r.ranks))
-	local := r.ranks[s.rank].Report
-	counts := make([][]uint64, len(r.ranks))
-	counted := false
-	lists := make([][][]int, len(r.ranks))
-	for i, rank := range r.ranks {
-		s.lastReports[i], counts[i], lists[i] = rank.Report, rank.Counts, rank.Experts
-		counted = counted || len(rank.Counts) > 0
-		s.state.ObserveToken(rank.Token)
-	}
-	epoch := local.Epoch
-	if epoch != s.epoch {
-		s.epoch, s.currentMap = epoch, nil
-	}
-	s.updateMap(lists)
+		s.log.Change("leading", api.Fields{"group": s.group, "rank": s.rank, "epoch": r.local.Report.Epoch})
+	}
+	s.state.SetOrderTime(s.pacing.ArmTime())
+	s.state.ObserveToken(r.local.Token)
+	s.lastReports = snapshot.Reports
+	if epoch := r.local.Report.Epoch; epoch != s.epoch {
+		s.epoch = epoch
+		s.current, s.next = knownMap{}, knownMap{}
+	}
+	s.updateMap(snapshot)
 	profile := s.engineProfile()
 	if profile == nil {
 		return
@@ -140,9 +163,29 @@
 	if s.planner == nil {
 		s.planner = expertplan.New(len(s.lastReports), *profile)
 	}
-	if counted && s.planner.Observe(now, epoch, counts, s.requestsInFlight()) {
-		s.log.Change("demand shifted", api.Fields{"group": s.group, "epoch": epoch, "running": s.requestsInFlight()})
-		// Makes the next poll request counts without waiting for countInterval.
+	if r.counts {
+		s.observeCounts(now, r)
+	}
+}
+
+// observeCounts passes the counts of a poll to the planner.
+func (s *service) observeCounts(now time.Duration, r pollResult) {
+	counts := make([][]uint64, len(s.lastReports))
+	counts[s.rank] = r.local.Counts
+	running := r.local.Report.Running
+	for _, reading := range r.readings {
+		report := reading.state.Report
+		if reading.startedAt < r.startedAt || report.Group != s.group || report.Epoch != s.epoch || len(reading.state.Counts) == 0 {
+			continue
+		}
+		if report.Rank >= 0 && report.Rank < len(counts) {
+			counts[report.Rank] = reading.state.Counts
+			running += report.Running
+		}
+	}
+	if s.planner.Observe(now, s.epoch, counts, running) {
+		s.log.Change("demand shifted", api.Fields{"group": s.group, "epoch": s.epoch, "running": s.requestsInFlight()})
+		// Makes the next poll request counts without waiting for the interval.
 		s.lastCountsAt = 0
 	}
 }
@@ -170,43 +213,50 @@
 	return p
 }
 
-// updateMap sets the current map if all ranks reported their experts and have the
-// same map version. lists holds the experts by rank and layer.
-func (s *service) updateMap(lists [][][]int) {
-	version := s.lastReports[s.rank].MapVersion
-	for i, r := range s.lastReports {
-		if r.Size == 0 || r.MapVersion != version || len(lists[i]) == 0 || len(lists[i]) != len(lists[0]) {
+// updateMap sets the current map if all ranks have the same map version. The experts
+// of the last proposed change are known; those of any other version are read from the
+// ranks.
+func (s *service) updateMap(snapshot rankview.Snapshot) {
+	version := snapshot.Reports[s.rank].MapVersion
+	if !snapshot.Complete || s.current.experts != nil && s.current.version == version {
+		return
+	}
+	for _, r := range snapshot.Reports {
+		if r.MapVersion != version {
 			return
 		}
 	}
-	s.currentMap = make([][][]int, len(lists[0]))
-	for l := range s.currentMap {
-		for r := range lists {
-			s.currentMap[l] = append(s.currentMap[l], lists[r][l])
-		}
+	if s.next.experts != nil && s.next.version == version {
+		s.current, s.next = s.next, knownMap{}
+		return
+	}
+	if experts, ok := s.view.Map(version); ok {
+		s.current = knownMap{version: version, experts: mapdelta.Sort(experts)}
 	}
-	s.currentVersion = version
 }
 
 // proposeChange begins a map change if the planner finds a better map. A change
 // whose experts are still being copied is replaced only by a map that is better by
 // replacementFactor.
 func (s *service) proposeChange(now time.Duration) {
-	if s.planner == nil || s.currentMap == nil || !s.state.Ready() || s.lastReports[s.rank].MapVersion != s.currentVersion {
+	if s.planner == nil || s.current.experts == nil || !s.state.Ready() || s.lastReports[s.rank].MapVersion != s.current.version {
 		return
 	}
-	p, ok := s.planner.Plan(s.currentMap)
+	p, ok := s.planner.Plan(s.current.experts)
 	if !ok {
 		return
 	}
-	if s.state.Phase() == mapswitch.Preparing && s.planner.Imbalance(s.nextMap) < replacementFactor*p.After {
+	if s.state.Phase() == mapswitch.Preparing && s.planner.Imbalance(s.next.experts) < replacementFactor*p.After {
 		return
 	}
-	s.nextMap = p.Map
-	orders := s.state.Begin(now, unixMillis(), p.Map)
+	experts := mapdelta.Sort(p.Map)
+	orders := s.state.Begin(now, unixMillis(), experts)
+	s.next = knownMap{version: s.state.Version(), token: s.state.Token(), experts: experts, fromLeader: true}
+	s.delta = newMapDelta(s.current, s.next, s.planner.Shape())
 	s.counters.changes.Add(1)
 	s.log.Change("map proposed", api.Fields{"group": s.group, "epoch": s.epoch, "version": s.state.Version(),
-		"imbalance": p.Before, "imbalance_after": p.After, "copies": p.Copies, "running": s.requestsInFlight()})
+		"imbalance": p.Before, "imbalance_after": p.After, "copies": p.Copies, "running": s.requestsInFlight(),
+		"order_bytes": s.delta.bytes})
 	s.sendOrders(orders)
 	s.logPhase()
 }
@@ -226,15 +276,3 @@
 	})
 	s.loggedPhase = phase
 }
-
-func (s *service) sendOrders(orders []mapswitch.OutgoingOrder) {
-	for _, outgoing := range orders {
-		address := s.lastReports[outgoing.Rank].Address
-		go func() {
-			ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-			defer cancel()
-			result := s.sendOrder(ctx, address, outgoing.Order)
-			_ = s.orderResults.Post(s.ctx, orderResult{outgoing: outgoing, result: result})
-		}()
-	}
-}
--- a/service/experts/peers.go
+++ b/service/experts/peers.go
@@ -16,18 +16,33 @@
 // rank.
 const peerTimeFraction = 0.6
 
-// peers holds at most one idle connection to the process of each other rank. A
-// connection carries one call at a time; a concurrent call dials a new one.
+// failuresUntilDown is the number of failed calls after which a process or rank is not
+// read for downRetryDelay. A single call may fail because a packet was lost. A failed
+// dial counts as this many.
+const failuresUntilDown = 2
+
+// maxIdleConns is the number of idle connections to each process: one for reads and
+// one for orders, which are sent while the process is being read.
+const maxIdleConns = 2
+
+// peers holds idle connections to the processes of other ranks. A connection carries
+// one call at a time; a concurrent call dials a new one.
 type peers struct {
 	mu    sync.Mutex
-	conns map[string]*drpcconn.Conn
-	// down maps the address of a process or rank to the time of its last failed call.
-	down map[string]time.Duration
+	conns map[string][]*drpcconn.Conn
+	// failures holds the failed calls of a process or rank since its last successful
+	// one.
+	failures map[string]callFailures
 	// maxToken is the highest fencing token in the orders that this process has sent
 	// or forwarded.
 	maxToken atomic.Uint64
 }
 
+type callFailures struct {
+	count  int
+	lastAt time.Duration
+}
+
 // DownError reports that a process or rank was not called, because a call to it
 // failed within downRetryDelay.
 type DownError struct{ Address string }
@@ -47,8 +62,8 @@
 
 func (p *peers) highestToken() uint64 { return p.maxToken.Load() }
 
-// call calls f with a connection to an address and marks the address as down if f
-// fails. The deadline of ctx must be set.
+// call calls f with a connection to an address and records whether f fails. The
+// deadline of ctx must be set.
 func (p *peers) call(ctx context.Context, now time.Duration, address string, f func(context.Context, *drpcconn.Conn) error) error {
 	conn, err := p.acquire(ctx, now, address)
 	if err != nil {
@@ -59,7 +74,7 @@
 	defer cancel()
 	if err := f(ctx, conn); err != nil {
 		_ = conn.Close()
-		p.markDown(now, address)
+		p.recordFailure(now, address, 1)
 		return err
 	}
 	p.release(address, conn)
@@ -68,18 +83,17 @@
 
 func (p *peers) acquire(ctx context.Context, now time.Duration, address string) (*drpcconn.Conn, error) {
 	p.mu.Lock()
-	conn := p.conns[address]
-	delete(p.conns, address)
-	p.mu.Unlock()
-	if p.isDown(now, address) {
-		return nil, &DownError{Address: address}
+	var conn *drpcconn.Conn
+	if idle := p.conns[address]; len(idle) > 0 {
+		conn, p.conns[address] = idle[len(idle)-1], idle[:len(idle)-1]
 	}
+	p.mu.Unlock()
 	if conn != nil {
 		return conn, nil
 	}
-	conn, err := wire.DialPlaintext(ctx, address, callTimeout/2, wire.MaxRankMessageBytes)
+	conn, err := wire.DialPlaintext(ctx, address, dialTimeout, wire.MaxRankMessageBytes)
 	if err != nil {
-		p.markDown(now, address)
+		p.recordFailure(now, address, failuresUntilDown)
 	}
 	return conn, err
 }
@@ -87,24 +101,26 @@
 func (p *peers) release(address string, conn *drpcconn.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.down, address)
-	if p.conns[address] != nil {
+	delete(p.failures, address)
+	if len(p.conns[address]) >= maxIdleConns {
 		_ = conn.Close()
 		return
 	}
-	p.conns[address] = conn
+	p.conns[address] = append(p.conns[address], conn)
 }
 
-// isDown reports whether a call to an address failed within downRetryDelay.
+// isDown reports whether the last calls to an address failed, the last one within
+// downRetryDelay.
 func (p *peers) isDown(now time.Duration, address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	failedAt, ok := p.down[address]
-	return ok && now-failedAt < downRetryDelay
+	f := p.failures[address]
+	return f.count >= failuresUntilDown && now-f.lastAt < downRetryDelay
 }
 
-func (p *peers) markDown(now time.Duration, address string) {
+// recordFailure records a failed call that counts as several failures.
+func (p *peers) recordFailure(now time.Duration, address string, count int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.down[address] = now
+	p.failures[address] = callFailures{count: p.failures[address].count + count, lastAt: now}
 }
--- a/wire/rank.go
+++ b/wire/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"storj.io/drpc"
 
@@ -46,15 +47,38 @@
 	Snapshot uint64
 }
 
+// RankOrderRequest asks a process to give an order to the rank on its VM, and to relay
+// it to the processes of other ranks.
+type RankOrderRequest struct {
+	Order api.RankOrder
+	// Cells replaces Order.Map in a prepare order if IsDelta is set: the map results
+	// from changing these cells of version BaseVersion in the same epoch, which was
+	// ordered with the fencing token BaseToken. Version 0 has the token 0.
+	IsDelta     bool
+	BaseVersion uint64
+	BaseToken   uint64
+	Cells       []api.MapCell
+	// Layers, Ranks and Experts are the shape of the group, from which a process derives
+	// version 0.
+	Layers, Ranks, Experts int
+	// Relay lists the upstream addresses of the ranks whose processes get the order
+	// from this one.
+	Relay []string
+	// TimeoutMs is how long the caller waits for the reply.
+	TimeoutMs uint64
+}
+
 // RankOrderReply is the reply to an order.
 type RankOrderReply struct {
-	Result api.RankResult
+	// Results holds the result of the local rank, followed by those of the ranks in
+	// Relay.
+	Results []api.RankResult
 }
 
 // RankServer serves the calls of a leader.
 type RankServer interface {
 	ReadRank(ctx context.Context, r RankReadRequest) (RankReadReply, error)
-	OrderRank(ctx context.Context, o api.RankOrder) (RankOrderReply, error)
+	OrderRank(ctx context.Context, r RankOrderRequest) (RankOrderReply, error)
 }
 
 // UnknownCallError reports a call that the handler does not implement.
@@ -98,9 +122,22 @@
 	return out, err
 }
 
-// OrderRank sends an order to a rank through the process at c.
-func OrderRank(ctx context.Context, c drpc.Conn, o api.RankOrder) (api.RankResult, error) {
+// ResultCountError reports a reply without exactly one result for each rank.
+type ResultCountError struct{ Got, Want int }
+
+func (e *ResultCountError) Error() string {
+	return fmt.Sprintf("the reply holds %d results, want %d", e.Got, e.Want)
+}
+
+// OrderRank sends an order to a rank, and to the ranks in r.Relay, through the process
+// at c. It returns one result for each of them.
+func OrderRank(ctx context.Context, c drpc.Conn, r RankOrderRequest) ([]api.RankResult, error) {
 	var out RankOrderReply
-	err := c.Invoke(ctx, rankOrderCall, RankEncoding, &o, &out)
-	return out.Result, err
+	if err := c.Invoke(ctx, rankOrderCall, RankEncoding, &r, &out); err != nil {
+		return nil, err
+	}
+	if want := 1 + len(r.Relay); len(out.Results) != want {
+		return nil, &ResultCountError{Got: len(out.Results), Want: want}
+	}
+	return out.Results, nil
 }
--- a/wire/rank_test.go
+++ b/wire/rank_test.go
@@ -15,16 +15,16 @@
 
 type rankServer struct {
 	state wire.RankReadReply
-	order api.RankOrder
+	order wire.RankOrderRequest
 }
 
 func (s *rankServer) ReadRank(context.Context, wire.RankReadRequest) (wire.RankReadReply, error) {
 	return s.state, nil
 }
 
-func (s *rankServer) OrderRank(_ context.Context, o api.RankOrder) (wire.RankOrderReply, error) {
-	s.order = o
-	return wire.RankOrderReply{Result: api.RankFenced}, nil
+func (s *rankServer) OrderRank(_ context.Context, r wire.RankOrderRequest) (wire.RankOrderReply, error) {
+	s.order = r
+	return wire.RankOrderReply{Results: []api.RankResult{api.RankFenced, api.RankDone}}, nil
 }
 
 // Guards against a state or an order that loses a field between two processes:
@@ -45,10 +45,14 @@
 	if err != nil || !reflect.DeepEqual(state, server.state) {
 		t.Errorf("got state %+v, error %v", state, err)
 	}
-	order := api.RankOrder{Op: api.RankArm, Token: 1, Epoch: 2, MapVersion: 3, Step: 4, Map: [][][]int{{{1}, {2}}}}
-	result, err := wire.OrderRank(t.Context(), conn, order)
-	if err != nil || result != api.RankFenced || !reflect.DeepEqual(server.order, order) {
-		t.Errorf("got result %v, order %+v, error %v", result, server.order, err)
+	order := wire.RankOrderRequest{
+		Order:   api.RankOrder{Op: api.RankArm, Token: 1, Epoch: 2, MapVersion: 3, Step: 4, Map: [][][]int{{{1}, {2}}}},
+		IsDelta: true, BaseVersion: 5, BaseToken: 10, Cells: []api.MapCell{{Layer: 1, Rank: 2, Removed: []int{3}, Added: []int{4, 5}}},
+		Layers: 6, Ranks: 7, Experts: 8, Relay: []string{"a"}, TimeoutMs: 9,
+	}
+	results, err := wire.OrderRank(t.Context(), conn, order)
+	if err != nil || !reflect.DeepEqual(results, []api.RankResult{api.RankFenced, api.RankDone}) || !reflect.DeepEqual(server.order, order) {
+		t.Errorf("got results %v, order %+v, error %v", results, server.order, err)
 	}
 }
 
@@ -59,7 +63,7 @@
 	for _, m := range []any{
 		&wire.RankReadRequest{Leader: 1, Group: "g", LastSnapshot: 3},
 		&wire.RankReadReply{State: api.RankState{Report: api.RankReport{Group: "g", HeldStep: &held}, Counts: []uint64{1}, Experts: [][]int{{1}}}},
-		&api.RankOrder{Op: api.RankArm, Map: [][][]int{{{1}, {2}}}},
+		&wire.RankOrderRequest{Order: api.RankOrder{Op: api.RankArm, Map: [][][]int{{{1}, {2}}}}, Cells: []api.MapCell{{Added: []int{1}}}, Relay: []string{"a"}},
 	} {
 		data, err := wire.RankEncoding.Marshal(m)
 		if err != nil {
@@ -68,7 +72,7 @@
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		for _, m := range []any{&wire.RankReadRequest{}, &wire.RankReadReply{}, &api.RankOrder{}, &wire.RankOrderReply{}} {
+		for _, m := range []any{&wire.RankReadRequest{}, &wire.RankReadReply{}, &wire.RankOrderRequest{}, &wire.RankOrderReply{}} {
 			if wire.RankEncoding.Unmarshal(data, m) != nil {
 				continue
 			}
--- a/wire/rankcodec.go
+++ b/wire/rankcodec.go
@@ -39,10 +39,13 @@
 		w.rankReadRequest(m)
 	case *RankReadReply:
 		w.rankReadReply(m)
-	case *api.RankOrder:
-		w.rankOrder(m)
+	case *RankOrderRequest:
+		w.rankOrderRequest(m)
 	case *RankOrderReply:
-		w.uvarint(uint64(m.Result))
+		w.uvarint(uint64(len(m.Results)))
+		for _, result := range m.Results {
+			w.uvarint(uint64(result))
+		}
 	default:
 		return nil, &UnsupportedMessageError{Message: m}
 	}
@@ -56,10 +59,15 @@
 		r.rankReadRequest(m)
 	case *RankReadReply:
 		r.rankReadReply(m)
-	case *api.RankOrder:
-		r.rankOrder(m)
+	case *RankOrderRequest:
+		r.rankOrderRequest(m)
 	case *RankOrderReply:
-		m.Result = api.RankResult(r.uvarint())
+		if n := r.length(); n > 0 {
+			m.Results = make([]api.RankResult, n)
+			for i := range m.Results {
+				m.Results[i] = api.RankResult(r.uvarint())
+			}
+		}
 	default:
 		return &UnsupportedMessageError{Message: m}
 	}
@@ -150,6 +158,31 @@
 	}
 }
 
+func (w *rankWriter) rankOrderRequest(m *RankOrderRequest) {
+	w.rankOrder(&m.Order)
+	w.flag(m.IsDelta)
+	w.uvarint(m.BaseVersion)
+	w.uvarint(m.BaseToken)
+	w.cells(m.Cells)
+	w.uvarint(uint64(m.Layers))
+	w.uvarint(uint64(m.Ranks))
+	w.uvarint(uint64(m.Experts))
+	w.uvarint(uint64(len(m.Relay)))
+	for _, address := range m.Relay {
+		w.text(address)
+	}
+	w.uvarint(m.TimeoutMs)
+}
+
+func (w *rankWriter) cells(cells []api.MapCell) {
+	w.uvarint(uint64(len(cells)))
+	for _, c := range cells {
+		w.uvarint(uint64(c.Layer))
+		w.uvarint(uint64(c.Rank))
+		w.lists([][]int{c.Removed, c.Added})
+	}
+}
+
 // rankReader decodes the encoding of rankWriter. After the first error failed is
 // true and all reads return zero values.
 type rankReader struct {
@@ -254,3 +287,37 @@
 		}
 	}
 }
+
+func (r *rankReader) rankOrderRequest(m *RankOrderRequest) {
+	r.rankOrder(&m.Order)
+	m.IsDelta = r.flag()
+	m.BaseVersion = r.uvarint()
+	m.BaseToken = r.uvarint()
+	m.Cells = r.cells()
+	m.Layers, m.Ranks, m.Experts = int(r.uvarint()), int(r.uvarint()), int(r.uvarint())
+	if n := r.length(); n > 0 {
+		m.Relay = make([]string, n)
+		for i := range m.Relay {
+			m.Relay[i] = r.text()
+		}
+	}
+	m.TimeoutMs = r.uvarint()
+}
+
+func (r *rankReader) cells() []api.MapCell {
+	n := r.length()
+	if n == 0 {
+		return nil
+	}
+	cells := make([]api.MapCell, n)
+	for i := range cells {
+		cells[i].Layer, cells[i].Rank = int(r.uvarint()), int(r.uvarint())
+		lists := r.lists()
+		if len(lists) != 2 {
+			r.failed = true
+			return nil
+		}
+		cells[i].Removed, cells[i].Added = lists[0], lists[1]
+	}
+	return cells
+}
