Edges read the loads of groups and place requests by water filling

Cause: 36 edges in front of 192 upstreams see the load header of an upstream once in some seconds, so that each placed requests by its own few in flight; upstreams got 1 to 9 requests at the same time, and a pass of a group lasts as long as that of its fullest rank.

--- a/api/edge.go
+++ b/api/edge.go
@@ -54,6 +54,8 @@
 	// ColdTolerance requests per second.
 	ColdOvershoot float64 `toml:"cold_overshoot"`
 	ColdTolerance float64 `toml:"cold_tolerance"`
+	// SidePort is the port of the processes beside upstreams, 0 if there are none.
+	SidePort int `toml:"side_port"`
 	// LinkMbps is the bandwidth of the VM's link in Mbit/s.
 	LinkMbps float64 `toml:"link_mbps"`
 	// MemoryMB is the memory limit of the process in MB.
--- a/api/experts.go
+++ b/api/experts.go
@@ -1,6 +1,9 @@
 package api
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // RankReport is the state reported by one rank of an expert-parallel group.
 type RankReport struct {
@@ -106,3 +109,29 @@
 	ReadExperts(ctx context.Context, address string) ([][]int, error)
 	OrderRank(ctx context.Context, address string, o RankOrder) (RankResult, error)
 }
+
+// RankLoad is the number of requests on one rank, running and waiting.
+type RankLoad struct {
+	// AddressHash is the hash of the address of the rank's engine.
+	AddressHash uint64
+	Requests    int
+}
+
+// GroupLoad is the load of a group as its leader read it from the ranks. Ranks that did
+// not respond are missing.
+type GroupLoad struct {
+	Group string
+	Epoch uint64
+	// Formed is false while the group is broken, until it is formed again.
+	Formed bool
+	Ranks  []RankLoad
+	// ReadAt is when the load was read, in elapsed time of the receiving process.
+	ReadAt time.Duration
+}
+
+// GroupLoads publishes the loads of groups.
+type GroupLoads interface {
+	// Subscribe adds a function that runs on the control loop for each load. It must be
+	// called while services are provisioned.
+	Subscribe(func(now time.Duration, l GroupLoad))
+}
--- a/api/names.go
+++ b/api/names.go
@@ -24,6 +24,7 @@
 	ServiceDiscovery       = "discovery"
 	ServiceFleet           = "fleet"
 	ServiceExperts         = "experts"
+	ServiceGroupLoads      = "group.loads"
 	ServiceRankEngine      = "rank.engine"
 	ServicePlatformStore   = "platform.store"
 	ServicePlatformReady   = "platform.ready"
--- a/cmd/mulberryfork-platform/main.go
+++ b/cmd/mulberryfork-platform/main.go
@@ -24,6 +24,7 @@
 	"github.com/mulberryfork/mulberryfork/service/dispatch"
 	"github.com/mulberryfork/mulberryfork/service/experts"
 	"github.com/mulberryfork/mulberryfork/service/fleet"
+	"github.com/mulberryfork/mulberryfork/service/grouploads"
 	"github.com/mulberryfork/mulberryfork/service/log"
 	"github.com/mulberryfork/mulberryfork/service/metrics"
 )
@@ -80,6 +81,7 @@
 	api.ServiceAdminHTTP,
 	api.ServicePlatformReady,
 	api.ServiceFleet,
+	api.ServiceGroupLoads,
 	api.ServiceAdmission,
 	api.ServiceRouting,
 	api.ServiceTransportLinks,
@@ -107,6 +109,7 @@
 		dispatch.Register,
 		experts.Register,
 		fleet.Register,
+		grouploads.Register,
 		log.Register,
 		metrics.Register,
 		platform.Register,
@@ -124,7 +127,7 @@
 		kong.Name("mulberryfork-platform"),
 		kong.Description("The processes of mulberryfork on a platform with a store."))
 	if err := parsed.Run(); err != nil {
-		fmt.Fprintf(os.Stderr, "mulberryfork-platform: %T: %v\n", err, err)
+		fmt.Fprintln(os.Stderr, "mulberryfork-platform:", err)
 		os.Exit(1)
 	}
 }
--- a/decide/balance/balance.go
+++ b/decide/balance/balance.go
@@ -13,6 +13,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/outlier"
 )
@@ -65,6 +67,10 @@
 	fleet     *api.FleetView
 	upstreams map[string]*upstream
 	services  map[string][]*upstream
+	// byAddress maps the hash of an engine's address to its upstream.
+	byAddress map[uint64]*upstream
+	// traffic holds the request rate and duration of each service.
+	traffic map[string]*traffic
 }
 
 type upstream struct {
@@ -79,6 +85,11 @@
 	// requests.
 	othersLoad   float64
 	othersLoadAt time.Duration
+	// groupLoad is the load last read by the leader of the upstream's group, nil if
+	// there is none.
+	groupLoad *rankLoad
+	// sentAt holds the times of this process's last attempts, since sentWindow.
+	sentAt []time.Duration
 	// coldAttempts holds the times of the attempts within the last coldWindow.
 	coldAttempts []time.Duration
 	// coldQuota is the maximum length of coldAttempts while the upstream is cold.
@@ -93,6 +104,7 @@
 		view:      &api.View{},
 		fleet:     &api.FleetView{},
 		upstreams: make(map[string]*upstream),
+		traffic:   make(map[string]*traffic),
 	}
 }
 
@@ -102,6 +114,7 @@
 	s.view = v
 	upstreams := make(map[string]*upstream, len(v.Instances))
 	s.services = make(map[string][]*upstream)
+	s.byAddress = make(map[uint64]*upstream, len(v.Instances))
 	for id, in := range v.Instances {
 		u := s.upstreams[id]
 		if u == nil || u.instance.StartedAtMs != in.StartedAtMs {
@@ -109,6 +122,7 @@
 		}
 		u.instance = in
 		upstreams[id] = u
+		s.byAddress[xxhash.Sum64String(in.Address)] = u
 		s.services[in.Service] = append(s.services[in.Service], u)
 	}
 	for _, list := range s.services {
@@ -177,6 +191,10 @@
 // qualifies. Choose returns a failure if none qualifies or the selected upstream
 // is full.
 func (s *State) Choose(now time.Duration, service string, exclude []string) (Choice, *api.Failure) {
+	s.trafficOf(service).recordArrival(now)
+	if choice, failure, ok := s.chooseRank(now, service, exclude); ok {
+		return choice, failure
+	}
 	var best *upstream
 	lowest, candidates, eligible, overQuota := math.Inf(1), 0, 0, 0
 	for _, worstStatus := range []outlier.Status{outlier.Probing, outlier.Ejected} {
@@ -210,11 +228,16 @@
 		f.RetryAfter = busyRetryAfter
 		return Choice{}, f
 	}
-	best.inFlight++
-	s.recordColdAttempt(now, best)
+	s.recordAttempt(now, best)
 	return Choice{Upstream: best.instance.ID, Load: load, Candidates: candidates}, nil
 }
 
+func (s *State) recordAttempt(now time.Duration, u *upstream) {
+	u.inFlight++
+	u.recordSent(now)
+	s.recordColdAttempt(now, u)
+}
+
 // effectiveHealth returns the health of an upstream. An upstream in backoff
 // counts as ejected, so that it is used only as a last resort.
 func (u *upstream) effectiveHealth(now time.Duration) outlier.Status {
--- /dev/null
+++ b/decide/balance/group.go
@@ -0,0 +1,174 @@
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/outlier"
+	"github.com/mulberryfork/mulberryfork/decide/waterfill"
+)
+
+const (
+	// maxGroupLoadAge is the age above which the load of a group is not used.
+	maxGroupLoadAge = time.Second
+	// queuedFraction is the number of requests that may wait at an upstream, as a
+	// fraction of its slots. A slot becomes free about once in the time of a request
+	// divided by the slots, so that a request waits for at most that fraction of the
+	// time of a request.
+	queuedFraction = 1.0 / 6
+	// sentWindow is how long the times of own attempts are kept. It exceeds
+	// maxGroupLoadAge.
+	sentWindow = 2 * time.Second
+	// trafficHalfLife is the half-life of the estimated request rate.
+	trafficHalfLife = 2 * time.Second
+	// durationWeight is the weight of one request in the mean duration.
+	durationWeight = 0.1
+	// minRetryAfter and maxRetryAfter bound the Retry-After when a group is full. It is
+	// drawn at random between them, so that callers do not return together.
+	minRetryAfter = 300 * time.Millisecond
+	maxRetryAfter = 1500 * time.Millisecond
+)
+
+// rankLoad is the load of an upstream as the leader of its group read it.
+type rankLoad struct {
+	group    string
+	formed   bool
+	requests int
+	readAt   time.Duration
+}
+
+// traffic estimates the requests of one service at this process.
+type traffic struct {
+	// rate is in requests per second, as of rateAt.
+	rate   float64
+	rateAt time.Duration
+	// meanDuration is the moving average of the duration of a request, 0 if unknown.
+	meanDuration time.Duration
+}
+
+func (s *State) trafficOf(service string) *traffic {
+	t := s.traffic[service]
+	if t == nil {
+		t = &traffic{}
+		s.traffic[service] = t
+	}
+	return t
+}
+
+func (t *traffic) recordArrival(now time.Duration) {
+	t.rate = t.rateNow(now) + math.Ln2/trafficHalfLife.Seconds()
+	t.rateAt = now
+}
+
+func (t *traffic) rateNow(now time.Duration) float64 {
+	return t.rate * math.Exp2(-(now-t.rateAt).Seconds()/trafficHalfLife.Seconds())
+}
+
+// ObserveDuration records the duration of a successful request.
+func (s *State) ObserveDuration(upstream string, d time.Duration) {
+	u := s.upstreams[upstream]
+	if u == nil || d <= 0 {
+		return
+	}
+	t := s.trafficOf(u.instance.Service)
+	if t.meanDuration == 0 {
+		t.meanDuration = d
+	}
+	t.meanDuration += time.Duration(durationWeight * float64(d-t.meanDuration))
+}
+
+// ObserveGroupLoad records the load of a group. A rank that did not respond to the
+// leader keeps its last load until that is too old.
+func (s *State) ObserveGroupLoad(l api.GroupLoad) {
+	for _, rank := range l.Ranks {
+		if u := s.byAddress[rank.AddressHash]; u != nil {
+			u.groupLoad = &rankLoad{group: l.Group, formed: l.Formed, requests: rank.Requests, readAt: l.ReadAt}
+		}
+	}
+}
+
+func (u *upstream) recordSent(now time.Duration) {
+	u.sentAt = slices.DeleteFunc(u.sentAt, func(at time.Duration) bool { return now-at > sentWindow })
+	u.sentAt = append(u.sentAt, now)
+}
+
+func (u *upstream) sentSince(at time.Duration) int {
+	n := 0
+	for _, t := range u.sentAt {
+		if t >= at {
+			n++
+		}
+	}
+	return n
+}
+
+// currentGroupLoad returns the load of the upstream's group if it is recent.
+func (u *upstream) currentGroupLoad(now time.Duration) (rankLoad, bool) {
+	if u.groupLoad == nil || now-u.groupLoad.readAt > maxGroupLoadAge {
+		return rankLoad{}, false
+	}
+	return *u.groupLoad, true
+}
+
+// chooseRank selects an upstream by the loads that the leaders of the groups read. ok
+// is false if no upstream of the service has such a load, or if none that has one
+// qualifies.
+func (s *State) chooseRank(now time.Duration, service string, exclude []string) (choice Choice, failure *api.Failure, ok bool) {
+	t := s.trafficOf(service)
+	var ranks []*upstream
+	var candidates []waterfill.Candidate
+	oldest, forming, overQuota := now, 0, 0
+	for _, u := range s.services[service] {
+		load, recent := u.currentGroupLoad(now)
+		if !recent || !s.eligible(u) || slices.Contains(exclude, u.instance.ID) || u.effectiveHealth(now) > outlier.Probing {
+			continue
+		}
+		if !load.formed {
+			forming++
+			continue
+		}
+		if !s.withinColdQuota(now, u) {
+			overQuota++
+			continue
+		}
+		ranks = append(ranks, u)
+		candidates = append(candidates, s.candidate(now, u, load, t.meanDuration))
+		oldest = min(oldest, load.readAt)
+	}
+	if len(ranks) == 0 {
+		return Choice{}, nil, false
+	}
+	arrivals := 1 + t.rateNow(now)*(now-oldest).Seconds()*float64(s.otherProcesses())
+	i := waterfill.Choose(candidates, arrivals, s.random.Float64())
+	if i == waterfill.Refused {
+		f := api.NewFailure(api.CodeOverloaded, api.NotRun, "the groups of the service are full")
+		f.RetryAfter = minRetryAfter + time.Duration(s.random.Float64()*float64(maxRetryAfter-minRetryAfter))
+		return Choice{Candidates: len(candidates)}, f, true
+	}
+	s.recordAttempt(now, ranks[i])
+	return Choice{Upstream: ranks[i].instance.ID, Load: candidates[i].Load, Candidates: len(candidates)}, nil, true
+}
+
+// otherProcesses returns the number of other processes that place requests.
+func (s *State) otherProcesses() int { return max(len(s.fleet.Names)-1, 0) }
+
+// candidate returns the estimated load and the capacity of a rank: the requests that the
+// leader read, less those that have ended since, plus the own attempts since.
+func (s *State) candidate(now time.Duration, u *upstream, l rankLoad, meanDuration time.Duration) waterfill.Candidate {
+	slots := float64(u.instance.Slots)
+	load := float64(l.requests)
+	if meanDuration > 0 {
+		running := min(load, slots)
+		load -= min(running, running*float64(now-l.readAt)/float64(meanDuration))
+	}
+	load += float64(u.sentSince(l.readAt))
+	if u.instance.Zone != s.options.Zone {
+		load += crossZonePenalty
+	}
+	if u.health == outlier.Probing {
+		load += probingPenalty
+	}
+	return waterfill.Candidate{Load: load, Capacity: slots*(1+queuedFraction) + crossZonePenalty}
+}
--- a/decide/mapswitch/mapswitch.go
+++ b/decide/mapswitch/mapswitch.go
@@ -293,8 +293,11 @@
 	return due
 }
 
+// resendInterval returns the time after which an order without a result is resent. It
+// follows from the number of orders without a result, which share the leader's link.
 func (s *State) resendInterval() time.Duration {
-	return max(resendInterval, resendOrderTimes*s.orderTime)
+	pendingTime := s.orderTime * time.Duration(len(s.pending)) / time.Duration(max(len(s.ranks), 1))
+	return max(resendInterval, resendOrderTimes*pendingTime)
 }
 
 // Tick returns the orders to send or resend now. It abandons or undoes a change
@@ -375,7 +378,7 @@
 	if s.passes.passTime <= 0 {
 		return minPassesAhead
 	}
-	armTime := s.orderTime + time.Duration(max(0, s.peakAttempts-1))*s.resendInterval()
+	armTime := s.orderTime + time.Duration(max(0, s.peakAttempts-1))*resendInterval
 	return min(minPassesAhead+uint64(armTime/s.passes.passTime), maxPassesAhead)
 }
 
--- a/decide/rankpacing/rankpacing.go
+++ b/decide/rankpacing/rankpacing.go
@@ -56,6 +56,14 @@
 	minLeaderTimeout   = 500 * time.Millisecond
 )
 
+// ranksPerPublisher is the number of ranks for each process that publishes the load of
+// the group to edges.
+const ranksPerPublisher = 8
+
+// Publishes reports whether the process beside a rank publishes the load of the group.
+// The process beside rank 0 usually leads and is left out.
+func Publishes(rank int) bool { return rank%ranksPerPublisher == 1 }
+
 // Group describes a group and the VM of its leader. A zero LinkMbps or CPUShare means
 // that it is unknown and does not limit anything.
 type Group struct {
--- /dev/null
+++ b/decide/waterfill/waterfill.go
@@ -0,0 +1,83 @@
+// Package waterfill places requests on upstreams whose loads are known with a delay, by
+// several processes that do not talk to each other.
+//
+// It answers for many processes and many small upstreams: each process sees a load
+// report every 100 to 300 ms, in which the others place dozens of requests. If all
+// choose the upstream with the lowest reported load, they fill that one and leave the
+// others idle. Instead, each process assumes that the requests since the report were
+// placed such that the lowest loads rose to a common level, as water fills a vessel, and
+// chooses at random among the upstreams below that level. The sum over all processes
+// then has the assumed shape.
+//
+// Once the expected requests exceed the room of all upstreams, each process refuses
+// further ones until a newer report, so that the accepted ones are not all late.
+package waterfill
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Candidate is an upstream that may get a request.
+type Candidate struct {
+	// Load is the estimated number of requests on it, running and waiting.
+	Load float64
+	// Capacity is the number of requests above which it gets no more.
+	Capacity float64
+}
+
+func (c Candidate) room() float64 { return max(c.Capacity-c.Load, 0) }
+
+// Refused is the choice if no upstream has room for the request.
+const Refused = -1
+
+// Choose returns the index of the upstream for a request, or Refused. arrivals is the
+// expected number of requests of all processes, including this one, that the loads do
+// not contain yet. random is a uniform random number in [0, 1).
+func Choose(candidates []Candidate, arrivals, random float64) int {
+	room := 0.0
+	for _, c := range candidates {
+		room += c.room()
+	}
+	arrivals = max(arrivals, 1)
+	if room < arrivals {
+		return Refused
+	}
+	level := fillLevel(candidates, arrivals)
+	var below []int
+	for i, c := range candidates {
+		if c.Load < min(c.Capacity, level) {
+			below = append(below, i)
+		}
+	}
+	return below[int(random*float64(len(below)))]
+}
+
+// fillLevel returns the level to which the loads below it rise if arrivals are added to
+// them, each at most up to its capacity.
+func fillLevel(candidates []Candidate, arrivals float64) float64 {
+	// The water below a level is piecewise linear in the level. Its slope changes by +1
+	// at each load and by -1 at each capacity.
+	type bend struct{ at, slope float64 }
+	bends := make([]bend, 0, 2*len(candidates))
+	for _, c := range candidates {
+		if c.room() > 0 {
+			bends = append(bends, bend{c.Load, 1}, bend{c.Capacity, -1})
+		}
+	}
+	slices.SortFunc(bends, func(a, b bend) int { return cmp.Compare(a.at, b.at) })
+	water, slope, level := 0.0, 0.0, 0.0
+	for _, b := range bends {
+		next := water + slope*(b.at-level)
+		if next >= arrivals {
+			break
+		}
+		water, level = next, b.at
+		slope += b.slope
+	}
+	if slope <= 0 {
+		return math.Inf(1)
+	}
+	return level + (arrivals-water)/slope
+}
--- a/service/balance/balance.go
+++ b/service/balance/balance.go
@@ -60,6 +60,10 @@
 	if err != nil {
 		return err
 	}
+	groups, err := kernel.Lookup[api.GroupLoads](c, api.ServiceGroupLoads)
+	if err != nil {
+		return err
+	}
 	metrics, err := kernel.Lookup[api.Metrics](c, api.ServiceMetrics)
 	if err != nil {
 		return err
@@ -79,6 +83,7 @@
 	// A later load report replaces a dropped one.
 	s.loads = kernel.NewMailbox(c.Loop(), "routing.load", loadMailboxSize, kernel.Drop, s.state.ObserveLoad)
 	s.discovery.Subscribe(s.configure)
+	groups.Subscribe(func(_ time.Duration, l api.GroupLoad) { s.state.ObserveGroupLoad(l) })
 	fleet.Subscribe(func(_ time.Duration, v *api.FleetView) { s.state.SetFleet(v) })
 	c.Loop().Every(tickInterval, func(now time.Duration) { s.applyHealth(s.outliers.Tick(now)) })
 	return nil
@@ -158,6 +163,9 @@
 
 func (s *service) handleResult(now time.Duration, r api.RouteResult) {
 	s.state.Done(now, r.Upstream, r.Failure)
+	if r.Failure == nil {
+		s.state.ObserveDuration(r.Upstream, r.Total)
+	}
 	if r.Unsent {
 		return
 	}
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -74,6 +74,7 @@
 	peers        peers
 	reader       *reader
 	maps         mapCache
+	board        loadBoard
 	countEncoder countEncoder
 	countDecoder countDecoder
 
--- a/service/experts/leader.go
+++ b/service/experts/leader.go
@@ -31,7 +31,9 @@
 		return
 	}
 	s.polling, s.lastPollAt = true, now
-	request := wire.RankReadRequest{Leader: s.rank, Group: s.group, Experts: s.mapUnknown()}
+	request := wire.RankReadRequest{
+		Leader: s.rank, Group: s.group, Experts: s.mapUnknown(), LeaderAddress: s.settings.Edge.LocalUpstreamAddress,
+	}
 	counts := !changing && now-s.lastCountsAt >= s.pacing.CountsInterval()
 	if counts {
 		s.lastCountsAt = now
@@ -40,7 +42,9 @@
 	if s.rankKnown {
 		for _, address := range s.candidateAddresses() {
 			rank := s.view.Rank(address)
-			targets = append(targets, target{address: address, counts: counts && (rank < 0 || s.pacing.Counted(rank))})
+			targets = append(targets, target{
+				address: address, counts: counts && (rank < 0 || s.pacing.Counted(rank)), load: rankpacing.Publishes(rank),
+			})
 		}
 	}
 	go s.poll(request, targets, counts, s.pacing)
@@ -155,6 +159,7 @@
 		s.epoch = epoch
 		s.current, s.next = knownMap{}, knownMap{}
 	}
+	s.publishLoad(now, snapshot)
 	s.updateMap(snapshot)
 	profile := s.engineProfile()
 	if profile == nil {
--- /dev/null
+++ b/service/experts/load.go
@@ -0,0 +1,79 @@
+package experts
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/rankpacing"
+	"github.com/mulberryfork/mulberryfork/decide/rankview"
+	"github.com/mulberryfork/mulberryfork/wire"
+)
+
+// loadTTL is how long a process repeats the load that it got from the leader.
+const loadTTL = 2 * time.Second
+
+// loadBoard holds the last load of the group, on the leader and on the processes that
+// publish it.
+type loadBoard struct {
+	mu         sync.Mutex
+	reply      wire.RankLoadReply
+	receivedAt time.Duration
+	// leaderAddress is the address of the engine of the last known leader.
+	leaderAddress string
+}
+
+func (b *loadBoard) set(now time.Duration, reply wire.RankLoadReply) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reply, b.receivedAt, b.leaderAddress = reply, now, reply.LeaderAddress
+}
+
+func (b *loadBoard) setLeader(address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaderAddress = address
+}
+
+// get returns the load with its present age, or only the address of the leader if there
+// is no recent load.
+func (b *loadBoard) get(now time.Duration) wire.RankLoadReply {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	age := now - b.receivedAt
+	if b.receivedAt == 0 || age > loadTTL {
+		return wire.RankLoadReply{LeaderAddress: b.leaderAddress}
+	}
+	reply := b.reply
+	reply.AgeMs += uint64(age.Milliseconds())
+	return reply
+}
+
+// ReadLoad handles the request of an edge for the load of the group.
+func (s *service) ReadLoad(context.Context, wire.RankLoadRequest) (wire.RankLoadReply, error) {
+	return s.board.get(s.clock.Now()), nil
+}
+
+// publishLoad puts the load of the group on the board. The next poll takes it from there
+// to the processes that publish it.
+func (s *service) publishLoad(now time.Duration, snapshot rankview.Snapshot) {
+	reply := wire.RankLoadReply{
+		LeaderAddress: s.settings.Edge.LocalUpstreamAddress,
+		Load:          api.GroupLoad{Group: s.group, Epoch: s.epoch, Formed: snapshot.Reports[s.rank].Formed},
+		AgeMs:         uint64(max(now-snapshot.StartedAt, 0).Milliseconds()),
+	}
+	for rank, r := range snapshot.Reports {
+		if r.Size == 0 {
+			continue
+		}
+		address := s.view.Address(rank)
+		reply.Load.Ranks = append(reply.Load.Ranks, api.RankLoad{AddressHash: xxhash.Sum64String(address), Requests: r.Running + r.Waiting})
+		if rankpacing.Publishes(rank) && rank != s.rank {
+			reply.Publishers = append(reply.Publishers, address)
+		}
+	}
+	s.board.set(now, reply)
+}
--- a/service/experts/read.go
+++ b/service/experts/read.go
@@ -18,6 +18,11 @@
 // notifies the control loop of the poll.
 func (s *service) ReadRank(ctx context.Context, r wire.RankReadRequest) (wire.RankReadReply, error) {
 	_ = s.leaderReads.Post(ctx, r)
+	if r.Load != nil && len(r.Load.Load.Ranks) > 0 {
+		s.board.set(s.clock.Now(), *r.Load)
+	} else {
+		s.board.setLeader(r.LeaderAddress)
+	}
 	state, err := s.readLocal(ctx, r)
 	reply := wire.RankReadReply{State: state}
 	if err == nil && r.Counts {
@@ -45,10 +50,12 @@
 	return out, nil
 }
 
-// target is a rank to read. Its counts are read if counts is set.
+// target is a rank to read. Its counts are read if counts is set. Its process gets the
+// load of the group if load is set.
 type target struct {
 	address string
 	counts  bool
+	load    bool
 }
 
 // poll reads the local rank and the targets, and posts the result to the control loop.
@@ -66,6 +73,9 @@
 	}
 	r.local = &local
 	request.Token = local.Token
+	load := s.board.get(s.clock.Now())
+	load.Publishers = nil
+	request.Load = &load
 	r.readings = s.reader.read(s.ctx, request, targets, pacing)
 }
 
--- a/service/experts/reader.go
+++ b/service/experts/reader.go
@@ -42,6 +42,9 @@
 		wait.Go(func() {
 			q := request
 			q.Counts = t.counts
+			if !t.load {
+				q.Load = nil
+			}
 			readCtx, cancel := context.WithTimeout(ctx, pacing.ReadTimeout(t.counts))
 			defer cancel()
 			startedAt := r.clock.Now()
--- a/wire/rank.go
+++ b/wire/rank.go
@@ -18,6 +18,7 @@
 const (
 	rankReadCall  = "/mulberryfork.Rank/Read"
 	rankOrderCall = "/mulberryfork.Rank/Order"
+	rankLoadCall  = "/mulberryfork.Rank/Load"
 )
 
 // RankReadRequest requests the state of the rank on the VM of the called process.
@@ -31,6 +32,10 @@
 	// Counts and Experts request these parts of api.RankState.
 	Counts  bool
 	Experts bool
+	// LeaderAddress is the address of the engine on the leader's VM.
+	LeaderAddress string
+	// Load is the load of the group, for the processes that publish it to edges.
+	Load *RankLoadReply
 	// LastSnapshot is the number of the last snapshot of the counts that the leader holds,
 	// 0 if it holds none. The reply may be a delta to this snapshot.
 	LastSnapshot uint64
@@ -75,10 +80,27 @@
 	Results []api.RankResult
 }
 
+// RankLoadRequest requests the load of the group from a process beside one of its ranks.
+type RankLoadRequest struct{}
+
+// RankLoadReply is the load of a group, or the address at which to ask for it.
+type RankLoadReply struct {
+	// LeaderAddress is the address of the engine on the leader's VM. A process that does
+	// not know the load sends only this, or nothing.
+	LeaderAddress string
+	Load          api.GroupLoad
+	// AgeMs is the age of the load in milliseconds. It replaces Load.ReadAt.
+	AgeMs uint64
+	// Publishers are the addresses of the engines whose processes publish the load. Only
+	// the leader sends them.
+	Publishers []string
+}
+
 // RankServer serves the calls of a leader.
 type RankServer interface {
 	ReadRank(ctx context.Context, r RankReadRequest) (RankReadReply, error)
 	OrderRank(ctx context.Context, r RankOrderRequest) (RankOrderReply, error)
+	ReadLoad(ctx context.Context, r RankLoadRequest) (RankLoadReply, error)
 }
 
 // UnknownCallError reports a call that the handler does not implement.
@@ -96,6 +118,8 @@
 		return serveCall(stream, h.Server.ReadRank)
 	case rankOrderCall:
 		return serveCall(stream, h.Server.OrderRank)
+	case rankLoadCall:
+		return serveCall(stream, h.Server.ReadLoad)
 	}
 	return &UnknownCallError{Call: rpc}
 }
@@ -141,3 +165,10 @@
 	}
 	return out.Results, nil
 }
+
+// ReadLoad reads the load of a group through the process at c.
+func ReadLoad(ctx context.Context, c drpc.Conn) (RankLoadReply, error) {
+	var out RankLoadReply
+	err := c.Invoke(ctx, rankLoadCall, RankEncoding, &RankLoadRequest{}, &out)
+	return out, err
+}
--- a/wire/rank_test.go
+++ b/wire/rank_test.go
@@ -16,6 +16,7 @@
 type rankServer struct {
 	state wire.RankReadReply
 	order wire.RankOrderRequest
+	load  wire.RankLoadReply
 }
 
 func (s *rankServer) ReadRank(context.Context, wire.RankReadRequest) (wire.RankReadReply, error) {
@@ -27,6 +28,10 @@
 	return wire.RankOrderReply{Results: []api.RankResult{api.RankFenced, api.RankDone}}, nil
 }
 
+func (s *rankServer) ReadLoad(context.Context, wire.RankLoadRequest) (wire.RankLoadReply, error) {
+	return s.load, nil
+}
+
 // Guards against a state or an order that loses a field between two processes:
 // without the hold or the token, ranks could use two expert maps in one pass.
 func TestRankCallsKeepEveryField(t *testing.T) {
@@ -56,12 +61,28 @@
 	}
 }
 
+// Guards against a load that loses a rank or its age between two processes: edges would
+// send too many requests to a rank that looks idle.
+func TestRankLoadKeepsEveryField(t *testing.T) {
+	server := &rankServer{load: wire.RankLoadReply{
+		LeaderAddress: "a", AgeMs: 70, Publishers: []string{"b", "c"},
+		Load: api.GroupLoad{Group: "g", Epoch: 2, Formed: true, Ranks: []api.RankLoad{{AddressHash: 1 << 40, Requests: 3}, {AddressHash: 5}}},
+	}}
+	left, right := net.Pipe()
+	go func() { _ = drpcserver.New(&wire.RankHandler{Server: server}).ServeOne(t.Context(), right) }()
+	conn := drpcconn.New(left)
+	defer conn.Close()
+	if load, err := wire.ReadLoad(t.Context(), conn); err != nil || !reflect.DeepEqual(load, server.load) {
+		t.Errorf("got load %+v, error %v", load, err)
+	}
+}
+
 // Guards against a malformed message that crashes the process or allocates more
 // memory than its own size.
 func FuzzRankMessages(f *testing.F) {
 	held := uint64(7)
 	for _, m := range []any{
-		&wire.RankReadRequest{Leader: 1, Group: "g", LastSnapshot: 3},
+		&wire.RankReadRequest{Leader: 1, Group: "g", LastSnapshot: 3, Load: &wire.RankLoadReply{Publishers: []string{"a"}}},
 		&wire.RankReadReply{State: api.RankState{Report: api.RankReport{Group: "g", HeldStep: &held}, Counts: []uint64{1}, Experts: [][]int{{1}}}},
 		&wire.RankOrderRequest{Order: api.RankOrder{Op: api.RankArm, Map: [][][]int{{{1}, {2}}}}, Cells: []api.MapCell{{Added: []int{1}}}, Relay: []string{"a"}},
 	} {
@@ -72,7 +93,7 @@
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		for _, m := range []any{&wire.RankReadRequest{}, &wire.RankReadReply{}, &wire.RankOrderRequest{}, &wire.RankOrderReply{}} {
+		for _, m := range []any{&wire.RankReadRequest{}, &wire.RankReadReply{}, &wire.RankOrderRequest{}, &wire.RankOrderReply{}, &wire.RankLoadReply{}} {
 			if wire.RankEncoding.Unmarshal(data, m) != nil {
 				continue
 			}
--- a/wire/rankcodec.go
+++ b/wire/rankcodec.go
@@ -41,6 +41,9 @@
 		w.rankReadReply(m)
 	case *RankOrderRequest:
 		w.rankOrderRequest(m)
+	case *RankLoadRequest:
+	case *RankLoadReply:
+		w.rankLoadReply(m)
 	case *RankOrderReply:
 		w.uvarint(uint64(len(m.Results)))
 		for _, result := range m.Results {
@@ -61,6 +64,9 @@
 		r.rankReadReply(m)
 	case *RankOrderRequest:
 		r.rankOrderRequest(m)
+	case *RankLoadRequest:
+	case *RankLoadReply:
+		r.rankLoadReply(m)
 	case *RankOrderReply:
 		if n := r.length(); n > 0 {
 			m.Results = make([]api.RankResult, n)
@@ -119,6 +125,11 @@
 	w.flag(m.Counts)
 	w.flag(m.Experts)
 	w.uvarint(m.LastSnapshot)
+	w.text(m.LeaderAddress)
+	w.flag(m.Load != nil)
+	if m.Load != nil {
+		w.rankLoadReply(m.Load)
+	}
 }
 
 func (w *rankWriter) rankReadReply(m *RankReadReply) {
@@ -167,13 +178,31 @@
 	w.uvarint(uint64(m.Layers))
 	w.uvarint(uint64(m.Ranks))
 	w.uvarint(uint64(m.Experts))
-	w.uvarint(uint64(len(m.Relay)))
-	for _, address := range m.Relay {
-		w.text(address)
-	}
+	w.texts(m.Relay)
 	w.uvarint(m.TimeoutMs)
 }
 
+func (w *rankWriter) rankLoadReply(m *RankLoadReply) {
+	w.text(m.LeaderAddress)
+	w.text(m.Load.Group)
+	w.uvarint(m.Load.Epoch)
+	w.flag(m.Load.Formed)
+	w.uvarint(uint64(len(m.Load.Ranks)))
+	for _, rank := range m.Load.Ranks {
+		w.uvarint(rank.AddressHash)
+		w.uvarint(uint64(rank.Requests))
+	}
+	w.uvarint(m.AgeMs)
+	w.texts(m.Publishers)
+}
+
+func (w *rankWriter) texts(list []string) {
+	w.uvarint(uint64(len(list)))
+	for _, s := range list {
+		w.text(s)
+	}
+}
+
 func (w *rankWriter) cells(cells []api.MapCell) {
 	w.uvarint(uint64(len(cells)))
 	for _, c := range cells {
@@ -253,6 +282,11 @@
 	m.Counts = r.flag()
 	m.Experts = r.flag()
 	m.LastSnapshot = r.uvarint()
+	m.LeaderAddress = r.text()
+	if r.flag() {
+		m.Load = &RankLoadReply{}
+		r.rankLoadReply(m.Load)
+	}
 }
 
 func (r *rankReader) rankReadReply(m *RankReadReply) {
@@ -295,12 +329,7 @@
 	m.BaseToken = r.uvarint()
 	m.Cells = r.cells()
 	m.Layers, m.Ranks, m.Experts = int(r.uvarint()), int(r.uvarint()), int(r.uvarint())
-	if n := r.length(); n > 0 {
-		m.Relay = make([]string, n)
-		for i := range m.Relay {
-			m.Relay[i] = r.text()
-		}
-	}
+	m.Relay = r.texts()
 	m.TimeoutMs = r.uvarint()
 }
 
@@ -321,3 +350,30 @@
 	}
 	return cells
 }
+
+func (r *rankReader) rankLoadReply(m *RankLoadReply) {
+	m.LeaderAddress = r.text()
+	m.Load.Group = r.text()
+	m.Load.Epoch = r.uvarint()
+	m.Load.Formed = r.flag()
+	if n := r.length(); n > 0 {
+		m.Load.Ranks = make([]api.RankLoad, n)
+		for i := range m.Load.Ranks {
+			m.Load.Ranks[i] = api.RankLoad{AddressHash: r.uvarint(), Requests: int(r.uvarint())}
+		}
+	}
+	m.AgeMs = r.uvarint()
+	m.Publishers = r.texts()
+}
+
+func (r *rankReader) texts() []string {
+	n := r.length()
+	if n == 0 {
+		return nil
+	}
+	list := make([]string, n)
+	for i := range list {
+		list[i] = r.text()
+	}
+	return list
+}
