Limit batches of slow groups, refuse what a broken group cannot serve

Cause: a group whose passes take longer than callers accept between two events answers everybody late, and a broken group lets requests wait for 1.5 s before it refuses them. Change: decide/batchlimit derives how many requests a rank runs from the time of a pass that the leader measures (rankview.PassMeter), the engine profile and the shortest pause of the routes. While all groups are broken, requests are refused at once, with the time to form in Retry-After.

--- a/api/discovery.go
+++ b/api/discovery.go
@@ -32,6 +32,9 @@
 	Splits      []Split
 	// Anonymous allows requests without an API key.
 	Anonymous bool
+	// MaxPause is the longest pause between the events of a stream that is still in
+	// time, 0 if none is given.
+	MaxPause time.Duration
 	// Resumable allows a stream to be resumed at another upstream.
 	Resumable bool
 }
@@ -63,6 +66,12 @@
 	StagedPerRank int
 	// CopyTime is the time that a rank needs to copy one expert.
 	CopyTime time.Duration
+	// StepTime is the time of a step of a pass, and RequestTime that which each running
+	// request adds to it. A pass has StepsPerPass steps.
+	StepTime, RequestTime time.Duration
+	StepsPerPass          int
+	// FormTime is the time that a group takes to form again once all ranks are back.
+	FormTime time.Duration
 }
 
 // RouteTable is one version of the operator's configuration.
--- a/api/experts.go
+++ b/api/experts.go
@@ -124,7 +124,9 @@
 	Epoch uint64
 	// Formed is false while the group is broken, until it is formed again.
 	Formed bool
-	Ranks  []RankLoad
+	// PassTime is the time of a forward pass, 0 if it is unknown.
+	PassTime time.Duration
+	Ranks    []RankLoad
 	// ReadAt is when the load was read, in elapsed time of the receiving process.
 	ReadAt time.Duration
 }
--- a/decide/balance/balance.go
+++ b/decide/balance/balance.go
@@ -69,6 +69,8 @@
 	services  map[string][]*upstream
 	// byAddress maps the hash of an engine's address to its upstream.
 	byAddress map[uint64]*upstream
+	// maxPauses holds the longest accepted pause between events of each service.
+	maxPauses map[string]time.Duration
 	// traffic holds the request rate and duration of each service.
 	traffic map[string]*traffic
 }
@@ -134,6 +136,7 @@
 		})
 	}
 	s.upstreams = upstreams
+	s.maxPauses = shortestPauses(v.Table)
 	s.updateColdQuotas()
 }
 
--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/batchlimit"
 	"github.com/mulberryfork/mulberryfork/decide/outlier"
 	"github.com/mulberryfork/mulberryfork/decide/waterfill"
 )
@@ -33,10 +34,11 @@
 
 // rankLoad is the load of an upstream as the leader of its group read it.
 type rankLoad struct {
-	group    string
 	formed   bool
 	requests int
-	readAt   time.Duration
+	// limit is the number of requests that the upstream may run at the same time.
+	limit  int
+	readAt time.Duration
 }
 
 // traffic estimates the requests of one service at this process.
@@ -82,13 +84,47 @@
 // ObserveGroupLoad records the load of a group. A rank that did not respond to the
 // leader keeps its last load until that is too old.
 func (s *State) ObserveGroupLoad(l api.GroupLoad) {
+	fullest := 0
+	for _, rank := range l.Ranks {
+		fullest = max(fullest, rank.Requests)
+	}
 	for _, rank := range l.Ranks {
 		if u := s.byAddress[rank.AddressHash]; u != nil {
-			u.groupLoad = &rankLoad{group: l.Group, formed: l.Formed, requests: rank.Requests, readAt: l.ReadAt}
+			u.groupLoad = &rankLoad{
+				formed: l.Formed, requests: rank.Requests, limit: s.batchLimit(u.instance, l.PassTime, fullest), readAt: l.ReadAt,
+			}
 		}
 	}
 }
 
+// batchLimit returns how many requests an upstream may run at the same time. fullest is
+// the number of requests on the fullest rank of its group.
+func (s *State) batchLimit(in api.Instance, passTime time.Duration, fullest int) int {
+	if s.view.Table == nil || s.view.Table.Services[in.Service].Engine == nil {
+		return in.Slots
+	}
+	p := s.view.Table.Services[in.Service].Engine
+	model := batchlimit.Model{StepTime: p.StepTime, RequestTime: p.RequestTime, StepsPerPass: p.StepsPerPass}
+	return model.Limit(in.Slots, passTime, fullest, s.maxPauses[in.Service])
+}
+
+// shortestPauses returns the shortest of the accepted pauses of the routes to each
+// service.
+func shortestPauses(t *api.RouteTable) map[string]time.Duration {
+	pauses := make(map[string]time.Duration)
+	if t == nil {
+		return pauses
+	}
+	for _, r := range t.Routes {
+		for _, split := range r.Splits {
+			if p := pauses[split.Service]; r.MaxPause > 0 && (p == 0 || r.MaxPause < p) {
+				pauses[split.Service] = r.MaxPause
+			}
+		}
+	}
+	return pauses
+}
+
 func (u *upstream) recordSent(now time.Duration) {
 	u.sentAt = slices.DeleteFunc(u.sentAt, func(at time.Duration) bool { return now-at > sentWindow })
 	u.sentAt = append(u.sentAt, now)
@@ -119,18 +155,20 @@
 	t := s.trafficOf(service)
 	var ranks []*upstream
 	var candidates []waterfill.Candidate
-	oldest, forming, overQuota := now, 0, 0
+	oldest, forming, unknown := now, 0, 0
 	for _, u := range s.services[service] {
 		load, recent := u.currentGroupLoad(now)
-		if !recent || !s.eligible(u) || slices.Contains(exclude, u.instance.ID) || u.effectiveHealth(now) > outlier.Probing {
+		if !s.eligible(u) || slices.Contains(exclude, u.instance.ID) {
 			continue
 		}
-		if !load.formed {
+		switch {
+		case !recent:
+			unknown++
+			continue
+		case !load.formed:
 			forming++
 			continue
-		}
-		if !s.withinColdQuota(now, u) {
-			overQuota++
+		case u.effectiveHealth(now) > outlier.Probing || !s.withinColdQuota(now, u):
 			continue
 		}
 		ranks = append(ranks, u)
@@ -138,6 +176,9 @@
 		oldest = min(oldest, load.readAt)
 	}
 	if len(ranks) == 0 {
+		if forming > 0 && unknown == 0 {
+			return Choice{}, s.formingFailure(service), true
+		}
 		return Choice{}, nil, false
 	}
 	arrivals := 1 + t.rateNow(now)*(now-oldest).Seconds()*float64(s.otherProcesses())
@@ -151,6 +192,17 @@
 	return Choice{Upstream: ranks[i].instance.ID, Load: candidates[i].Load, Candidates: len(candidates)}, nil, true
 }
 
+// formingFailure returns the refusal while every group of a service is broken. A broken
+// group refuses all requests, after some time.
+func (s *State) formingFailure(service string) *api.Failure {
+	f := api.NewFailure(api.CodeNoUpstream, api.NotRun, "the groups of the service are being formed")
+	f.RetryAfter = minRetryAfter + time.Duration(s.random.Float64()*float64(maxRetryAfter-minRetryAfter))
+	if p := s.view.Table.Services[service].Engine; p != nil {
+		f.RetryAfter += p.FormTime
+	}
+	return f
+}
+
 // otherProcesses returns the number of other processes that place requests.
 func (s *State) otherProcesses() int { return max(len(s.fleet.Names)-1, 0) }
 
@@ -170,5 +222,5 @@
 	if u.health == outlier.Probing {
 		load += probingPenalty
 	}
-	return waterfill.Candidate{Load: load, Capacity: slots*(1+queuedFraction) + crossZonePenalty}
+	return waterfill.Candidate{Load: load, Capacity: float64(l.limit) + slots*queuedFraction + crossZonePenalty}
 }
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -95,6 +95,7 @@
 	state               *mapswitch.State
 	planner             *expertplan.State
 	view                *rankview.State
+	passes              rankview.PassMeter
 	// pacing holds the timeouts and intervals for the size of the group.
 	pacing rankpacing.Group
 	// current is the map in use. Its experts are nil if they are not known.
--- a/service/experts/load.go
+++ b/service/experts/load.go
@@ -62,7 +62,7 @@
 func (s *service) publishLoad(now time.Duration, snapshot rankview.Snapshot) {
 	reply := wire.RankLoadReply{
 		LeaderAddress: s.settings.Edge.LocalUpstreamAddress,
-		Load:          api.GroupLoad{Group: s.group, Epoch: s.epoch, Formed: snapshot.Reports[s.rank].Formed},
+		Load:          api.GroupLoad{Group: s.group, Epoch: s.epoch, Formed: snapshot.Reports[s.rank].Formed, PassTime: s.passes.Observe(now, snapshot)},
 		AgeMs:         uint64(max(now-snapshot.StartedAt, 0).Milliseconds()),
 	}
 	for rank, r := range snapshot.Reports {
--- a/wire/rankcodec.go
+++ b/wire/rankcodec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"time"
 
 	"storj.io/drpc"
 
@@ -187,6 +188,7 @@
 	w.text(m.Load.Group)
 	w.uvarint(m.Load.Epoch)
 	w.flag(m.Load.Formed)
+	w.uvarint(uint64(m.Load.PassTime))
 	w.uvarint(uint64(len(m.Load.Ranks)))
 	for _, rank := range m.Load.Ranks {
 		w.uvarint(rank.AddressHash)
@@ -356,6 +358,7 @@
 	m.Load.Group = r.text()
 	m.Load.Epoch = r.uvarint()
 	m.Load.Formed = r.flag()
+	m.Load.PassTime = time.Duration(r.uvarint())
 	if n := r.length(); n > 0 {
 		m.Load.Ranks = make([]api.RankLoad, n)
 		for i := range m.Load.Ranks {
