Give slow ranks fewer experts and requests

Cause: a pass lasts as long as that of its slowest rank. Ranks report their pace. The leader logs the load of its group once a second, which showed it.

--- a/api/experts.go
+++ b/api/experts.go
@@ -27,6 +27,9 @@
 	PreparedMapVersion, ArmedMapVersion, HeldStep *uint64
 	// Running and Waiting count requests.
 	Running, Waiting int
+	// Pace is the time that the rank takes for its work relative to a rank that is not
+	// slow, at least 1.
+	Pace float64
 }
 
 // RankState is a report with further values that are cheap to read only on the VM
@@ -115,6 +118,8 @@
 	// AddressHash is the hash of the address of the rank's engine.
 	AddressHash uint64
 	Requests    int
+	// Pace is that of the rank's report.
+	Pace float64
 }
 
 // GroupLoad is the load of a group as its leader read it from the ranks. Ranks that did
--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -37,7 +37,9 @@
 	formed   bool
 	requests int
 	// limit is the number of requests that the upstream may run at the same time.
-	limit  int
+	limit int
+	// pace is that of the rank.
+	pace   float64
 	readAt time.Duration
 }
 
@@ -85,27 +87,43 @@
 // leader keeps its last load until that is too old.
 func (s *State) ObserveGroupLoad(l api.GroupLoad) {
 	fullest := 0
+	paces := make([]float64, 0, len(l.Ranks))
 	for _, rank := range l.Ranks {
 		fullest = max(fullest, rank.Requests)
+		paces = append(paces, max(rank.Pace, 1))
 	}
+	usual := median(paces)
 	for _, rank := range l.Ranks {
 		if u := s.byAddress[rank.AddressHash]; u != nil {
 			u.groupLoad = &rankLoad{
-				formed: l.Formed, requests: rank.Requests, limit: s.batchLimit(u.instance, l.PassTime, fullest), readAt: l.ReadAt,
+				formed: l.Formed, requests: rank.Requests, limit: s.batchLimit(u.instance, l.PassTime, fullest, max(rank.Pace, 1)/usual), readAt: l.ReadAt,
 			}
 		}
 	}
 }
 
 // batchLimit returns how many requests an upstream may run at the same time. fullest is
-// the number of requests on the fullest rank of its group.
-func (s *State) batchLimit(in api.Instance, passTime time.Duration, fullest int) int {
+// the number of requests on the fullest rank of its group, pace that of the upstream
+// relative to the usual one of its group. A slow rank runs as many as take the time of a
+// full batch on the others, possibly none: a pass lasts as long as that of its slowest
+// rank.
+func (s *State) batchLimit(in api.Instance, passTime time.Duration, fullest int, pace float64) int {
 	if s.view.Table == nil || s.view.Table.Services[in.Service].Engine == nil {
 		return in.Slots
 	}
 	p := s.view.Table.Services[in.Service].Engine
 	model := batchlimit.Model{StepTime: p.StepTime, RequestTime: p.RequestTime, StepsPerPass: p.StepsPerPass}
-	return model.Limit(in.Slots, passTime, fullest, s.maxPauses[in.Service])
+	limit := model.Limit(in.Slots, passTime, fullest, s.maxPauses[in.Service])
+	return model.AtPace(limit, pace)
+}
+
+// median returns the median of a list that is not empty, 1 if it is.
+func median(list []float64) float64 {
+	if len(list) == 0 {
+		return 1
+	}
+	slices.Sort(list)
+	return list[len(list)/2]
 }
 
 // shortestPauses returns the shortest of the accepted pauses of the routes to each
@@ -222,5 +240,8 @@
 	if u.health == outlier.Probing {
 		load += probingPenalty
 	}
+	if l.limit == 0 {
+		return waterfill.Candidate{Load: load}
+	}
 	return waterfill.Candidate{Load: load, Capacity: float64(l.limit) + slots*queuedFraction + crossZonePenalty}
 }
--- a/decide/batchlimit/batchlimit.go
+++ b/decide/batchlimit/batchlimit.go
@@ -53,3 +53,13 @@
 	}
 	return slots
 }
+
+// AtPace returns how many requests a rank of a pace may run, so that its part of a pass
+// takes no longer than that of n requests on a rank that is not slow.
+func (m Model) AtPace(n int, pace float64) int {
+	if pace <= 1 || m.RequestTime <= 0 {
+		return n
+	}
+	part := time.Duration(float64(m.StepTime+time.Duration(n)*m.RequestTime) / pace)
+	return min(n, max(0, int((part-m.StepTime)/m.RequestTime)))
+}
--- a/decide/expertplan/expertplan.go
+++ b/decide/expertplan/expertplan.go
@@ -3,6 +3,7 @@
 package expertplan
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -21,6 +22,10 @@
 	// maxCopyTime limits how long a rank copies experts for one change. The old map
 	// stays in use during that time, and demand shifts within seconds.
 	maxCopyTime = 250 * time.Millisecond
+	// slowPace is the pace above which a rank counts as slow.
+	slowPace = 1.15
+	// paceChange is the relative change of a pace that makes a new plan necessary.
+	paceChange = 0.2
 )
 
 // excessTolerances are the accepted relative distances from the lower bound of the
@@ -37,6 +42,8 @@
 	// time of a pass.
 	minGain float64
 	demand  demand
+	// paces is nil if no rank is slow.
+	paces placement.Paces
 	// cached is the last result of Plan, or nil if demand has changed since. Plan is
 	// called several times per sample, and planning takes milliseconds of CPU time.
 	cached *cachedPlan
@@ -86,6 +93,28 @@
 	return placement.Limits{Total: n * ranks, PerRank: n, PerRankLayer: max(1, p.StagedPerRank)}
 }
 
+// SetPaces sets the paces of the ranks, 1 for a rank that is not slow. It returns true if
+// they differ from the last ones by more than paceChange.
+func (s *State) SetPaces(paces []float64) (changed bool) {
+	slow := false
+	for r, pace := range paces {
+		slow = slow || pace > slowPace
+		last := 1.0
+		if s.paces != nil {
+			last = s.paces[r]
+		}
+		changed = changed || math.Abs(pace-last) > paceChange*last
+	}
+	if !changed || len(paces) != s.shape.Ranks {
+		return false
+	}
+	s.paces, s.cached = nil, nil
+	if slow {
+		s.paces = paces
+	}
+	return true
+}
+
 // Shape returns the numbers of ranks, experts, layers and slots of the group.
 func (s *State) Shape() placement.Shape { return s.shape }
 
@@ -125,7 +154,7 @@
 	if !ok {
 		return Plan{}, false
 	}
-	after, err := placement.UpdateInRounds(before, loads, excessTolerances, s.limits)
+	after, err := placement.UpdateForPaces(before, loads, s.paces, excessTolerances, s.limits)
 	if err != nil {
 		return Plan{}, false
 	}
@@ -133,7 +162,10 @@
 	if even <= 0 {
 		return Plan{}, false
 	}
-	p := Plan{Map: s.unpack(after), Before: before.Cost(loads) / even, After: after.Cost(loads) / even, Copies: after.WeightsToLoad(before)}
+	p := Plan{
+		Map: s.unpack(after), Before: before.CostAt(loads, s.paces) / even, After: after.CostAt(loads, s.paces) / even,
+		Copies: after.WeightsToLoad(before),
+	}
 	return p, p.Before-p.After >= s.minGain*p.Before
 }
 
@@ -145,7 +177,7 @@
 	if !ok || s.demand.shares == nil {
 		return 0
 	}
-	return m.Cost(s.demand.shares) / s.evenCost(s.demand.shares)
+	return m.CostAt(s.demand.shares, s.paces) / s.evenCost(s.demand.shares)
 }
 
 // evenCost returns the expert time of a pass with equal load on all ranks.
--- a/decide/placement/layer.go
+++ b/decide/placement/layer.go
@@ -9,8 +9,11 @@
 	replicaSlots [][]int32
 	// replicaLoads is the load of one replica of each expert.
 	replicaLoads []float64
-	rankLoad     []float64
-	limits       Limits
+	// rankLoad is the load of each rank, multiplied by its pace.
+	rankLoad []float64
+	// paces is nil if no rank is slow.
+	paces  Paces
+	limits Limits
 	// staged counts the expert weights that each rank has to load, over all
 	// layers.
 	staged []int
@@ -19,8 +22,8 @@
 	stagedInLayer []int
 }
 
-func newLayer(s Shape, expertLoad []float64, slots []int16) *layer {
-	w := &layer{shape: s, expertLoad: expertLoad, slots: slots,
+func newLayer(s Shape, expertLoad []float64, slots []int16, paces Paces) *layer {
+	w := &layer{shape: s, expertLoad: expertLoad, slots: slots, paces: paces,
 		replicaSlots: make([][]int32, s.Experts), replicaLoads: make([]float64, s.Experts),
 		rankLoad: make([]float64, s.Ranks), limits: NoLimits(), staged: make([]int, s.Ranks), stagedInLayer: make([]int, s.Ranks)}
 	for slot, e := range slots {
@@ -30,11 +33,20 @@
 		w.replicaLoads[e] = expertLoad[e] / float64(len(replicas))
 	}
 	for slot, e := range slots {
-		w.rankLoad[w.rank(slot)] += w.replicaLoad(e)
+		w.addLoad(w.rank(slot), w.replicaLoad(e))
 	}
 	return w
 }
 
+func (w *layer) pace(rank int) float64 {
+	if w.paces == nil {
+		return 1
+	}
+	return w.paces[rank]
+}
+
+func (w *layer) addLoad(rank int, load float64) { w.rankLoad[rank] += load * w.pace(rank) }
+
 func (w *layer) rank(slot int) int { return slot / w.shape.Slots }
 
 func (w *layer) replicaLoad(e int16) float64 { return w.replicaLoads[e] }
@@ -96,8 +108,8 @@
 func (w *layer) swap(a, b int) {
 	ea, eb := w.slots[a], w.slots[b]
 	d := w.replicaLoad(ea) - w.replicaLoad(eb)
-	w.rankLoad[w.rank(a)] -= d
-	w.rankLoad[w.rank(b)] += d
+	w.addLoad(w.rank(a), -d)
+	w.addLoad(w.rank(b), d)
 	w.slots[a], w.slots[b] = eb, ea
 	moveReplica(w.replicaSlots[ea], a, b)
 	moveReplica(w.replicaSlots[eb], b, a)
@@ -136,6 +148,6 @@
 func (w *layer) addReplicaLoads(e int16, sign float64) {
 	x := sign * w.replicaLoad(e)
 	for _, slot := range w.replicaSlots[e] {
-		w.rankLoad[w.rank(int(slot))] += x
+		w.addLoad(w.rank(int(slot)), x)
 	}
 }
--- a/decide/placement/move.go
+++ b/decide/placement/move.go
@@ -49,10 +49,10 @@
 	added := w.expertLoad[e] / float64(len(w.replicaSlots[e])+1)
 	reduction := w.replicaLoad(e) - added
 	w.subtractLoad(e, reduction)
-	w.rankLoad[r] += added - w.replicaLoad(displaced)
+	w.addLoad(r, added-w.replicaLoad(displaced))
 	defer func() {
 		w.subtractLoad(e, -reduction)
-		w.rankLoad[r] -= added - w.replicaLoad(displaced)
+		w.addLoad(r, w.replicaLoad(displaced)-added)
 	}()
 	minPeak := max(w.rankLoad[hot], w.rankLoad[r])
 	for a, replaced := range w.slots {
--- a/decide/placement/placement.go
+++ b/decide/placement/placement.go
@@ -114,10 +114,14 @@
 }
 
 // Cost returns the largest rank load of each layer, summed over all layers.
-func (m Map) Cost(loads Loads) float64 {
+func (m Map) Cost(loads Loads) float64 { return m.CostAt(loads, nil) }
+
+// CostAt is like Cost for a group in which some ranks are slow: it returns the largest
+// time of a rank in each layer, summed over all layers.
+func (m Map) CostAt(loads Loads, paces Paces) float64 {
 	total := 0.0
 	for l := range m.Shape.Layers {
-		w := newLayer(m.Shape, loads[l], m.Layer(l))
+		w := newLayer(m.Shape, loads[l], m.Layer(l), paces)
 		total += w.rankLoad[w.mostLoadedRank()]
 	}
 	return total
--- a/decide/placement/plan.go
+++ b/decide/placement/plan.go
@@ -25,7 +25,7 @@
 	earlierLoad := make([]float64, s.Ranks)
 	for l, expertLoad := range loads {
 		w := pack(s, expertLoad, m.Layer(l), earlierLoad)
-		w.improve(layerLowerBound(s, expertLoad)*(1+planTolerance), s.maxSearchSteps())
+		w.improve(layerLowerBound(s, expertLoad, nil)*(1+planTolerance), s.maxSearchSteps())
 		for r, x := range w.rankLoad {
 			earlierLoad[r] += x
 		}
@@ -78,6 +78,13 @@
 // decreasing tolerances, tight limits are not used up by a small excess in one
 // layer while another layer still has a large excess.
 func UpdateInRounds(current Map, loads Loads, tolerances []float64, limits Limits) (Map, error) {
+	return UpdateForPaces(current, loads, nil, tolerances, limits)
+}
+
+// UpdateForPaces is like UpdateInRounds for a group in which some ranks are slow. paces
+// holds the time that each rank takes for a load, relative to a rank that is not slow;
+// nil means that none is.
+func UpdateForPaces(current Map, loads Loads, paces Paces, tolerances []float64, limits Limits) (Map, error) {
 	s := current.Shape
 	if err := s.validateLoads(loads); err != nil {
 		return Map{}, err
@@ -87,14 +94,14 @@
 	order := make([]int, s.Layers)
 	excess := make([]float64, s.Layers)
 	for l, expertLoad := range loads {
-		layers[l], order[l] = newLayer(s, expertLoad, m.Layer(l)), l
-		excess[l] = layers[l].rankLoad[layers[l].mostLoadedRank()] - layerLowerBound(s, expertLoad)
+		layers[l], order[l] = newLayer(s, expertLoad, m.Layer(l), paces), l
+		excess[l] = layers[l].rankLoad[layers[l].mostLoadedRank()] - layerLowerBound(s, expertLoad, paces)
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(excess[b], excess[a]) })
 	staged := make([]int, s.Ranks)
 	for _, tolerance := range tolerances {
 		for _, l := range order {
-			target := layerLowerBound(s, loads[l]) * (1 + tolerance)
+			target := layerLowerBound(s, loads[l], paces) * (1 + tolerance)
 			layers[l].staged, layers[l].limits = staged, limits
 			limits.Total -= layers[l].improve(target, s.maxSearchSteps())
 		}
@@ -109,8 +116,8 @@
 	return max(maxSearchSlots/(2*s.Slots*s.slotsPerLayer()), 1)
 }
 
-func layerLowerBound(s Shape, expertLoad []float64) float64 {
-	return LowerBound(s, Loads{expertLoad})
+func layerLowerBound(s Shape, expertLoad []float64, paces Paces) float64 {
+	return max(LowerBound(s, Loads{expertLoad}), paces.evenTime(expertLoad))
 }
 
 // replicaCounts returns the number of replicas of each expert. Each expert gets
@@ -178,5 +185,5 @@
 		p.placeReplicas(int16(e), replicas[e], loadPerReplica(e))
 	}
 	p.fillEmptySlots(expertLoad)
-	return newLayer(s, expertLoad, slots)
+	return newLayer(s, expertLoad, slots, nil)
 }
--- a/decide/placement/search.go
+++ b/decide/placement/search.go
@@ -85,11 +85,11 @@
 		x := w.replicaLoad(w.slots[a])
 		for b, f := range w.slots {
 			d := x - w.replicaLoad(f)
-			if d <= 0 || w.rankLoad[hot]-d >= best.peak {
+			if d <= 0 || w.rankLoad[hot]-d*w.pace(hot) >= best.peak {
 				continue
 			}
 			r := w.rank(b)
-			peak := max(w.rankLoad[hot]-d, w.rankLoad[r]+d)
+			peak := max(w.rankLoad[hot]-d*w.pace(hot), w.rankLoad[r]+d*w.pace(r))
 			if r == hot || peak >= best.peak || w.stagingFull(r) || !w.swappable(a, b) {
 				continue
 			}
@@ -145,7 +145,7 @@
 // subtractLoad subtracts load from every rank that holds an expert.
 func (w *layer) subtractLoad(e int16, load float64) {
 	for _, slot := range w.replicaSlots[e] {
-		w.rankLoad[w.rank(int(slot))] -= load
+		w.addLoad(w.rank(int(slot)), -load)
 	}
 }
 
@@ -154,14 +154,15 @@
 // with a load of at least limit.
 func (w *layer) peakWithout(f int16, b int, load, limit float64) float64 {
 	oldLoad := w.replicaLoad(f)
-	peak := w.rankLoad[w.rank(b)] - oldLoad + load
+	peak := w.rankLoad[w.rank(b)] + (load-oldLoad)*w.pace(w.rank(b))
 	if peak >= limit {
 		return peak
 	}
 	increase := w.expertLoad[f]/float64(len(w.replicaSlots[f])-1) - oldLoad
 	for _, slot := range w.replicaSlots[f] {
 		if int(slot) != b {
-			peak = max(peak, w.rankLoad[w.rank(int(slot))]+increase)
+			r := w.rank(int(slot))
+			peak = max(peak, w.rankLoad[r]+increase*w.pace(r))
 		}
 	}
 	return peak
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -108,6 +108,8 @@
 	lastReports []api.RankReport
 	loggedPhase mapswitch.Phase
 	failures    orderFailures
+	// groupLoggedAt is the time of the last log line on the load of the group.
+	groupLoggedAt time.Duration
 }
 
 type counters struct{ changes, rolledBack, polls, incompletePolls api.Counter }
--- a/service/experts/leader.go
+++ b/service/experts/leader.go
@@ -1,6 +1,7 @@
 package experts
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
@@ -169,11 +170,24 @@
 	if s.planner == nil {
 		s.planner = expertplan.New(len(s.lastReports), *profile)
 	}
+	s.updatePaces()
 	if r.counts {
 		s.observeCounts(now, r)
 	}
 }
 
+// updatePaces passes the paces of the ranks to the planner. A rank without a report
+// counts as not slow.
+func (s *service) updatePaces() {
+	paces := make([]float64, len(s.lastReports))
+	for rank, r := range s.lastReports {
+		paces[rank] = max(r.Pace, 1)
+	}
+	if s.planner.SetPaces(paces) {
+		s.log.Change("pace of ranks changed", api.Fields{"group": s.group, "epoch": s.epoch, "slowest": slices.Max(paces)})
+	}
+}
+
 // observeCounts passes the counts of a poll to the planner.
 func (s *service) observeCounts(now time.Duration, r pollResult) {
 	counts := make([][]uint64, len(s.lastReports))
--- a/service/experts/load.go
+++ b/service/experts/load.go
@@ -16,6 +16,9 @@
 // loadTTL is how long a process repeats the load that it got from the leader.
 const loadTTL = 2 * time.Second
 
+// groupLogInterval is the time between log lines of the leader on the load of its group.
+const groupLogInterval = time.Second
+
 // loadBoard holds the last load of the group, on the leader and on the processes that
 // publish it.
 type loadBoard struct {
@@ -65,15 +68,39 @@
 		Load:          api.GroupLoad{Group: s.group, Epoch: s.epoch, Formed: snapshot.Reports[s.rank].Formed, PassTime: s.passes.Observe(now, snapshot)},
 		AgeMs:         uint64(max(now-snapshot.StartedAt, 0).Milliseconds()),
 	}
+	fullest := 0
 	for rank, r := range snapshot.Reports {
+		fullest = max(fullest, r.Running+r.Waiting)
 		if r.Size == 0 {
 			continue
 		}
 		address := s.view.Address(rank)
-		reply.Load.Ranks = append(reply.Load.Ranks, api.RankLoad{AddressHash: xxhash.Sum64String(address), Requests: r.Running + r.Waiting})
+		reply.Load.Ranks = append(reply.Load.Ranks, api.RankLoad{AddressHash: xxhash.Sum64String(address), Requests: r.Running + r.Waiting, Pace: r.Pace})
 		if rankpacing.Publishes(rank) && rank != s.rank {
 			reply.Publishers = append(reply.Publishers, address)
 		}
 	}
 	s.board.set(now, reply)
+	s.logGroup(now, reply, fullest)
+}
+
+// logGroup logs the load of the group, at most once in groupLogInterval.
+func (s *service) logGroup(now time.Duration, reply wire.RankLoadReply, fullest int) {
+	if now-s.groupLoggedAt < groupLogInterval {
+		return
+	}
+	s.groupLoggedAt = now
+	requests, slowest := 0, 1.0
+	for _, r := range reply.Load.Ranks {
+		requests += r.Requests
+		slowest = max(slowest, r.Pace)
+	}
+	fields := api.Fields{
+		"group": s.group, "epoch": s.epoch, "formed": reply.Load.Formed, "ranks": len(reply.Load.Ranks), "requests": requests,
+		"fullest": fullest, "pass_ms": reply.Load.PassTime.Milliseconds(), "age_ms": reply.AgeMs, "version": s.current.version, "slowest_pace": slowest,
+	}
+	if s.planner != nil && s.current.experts != nil {
+		fields["imbalance"] = s.planner.Imbalance(s.current.experts)
+	}
+	s.log.Change("group load", fields)
 }
--- a/wire/rank_test.go
+++ b/wire/rank_test.go
@@ -37,7 +37,7 @@
 func TestRankCallsKeepEveryField(t *testing.T) {
 	held, armed := uint64(7), uint64(9)
 	server := &rankServer{state: wire.RankReadReply{State: api.RankState{
-		Report:  api.RankReport{Address: "a", Group: "g", Epoch: 2, Rank: 3, Size: 4, Formed: true, Step: 5, MapVersion: 6, HeldStep: &held, ArmedMapVersion: &armed},
+		Report:  api.RankReport{Address: "a", Group: "g", Epoch: 2, Rank: 3, Size: 4, Formed: true, Step: 5, MapVersion: 6, Pace: 1.25, HeldStep: &held, ArmedMapVersion: &armed},
 		Counts:  []uint64{1, 2, 3},
 		Experts: [][]int{{1, 2}, {3}},
 		Token:   11,
@@ -66,7 +66,7 @@
 func TestRankLoadKeepsEveryField(t *testing.T) {
 	server := &rankServer{load: wire.RankLoadReply{
 		LeaderAddress: "a", AgeMs: 70, Publishers: []string{"b", "c"},
-		Load: api.GroupLoad{Group: "g", Epoch: 2, Formed: true, PassTime: 80, Ranks: []api.RankLoad{{AddressHash: 1 << 40, Requests: 3}, {AddressHash: 5}}},
+		Load: api.GroupLoad{Group: "g", Epoch: 2, Formed: true, PassTime: 80, Ranks: []api.RankLoad{{AddressHash: 1 << 40, Requests: 3, Pace: 1}, {AddressHash: 5, Pace: 3.5}}},
 	}}
 	left, right := net.Pipe()
 	go func() { _ = drpcserver.New(&wire.RankHandler{Server: server}).ServeOne(t.Context(), right) }()
--- a/wire/rankcodec.go
+++ b/wire/rankcodec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math"
 	"time"
 
 	"storj.io/drpc"
@@ -88,6 +89,13 @@
 
 func (w *rankWriter) uvarint(n uint64) { w.buf = binary.AppendUvarint(w.buf, n) }
 
+// paceUnit is the precision of an encoded pace.
+const paceUnit = 0.01
+
+func (w *rankWriter) pace(p float64) { w.uvarint(uint64(math.Round(max(p, 0) / paceUnit))) }
+
+func (r *rankReader) pace() float64 { return float64(r.uvarint()) * paceUnit }
+
 func (w *rankWriter) text(s string) {
 	w.uvarint(uint64(len(s)))
 	w.buf = append(w.buf, s...)
@@ -148,6 +156,7 @@
 	w.optionalUvarint(r.HeldStep)
 	w.uvarint(uint64(r.Running))
 	w.uvarint(uint64(r.Waiting))
+	w.pace(r.Pace)
 	w.uvarint(uint64(len(m.State.Counts)))
 	for _, n := range m.State.Counts {
 		w.uvarint(n)
@@ -193,6 +202,7 @@
 	for _, rank := range m.Load.Ranks {
 		w.uvarint(rank.AddressHash)
 		w.uvarint(uint64(rank.Requests))
+		w.pace(rank.Pace)
 	}
 	w.uvarint(m.AgeMs)
 	w.texts(m.Publishers)
@@ -296,7 +306,7 @@
 		Address: r.text(), Group: r.text(), Epoch: r.uvarint(), Rank: int(r.uvarint()), Size: int(r.uvarint()),
 		Formed: r.flag(), Step: r.uvarint(), MapVersion: r.uvarint(),
 		PreparedMapVersion: r.optionalUvarint(), ArmedMapVersion: r.optionalUvarint(), HeldStep: r.optionalUvarint(),
-		Running: int(r.uvarint()), Waiting: int(r.uvarint()),
+		Running: int(r.uvarint()), Waiting: int(r.uvarint()), Pace: r.pace(),
 	}
 	if n := r.length(); n > 0 {
 		m.State.Counts = make([]uint64, n)
@@ -362,7 +372,7 @@
 	if n := r.length(); n > 0 {
 		m.Load.Ranks = make([]api.RankLoad, n)
 		for i := range m.Load.Ranks {
-			m.Load.Ranks[i] = api.RankLoad{AddressHash: r.uvarint(), Requests: int(r.uvarint())}
+			m.Load.Ranks[i] = api.RankLoad{AddressHash: r.uvarint(), Requests: int(r.uvarint()), Pace: r.pace()}
 		}
 	}
 	m.AgeMs = r.uvarint()
