Let no request wait behind a batch that is smaller than the slots

A limit below the slots was exceeded by the places for waiting requests, which an engine runs at once.

Tried and reverted: batches sized for the pass after the next shift of demand, with the interval and the imbalance of past shifts from the leader. It needs a steadier limit first.

--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -240,8 +240,12 @@
 	if u.health == outlier.Probing {
 		load += probingPenalty
 	}
-	if l.limit == 0 {
-		return waterfill.Candidate{Load: load}
+	c := waterfill.Candidate{Load: load, Capacity: float64(l.limit)}
+	if l.limit == u.instance.Slots {
+		c.Capacity += slots * queuedFraction
 	}
-	return waterfill.Candidate{Load: load, Capacity: float64(l.limit) + slots*queuedFraction + crossZonePenalty}
+	if l.limit > 0 {
+		c.Capacity += crossZonePenalty
+	}
+	return c
 }
--- a/decide/batchlimit/batchlimit_test.go
+++ b/decide/batchlimit/batchlimit_test.go
@@ -50,7 +50,7 @@
 
 // play simulates a group for 30 s. slowdown is the factor of the time of a pass, and
 // perSecond the rate of requests. A request is placed on the rank with the fewest; it is
-// refused if that has as many as limit returns, plus one that waits.
+// refused if that has as many as limit returns. One may wait for a full batch.
 func play(slowdown func(now time.Duration) float64, perSecond float64, limit func(observed time.Duration, running int) int) played {
 	type request struct {
 		arrived time.Duration
@@ -95,7 +95,11 @@
 					best = r
 				}
 			}
-			if len(running[best])+len(waiting[best]) > limit(observed, fullest) {
+			places := limit(observed, fullest)
+			if places == playedSlots {
+				places++
+			}
+			if len(running[best])+len(waiting[best]) >= places {
 				result.refused++
 				continue
 			}
