--- a/cmd/mulberryfork-platform/edge_test.go
+++ b/cmd/mulberryfork-platform/edge_test.go
@@ -33,6 +33,7 @@
 	t           *testing.T
 	store       *platformstore.Store
 	workers     []*platformworker.Worker
+	addresses   map[string]string
 	process     *daemon.Process
 	http        string
 	ready       string
@@ -45,7 +46,7 @@
 // budget does not grow with the number of requests.
 func newFixtureWithRetryBudget(t *testing.T, retries int) *fixture {
 	t.Helper()
-	f := &fixture{t: t, store: platformstore.New()}
+	f := &fixture{t: t, store: platformstore.New(), addresses: make(map[string]string)}
 	storeServer := httptest.NewServer(f.store)
 	t.Cleanup(storeServer.Close)
 	once := &platformworker.Once{}
@@ -54,6 +55,7 @@
 		server := httptest.NewServer(w)
 		t.Cleanup(server.Close)
 		f.workers = append(f.workers, w)
+		f.addresses[id] = server.Listener.Addr().String()
 		f.register(id, server.Listener.Addr().String(), "available")
 	}
 	f.store.Put("op/config", fmt.Appendf(nil, configFormat, 1, 1))
@@ -98,6 +100,8 @@
 	return f
 }
 
+func (f *fixture) address(id string) string { return f.addresses[id] }
+
 func (f *fixture) register(id, address, state string) {
 	f.store.Put("servers/"+id, fmt.Appendf(nil, `{"service":"svc","address":%q,"availabilityZone":"z","version":"v1",
 "capacitySlots":4,"lifecycleState":%q,"coldRemainingMs":0,"sequenceNumber":1}`, address, state))
