Keep upstreams of a group with unknown load in use, and ask for loads sparingly

All 36 edges searched the lost groups ten times a second, and each process referred them to the leader, which has 0.24 of a core; so the leaders stayed out of reach. Change: an upstream whose group's load is unknown is a candidate with the load that the edge expects itself; processes refer to a publisher, not to the leader; searches without a result are spaced up to 1.6 s; loads older than 1 s don't count as an answer, and an older load never replaces a newer one.

--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -83,8 +83,8 @@
 	t.meanDuration += time.Duration(durationWeight * float64(d-t.meanDuration))
 }
 
-// ObserveGroupLoad records the load of a group. A rank that did not respond to the
-// leader keeps its last load until that is too old.
+// ObserveGroupLoad records the load of a group, unless a later one is known. A rank that
+// did not respond to the leader keeps its last load until that is too old.
 func (s *State) ObserveGroupLoad(l api.GroupLoad) {
 	fullest := 0
 	paces := make([]float64, 0, len(l.Ranks))
@@ -94,7 +94,7 @@
 	}
 	usual := median(paces)
 	for _, rank := range l.Ranks {
-		if u := s.byAddress[rank.AddressHash]; u != nil {
+		if u := s.byAddress[rank.AddressHash]; u != nil && (u.groupLoad == nil || l.ReadAt >= u.groupLoad.readAt) {
 			u.groupLoad = &rankLoad{
 				formed: l.Formed, requests: rank.Requests, limit: s.batchLimit(u.instance, l.PassTime, fullest, max(rank.Pace, 1)/usual), readAt: l.ReadAt,
 			}
@@ -117,6 +117,20 @@
 	return model.AtPace(limit, pace)
 }
 
+// unknownCandidate returns the expected load of an upstream whose group's load is not
+// known.
+func (s *State) unknownCandidate(now time.Duration, u *upstream) waterfill.Candidate {
+	slots := float64(u.instance.Slots)
+	c := waterfill.Candidate{Load: s.load(now, u), Capacity: slots*(1+queuedFraction) + crossZonePenalty}
+	if u.instance.Zone != s.options.Zone {
+		c.Load += crossZonePenalty
+	}
+	if u.health == outlier.Probing {
+		c.Load += probingPenalty
+	}
+	return c
+}
+
 // median returns the median of a list that is not empty, 1 if it is.
 func median(list []float64) float64 {
 	if len(list) == 0 {
@@ -166,37 +180,39 @@
 	return *u.groupLoad, true
 }
 
-// chooseRank selects an upstream by the loads that the leaders of the groups read. ok
-// is false if no upstream of the service has such a load, or if none that has one
-// qualifies.
+// chooseRank selects an upstream by the loads that the leaders of the groups read, and
+// by the load that this process expects for upstreams whose group's load is unknown. ok
+// is false if no upstream of the service has such a load, or if none qualifies.
 func (s *State) chooseRank(now time.Duration, service string, exclude []string) (choice Choice, failure *api.Failure, ok bool) {
 	t := s.trafficOf(service)
 	var ranks []*upstream
 	var candidates []waterfill.Candidate
-	oldest, forming, unknown := now, 0, 0
+	oldest, forming, known := now, 0, 0
 	for _, u := range s.services[service] {
 		load, recent := u.currentGroupLoad(now)
 		if !s.eligible(u) || slices.Contains(exclude, u.instance.ID) {
 			continue
 		}
-		switch {
-		case !recent:
-			unknown++
-			continue
-		case !load.formed:
+		if recent && !load.formed {
 			forming++
 			continue
-		case u.effectiveHealth(now) > outlier.Probing || !s.withinColdQuota(now, u):
+		}
+		if u.effectiveHealth(now) > outlier.Probing || !s.withinColdQuota(now, u) {
 			continue
 		}
 		ranks = append(ranks, u)
+		if !recent {
+			candidates = append(candidates, s.unknownCandidate(now, u))
+			continue
+		}
+		known++
 		candidates = append(candidates, s.candidate(now, u, load, t.meanDuration))
 		oldest = min(oldest, load.readAt)
 	}
-	if len(ranks) == 0 {
-		if forming > 0 && unknown == 0 {
-			return Choice{}, s.formingFailure(service), true
-		}
+	if len(ranks) == 0 && forming > 0 {
+		return Choice{}, s.formingFailure(service), true
+	}
+	if known == 0 {
 		return Choice{}, nil, false
 	}
 	arrivals := 1 + t.rateNow(now)*(now-oldest).Seconds()*float64(s.otherProcesses())
--- a/decide/balance/group_test.go
+++ b/decide/balance/group_test.go
@@ -99,3 +99,42 @@
 			usual, slow, groupRanks*rankSlots)
 	}
 }
+
+// Guards against requests that concentrate on the one group whose load is known, while
+// the load of another group of the service can't be read.
+func TestUpstreamsOfUnknownGroupStayInUse(t *testing.T) {
+	s := newGroupState()
+	l := newGroupLoad(time.Second, 1)
+	l.Ranks = l.Ranks[:groupRanks/2]
+	s.ObserveGroupLoad(l)
+	known := make(map[string]bool)
+	for rank := range groupRanks / 2 {
+		known[fmt.Sprint("r", rank)] = true
+	}
+	toKnown, toUnknown := 0, 0
+	for range 4 * groupRanks {
+		c, failure := s.Choose(1050*time.Millisecond, "s", nil)
+		switch {
+		case failure != nil:
+			t.Fatal(failure)
+		case known[c.Upstream]:
+			toKnown++
+		default:
+			toUnknown++
+		}
+	}
+	if toUnknown < toKnown {
+		t.Errorf("%d requests to the group with one request a rank, %d to the one without known load", toKnown, toUnknown)
+	}
+}
+
+// Guards against an old load that arrives late, through another process, and replaces a
+// newer one.
+func TestOlderGroupLoadIsIgnored(t *testing.T) {
+	s := newGroupState()
+	s.ObserveGroupLoad(newGroupLoad(2*time.Second, 2*rankSlots))
+	s.ObserveGroupLoad(newGroupLoad(1500*time.Millisecond, 0))
+	if _, failure := s.Choose(2050*time.Millisecond, "s", nil); failure == nil {
+		t.Error("the older load is used")
+	}
+}
--- a/decide/groupwatch/groupwatch.go
+++ b/decide/groupwatch/groupwatch.go
@@ -2,7 +2,7 @@
 //
 // Every process beside a rank knows the leader of its group, and some publish the load
 // that the leader read. An edge asks any process of an unknown group, follows the
-// answer to the leader, and then asks one publisher at intervals. The edges choose
+// answer to a publisher, and then asks one publisher at intervals. The edges choose
 // publishers by hash, so that they share the work.
 package groupwatch
 
@@ -22,8 +22,13 @@
 	// askInterval is the time between two requests for the load of one group. A leader
 	// reads its ranks about as often.
 	askInterval = 120 * time.Millisecond
-	// searchInterval is the time between two requests to upstreams of unknown groups.
-	searchInterval = 100 * time.Millisecond
+	// searchInterval is the time between two requests to upstreams of unknown groups. It
+	// doubles with each request without a load, up to maxSearchInterval: a group whose
+	// load is not known is in trouble, and all edges search it.
+	searchInterval    = 100 * time.Millisecond
+	maxSearchInterval = 1600 * time.Millisecond
+	// maxLoadAge is the age above which a load does not count as an answer.
+	maxLoadAge = time.Second
 	// silentAfter is the time without a load after which another process is asked.
 	silentAfter = time.Second
 	// forgetAfter is the time without a load after which a group is unknown again.
@@ -41,6 +46,8 @@
 	// referral is the address to which the last answer referred.
 	referral   string
 	searchedAt time.Duration
+	// fruitless counts the searches since the last load.
+	fruitless int
 }
 
 type group struct {
@@ -95,9 +102,15 @@
 	if s.referral != "" {
 		ask(s.referral)
 		s.referral = ""
-	} else if now-s.searchedAt >= searchInterval {
+		return due
+	}
+	if now-s.searchedAt < min(searchInterval<<min(s.fruitless, 8), maxSearchInterval) {
+		return due
+	}
+	if unknown := s.unknown(); len(unknown) > 0 {
 		s.searchedAt = now
-		ask(s.randomOf(s.unknown()))
+		s.fruitless++
+		ask(s.randomOf(unknown))
 	}
 	return due
 }
@@ -126,24 +139,27 @@
 	return list[s.random.IntN(len(list))]
 }
 
-// Answer is the answer of a process: the load of its group, or a referral to the
-// leader. Publishers are the engines whose processes publish the load.
+// Answer is the answer of a process: the load of its group with its age, or a referral to
+// a process that publishes it. The leader adds the Publishers, the engines whose
+// processes publish the load.
 type Answer struct {
-	Load          api.GroupLoad
-	LeaderAddress string
-	Publishers    []string
+	Load       api.GroupLoad
+	Age        time.Duration
+	Referral   string
+	Publishers []string
 }
 
 // Handle records the answer of an asked process. It returns true if the answer holds a
 // load.
 func (s *State) Handle(now time.Duration, asked string, a Answer) bool {
 	delete(s.asked, asked)
-	if len(a.Load.Ranks) == 0 {
-		if a.LeaderAddress != asked {
-			s.referral = a.LeaderAddress
+	if len(a.Load.Ranks) == 0 || a.Age > maxLoadAge {
+		if a.Referral != asked {
+			s.referral = a.Referral
 		}
 		return false
 	}
+	s.fruitless = 0
 	g := s.groups[a.Load.Group]
 	if g == nil {
 		g = &group{}
--- a/decide/rankpacing/rankpacing.go
+++ b/decide/rankpacing/rankpacing.go
@@ -64,6 +64,13 @@
 // The process beside rank 0 usually leads and is left out.
 func Publishes(rank int) bool { return rank%ranksPerPublisher == 1 }
 
+// PublisherFor returns the rank whose process a rank's process names to edges that ask for
+// the load of the group. The ranks are spread evenly over the publishers.
+func PublisherFor(rank, ranks int) int {
+	publishers := max(1, (ranks+ranksPerPublisher-2)/ranksPerPublisher)
+	return min(1+ranksPerPublisher*(rank%publishers), ranks-1)
+}
+
 // Group describes a group and the VM of its leader. A zero LinkMbps or CPUShare means
 // that it is unknown and does not limit anything.
 type Group struct {
--- a/service/experts/leader.go
+++ b/service/experts/leader.go
@@ -33,7 +33,7 @@
 	}
 	s.polling, s.lastPollAt = true, now
 	request := wire.RankReadRequest{
-		Leader: s.rank, Group: s.group, Experts: s.mapUnknown(), LeaderAddress: s.settings.Edge.LocalUpstreamAddress,
+		Leader: s.rank, Group: s.group, Experts: s.mapUnknown(),
 	}
 	counts := !changing && now-s.lastCountsAt >= s.pacing.CountsInterval()
 	if counts {
@@ -45,6 +45,7 @@
 			rank := s.view.Rank(address)
 			targets = append(targets, target{
 				address: address, counts: counts && (rank < 0 || s.pacing.Counted(rank)), load: rankpacing.Publishes(rank),
+				publisher: s.view.Address(rankpacing.PublisherFor(rank, s.pacing.Ranks)),
 			})
 		}
 	}
--- a/service/experts/load.go
+++ b/service/experts/load.go
@@ -25,30 +25,30 @@
 	mu         sync.Mutex
 	reply      wire.RankLoadReply
 	receivedAt time.Duration
-	// leaderAddress is the address of the engine of the last known leader.
-	leaderAddress string
+	// publisher is the address of an engine whose process publishes the load.
+	publisher string
 }
 
 func (b *loadBoard) set(now time.Duration, reply wire.RankLoadReply) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.reply, b.receivedAt, b.leaderAddress = reply, now, reply.LeaderAddress
+	b.reply, b.receivedAt = reply, now
 }
 
-func (b *loadBoard) setLeader(address string) {
+func (b *loadBoard) setPublisher(address string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.leaderAddress = address
+	b.publisher = address
 }
 
-// get returns the load with its present age, or only the address of the leader if there
+// get returns the load with its present age, or only the address of a publisher if there
 // is no recent load.
 func (b *loadBoard) get(now time.Duration) wire.RankLoadReply {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	age := now - b.receivedAt
 	if b.receivedAt == 0 || age > loadTTL {
-		return wire.RankLoadReply{LeaderAddress: b.leaderAddress}
+		return wire.RankLoadReply{Referral: b.publisher}
 	}
 	reply := b.reply
 	reply.AgeMs += uint64(age.Milliseconds())
@@ -64,9 +64,8 @@
 // to the processes that publish it.
 func (s *service) publishLoad(now time.Duration, snapshot rankview.Snapshot) {
 	reply := wire.RankLoadReply{
-		LeaderAddress: s.settings.Edge.LocalUpstreamAddress,
-		Load:          api.GroupLoad{Group: s.group, Epoch: s.epoch, Formed: snapshot.Reports[s.rank].Formed, PassTime: s.passes.Observe(now, snapshot)},
-		AgeMs:         uint64(max(now-snapshot.StartedAt, 0).Milliseconds()),
+		Load:  api.GroupLoad{Group: s.group, Epoch: s.epoch, Formed: snapshot.Reports[s.rank].Formed, PassTime: s.passes.Observe(now, snapshot)},
+		AgeMs: uint64(max(now-snapshot.StartedAt, 0).Milliseconds()),
 	}
 	fullest := 0
 	for rank, r := range snapshot.Reports {
--- a/service/experts/read.go
+++ b/service/experts/read.go
@@ -21,7 +21,7 @@
 	if r.Load != nil && len(r.Load.Load.Ranks) > 0 {
 		s.board.set(s.clock.Now(), *r.Load)
 	} else {
-		s.board.setLeader(r.LeaderAddress)
+		s.board.setPublisher(r.Publisher)
 	}
 	state, err := s.readLocal(ctx, r)
 	reply := wire.RankReadReply{State: state}
@@ -56,6 +56,8 @@
 	address string
 	counts  bool
 	load    bool
+	// publisher is the address of an engine whose process publishes the load.
+	publisher string
 }
 
 // poll reads the local rank and the targets, and posts the result to the control loop.
--- a/service/experts/reader.go
+++ b/service/experts/reader.go
@@ -41,7 +41,7 @@
 		}
 		wait.Go(func() {
 			q := request
-			q.Counts = t.counts
+			q.Counts, q.Publisher = t.counts, t.publisher
 			if !t.load {
 				q.Load = nil
 			}
--- a/service/grouploads/grouploads.go
+++ b/service/grouploads/grouploads.go
@@ -172,7 +172,7 @@
 		return
 	}
 	found := s.state.Handle(now, a.asked, groupwatch.Answer{
-		Load: a.reply.Load, LeaderAddress: a.reply.LeaderAddress, Publishers: a.reply.Publishers,
+		Load: a.reply.Load, Age: time.Duration(a.reply.AgeMs) * time.Millisecond, Referral: a.reply.Referral, Publishers: a.reply.Publishers,
 	})
 	if !found {
 		return
--- a/wire/rank.go
+++ b/wire/rank.go
@@ -32,9 +32,10 @@
 	// Counts and Experts request these parts of api.RankState.
 	Counts  bool
 	Experts bool
-	// LeaderAddress is the address of the engine on the leader's VM.
-	LeaderAddress string
-	// Load is the load of the group, for the processes that publish it to edges.
+	// Publisher is the address of an engine whose process publishes the load of the
+	// group to edges.
+	Publisher string
+	// Load is the load of the group, for the processes that publish it.
 	Load *RankLoadReply
 	// LastSnapshot is the number of the last snapshot of the counts that the leader holds,
 	// 0 if it holds none. The reply may be a delta to this snapshot.
@@ -85,10 +86,10 @@
 
 // RankLoadReply is the load of a group, or the address at which to ask for it.
 type RankLoadReply struct {
-	// LeaderAddress is the address of the engine on the leader's VM. A process that does
-	// not know the load sends only this, or nothing.
-	LeaderAddress string
-	Load          api.GroupLoad
+	// Referral is the address of an engine whose process publishes the load. A process
+	// that does not know the load sends only this, or nothing.
+	Referral string
+	Load     api.GroupLoad
 	// AgeMs is the age of the load in milliseconds. It replaces Load.ReadAt.
 	AgeMs uint64
 	// Publishers are the addresses of the engines whose processes publish the load. Only
--- a/wire/rankcodec.go
+++ b/wire/rankcodec.go
@@ -134,7 +134,7 @@
 	w.flag(m.Counts)
 	w.flag(m.Experts)
 	w.uvarint(m.LastSnapshot)
-	w.text(m.LeaderAddress)
+	w.text(m.Publisher)
 	w.flag(m.Load != nil)
 	if m.Load != nil {
 		w.rankLoadReply(m.Load)
@@ -193,7 +193,7 @@
 }
 
 func (w *rankWriter) rankLoadReply(m *RankLoadReply) {
-	w.text(m.LeaderAddress)
+	w.text(m.Referral)
 	w.text(m.Load.Group)
 	w.uvarint(m.Load.Epoch)
 	w.flag(m.Load.Formed)
@@ -294,7 +294,7 @@
 	m.Counts = r.flag()
 	m.Experts = r.flag()
 	m.LastSnapshot = r.uvarint()
-	m.LeaderAddress = r.text()
+	m.Publisher = r.text()
 	if r.flag() {
 		m.Load = &RankLoadReply{}
 		r.rankLoadReply(m.Load)
@@ -364,7 +364,7 @@
 }
 
 func (r *rankReader) rankLoadReply(m *RankLoadReply) {
-	m.LeaderAddress = r.text()
+	m.Referral = r.text()
 	m.Load.Group = r.text()
 	m.Load.Epoch = r.uvarint()
 	m.Load.Formed = r.flag()
