--- a/cmd/mulberryfork-platform/endless_test.go
+++ b/cmd/mulberryfork-platform/endless_test.go
@@ -115,7 +115,9 @@
 			f.register("w1", f.address("w1"), "draining")
 			f.register("w2", f.address("w2"), "draining")
 			f.register("endless", u.listener.Addr().String(), "available")
-			f.awaitView(func(v *api.View) bool { return v.Instances["w1"].Leaving && v.Instances["w2"].Leaving && len(v.Instances) == 3 })
+			f.awaitView(func(v *api.View) bool {
+				return v.Instances["w1"].Leaving && v.Instances["w2"].Leaving && len(v.Instances) == 3
+			})
 			var before, after runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&before)
@@ -157,7 +159,9 @@
 	f.register("w1", f.address("w1"), "draining")
 	f.register("w2", f.address("w2"), "draining")
 	f.register("endless", u.listener.Addr().String(), "available")
-	f.awaitView(func(v *api.View) bool { return v.Instances["w1"].Leaving && v.Instances["w2"].Leaving && len(v.Instances) == 3 })
+	f.awaitView(func(v *api.View) bool {
+		return v.Instances["w1"].Leaving && v.Instances["w2"].Leaving && len(v.Instances) == 3
+	})
 	r, err := http.NewRequest(http.MethodPost, "http://"+f.http+"/u/x", strings.NewReader("whole"))
 	if err != nil {
 		t.Fatal(err)
--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -37,9 +37,7 @@
 	formed   bool
 	requests int
 	// limit is the number of requests that the upstream may run at the same time.
-	limit int
-	// pace is that of the rank.
-	pace   float64
+	limit  int
 	readAt time.Duration
 }
 
@@ -108,15 +106,23 @@
 // full batch on the others, possibly none: a pass lasts as long as that of its slowest
 // rank.
 func (s *State) batchLimit(in api.Instance, passTime time.Duration, fullest int, pace float64) int {
-	if s.view.Table == nil || s.view.Table.Services[in.Service].Engine == nil {
+	p := s.engineProfile(in.Service)
+	if p == nil {
 		return in.Slots
 	}
-	p := s.view.Table.Services[in.Service].Engine
 	model := batchlimit.Model{StepTime: p.StepTime, RequestTime: p.RequestTime, StepsPerPass: p.StepsPerPass}
 	limit := model.Limit(in.Slots, passTime, fullest, s.maxPauses[in.Service])
 	return model.AtPace(limit, pace)
 }
 
+// engineProfile returns the engine profile of a service, nil if it has none.
+func (s *State) engineProfile(service string) *api.EngineProfile {
+	if s.view.Table == nil {
+		return nil
+	}
+	return s.view.Table.Services[service].Engine
+}
+
 // unknownCandidate returns the expected load of an upstream whose group's load is not
 // known.
 func (s *State) unknownCandidate(now time.Duration, u *upstream) waterfill.Candidate {
@@ -231,7 +237,7 @@
 func (s *State) formingFailure(service string) *api.Failure {
 	f := api.NewFailure(api.CodeNoUpstream, api.NotRun, "the groups of the service are being formed")
 	f.RetryAfter = minRetryAfter + time.Duration(s.random.Float64()*float64(maxRetryAfter-minRetryAfter))
-	if p := s.view.Table.Services[service].Engine; p != nil {
+	if p := s.engineProfile(service); p != nil {
 		f.RetryAfter += p.FormTime
 	}
 	return f
--- a/service/experts/leader.go
+++ b/service/experts/leader.go
@@ -32,9 +32,7 @@
 		return
 	}
 	s.polling, s.lastPollAt = true, now
-	request := wire.RankReadRequest{
-		Leader: s.rank, Group: s.group, Experts: s.mapUnknown(),
-	}
+	request := wire.RankReadRequest{Leader: s.rank, Group: s.group, Experts: s.mapUnknown()}
 	counts := !changing && now-s.lastCountsAt >= s.pacing.CountsInterval()
 	if counts {
 		s.lastCountsAt = now
