--- a/api/metrics.go
+++ b/api/metrics.go
@@ -91,6 +91,8 @@
 	{"fleet_call_failures", MetricCounter, "calls", "", "edge", "failed calls to seeds"},
 	{"store_calls", MetricCounter, "calls", "", "edge", "calls to the platform's store"},
 	{"rank_calls", MetricCounter, "calls", "", "side", "calls to ranks of the group"},
+	{"group_load_calls", MetricCounter, "calls", "", "edge", "requests to side processes for the load of a group"},
+	{"group_load_failures", MetricCounter, "calls", "", "edge", "such requests without an answer"},
 	{"rank_readings", MetricCounter, "readings", "", "side", "reads of all ranks of the group"},
 	{"rank_readings_incomplete", MetricCounter, "readings", "", "side", "reads of the group in which a rank was missing or had another epoch"},
 	{"map_changes", MetricCounter, "changes", "", "side", "changes of the expert map that were started"},
