Write the placement penalties and the random Retry-After once

The penalties for another zone and for probing stood in three places, the draw of a Retry-After in two. The package comment of groupwatch still said that processes refer to the leader. No intended change of behaviour; sums are added in another order.

--- a/decide/balance/balance.go
+++ b/decide/balance/balance.go
@@ -265,14 +265,20 @@
 // score ranks upstreams; the lowest is best. The random part keeps processes from
 // choosing the same one of several equally loaded upstreams.
 func (s *State) score(now time.Duration, u *upstream) float64 {
-	score := s.load(now, u) + s.random.Float64()/2
+	return s.load(now, u) + s.random.Float64()/2 + s.penalty(u)
+}
+
+// penalty returns the load that is added to that of an upstream in another zone or one
+// that outlier detection is probing.
+func (s *State) penalty(u *upstream) float64 {
+	penalty := 0.0
 	if u.instance.Zone != s.options.Zone {
-		score += crossZonePenalty
+		penalty += crossZonePenalty
 	}
 	if u.health == outlier.Probing {
-		score += probingPenalty
+		penalty += probingPenalty
 	}
-	return score
+	return penalty
 }
 
 func noCandidateFailure(eligible, overQuota int) *api.Failure {
--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -127,14 +127,7 @@
 // known.
 func (s *State) unknownCandidate(now time.Duration, u *upstream) waterfill.Candidate {
 	slots := float64(u.instance.Slots)
-	c := waterfill.Candidate{Load: s.load(now, u), Capacity: slots*(1+queuedFraction) + crossZonePenalty}
-	if u.instance.Zone != s.options.Zone {
-		c.Load += crossZonePenalty
-	}
-	if u.health == outlier.Probing {
-		c.Load += probingPenalty
-	}
-	return c
+	return waterfill.Candidate{Load: s.load(now, u) + s.penalty(u), Capacity: slots*(1+queuedFraction) + crossZonePenalty}
 }
 
 // median returns the median of a list that is not empty, 1 if it is.
@@ -225,7 +218,7 @@
 	i := waterfill.Choose(candidates, arrivals, s.random.Float64())
 	if i == waterfill.Refused {
 		f := api.NewFailure(api.CodeOverloaded, api.NotRun, "the groups of the service are full")
-		f.RetryAfter = minRetryAfter + time.Duration(s.random.Float64()*float64(maxRetryAfter-minRetryAfter))
+		f.RetryAfter = s.spreadRetryAfter()
 		return Choice{Candidates: len(candidates)}, f, true
 	}
 	s.recordAttempt(now, ranks[i])
@@ -236,13 +229,18 @@
 // group refuses all requests, after some time.
 func (s *State) formingFailure(service string) *api.Failure {
 	f := api.NewFailure(api.CodeNoUpstream, api.NotRun, "the groups of the service are being formed")
-	f.RetryAfter = minRetryAfter + time.Duration(s.random.Float64()*float64(maxRetryAfter-minRetryAfter))
+	f.RetryAfter = s.spreadRetryAfter()
 	if p := s.engineProfile(service); p != nil {
 		f.RetryAfter += p.FormTime
 	}
 	return f
 }
 
+// spreadRetryAfter draws a Retry-After between minRetryAfter and maxRetryAfter.
+func (s *State) spreadRetryAfter() time.Duration {
+	return minRetryAfter + time.Duration(s.random.Float64()*float64(maxRetryAfter-minRetryAfter))
+}
+
 // otherProcesses returns the number of other processes that place requests.
 func (s *State) otherProcesses() int { return max(len(s.fleet.Names)-1, 0) }
 
@@ -255,13 +253,7 @@
 		running := min(load, slots)
 		load -= min(running, running*float64(now-l.readAt)/float64(meanDuration))
 	}
-	load += float64(u.sentSince(l.readAt))
-	if u.instance.Zone != s.options.Zone {
-		load += crossZonePenalty
-	}
-	if u.health == outlier.Probing {
-		load += probingPenalty
-	}
+	load += float64(u.sentSince(l.readAt)) + s.penalty(u)
 	c := waterfill.Candidate{Load: load, Capacity: float64(l.limit)}
 	if l.limit == u.instance.Slots {
 		c.Capacity += slots * queuedFraction
--- a/decide/groupwatch/groupwatch.go
+++ b/decide/groupwatch/groupwatch.go
@@ -1,7 +1,7 @@
 // Package groupwatch decides which processes an edge asks for the loads of the groups.
 //
-// Every process beside a rank knows the leader of its group, and some publish the load
-// that the leader read. An edge asks any process of an unknown group, follows the
+// Some of the processes beside the ranks of a group publish the load that its leader
+// read, and every other one knows a publisher. An edge asks any process of an unknown group, follows the
 // answer to a publisher, and then asks one publisher at intervals. The edges choose
 // publishers by hash, so that they share the work.
 package groupwatch
