Log failed attempts, with a fingerprint of the request

An attempt that failed and was followed by another left no line, and nothing in the logs identified two requests with the same content, so the hypotheses about the crashing requests could not be told apart. A line for each failed attempt now has the fingerprint and whether the response had begun.

The failure of an unbound request is not held back for 500 ms now that it has a fingerprint: no agent could report a suspicion meanwhile.

--- a/api/services.go
+++ b/api/services.go
@@ -233,7 +233,10 @@
 
 // RouteResult reports the end of an attempt to the routing service.
 type RouteResult struct {
-	Upstream string
+	// RequestID and Fingerprint are those of the RouteQuery.
+	RequestID   string
+	Fingerprint uint64
+	Upstream    string
 	// Ticket is that of the RouteChoice.
 	Ticket uint64
 	// Unsent is true if the order never left the router. The agent then does not
--- a/service/balance/balance.go
+++ b/service/balance/balance.go
@@ -7,6 +7,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,6 +23,8 @@
 	resultMailboxSize = 4096
 	loadMailboxSize   = 1024
 	tickInterval      = time.Second
+	// hexBase is the base in which fingerprints are logged.
+	hexBase = 16
 )
 
 type routeReply struct {
@@ -161,8 +164,27 @@
 	s.log.Decision("upstream chosen", api.DecisionRoutine, fields)
 }
 
+// logFailedAttempt logs an attempt that failed. The line for the end of the request
+// describes only its last attempt.
+func (s *service) logFailedAttempt(r api.RouteResult) {
+	if r.Failure == nil || r.Failure.Code == api.CodeCanceled {
+		return
+	}
+	s.log.Decision("attempt failed", api.DecisionFailed, api.Fields{
+		"request":     r.RequestID,
+		"fingerprint": strconv.FormatUint(r.Fingerprint, hexBase),
+		"upstream":    r.Upstream,
+		"failure":     r.Failure.Code,
+		"run":         r.Failure.Run,
+		"error":       r.Failure.Error(),
+		"began":       r.FirstChunk > 0,
+		"took_ms":     r.Total.Milliseconds(),
+	})
+}
+
 func (s *service) handleResult(now time.Duration, r api.RouteResult) {
 	s.state.Done(now, r.Upstream, r.Failure)
+	s.logFailedAttempt(r)
 	if r.Failure == nil {
 		s.state.ObserveDuration(r.Upstream, r.Total)
 	}
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -100,9 +100,10 @@
 			d.mayHaveRun = true
 		}
 		if !d.prepareRetry(ctx, end.Failure) {
-			if isCrash(end.Failure) && d.request.Fingerprint != 0 {
+			if isCrash(end.Failure) && d.request.Fingerprint != 0 && !d.request.Unbound {
 				// The failure is delayed so that all routers have received the
-				// suspicion before the caller resends the request.
+				// suspicion before the caller resends the request. An unbound request
+				// involves no agent that could report one.
 				sleep(ctx, poison.CrashFailureDelay)
 			}
 			return d.finalEnd(end, sent)
--- a/service/dispatch/hedgedattempt.go
+++ b/service/dispatch/hedgedattempt.go
@@ -216,12 +216,14 @@
 // choice.
 func (d *delivery) reportResult(s *openAttempt, f *api.Failure, unsent bool) {
 	d.service.routing.Done(api.RouteResult{
-		Upstream:   s.choice.Upstream,
-		Ticket:     s.choice.Ticket,
-		Unsent:     unsent,
-		CostTokens: d.request.CostTokens,
-		Failure:    f,
-		FirstChunk: s.sink.timeToFirstChunk,
-		Total:      d.service.clock.Now() - s.startedAt,
+		RequestID:   d.request.ID,
+		Fingerprint: d.request.Fingerprint,
+		Upstream:    s.choice.Upstream,
+		Ticket:      s.choice.Ticket,
+		Unsent:      unsent,
+		CostTokens:  d.request.CostTokens,
+		Failure:     f,
+		FirstChunk:  s.sink.timeToFirstChunk,
+		Total:       d.service.clock.Now() - s.startedAt,
 	})
 }
