--- /dev/null
+++ b/cmd/mulberryfork-platform/crash_test.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/daemon"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/standin/platformstore"
+	"github.com/mulberryfork/mulberryfork/standin/platformworker"
+)
+
+const (
+	crashEdges = 3
+	crashHosts = 4
+	// crashBody is the body of requests that crash the worker which runs them.
+	crashBody = "crash"
+	// restartDelay is the time that a crashed worker needs to be back.
+	restartDelay = 100 * time.Millisecond
+	// reportTimeout is the time in which a crash must be known at every edge.
+	reportTimeout = time.Second
+	// maxResends is the number of requests that may reach workers once all edges know
+	// the crashes.
+	maxResends = 3
+)
+
+// crashPool is a few edges in front of workers that requests can crash.
+type crashPool struct {
+	t         *testing.T
+	store     *platformstore.Store
+	storeAddr string
+	hosts     []*platformworker.Host
+	processes []*daemon.Process
+	fronts    []string
+	sent      int
+}
+
+// newCrashPool starts edges and workers. crashes tells which requests crash workers.
+func newCrashPool(t *testing.T, crashes func(*http.Request, []byte) bool) *crashPool {
+	t.Helper()
+	p := &crashPool{t: t, store: platformstore.New()}
+	server := httptest.NewServer(p.store)
+	t.Cleanup(server.Close)
+	p.storeAddr = server.Listener.Addr().String()
+	p.store.Put("op/config", fmt.Appendf(nil, configFormat, 1, 1))
+	for i := range crashHosts {
+		h := &platformworker.Host{Name: fmt.Sprintf("w%d", i), RestartDelay: restartDelay, Crashes: crashes, OnStart: p.register}
+		if err := h.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(h.Stop)
+		p.hosts = append(p.hosts, h)
+	}
+	for range crashEdges {
+		p.startEdge()
+	}
+	for _, process := range p.processes {
+		if d := find[api.Discovery](t, process, api.ServiceDiscovery); !waitFor(func() bool { return len(d.View().Instances) >= crashHosts }) {
+			t.Fatal("an edge does not see all workers")
+		}
+	}
+	return p
+}
+
+// register adds an incarnation of a worker to the store. It replaces the one before
+// at that address.
+func (p *crashPool) register(id, address string) {
+	name, number, _ := strings.Cut(id, "-")
+	p.store.Put("servers/"+id, fmt.Appendf(nil, `{"service":"svc","address":%q,"availabilityZone":"z","version":"v1",
+"capacitySlots":4,"lifecycleState":"available","coldRemainingMs":0,"sequenceNumber":1,"born":%d}`, address, time.Now().UnixMilli()))
+	var n int
+	_, _ = fmt.Sscan(number, &n)
+	if n > 1 {
+		p.store.Delete(fmt.Sprintf("servers/%s-%d", name, n-1))
+	}
+}
+
+// startEdge starts an edge whose seed is the first edge.
+func (p *crashPool) startEdge() {
+	p.t.Helper()
+	seeds := ""
+	if len(p.processes) > 0 {
+		address, err := p.processes[0].Address(api.ServiceFleet)
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		seeds = fmt.Sprintf("seeds = [%q]\n", address)
+	}
+	process := startEdge(p.t, edgeSettings(fmt.Sprintf("edge-%d", len(p.processes)), p.storeAddr, seeds, 1000))
+	p.processes = append(p.processes, process)
+	front, err := process.Address(api.ServiceFrontendHTTP)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.fronts = append(p.fronts, front)
+}
+
+// send sends a request to an edge and returns the status, 0 if the response is
+// incomplete, and the body.
+func (p *crashPool) send(edge int, path, parts, body string) (int, string) {
+	p.t.Helper()
+	p.sent++
+	ctx, cancel := context.WithTimeout(p.t.Context(), 5*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.fronts[edge]+path, strings.NewReader(body))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("X-Mulberryfork-Attempt-Id", fmt.Sprintf("id%d", p.sent))
+	r.Header.Set("X-Mulberryfork-Deadline-Remaining", "3000")
+	r.Header.Set("X-Api-Key", "key1")
+	r.Header.Set("X-Mulberryfork-Prompt-Prefix-Hash", parts)
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, string(data)
+	}
+	return response.StatusCode, string(data)
+}
+
+func (p *crashPool) crashed() int { return p.total((*platformworker.Host).Crashed) }
+func (p *crashPool) reached() int { return p.total((*platformworker.Host).Reached) }
+
+func (p *crashPool) total(count func(*platformworker.Host) int) int {
+	n := 0
+	for _, h := range p.hosts {
+		n += count(h)
+	}
+	return n
+}
+
+// awaitWorkers waits until all workers are back after crashes.
+func (p *crashPool) awaitWorkers() { time.Sleep(2 * restartDelay) }
+
+func find[T any](t *testing.T, process *daemon.Process, name string) T {
+	t.Helper()
+	s, err := kernel.Find[T](process.Host, name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against a request that crashes one upstream after the other because edges
+// repeat it, or because an edge does not know what it did elsewhere.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	for _, path := range []string{"/s/x", "/u/x", "/i/x"} {
+		t.Run(path, func(t *testing.T) {
+			p := newCrashPool(t, func(_ *http.Request, body []byte) bool { return string(body) == crashBody })
+			for p.crashed() < 3 && p.sent < 10 {
+				p.send(p.sent%crashEdges, path, "", crashBody)
+				p.awaitWorkers()
+			}
+			time.Sleep(reportTimeout)
+			before := p.reached()
+			for i := range 12 {
+				p.send(i%crashEdges, path, "", crashBody)
+				p.awaitWorkers()
+			}
+			if n := p.reached() - before; n > maxResends {
+				t.Errorf("after the third crash, %d requests reached workers; %d crashes in all", n, p.crashed())
+			}
+			if status, body := p.send(1, path, "", "sound"); status != http.StatusOK {
+				t.Errorf("a sound request got %d: %s", status, body)
+			}
+		})
+	}
+}
--- a/cmd/mulberryfork-platform/edge_test.go
+++ b/cmd/mulberryfork-platform/edge_test.go
@@ -59,7 +59,23 @@
 		f.register(id, server.Listener.Addr().String(), "available")
 	}
 	f.store.Put("op/config", fmt.Appendf(nil, configFormat, 1, 1))
-	text := fmt.Sprintf(`node = "n"
+	f.process = startEdge(t, edgeSettings("n", storeServer.Listener.Addr().String(), "", retries))
+	var err error
+	if f.http, err = f.process.Address(api.ServiceFrontendHTTP); err != nil {
+		t.Fatal(err)
+	}
+	if f.ready, err = f.process.Address(api.ServicePlatformReady); err != nil {
+		t.Fatal(err)
+	}
+	f.awaitView(func(v *api.View) bool { return v.Table != nil && len(v.Instances) == 2 })
+	f.awaitReady()
+	return f
+}
+
+// edgeSettings returns the settings file of an edge. seeds is a line of settings, or
+// empty.
+func edgeSettings(node, store, seeds string, retries int) string {
+	return fmt.Sprintf(`node = %q
 zone = "z"
 stop_deadline = "3s"
 drain_delay = "10ms"
@@ -68,7 +84,7 @@
 link = "127.0.0.1:0"
 admin = "127.0.0.1:0"
 [edge]
-store = %q
+%sstore = %q
 ready = "127.0.0.1:0"
 revocation = "5s"
 retry_ratio = 0.0
@@ -76,7 +92,12 @@
 retry_window = "10s"
 cold_overshoot = 1.5
 cold_tolerance = 5.0
-`, storeServer.Listener.Addr(), retries)
+`, node, seeds, store, retries)
+}
+
+// startEdge starts an edge process with the text of a settings file.
+func startEdge(t *testing.T, text string) *daemon.Process {
+	t.Helper()
 	loaded, problems := settings.Read("test", []byte(text), settings.Edge)
 	if problems != nil {
 		t.Fatal(problems)
@@ -85,19 +106,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if f.process, err = daemon.StartWith(t.Context(), r, edgeServices, loaded, &log.Output{Writer: io.Discard}); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = f.process.Stop(context.Background()) })
-	if f.http, err = f.process.Address(api.ServiceFrontendHTTP); err != nil {
-		t.Fatal(err)
-	}
-	if f.ready, err = f.process.Address(api.ServicePlatformReady); err != nil {
+	process, err := daemon.StartWith(t.Context(), r, edgeServices, loaded, &log.Output{Writer: io.Discard})
+	if err != nil {
 		t.Fatal(err)
 	}
-	f.awaitView(func(v *api.View) bool { return v.Table != nil && len(v.Instances) == 2 })
-	f.awaitReady()
-	return f
+	t.Cleanup(func() { _ = process.Stop(context.Background()) })
+	return process
 }
 
 func (f *fixture) address(id string) string { return f.addresses[id] }
--- /dev/null
+++ b/standin/platformworker/host.go
@@ -0,0 +1,116 @@
+package platformworker
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Host runs a Worker at a fixed address. A request may crash the worker; a new
+// incarnation with another instance ID follows, as on the platform.
+type Host struct {
+	// Name is the prefix of the instance IDs.
+	Name string
+	// RestartDelay is the time from a crash to the start of the next incarnation.
+	RestartDelay time.Duration
+	// Crashes reports whether a request crashes the worker that begins its response.
+	Crashes func(r *http.Request, body []byte) bool
+	// OnStart is called with the instance ID and the address of each incarnation.
+	OnStart func(id, address string)
+
+	mu      sync.Mutex
+	address string
+	server  *http.Server
+	starts  int
+	crashed int
+	reached int
+	stopped bool
+}
+
+// Start starts the first incarnation on a free port.
+func (h *Host) Start() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.address = listener.Addr().String()
+	h.serve(listener)
+	return nil
+}
+
+// Stop ends the worker without a successor.
+func (h *Host) Stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopped = true
+	_ = h.server.Close()
+}
+
+// Crashed returns the number of crashes.
+func (h *Host) Crashed() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.crashed
+}
+
+// Reached returns the number of requests that arrived and crash workers.
+func (h *Host) Reached() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reached
+}
+
+// serve starts an incarnation. The caller holds the mutex.
+func (h *Host) serve(listener net.Listener) {
+	h.starts++
+	worker := &Worker{InstanceID: fmt.Sprintf("%s-%d", h.Name, h.starts)}
+	server := &http.Server{Handler: http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if h.Crashes(r, body) {
+			h.crash(worker, out, r)
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		worker.ServeHTTP(out, r)
+	})}
+	h.server = server
+	go func() { _ = server.Serve(listener) }()
+	h.OnStart(worker.InstanceID, h.address)
+}
+
+// crash sends the response head and ends the incarnation. It does not return.
+func (h *Host) crash(worker *Worker, out http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reached++
+	if r.Header.Get("X-Mulberryfork-Expected-Instance") == worker.InstanceID && !h.stopped {
+		header := out.Header()
+		header.Set("X-Mulberryfork-Attempt-Id", r.Header.Get("X-Mulberryfork-Attempt-Id"))
+		header.Set("X-Mulberryfork-Response-Signature", "sig."+worker.InstanceID)
+		header.Set("Content-Type", "text/event-stream")
+		_ = http.NewResponseController(out).Flush()
+		h.crashed++
+		_ = h.server.Close()
+		time.AfterFunc(h.RestartDelay, h.restart)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (h *Host) restart() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stopped {
+		return
+	}
+	listener, err := net.Listen("tcp", h.address)
+	if err != nil {
+		time.AfterFunc(h.RestartDelay, h.restart)
+		return
+	}
+	h.serve(listener)
+}
