Block requests that crash upstreams on the platform, at all edges

With groups of ranks each crash stops the whole group for four to five seconds, so nearly everything was refused.

Cause: edges have no agents, and service/balance, which replaces the product's routing, did not take over the tracking of requests that crash upstreams. Every attempt was placed as if it were the first, also the edge's own repeat of a request whose upstream had just crashed, and edges told each other nothing.

Ruled out: that the repeats are those of sound requests (one fingerprint failed seven times, nine others once each), and resets by upstreams that have not crashed (they accept the next connection, and do not count).

Now an attempt that is broken off before its response, at an upstream that then refuses connections, is a crash under that request. decide/poison, Unisolated, decides before each attempt, first try or repeat; edges push crashes to each other. A request whose response head had arrived is the likely cause and blocked for a minute after one crash; any is after three.

--- a/api/edge.go
+++ b/api/edge.go
@@ -13,13 +13,33 @@
 	// one edge. It is 0 while the other edges are unknown, and otherwise at least
 	// the number of names.
 	LimitDivisor int
+	// Addresses maps the names of the other edges to the addresses at which they take
+	// calls. The address of an edge with an older build is missing.
+	Addresses map[string]string
 }
 
-// Fleet publishes the set of known edges.
+// Fleet publishes the set of known edges and carries reports of crashes between them.
 type Fleet interface {
 	// Subscribe adds a function that runs on the control loop after each change.
 	// It must be called before the loop starts.
 	Subscribe(f func(now time.Duration, v *FleetView))
+	// ExchangeSuspicions sets the records that are exchanged with the other edges. It
+	// must be called before the loop starts.
+	ExchangeSuspicions(r SuspicionRecords)
+	// ReportSuspicions sends reports to all known edges, with retries. It must be called
+	// on the control loop.
+	ReportSuspicions(now time.Duration, suspicions []Suspicion)
+}
+
+// SuspicionRecords is the state that Fleet exchanges. Its methods run on the control
+// loop.
+type SuspicionRecords interface {
+	// Merge adds the reports of another edge and returns those that are new.
+	Merge(now time.Duration, received []Suspicion) []Suspicion
+	// Report returns the current report on a request, empty if there is none.
+	Report(now time.Duration, fingerprint uint64) []Suspicion
+	// Digest returns up to n reports. Successive calls cycle through all of them.
+	Digest(now time.Duration, n int) []Suspicion
 }
 
 // EdgeSettings holds the settings of an edge or side process.
--- a/api/failure.go
+++ b/api/failure.go
@@ -80,10 +80,24 @@
 	// Revision is the configuration revision of the process that refused the
 	// request, zero if it is irrelevant.
 	Revision uint64
+	// Crash is set if the upstream broke off the exchange and refused connections right
+	// after that.
+	Crash CrashEvidence
 	// Err is the cause, or nil.
 	Err error
 }
 
+// CrashEvidence is what an exchange showed of a crash of its upstream.
+type CrashEvidence uint8
+
+// Kinds of evidence. CrashBeforeResponse and CrashInResponse say whether the upstream
+// had begun to respond.
+const (
+	NoCrash CrashEvidence = iota
+	CrashBeforeResponse
+	CrashInResponse
+)
+
 func (f *Failure) Error() string {
 	text := fmt.Sprintf("%s (%s)", f.Code, f.Run)
 	if f.Detail != "" {
--- a/api/services.go
+++ b/api/services.go
@@ -237,6 +237,8 @@
 	RequestID   string
 	Fingerprint uint64
 	Upstream    string
+	// Incarnation is that of the RouteChoice.
+	Incarnation Incarnation
 	// Ticket is that of the RouteChoice.
 	Ticket uint64
 	// Unsent is true if the order never left the router. The agent then does not
--- a/api/suspicion.go
+++ b/api/suspicion.go
@@ -13,9 +13,11 @@
 	// Age is the time since the crash on the clock of the sender. Unlike a
 	// timestamp it needs no synchronised clocks.
 	Age time.Duration
-	// Alone is true if the upstream was running no other request.
+	// Alone is true if the request is the likely cause: the upstream was running no
+	// other request, or, where requests can't be isolated, had begun to respond to it.
 	Alone bool
-	// Cleared is true once the request has completed in isolation after the crash.
+	// Cleared is true once the request has completed after the crash, in isolation where
+	// that is possible.
 	Cleared bool
 }
 
--- a/cmd/mulberryfork-platform/crash_test.go
+++ b/cmd/mulberryfork-platform/crash_test.go
@@ -42,8 +42,9 @@
 	sent      int
 }
 
-// newCrashPool starts edges and workers. crashes tells which requests crash workers.
-func newCrashPool(t *testing.T, crashes func(*http.Request, []byte) bool) *crashPool {
+// newCrashPool starts edges and workers. crashes tells which requests crash workers, and
+// silent whether these crash before they respond.
+func newCrashPool(t *testing.T, silent bool, crashes func(*http.Request, []byte) bool) *crashPool {
 	t.Helper()
 	p := &crashPool{t: t, store: platformstore.New()}
 	server := httptest.NewServer(p.store)
@@ -51,7 +52,7 @@
 	p.storeAddr = server.Listener.Addr().String()
 	p.store.Put("op/config", fmt.Appendf(nil, configFormat, 1, 1))
 	for i := range crashHosts {
-		h := &platformworker.Host{Name: fmt.Sprintf("w%d", i), RestartDelay: restartDelay, Crashes: crashes, OnStart: p.register}
+		h := &platformworker.Host{Name: fmt.Sprintf("w%d", i), RestartDelay: restartDelay, Silent: silent, Crashes: crashes, OnStart: p.register}
 		if err := h.Start(); err != nil {
 			t.Fatal(err)
 		}
@@ -154,26 +155,34 @@
 }
 
 // Guards against a request that crashes one upstream after the other because edges
-// repeat it, or because an edge does not know what it did elsewhere.
+// repeat it, or because an edge, possibly one that has just started, does not know what
+// it did elsewhere.
 func TestCrashingRequestIsStopped(t *testing.T) {
-	for _, path := range []string{"/s/x", "/u/x", "/i/x"} {
-		t.Run(path, func(t *testing.T) {
-			p := newCrashPool(t, func(_ *http.Request, body []byte) bool { return string(body) == crashBody })
+	for _, c := range []struct {
+		path   string
+		silent bool
+	}{{"/s/x", false}, {"/u/x", false}, {"/i/x", false}, {"/s/x", true}, {"/i/x", true}} {
+		t.Run(fmt.Sprintf("%s silent=%t", c.path, c.silent), func(t *testing.T) {
+			t.Parallel()
+			p := newCrashPool(t, c.silent, func(_ *http.Request, body []byte) bool { return string(body) == crashBody })
 			for p.crashed() < 3 && p.sent < 10 {
-				p.send(p.sent%crashEdges, path, "", crashBody)
+				p.send(p.sent%crashEdges, c.path, "", crashBody)
 				p.awaitWorkers()
 			}
+			p.startEdge()
 			time.Sleep(reportTimeout)
 			before := p.reached()
 			for i := range 12 {
-				p.send(i%crashEdges, path, "", crashBody)
+				p.send(i%len(p.fronts), c.path, "", crashBody)
 				p.awaitWorkers()
 			}
 			if n := p.reached() - before; n > maxResends {
 				t.Errorf("after the third crash, %d requests reached workers; %d crashes in all", n, p.crashed())
 			}
-			if status, body := p.send(1, path, "", "sound"); status != http.StatusOK {
-				t.Errorf("a sound request got %d: %s", status, body)
+			for i := range p.fronts {
+				if status, body := p.send(i, c.path, "", "whole sound"); status != http.StatusOK {
+					t.Errorf("a sound request got %d: %s", status, body)
+				}
 			}
 		})
 	}
--- a/decide/balance/balance.go
+++ b/decide/balance/balance.go
@@ -182,6 +182,8 @@
 // Choice is the selected upstream and the inputs of the selection.
 type Choice struct {
 	Upstream string
+	// Incarnation distinguishes starts of an upstream under the same ID.
+	Incarnation api.Incarnation
 	// Load is the expected number of requests on the upstream before this one.
 	Load float64
 	// Candidates is the number of upstreams whose scores were compared.
@@ -232,7 +234,16 @@
 		return Choice{}, f
 	}
 	s.recordAttempt(now, best)
-	return Choice{Upstream: best.instance.ID, Load: load, Candidates: candidates}, nil
+	return choiceOf(best, load, candidates), nil
+}
+
+func choiceOf(u *upstream, load float64, candidates int) Choice {
+	return Choice{
+		Upstream:    u.instance.ID,
+		Incarnation: api.Incarnation(u.instance.StartedAtMs),
+		Load:        load,
+		Candidates:  candidates,
+	}
 }
 
 func (s *State) recordAttempt(now time.Duration, u *upstream) {
--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -222,7 +222,7 @@
 		return Choice{Candidates: len(candidates)}, f, true
 	}
 	s.recordAttempt(now, ranks[i])
-	return Choice{Upstream: ranks[i].instance.ID, Load: candidates[i].Load, Candidates: len(candidates)}, nil, true
+	return choiceOf(ranks[i], candidates[i].Load, len(candidates)), nil, true
 }
 
 // formingFailure returns the refusal while every group of a service is broken. A broken
--- a/decide/fleet/fleet.go
+++ b/decide/fleet/fleet.go
@@ -11,8 +11,10 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,20 +37,29 @@
 	maxNames = 1024
 )
 
+// Edge is the name of an edge and the address at which it takes calls. The address is
+// empty if it is unknown.
+type Edge struct{ Name, Address string }
+
 // State holds the other edges that an edge knows of. It is owned by the
 // control loop.
 type State struct {
-	self       string
+	self       Edge
 	otherSeeds int
-	// callers holds the time of the last call of each edge to this one.
-	callers map[string]time.Duration
+	// callers holds the last call of each edge to this one.
+	callers map[string]caller
 	// listings holds the last listing of each seed.
 	listings map[string]listing
 }
 
+type caller struct {
+	address  string
+	calledAt time.Duration
+}
+
 type listing struct {
 	digest     uint64
-	names      []string
+	edges      []Edge
 	receivedAt time.Duration
 }
 
@@ -56,30 +67,36 @@
 // the edge itself.
 func New(self string, otherSeeds int) *State {
 	return &State{
-		self:       self,
+		self:       Edge{Name: self},
 		otherSeeds: otherSeeds,
-		callers:    make(map[string]time.Duration),
+		callers:    make(map[string]caller),
 		listings:   make(map[string]listing),
 	}
 }
 
+// SetAddress sets the address at which this edge takes calls.
+func (s *State) SetAddress(address string) { s.self.Address = address }
+
 // RecordCall records a call from another edge.
-func (s *State) RecordCall(now time.Duration, name string) {
-	if _, known := s.callers[name]; known || len(s.callers) < maxNames {
-		s.callers[name] = now
+func (s *State) RecordCall(now time.Duration, e Edge) {
+	if _, known := s.callers[e.Name]; known || len(s.callers) < maxNames {
+		s.callers[e.Name] = caller{address: e.Address, calledAt: now}
 	}
 }
 
-// Listing returns the names of this edge and its recent callers, and their
-// digest.
-func (s *State) Listing(now time.Duration) (names []string, digest uint64) {
+// Listing returns this edge and its recent callers, sorted by name, and their digest.
+func (s *State) Listing(now time.Duration) (edges []Edge, digest uint64) {
 	s.expire(now)
-	names = append(slices.Collect(maps.Keys(s.callers)), s.self)
-	slices.Sort(names)
-	for _, name := range names {
-		digest = hash.Mix(digest, xxhash.Sum64String(name))
+	edges = append(edges, s.self)
+	for name, c := range s.callers {
+		edges = append(edges, Edge{Name: name, Address: c.address})
 	}
-	return names, digest
+	slices.SortFunc(edges, func(a, b Edge) int { return strings.Compare(a.Name, b.Name) })
+	for _, e := range edges {
+		digest = hash.Mix(digest, xxhash.Sum64String(e.Name))
+		digest = hash.Mix(digest, xxhash.Sum64String(e.Address))
+	}
+	return edges, digest
 }
 
 // KnownDigest returns the digest of the last listing received from a seed, 0 if
@@ -87,12 +104,12 @@
 func (s *State) KnownDigest(seed string) uint64 { return s.listings[seed].digest }
 
 // RecordListing records the listing received from a seed. A listing with an
-// unchanged digest carries no names and renews those known.
-func (s *State) RecordListing(now time.Duration, seed string, names []string, digest uint64) {
+// unchanged digest carries no edges and renews those known.
+func (s *State) RecordListing(now time.Duration, seed string, edges []Edge, digest uint64) {
 	if known, ok := s.listings[seed]; ok && known.digest == digest {
-		names = known.names
+		edges = known.edges
 	}
-	s.listings[seed] = listing{digest: digest, names: names, receivedAt: now}
+	s.listings[seed] = listing{digest: digest, edges: edges, receivedAt: now}
 }
 
 // View returns the known edges, which share the limits of the fleet. Its
@@ -100,16 +117,17 @@
 // unless there are no other seeds.
 func (s *State) View(now time.Duration) *api.FleetView {
 	s.expire(now)
-	names := map[string]bool{s.self: true}
-	for name := range s.callers {
-		names[name] = true
-	}
+	addresses := map[string]string{s.self.Name: s.self.Address}
 	for _, l := range s.listings {
-		for _, name := range l.names {
-			names[name] = true
+		for _, e := range l.edges {
+			addresses[e.Name] = cmp.Or(e.Address, addresses[e.Name])
 		}
 	}
-	v := &api.FleetView{Self: s.self, Names: slices.Sorted(maps.Keys(names))}
+	for name, c := range s.callers {
+		addresses[name] = cmp.Or(c.address, addresses[name])
+	}
+	v := &api.FleetView{Self: s.self.Name, Names: slices.Sorted(maps.Keys(addresses)), Addresses: addresses}
+	maps.DeleteFunc(v.Addresses, func(name, address string) bool { return name == s.self.Name || address == "" })
 	if s.otherSeeds == 0 || len(s.listings) > 0 || len(s.callers) > 0 {
 		v.LimitDivisor = max(len(v.Names), minSharers)
 	}
@@ -119,7 +137,7 @@
 // expire drops stale entries, unless all are stale: a partitioned edge keeps
 // its last state.
 func (s *State) expire(now time.Duration) {
-	expire(now, s.callers, func(at time.Duration) time.Duration { return at })
+	expire(now, s.callers, func(c caller) time.Duration { return c.calledAt })
 	expire(now, s.listings, func(l listing) time.Duration { return l.receivedAt })
 }
 
--- a/decide/fleet/fleet_test.go
+++ b/decide/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -12,12 +13,12 @@
 
 // call makes an edge call a seed once.
 func call(now time.Duration, edge, seed *fleet.State, edgeName, seedName string) {
-	seed.RecordCall(now, edgeName)
-	names, digest := seed.Listing(now)
+	seed.RecordCall(now, fleet.Edge{Name: edgeName, Address: "at-" + edgeName})
+	edges, digest := seed.Listing(now)
 	if edge.KnownDigest(seedName) == digest {
-		names = nil
+		edges = nil
 	}
-	edge.RecordListing(now, seedName, names, digest)
+	edge.RecordListing(now, seedName, edges, digest)
 }
 
 // Guards against edges that count too few edges and so exceed their share of a
@@ -112,3 +113,24 @@
 		t.Errorf("after %v: %v", now, v.Names)
 	}
 }
+
+// Guards against edges that don't learn each other's addresses, and against an address
+// that stays after an edge has moved.
+func TestAddressesFollowCalls(t *testing.T) {
+	a, b, seed := fleet.New("a", 1), fleet.New("b", 1), fleet.New("s", 1)
+	seed.SetAddress("at-s")
+	call(0, b, seed, "b", "s")
+	call(0, a, seed, "a", "s")
+	if v := a.View(0); !maps.Equal(v.Addresses, map[string]string{"b": "at-b", "s": "at-s"}) {
+		t.Errorf("a knows %v", v.Addresses)
+	}
+	if v := seed.View(0); !maps.Equal(v.Addresses, map[string]string{"a": "at-a", "b": "at-b"}) {
+		t.Errorf("the seed knows %v", v.Addresses)
+	}
+	seed.RecordCall(time.Second, fleet.Edge{Name: "b", Address: "moved"})
+	edges, digest := seed.Listing(time.Second)
+	a.RecordListing(time.Second, "s", edges, digest)
+	if v := a.View(time.Second); v.Addresses["b"] != "moved" {
+		t.Errorf("a knows %v", v.Addresses)
+	}
+}
--- a/decide/poison/poison.go
+++ b/decide/poison/poison.go
@@ -273,8 +273,8 @@
 	return changed
 }
 
-// add adds a crash and reports whether it is new or newly cleared. The earliest
-// time is kept, because each hop delays the report.
+// add adds a crash and reports whether it is new, newly cleared or newly attributed to
+// the request alone. The earliest time is kept, because each hop delays the report.
 func (r *record) add(c crash) bool {
 	for i := range r.crashes {
 		known := &r.crashes[i]
@@ -282,8 +282,9 @@
 			continue
 		}
 		known.at = min(known.at, c.at)
-		changed := c.cleared && !known.cleared
+		changed := c.cleared && !known.cleared || c.alone && !known.alone
 		known.cleared = known.cleared || c.cleared
+		known.alone = known.alone || c.alone
 		return changed
 	}
 	r.crashes = append(r.crashes, c)
--- a/service/balance/balance.go
+++ b/service/balance/balance.go
@@ -15,6 +15,7 @@
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/balance"
 	"github.com/mulberryfork/mulberryfork/decide/outlier"
+	"github.com/mulberryfork/mulberryfork/decide/poison"
 	"github.com/mulberryfork/mulberryfork/kernel"
 )
 
@@ -34,17 +35,22 @@
 
 type service struct {
 	discovery api.Discovery
+	fleet     api.Fleet
 	clock     kernel.Clock
 	log       api.Logger
 	ejections api.Counter
 	choices   api.Counter
-	queries   *kernel.Mailbox[kernel.Call[api.RouteQuery, routeReply]]
-	results   *kernel.Mailbox[api.RouteResult]
-	loads     *kernel.Mailbox[api.UpstreamLoad]
+	// crashes counts requests in flight at crashes, refusals the requests refused
+	// because they crash upstreams.
+	crashes, refusals api.Counter
+	queries           *kernel.Mailbox[kernel.Call[api.RouteQuery, routeReply]]
+	results           *kernel.Mailbox[api.RouteResult]
+	loads             *kernel.Mailbox[api.UpstreamLoad]
 
 	// The control loop owns the fields below.
 	state           *balance.State
 	outliers        *outlier.State
+	suspects        *poison.Unisolated
 	viewChangeCount uint64
 }
 
@@ -59,8 +65,7 @@
 	if s.log, err = kernel.Lookup[api.Logger](c, api.ServiceLog); err != nil {
 		return err
 	}
-	fleet, err := kernel.Lookup[api.Fleet](c, api.ServiceFleet)
-	if err != nil {
+	if s.fleet, err = kernel.Lookup[api.Fleet](c, api.ServiceFleet); err != nil {
 		return err
 	}
 	groups, err := kernel.Lookup[api.GroupLoads](c, api.ServiceGroupLoads)
@@ -74,6 +79,8 @@
 	s.clock = c.Clock()
 	s.ejections = metrics.Counter("route_ejected", "")
 	s.choices = metrics.Counter("route_choices", string(api.RouteLeastWork))
+	s.crashes = metrics.Counter("crash_suspects", "")
+	s.refusals = metrics.Counter("suspects_refused", "")
 	s.state = balance.New(balance.Options{
 		Zone:          settings.Zone,
 		Seed:          xxhash.Sum64String(settings.Node),
@@ -81,13 +88,15 @@
 		ColdTolerance: settings.Edge.ColdTolerance,
 	})
 	s.outliers = outlier.New()
+	s.suspects = poison.NewUnisolated(0)
 	s.queries = kernel.NewMailbox(c.Loop(), "routing.query", queryMailboxSize, kernel.Wait, s.handleQuery)
 	s.results = kernel.NewMailbox(c.Loop(), "routing.result", resultMailboxSize, kernel.Wait, s.handleResult)
 	// A later load report replaces a dropped one.
 	s.loads = kernel.NewMailbox(c.Loop(), "routing.load", loadMailboxSize, kernel.Drop, s.state.ObserveLoad)
 	s.discovery.Subscribe(s.configure)
 	groups.Subscribe(func(_ time.Duration, l api.GroupLoad) { s.state.ObserveGroupLoad(l) })
-	fleet.Subscribe(func(_ time.Duration, v *api.FleetView) { s.state.SetFleet(v) })
+	s.fleet.Subscribe(func(_ time.Duration, v *api.FleetView) { s.state.SetFleet(v) })
+	s.fleet.ExchangeSuspicions(&sharedSuspects{Unisolated: s.suspects, log: s.log})
 	c.Loop().Every(tickInterval, func(now time.Duration) { s.applyHealth(s.outliers.Tick(now)) })
 	return nil
 }
@@ -131,7 +140,13 @@
 }
 
 func (s *service) handleQuery(now time.Duration, c kernel.Call[api.RouteQuery, routeReply]) {
-	choice, failure := s.state.Choose(now, c.Query.Service, c.Query.Exclude)
+	var choice balance.Choice
+	failure := s.suspects.Admit(now, c.Query.Fingerprint)
+	if failure != nil {
+		s.refusals.Add(1)
+	} else {
+		choice, failure = s.state.Choose(now, c.Query.Service, c.Query.Exclude)
+	}
 	s.logChoice(now, c.Query, choice, failure)
 	if failure != nil {
 		c.Reply(routeReply{failure: failure})
@@ -139,9 +154,10 @@
 	}
 	s.choices.Add(1)
 	c.Reply(routeReply{choice: api.RouteChoice{
-		Upstream: choice.Upstream,
-		Revision: s.viewChangeCount,
-		Reason:   api.RouteLeastWork,
+		Upstream:    choice.Upstream,
+		Incarnation: choice.Incarnation,
+		Revision:    s.viewChangeCount,
+		Reason:      api.RouteLeastWork,
 	}})
 }
 
@@ -152,6 +168,10 @@
 		"view":        s.viewChangeCount,
 		"view_age_ms": (now - s.discovery.AsOf()).Milliseconds(),
 	}
+	if f != nil && f.Code == api.CodeSuspect {
+		fields["fingerprint"] = strconv.FormatUint(q.Fingerprint, hexBase)
+		fields["blocked_ms"] = f.RetryAfter.Milliseconds()
+	}
 	if len(q.Exclude) > 0 {
 		fields["excluded"] = q.Exclude
 	}
@@ -185,6 +205,7 @@
 func (s *service) handleResult(now time.Duration, r api.RouteResult) {
 	s.state.Done(now, r.Upstream, r.Failure)
 	s.logFailedAttempt(r)
+	s.recordSuspects(now, r)
 	if r.Failure == nil {
 		s.state.ObserveDuration(r.Upstream, r.Total)
 	}
--- /dev/null
+++ b/service/balance/suspects.go
@@ -0,0 +1,66 @@
+package balance
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/hash"
+	"github.com/mulberryfork/mulberryfork/decide/poison"
+)
+
+// recordSuspects records what the end of an attempt says about crashes that its request
+// causes, and reports changes to the other edges.
+func (s *service) recordSuspects(now time.Duration, r api.RouteResult) {
+	if r.Fingerprint == 0 || r.Unsent {
+		return
+	}
+	if r.Failure == nil {
+		s.fleet.ReportSuspicions(now, s.suspects.RecordCompletion(now, r.Fingerprint))
+		return
+	}
+	// A request that was answered in part did not crash the upstream as it began.
+	if r.Failure.Crash == api.NoCrash || r.FirstChunk > 0 {
+		return
+	}
+	s.crashes.Add(1)
+	victim := poison.Victim{Fingerprint: r.Fingerprint, Responding: r.Failure.Crash == api.CrashInResponse}
+	reports := s.suspects.RecordCrash(now, r.Upstream, crashID(r.Upstream, r.Incarnation), victim)
+	s.log.Change("upstream crashed under a request", api.Fields{
+		"request":     r.RequestID,
+		"fingerprint": strconv.FormatUint(r.Fingerprint, hexBase),
+		"upstream":    r.Upstream,
+		"responding":  victim.Responding,
+		"blocked":     s.suspects.Admit(now, r.Fingerprint) != nil,
+	})
+	s.fleet.ReportSuspicions(now, reports)
+}
+
+// sharedSuspects is the crash records as the other edges see them. It logs requests that
+// their reports block here.
+type sharedSuspects struct {
+	*poison.Unisolated
+	log api.Logger
+}
+
+// Merge adds the reports of another edge and returns those that are new.
+func (s *sharedSuspects) Merge(now time.Duration, received []api.Suspicion) []api.Suspicion {
+	updates := s.Unisolated.Merge(now, received)
+	for _, u := range updates {
+		if f := s.Admit(now, u.Fingerprint); f != nil {
+			s.log.Change("request blocked by reports of other edges", api.Fields{
+				"fingerprint": strconv.FormatUint(u.Fingerprint, hexBase),
+				"crashes":     len(u.Crashes),
+				"blocked_ms":  f.RetryAfter.Milliseconds(),
+			})
+		}
+	}
+	return updates
+}
+
+// crashID returns the same ID at all edges: an incarnation of an upstream crashes once.
+func crashID(upstream string, i api.Incarnation) uint64 {
+	return hash.Mix(xxhash.Sum64String(upstream), uint64(i))
+}
--- a/service/dispatch/hedgedattempt.go
+++ b/service/dispatch/hedgedattempt.go
@@ -219,6 +219,7 @@
 		RequestID:   d.request.ID,
 		Fingerprint: d.request.Fingerprint,
 		Upstream:    s.choice.Upstream,
+		Incarnation: s.choice.Incarnation,
 		Ticket:      s.choice.Ticket,
 		Unsent:      unsent,
 		CostTokens:  d.request.CostTokens,
--- a/service/fleet/fleet.go
+++ b/service/fleet/fleet.go
@@ -2,10 +2,14 @@
 // them. Each edge calls a few seeds, which are edges whose addresses are in its
 // settings. A seed responds with the names of the edges that called it recently.
 // Package decide/fleet combines the responses.
+//
+// The edges also report to each other which requests were in flight when upstreams
+// crashed: at once to all known edges, and again with the calls to seeds.
 package fleet
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -43,19 +47,29 @@
 	log           api.Logger
 	counts        counters
 	edgeCount     atomic.Int64
-	receivedCalls *kernel.Mailbox[kernel.Call[string, *wire.FleetListing]]
-	knownDigests  *kernel.Mailbox[kernel.Call[string, uint64]]
-	callResults   *kernel.Mailbox[callResult]
-	listener      net.Listener
-	cancel        context.CancelFunc
+	loop          *kernel.Loop
+	receivedCalls *kernel.Mailbox[kernel.Call[*wire.FleetCall, *wire.FleetListing]]
+	// nextCalls asks for the content of a call to a seed.
+	nextCalls       *kernel.Mailbox[kernel.Call[string, *wire.FleetCall]]
+	callResults     *kernel.Mailbox[callResult]
+	receivedReports *kernel.Mailbox[kernel.Call[*wire.Suspicions, *wire.Suspicions]]
+	reportResults   *kernel.Mailbox[reportResult]
+	listener        net.Listener
+	// running ends when the service stops.
+	running context.Context
+	cancel  context.CancelFunc
 
 	// The control loop owns the fields below.
 	state       *fleet.State
 	view        *api.FleetView
 	subscribers []func(time.Duration, *api.FleetView)
+	// records is nil if no service tracks crashes.
+	records api.SuspicionRecords
+	// outboxes holds the reports to be sent, by the address of the edge.
+	outboxes map[string]*outbox
 }
 
-type counters struct{ sentCalls, failedCalls api.Counter }
+type counters struct{ sentCalls, failedCalls, sentReports, failedReports api.Counter }
 
 // callResult is the response of a seed or the error of the call. Start posts the
 // zero value, so that the initial view is published.
@@ -79,13 +93,24 @@
 	s.counts = counters{
 		sentCalls:   metrics.Counter("fleet_calls", ""),
 		failedCalls: metrics.Counter("fleet_call_failures", ""),
+
+		sentReports:   metrics.Counter("fleet_reports", ""),
+		failedReports: metrics.Counter("fleet_report_failures", ""),
 	}
 	metrics.Gauge("fleet_edges", s.edgeCount.Load)
 	s.state = fleet.New(s.settings.Node, len(s.otherSeeds()))
+	s.view = &api.FleetView{}
+	s.outboxes = make(map[string]*outbox)
+	s.loop = c.Loop()
 	s.receivedCalls = kernel.NewMailbox(c.Loop(), "fleet.call", callMailboxSize, kernel.Wait, s.handleCall)
-	s.knownDigests = kernel.NewMailbox(c.Loop(), "fleet.known", resultMailboxSize, kernel.Wait,
-		func(_ time.Duration, c kernel.Call[string, uint64]) { c.Reply(s.state.KnownDigest(c.Query)) })
+	s.nextCalls = kernel.NewMailbox(c.Loop(), "fleet.next", resultMailboxSize, kernel.Wait,
+		func(now time.Duration, c kernel.Call[string, *wire.FleetCall]) { c.Reply(s.nextCall(now, c.Query)) })
 	s.callResults = kernel.NewMailbox(c.Loop(), "fleet.listing", resultMailboxSize, kernel.Wait, s.handleResult)
+	s.receivedReports = kernel.NewMailbox(c.Loop(), "fleet.report", callMailboxSize, kernel.Wait,
+		func(now time.Duration, c kernel.Call[*wire.Suspicions, *wire.Suspicions]) {
+			c.Reply(s.mergeAndAnswer(now, c.Query))
+		})
+	s.reportResults = kernel.NewMailbox(c.Loop(), "fleet.reported", callMailboxSize, kernel.Wait, s.handleReportResult)
 	c.Loop().Every(callInterval, s.publish)
 	return nil
 }
@@ -113,11 +138,10 @@
 		return err
 	}
 	s.listener = listener
-	running, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	go func() { _ = wire.ServePlaintext(running, listener, mux, wire.MaxFleetMessageBytes) }()
+	s.running, s.cancel = context.WithCancel(context.Background())
+	go func() { _ = wire.ServePlaintext(s.running, listener, mux, wire.MaxFleetMessageBytes) }()
 	for _, seed := range s.otherSeeds() {
-		go s.pollSeed(running, seed)
+		go s.pollSeed(s.running, seed)
 	}
 	return s.callResults.Post(ctx, callResult{})
 }
@@ -136,31 +160,49 @@
 	return nil
 }
 
-// Call records a call from another edge and returns the names of the edges that
-// called recently. It omits the names if the caller already has this listing.
+// Call records a call from another edge and returns the edges that called recently. It
+// omits them if the caller already has this listing.
 func (s *service) Call(ctx context.Context, c *wire.FleetCall) (*wire.FleetListing, error) {
-	if name := c.GetNode(); name == "" || len(name) > maxNameBytes {
+	if name := c.GetNode(); name == "" || max(len(name), len(c.GetAddress())) > maxNameBytes {
 		return nil, &InvalidNameError{Bytes: len(name)}
 	}
-	listing, err := kernel.Ask(ctx, s.receivedCalls, c.GetNode())
+	listing, err := kernel.Ask(ctx, s.receivedCalls, c)
 	if err == nil && listing.Digest == c.GetKnown() {
-		listing.Nodes = nil
+		listing.Nodes, listing.Addresses = nil, nil
 	}
 	return listing, err
 }
 
-// InvalidNameError reports a call from an edge whose name is empty or too long.
+// InvalidNameError reports a call from an edge whose name is empty, or whose name or
+// address is too long.
 type InvalidNameError struct{ Bytes int }
 
 func (*InvalidNameError) Error() string { return "the name of the calling edge is empty or too long" }
 
-func (s *service) handleCall(now time.Duration, c kernel.Call[string, *wire.FleetListing]) {
-	s.state.RecordCall(now, c.Query)
-	names, digest := s.state.Listing(now)
-	c.Reply(&wire.FleetListing{Digest: digest, Nodes: names})
+func (s *service) handleCall(now time.Duration, c kernel.Call[*wire.FleetCall, *wire.FleetListing]) {
+	s.state.SetAddress(s.Address())
+	s.state.RecordCall(now, fleet.Edge{Name: c.Query.GetNode(), Address: c.Query.GetAddress()})
+	s.mergeReports(now, wire.ToSuspicions(c.Query.GetSuspicions()))
+	edges, digest := s.state.Listing(now)
+	listing := &wire.FleetListing{Digest: digest, Suspicions: s.digest(now)}
+	for _, e := range edges {
+		listing.Nodes = append(listing.Nodes, e.Name)
+		listing.Addresses = append(listing.Addresses, e.Address)
+	}
+	c.Reply(listing)
 	s.publish(now)
 }
 
+// nextCall returns the content of the next call to a seed.
+func (s *service) nextCall(now time.Duration, seed string) *wire.FleetCall {
+	return &wire.FleetCall{
+		Node:       s.settings.Node,
+		Address:    s.Address(),
+		Known:      s.state.KnownDigest(seed),
+		Suspicions: s.digest(now),
+	}
+}
+
 // pollSeed calls a seed at intervals until the process stops.
 func (s *service) pollSeed(ctx context.Context, seed string) {
 	var conn *drpcconn.Conn
@@ -188,14 +230,14 @@
 func (s *service) callSeed(ctx context.Context, seed string, conn *drpcconn.Conn) (callResult, *drpcconn.Conn) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	known, err := kernel.Ask(ctx, s.knownDigests, seed)
+	call, err := kernel.Ask(ctx, s.nextCalls, seed)
 	if err == nil && conn == nil {
 		conn, err = wire.DialPlaintext(ctx, seed, callTimeout, wire.MaxFleetMessageBytes)
 	}
 	if err != nil {
 		return callResult{seed: seed, err: err}, nil
 	}
-	listing, err := wire.NewDRPCFleetClient(conn).Call(ctx, &wire.FleetCall{Node: s.settings.Node, Known: known})
+	listing, err := wire.NewDRPCFleetClient(conn).Call(ctx, call)
 	if err != nil {
 		_ = conn.Close()
 		return callResult{seed: seed, err: err}, nil
@@ -211,18 +253,37 @@
 		s.counts.failedCalls.Add(1)
 	}
 	if r.listing != nil {
-		s.state.RecordListing(now, r.seed, r.listing.GetNodes(), r.listing.GetDigest())
+		s.state.RecordListing(now, r.seed, listedEdges(r.listing), r.listing.GetDigest())
+		s.mergeReports(now, wire.ToSuspicions(r.listing.GetSuspicions()))
 	}
 	s.publish(now)
 }
 
+// listedEdges returns the edges in a listing. The addresses are missing if the seed has an
+// older build.
+func listedEdges(l *wire.FleetListing) []fleet.Edge {
+	var edges []fleet.Edge
+	for i, name := range l.GetNodes() {
+		e := fleet.Edge{Name: name}
+		if addresses := l.GetAddresses(); i < len(addresses) {
+			e.Address = addresses[i]
+		}
+		edges = append(edges, e)
+	}
+	return edges
+}
+
 // publish calls the subscribers if the view has changed.
 func (s *service) publish(now time.Duration) {
 	v := s.state.View(now)
-	if s.view != nil && v.LimitDivisor == s.view.LimitDivisor && slices.Equal(v.Names, s.view.Names) {
+	old := s.view
+	s.view = v
+	if !maps.Equal(v.Addresses, old.Addresses) {
+		s.dropOutboxes()
+	}
+	if v.LimitDivisor == old.LimitDivisor && slices.Equal(v.Names, old.Names) {
 		return
 	}
-	s.view = v
 	s.edgeCount.Store(int64(len(v.Names)))
 	s.log.Change("edge list changed", api.Fields{"edges": len(v.Names), "sharers": v.LimitDivisor})
 	for _, f := range s.subscribers {
--- a/standin/platformworker/host.go
+++ b/standin/platformworker/host.go
@@ -19,6 +19,8 @@
 	RestartDelay time.Duration
 	// Crashes reports whether a request crashes the worker that begins its response.
 	Crashes func(r *http.Request, body []byte) bool
+	// Silent makes the worker crash before it sends the response head.
+	Silent bool
 	// OnStart is called with the instance ID and the address of each incarnation.
 	OnStart func(id, address string)
 
@@ -83,17 +85,19 @@
 	h.OnStart(worker.InstanceID, h.address)
 }
 
-// crash sends the response head and ends the incarnation. It does not return.
+// crash sends the response head, unless Silent, and ends the incarnation. It does not return.
 func (h *Host) crash(worker *Worker, out http.ResponseWriter, r *http.Request) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.reached++
 	if r.Header.Get("X-Mulberryfork-Expected-Instance") == worker.InstanceID && !h.stopped {
-		header := out.Header()
-		header.Set("X-Mulberryfork-Attempt-Id", r.Header.Get("X-Mulberryfork-Attempt-Id"))
-		header.Set("X-Mulberryfork-Response-Signature", "sig."+worker.InstanceID)
-		header.Set("Content-Type", "text/event-stream")
-		_ = http.NewResponseController(out).Flush()
+		if !h.Silent {
+			header := out.Header()
+			header.Set("X-Mulberryfork-Attempt-Id", r.Header.Get("X-Mulberryfork-Attempt-Id"))
+			header.Set("X-Mulberryfork-Response-Signature", "sig."+worker.InstanceID)
+			header.Set("Content-Type", "text/event-stream")
+			_ = http.NewResponseController(out).Flush()
+		}
 		h.crashed++
 		_ = h.server.Close()
 		time.AfterFunc(h.RestartDelay, h.restart)
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -155,6 +155,7 @@
 		RetryAfterNs: nanos(f.RetryAfter),
 		BoundKey:     f.BoundKey,
 		Revision:     f.Revision,
+		Crash:        uint32(f.Crash),
 	}
 }
 
@@ -175,6 +176,7 @@
 		RetryAfter: time.Duration(m.GetRetryAfterNs()),
 		BoundKey:   m.GetBoundKey(),
 		Revision:   m.GetRevision(),
+		Crash:      api.CrashEvidence(m.GetCrash()),
 	}
 }
 
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -10,9 +10,10 @@
 // message is a full configuration of up to 1 MB with file names and framing.
 const MaxPeerMessageBytes = 2 << 20
 
-// MaxFleetMessageBytes is the maximum size of a seed's listing, which has up to 1,024
-// names of up to 128 bytes.
-const MaxFleetMessageBytes = 160 << 10
+// MaxFleetMessageBytes is the maximum size of a message between edges. The largest is
+// the listing of a seed: up to 1,024 names of up to 128 bytes with their addresses, and
+// a few reports of crashes.
+const MaxFleetMessageBytes = 320 << 10
 
 // MaxDigestObservations is the maximum number of observations decoded from one
 // digest.
