--- a/api/services.go
+++ b/api/services.go
@@ -177,6 +177,8 @@
 	OnlyUpstream string
 	// Fingerprint is a hash that identifies the content across retries.
 	Fingerprint uint64
+	// PromptParts are those of the Request.
+	PromptParts []uint64
 	// AllowLeaving allows an upstream that accepts no new requests, because it may hold a
 	// recorded response.
 	AllowLeaving bool
@@ -233,9 +235,10 @@
 
 // RouteResult reports the end of an attempt to the routing service.
 type RouteResult struct {
-	// RequestID and Fingerprint are those of the RouteQuery.
+	// RequestID, Fingerprint and PromptParts are those of the RouteQuery.
 	RequestID   string
 	Fingerprint uint64
+	PromptParts []uint64
 	Upstream    string
 	// Incarnation is that of the RouteChoice.
 	Incarnation Incarnation
@@ -296,6 +299,9 @@
 	ResumeFrom uint64
 	// Fingerprint is a hash that identifies the content across retries.
 	Fingerprint uint64
+	// PromptParts identify the parts of the prompt that other requests may share, in
+	// their order: all but the last.
+	PromptParts []uint64
 	// MaxAttempts bounds the attempts, 0 for the default of the dispatcher.
 	MaxAttempts int
 	// Unbound requests are identified by their ID alone: no idempotency key is
--- a/service/balance/suspects.go
+++ b/service/balance/suspects.go
@@ -31,6 +31,7 @@
 	s.log.Change("upstream crashed under a request", api.Fields{
 		"request":     r.RequestID,
 		"fingerprint": strconv.FormatUint(r.Fingerprint, hexBase),
+		"parts":       hexList(r.PromptParts),
 		"upstream":    r.Upstream,
 		"responding":  victim.Responding,
 		"blocked":     s.suspects.Admit(now, r.Fingerprint) != nil,
@@ -38,6 +39,14 @@
 	s.fleet.ReportSuspicions(now, reports)
 }
 
+func hexList(parts []uint64) []string {
+	var list []string
+	for _, part := range parts {
+		list = append(list, strconv.FormatUint(part, hexBase))
+	}
+	return list
+}
+
 // sharedSuspects is the crash records as the other edges see them. It logs requests that
 // their reports block here.
 type sharedSuspects struct {
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -313,6 +313,7 @@
 		OnlyUpstream: d.boundUpstream,
 		AllowLeaving: d.boundUpstream != "",
 		Fingerprint:  r.Fingerprint,
+		PromptParts:  r.PromptParts,
 	})
 	if failure != nil || r.Idempotent || r.Unbound || d.key != "" {
 		return choice, failure
--- a/service/dispatch/hedgedattempt.go
+++ b/service/dispatch/hedgedattempt.go
@@ -218,6 +218,7 @@
 	d.service.routing.Done(api.RouteResult{
 		RequestID:   d.request.ID,
 		Fingerprint: d.request.Fingerprint,
+		PromptParts: d.request.PromptParts,
 		Upstream:    s.choice.Upstream,
 		Incarnation: s.choice.Incarnation,
 		Ticket:      s.choice.Ticket,
