Add a failing test for prompt parts that crash upstreams

Three edges and four stand-in workers; a part that is never the last crashes each worker, no two requests are alike, and sound ones share the first part.

--- a/cmd/mulberryfork-platform/crash_test.go
+++ b/cmd/mulberryfork-platform/crash_test.go
@@ -187,3 +187,70 @@
 		})
 	}
 }
+
+const (
+	// warmUpRequests is the number of requests that an edge serves before the first
+	// crash.
+	warmUpRequests = 40
+	// deadlyParts holds a part that crashes workers, soundParts the same parts without
+	// it. The last part of a prompt belongs to one request.
+	deadlyParts = "50a1:40,dead:200,%x:300"
+	soundParts  = "50a1:40,beef:200,%x:300"
+	deadlyPart  = "dead:200"
+	// maxCrashesByPart is the number of crashes after which a part must be known.
+	maxCrashesByPart = 5
+)
+
+// sendParts sends a request that no other equals and returns the status.
+func (p *crashPool) sendParts(edge int, parts string) int {
+	status, _ := p.send(edge, "/s/x", fmt.Sprintf(parts, 0xf000+p.sent), fmt.Sprintf("stream %d", p.sent))
+	return status
+}
+
+// Guards against requests with a prompt part that crash one upstream after the other,
+// and against sound requests that are refused because they share other parts with them.
+func TestCrashingPromptPartIsStopped(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		warm   bool
+		silent bool
+		// pause is the time between crashes.
+		pause time.Duration
+	}{
+		{name: "edges that have served requests", warm: true, pause: 2 * restartDelay},
+		{name: "edges that have just started", pause: time.Second},
+		{name: "crashes before the response", warm: true, silent: true, pause: time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			p := newCrashPool(t, c.silent, func(r *http.Request, _ []byte) bool {
+				return strings.Contains(r.Header.Get("X-Mulberryfork-Prompt-Prefix-Hash"), deadlyPart)
+			})
+			for i := 0; c.warm && i < warmUpRequests*crashEdges; i++ {
+				p.sendParts(i%crashEdges, soundParts)
+			}
+			for i := 0; i < 10 && p.crashed() < maxCrashesByPart; i++ {
+				p.sendParts(i%crashEdges, deadlyParts)
+				time.Sleep(c.pause)
+				p.sendParts(i%crashEdges, soundParts)
+			}
+			p.startEdge()
+			time.Sleep(reportTimeout)
+			before, served := p.reached(), 0
+			const rounds = 12
+			for i := range rounds {
+				p.sendParts(i%len(p.fronts), deadlyParts)
+				p.awaitWorkers()
+				if p.sendParts(i%len(p.fronts), soundParts) == http.StatusOK {
+					served++
+				}
+			}
+			if n := p.reached() - before; n > maxResends {
+				t.Errorf("%d requests reached workers; %d crashes in all", n, p.crashed())
+			}
+			if served < rounds/2 {
+				t.Errorf("%d of %d sound requests were served", served, rounds)
+			}
+		})
+	}
+}
