Block prompt parts that crash upstreams, and tell them from sound ones

Cause: crashes were held against the whole content of a request. Where a part of the prompt is what crashes upstreams, every request is another one, so none is ever known. Ruled out as the cause: the caller, the first part and the kind of request, all of which sound requests shared and were served with.

decide/poison now keeps crashes by part as well. A part is suspected if the edge has a history and no request with it was served; edges that have served it clear it for the others. Without a history a part takes three separate episodes, so that a zone that loses power under a fresh edge blocks nothing.

--- a/decide/poison/unisolated.go
+++ b/decide/poison/unisolated.go
@@ -1,99 +1,164 @@
 package poison
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
 )
 
 const (
-	// firstBlockTime is how long a request is blocked after the first crash of which it
-	// is the likely cause. A caller that resends it does so within its deadline, of some
-	// seconds; a sound request that was there by chance is admitted again soon.
+	// firstBlockTime is how long a request or a part is blocked after the first crash of
+	// which it is the likely cause. A caller that resends a request does so within its
+	// deadline, of some seconds; a sound one that was there by chance is admitted again
+	// soon.
 	firstBlockTime = time.Minute
-	// crashesToBlockWaiting is the number of crashes that block a request which the
-	// upstreams had not begun to respond to. Many sound ones wait at the time of a crash.
+	// crashesToBlockWaiting is the number of crashes that block a request or a part
+	// although the upstreams had not begun to respond. Many sound requests wait at the
+	// time of a crash.
 	crashesToBlockWaiting = 3
+	// episodeGap is the shortest time between two crashes that are separate evidence
+	// against a part. Requests with it may be in flight at many upstreams that crash
+	// together for another reason.
+	episodeGap = time.Second
 )
 
-// Unisolated blocks requests that crash upstreams where no agent can run a suspect by
-// itself. A crash of one upstream can stop all others of its group, so the first request
-// that is the likely cause is not tried again at once.
-type Unisolated struct{ *State }
+// Unisolated blocks requests and prompt parts that crash upstreams where no agent can
+// run a suspect by itself. A crash of one upstream can stop all others of its group, so
+// what is the likely cause is not tried again at once.
+//
+// The records are those of State, by fingerprint of a request or by part.
+type Unisolated struct {
+	*State
+	sound *soundParts
+}
 
-// NewUnisolated returns an empty state for up to maxRecords requests, or
+// NewUnisolated returns an empty state for up to maxRecords requests and parts, or
 // DefaultMaxRecords if maxRecords is not positive.
-func NewUnisolated(maxRecords int) *Unisolated { return &Unisolated{State: New(maxRecords)} }
+func NewUnisolated(maxRecords int) *Unisolated {
+	return &Unisolated{State: New(maxRecords), sound: newSoundParts()}
+}
 
-// Victim is a request that was in flight at an upstream when that crashed.
-type Victim struct {
+// Content identifies a request and the parts of its prompt that others may share.
+type Content struct {
 	Fingerprint uint64
-	// Responding is true if the upstream had begun to respond. Then the request is the
-	// likely cause of the crash.
-	Responding bool
+	Parts       []uint64
 }
 
-// Admit returns nil if a request may be sent to an upstream, and a failure if it is
-// blocked. It must be asked before each attempt.
-func (u *Unisolated) Admit(now time.Duration, fp uint64) *api.Failure {
-	if left := u.blockedFor(now, fp); left > 0 {
+// Admit returns nil if a request may be sent to an upstream, and a failure if it or a
+// part of its prompt is blocked. It must be asked before each attempt.
+func (u *Unisolated) Admit(now time.Duration, c Content) *api.Failure {
+	if left := u.blockedFor(now, c.Fingerprint, 0); left > 0 {
 		return suspectFailure("the request crashed upstreams", left)
 	}
+	for _, part := range c.Parts {
+		if left := u.blockedFor(now, part, episodeGap); left > 0 && !u.sound.contains(part) {
+			return suspectFailure("a part of the prompt crashed upstreams", left)
+		}
+	}
 	return nil
 }
 
-// RecordCrash records that an upstream crashed under a request, and returns the reports
-// for other processes. The id must be the same for all requests in flight at that crash
-// and unique among all crashes of the fleet.
-func (u *Unisolated) RecordCrash(now time.Duration, upstream string, id uint64, v Victim) []api.Suspicion {
+// RecordCrash records that an upstream crashed under a request whose response had no
+// content yet, and returns the reports for other processes. The id must be the same for
+// all requests in flight at that crash and unique among all crashes of the fleet.
+// responding is true if the upstream had begun to respond: then the request is the
+// likely cause.
+func (u *Unisolated) RecordCrash(now time.Duration, upstream string, id uint64, c Content, responding bool) []api.Suspicion {
 	u.counters.Crashes++
-	if !u.merge(now, v.Fingerprint, []crash{{id: id, upstream: upstream, at: now, alone: v.Responding}}) {
+	cause := crash{id: id, upstream: upstream, at: now, alone: responding}
+	reports := u.record(now, c.Fingerprint, cause)
+	// A process that has served few requests can't tell a new part from a common one.
+	cause.alone = responding && u.sound.isWarm()
+	for _, part := range c.Parts {
+		if !u.sound.presume(now, part) {
+			reports = append(reports, u.record(now, part, cause)...)
+		}
+	}
+	return reports
+}
+
+func (u *Unisolated) record(now time.Duration, key uint64, c crash) []api.Suspicion {
+	if !u.merge(now, key, []crash{c}) {
 		return nil
 	}
-	return u.Report(now, v.Fingerprint)
+	return u.Report(now, key)
+}
+
+// RecordBegin records that an upstream sent content of the response to a request, and
+// returns the reports for other processes. It clears the crashes recorded so far, and
+// its parts are sound.
+func (u *Unisolated) RecordBegin(now time.Duration, c Content) []api.Suspicion {
+	u.sound.add(c.Parts)
+	reports := u.clear(now, c.Fingerprint)
+	for _, part := range c.Parts {
+		reports = append(reports, u.clear(now, part)...)
+	}
+	return reports
 }
 
-// RecordCompletion records that a request completed, and returns the report for other
-// processes. It clears the crashes recorded so far.
-func (u *Unisolated) RecordCompletion(now time.Duration, fp uint64) []api.Suspicion {
-	if likely, all, _ := u.countCrashes(now, fp); likely+all == 0 {
+// Merge adds the reports of another process and returns the records that changed. A
+// crash that is held against a sound part is cleared, so that its sender learns of it.
+func (u *Unisolated) Merge(now time.Duration, received []api.Suspicion) []api.Suspicion {
+	updates := u.State.Merge(now, received)
+	for i, report := range updates {
+		if u.isSuspect(now, report.Fingerprint) && u.sound.presume(now, report.Fingerprint) {
+			updates[i] = u.clear(now, report.Fingerprint)[0]
+		}
+	}
+	return updates
+}
+
+// clear clears the crashes held against a request or a part.
+func (u *Unisolated) clear(now time.Duration, key uint64) []api.Suspicion {
+	if !u.isSuspect(now, key) {
 		return nil
 	}
-	return u.State.RecordCompletion(now, fp)
+	return u.RecordCompletion(now, key)
+}
+
+func (u *Unisolated) isSuspect(now time.Duration, key uint64) bool {
+	r := u.records[key]
+	return r != nil && slices.ContainsFunc(r.crashes, func(c crash) bool { return c.active(now) })
 }
 
-// blockedFor returns the time for which a request is blocked, 0 if it is not.
-func (u *Unisolated) blockedFor(now time.Duration, fp uint64) time.Duration {
-	likely, all, last := u.countCrashes(now, fp)
-	duration := time.Duration(0)
+// blockedFor returns the time for which a request or a part is blocked, 0 if it is not.
+func (u *Unisolated) blockedFor(now time.Duration, key uint64, gap time.Duration) time.Duration {
+	r := u.records[key]
+	if r == nil {
+		return 0
+	}
+	likely, last := countEpisodes(r.crashes, gap, func(c crash) bool { return c.active(now) && c.alone })
+	all, lastOfAll := countEpisodes(r.crashes, gap, func(c crash) bool { return c.active(now) })
+	until := time.Duration(0)
 	switch {
 	case likely >= crashesToBlock:
-		duration = minBlockTime << (likely - crashesToBlock)
+		until = last + min(minBlockTime<<(likely-crashesToBlock), maxBlockTime)
 	case likely > 0:
-		duration = firstBlockTime
+		until = last + firstBlockTime
 	}
 	if all >= crashesToBlockWaiting {
-		duration = max(duration, minBlockTime<<(all-crashesToBlockWaiting))
+		until = max(until, lastOfAll+min(minBlockTime<<(all-crashesToBlockWaiting), maxBlockTime))
 	}
-	return max(last+min(duration, maxBlockTime)-now, 0)
+	return max(until-now, 0)
 }
 
-// countCrashes returns the number of crashes of which a request is the likely cause, the
-// number of all its crashes, and the time of the last one.
-func (u *Unisolated) countCrashes(now time.Duration, fp uint64) (likely, all int, last time.Duration) {
-	r := u.records[fp]
-	if r == nil {
-		return 0, 0, 0
-	}
-	for _, c := range r.crashes {
-		if !c.active(now) {
-			continue
+// countEpisodes counts the crashes that qualify and are at least gap after the one
+// counted before, and returns the time of the last that qualifies.
+func countEpisodes(crashes []crash, gap time.Duration, qualifies func(crash) bool) (n int, last time.Duration) {
+	var times []time.Duration
+	for _, c := range crashes {
+		if qualifies(c) {
+			times = append(times, c.at)
 		}
-		all++
-		if c.alone {
-			likely++
+	}
+	slices.Sort(times)
+	counted := time.Duration(0)
+	for _, at := range times {
+		if n == 0 || at-counted >= gap {
+			n, counted = n+1, at
 		}
-		last = max(last, c.at)
+		last = at
 	}
-	return likely, all, last
+	return n, last
 }
--- a/decide/poison/unisolated_test.go
+++ b/decide/poison/unisolated_test.go
@@ -14,39 +14,41 @@
 // Guards against a request that crashes more upstreams than allowed, and against one
 // that is blocked because it was in flight at crashes that others caused.
 func TestUnisolatedBlocksAfterCrashes(t *testing.T) {
-	responding, waiting := Victim{Fingerprint: 1, Responding: true}, Victim{Fingerprint: 1}
+	responding, waiting := true, false
+	content := Content{Fingerprint: 1}
 	type event struct {
-		id       uint64
-		victim   Victim
-		complete bool
+		id uint64
+		// responding is true if the upstream had begun to respond.
+		responding bool
+		complete   bool
 	}
 	for _, c := range []struct {
 		name    string
 		events  []event
 		blocked bool
 	}{
-		{"one crash as it began", []event{{id: firstCrash, victim: responding}}, true},
-		{"one crash while it waited", []event{{id: firstCrash, victim: waiting}}, false},
-		{"two crashes while it waited", []event{{id: firstCrash, victim: waiting}, {id: secondCrash, victim: waiting}}, false},
-		{"three crashes while it waited", []event{{id: firstCrash, victim: waiting}, {id: secondCrash, victim: waiting}, {id: thirdCrash, victim: waiting}}, true},
-		{"copies at one crash, one began", []event{{id: firstCrash, victim: waiting}, {id: firstCrash, victim: responding}}, true},
-		{"copies at one crash, none began", []event{{id: firstCrash, victim: waiting}, {id: firstCrash, victim: waiting}, {id: firstCrash, victim: waiting}}, false},
-		{"completed after the crash", []event{{id: firstCrash, victim: responding}, {complete: true}}, false},
-		{"crashed again after completion", []event{{id: firstCrash, victim: responding}, {complete: true}, {id: secondCrash, victim: responding}}, true},
+		{"one crash as it began", []event{{id: firstCrash, responding: responding}}, true},
+		{"one crash while it waited", []event{{id: firstCrash, responding: waiting}}, false},
+		{"two crashes while it waited", []event{{id: firstCrash, responding: waiting}, {id: secondCrash, responding: waiting}}, false},
+		{"three crashes while it waited", []event{{id: firstCrash, responding: waiting}, {id: secondCrash, responding: waiting}, {id: thirdCrash, responding: waiting}}, true},
+		{"copies at one crash, one began", []event{{id: firstCrash, responding: waiting}, {id: firstCrash, responding: responding}}, true},
+		{"copies at one crash, none began", []event{{id: firstCrash, responding: waiting}, {id: firstCrash, responding: waiting}, {id: firstCrash, responding: waiting}}, false},
+		{"completed after the crash", []event{{id: firstCrash, responding: responding}, {complete: true}}, false},
+		{"crashed again after completion", []event{{id: firstCrash, responding: responding}, {complete: true}, {id: secondCrash, responding: responding}}, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			u, other := NewUnisolated(0), NewUnisolated(0)
 			for i, e := range c.events {
 				now := time.Duration(i) * time.Second
 				if e.complete {
-					other.Merge(now, u.RecordCompletion(now, 1))
+					other.Merge(now, u.RecordBegin(now, content))
 					continue
 				}
-				other.Merge(now, u.RecordCrash(now, "u", e.id, e.victim))
+				other.Merge(now, u.RecordCrash(now, "u", e.id, content, e.responding))
 			}
 			now := time.Duration(len(c.events)) * time.Second
 			for name, s := range map[string]*Unisolated{"the edge": u, "another edge": other} {
-				f := s.Admit(now, 1)
+				f := s.Admit(now, content)
 				if (f != nil) != c.blocked {
 					t.Errorf("%s: %v", name, f)
 				}
@@ -62,19 +64,19 @@
 // different order.
 func TestUnisolatedMergesInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		now := time.Second
+		now, content := time.Second, Content{Fingerprint: 1}
 		var reports []api.Suspicion
 		for range rapid.IntRange(1, 6).Draw(t, "reports") {
 			from := NewUnisolated(0)
 			id := rapid.Uint64Range(firstCrash, thirdCrash).Draw(t, "crash")
-			reports = append(reports, from.RecordCrash(now, "u", id, Victim{Fingerprint: 1, Responding: rapid.Bool().Draw(t, "responding")})...)
+			reports = append(reports, from.RecordCrash(now, "u", id, content, rapid.Bool().Draw(t, "responding"))...)
 		}
 		a, b := NewUnisolated(0), NewUnisolated(0)
 		for i := range reports {
 			a.Merge(now, reports[i:i+1])
 			b.Merge(now, reports[len(reports)-1-i:len(reports)-i])
 		}
-		if x, y := a.Admit(now, 1), b.Admit(now, 1); (x == nil) != (y == nil) {
+		if x, y := a.Admit(now, content), b.Admit(now, content); (x == nil) != (y == nil) {
 			t.Fatalf("%v and %v", x, y)
 		}
 	})
@@ -83,15 +85,15 @@
 // Guards against a request that crashes upstreams often because a block ends too soon,
 // and against a sound one that is refused for long after a single crash.
 func TestUnisolatedBlocksLongerWithEachCrash(t *testing.T) {
-	u, now, blocked := NewUnisolated(0), time.Duration(0), []time.Duration{}
+	u, now, blocked, content := NewUnisolated(0), time.Duration(0), []time.Duration{}, Content{Fingerprint: 1}
 	for id := range uint64(4) {
-		u.RecordCrash(now, "u", id, Victim{Fingerprint: 1, Responding: true})
-		f := u.Admit(now, 1)
+		u.RecordCrash(now, "u", id, content, true)
+		f := u.Admit(now, content)
 		if f == nil {
 			t.Fatalf("not blocked after crash %d", id+1)
 		}
 		blocked = append(blocked, f.RetryAfter)
-		if now += f.RetryAfter; u.Admit(now, 1) != nil {
+		if now += f.RetryAfter; u.Admit(now, content) != nil {
 			t.Fatalf("still blocked %v after crash %d", f.RetryAfter, id+1)
 		}
 	}
--- a/service/balance/balance.go
+++ b/service/balance/balance.go
@@ -141,7 +141,7 @@
 
 func (s *service) handleQuery(now time.Duration, c kernel.Call[api.RouteQuery, routeReply]) {
 	var choice balance.Choice
-	failure := s.suspects.Admit(now, c.Query.Fingerprint)
+	failure := s.suspects.Admit(now, contentOf(c.Query.Fingerprint, c.Query.PromptParts))
 	if failure != nil {
 		s.refusals.Add(1)
 	} else {
@@ -170,6 +170,7 @@
 	}
 	if f != nil && f.Code == api.CodeSuspect {
 		fields["fingerprint"] = strconv.FormatUint(q.Fingerprint, hexBase)
+		fields["parts"] = hexList(q.PromptParts)
 		fields["blocked_ms"] = f.RetryAfter.Milliseconds()
 	}
 	if len(q.Exclude) > 0 {
--- a/service/balance/suspects.go
+++ b/service/balance/suspects.go
@@ -11,32 +11,35 @@
 	"github.com/mulberryfork/mulberryfork/decide/poison"
 )
 
+// contentOf identifies a request in the crash records.
+func contentOf(fingerprint uint64, parts []uint64) poison.Content {
+	return poison.Content{Fingerprint: fingerprint, Parts: parts}
+}
+
 // recordSuspects records what the end of an attempt says about crashes that its request
 // causes, and reports changes to the other edges.
 func (s *service) recordSuspects(now time.Duration, r api.RouteResult) {
 	if r.Fingerprint == 0 || r.Unsent {
 		return
 	}
-	if r.Failure == nil {
-		s.fleet.ReportSuspicions(now, s.suspects.RecordCompletion(now, r.Fingerprint))
-		return
-	}
-	// A request that was answered in part did not crash the upstream as it began.
-	if r.Failure.Crash == api.NoCrash || r.FirstChunk > 0 {
-		return
+	content := contentOf(r.Fingerprint, r.PromptParts)
+	switch {
+	case r.Failure == nil || r.FirstChunk > 0:
+		s.fleet.ReportSuspicions(now, s.suspects.RecordBegin(now, content))
+	case r.Failure.Crash != api.NoCrash:
+		s.crashes.Add(1)
+		responding := r.Failure.Crash == api.CrashInResponse
+		reports := s.suspects.RecordCrash(now, r.Upstream, crashID(r.Upstream, r.Incarnation), content, responding)
+		s.log.Change("upstream crashed under a request", api.Fields{
+			"request":     r.RequestID,
+			"fingerprint": strconv.FormatUint(r.Fingerprint, hexBase),
+			"parts":       hexList(r.PromptParts),
+			"upstream":    r.Upstream,
+			"responding":  responding,
+			"blocked":     s.suspects.Admit(now, content) != nil,
+		})
+		s.fleet.ReportSuspicions(now, reports)
 	}
-	s.crashes.Add(1)
-	victim := poison.Victim{Fingerprint: r.Fingerprint, Responding: r.Failure.Crash == api.CrashInResponse}
-	reports := s.suspects.RecordCrash(now, r.Upstream, crashID(r.Upstream, r.Incarnation), victim)
-	s.log.Change("upstream crashed under a request", api.Fields{
-		"request":     r.RequestID,
-		"fingerprint": strconv.FormatUint(r.Fingerprint, hexBase),
-		"parts":       hexList(r.PromptParts),
-		"upstream":    r.Upstream,
-		"responding":  victim.Responding,
-		"blocked":     s.suspects.Admit(now, r.Fingerprint) != nil,
-	})
-	s.fleet.ReportSuspicions(now, reports)
 }
 
 func hexList(parts []uint64) []string {
@@ -47,8 +50,8 @@
 	return list
 }
 
-// sharedSuspects is the crash records as the other edges see them. It logs requests that
-// their reports block here.
+// sharedSuspects is the crash records as the other edges see them. It logs requests and
+// prompt parts that their reports block here.
 type sharedSuspects struct {
 	*poison.Unisolated
 	log api.Logger
@@ -58,9 +61,9 @@
 func (s *sharedSuspects) Merge(now time.Duration, received []api.Suspicion) []api.Suspicion {
 	updates := s.Unisolated.Merge(now, received)
 	for _, u := range updates {
-		if f := s.Admit(now, u.Fingerprint); f != nil {
-			s.log.Change("request blocked by reports of other edges", api.Fields{
-				"fingerprint": strconv.FormatUint(u.Fingerprint, hexBase),
+		if f := s.Admit(now, contentOf(u.Fingerprint, []uint64{u.Fingerprint})); f != nil {
+			s.log.Change("request or part blocked by reports of other edges", api.Fields{
+				"suspect":     strconv.FormatUint(u.Fingerprint, hexBase),
 				"crashes":     len(u.Crashes),
 				"blocked_ms":  f.RetryAfter.Milliseconds(),
 			})
--- a/service/fleet/suspicions.go
+++ b/service/fleet/suspicions.go
@@ -117,7 +117,9 @@
 	box.busy = false
 	if r.err == nil {
 		s.counts.sentReports.Add(int64(len(r.sent)))
-		s.mergeReports(now, r.received)
+		// What the called edge knows better, such as a part that is sound, is news to the
+		// others as well.
+		s.ReportSuspicions(now, s.mergeReports(now, r.received))
 		s.scheduleReport(r.address, box, reportDelay)
 		return
 	}
@@ -132,8 +134,7 @@
 	s.scheduleReport(r.address, box, reportRetryInterval)
 }
 
-// mergeReports merges reports of another edge. It does not pass them on: their sender
-// reports to all edges itself.
+// mergeReports merges reports of another edge and returns those that are new.
 func (s *service) mergeReports(now time.Duration, received []api.Suspicion) []api.Suspicion {
 	if s.records == nil || len(received) == 0 {
 		return nil
