--- a/service/balance/suspects.go
+++ b/service/balance/suspects.go
@@ -63,9 +63,9 @@
 	for _, u := range updates {
 		if f := s.Admit(now, contentOf(u.Fingerprint, []uint64{u.Fingerprint})); f != nil {
 			s.log.Change("request or part blocked by reports of other edges", api.Fields{
-				"suspect":     strconv.FormatUint(u.Fingerprint, hexBase),
-				"crashes":     len(u.Crashes),
-				"blocked_ms":  f.RetryAfter.Milliseconds(),
+				"suspect":    strconv.FormatUint(u.Fingerprint, hexBase),
+				"crashes":    len(u.Crashes),
+				"blocked_ms": f.RetryAfter.Milliseconds(),
 			})
 		}
 	}
