Find deadly prompt parts on edges that have just started, and tell restarted seeds

An edge without a history took all parts for equally likely, and an edge called a seed that had restarted only up to two seconds later.

An edge without a history now suspects the last of several shared parts, which the fewest requests share (TestEdgeWithoutHistoryBlocksTheMostSpecificPart failed before). A lost seed is called again after 250 ms.

--- a/decide/poison/parts_test.go
+++ b/decide/poison/parts_test.go
@@ -110,6 +110,19 @@
 	}
 }
 
+// Guards against edges that have just started and let a part crash several upstreams
+// although it is the only one that few requests share.
+func TestEdgeWithoutHistoryBlocksTheMostSpecificPart(t *testing.T) {
+	u := NewUnisolated(0)
+	u.RecordCrash(0, "u", firstCrash, Content{Fingerprint: 500, Parts: []uint64{commonPart, deadlyPart}}, true)
+	if admitted(u, 0, commonPart, deadlyPart) {
+		t.Error("the last of the shared parts is not blocked")
+	}
+	if !admitted(u, 0, commonPart, otherPart) {
+		t.Error("the first part is blocked")
+	}
+}
+
 // Guards against a record of sound parts that grows with every request.
 func TestSoundPartsAreBounded(t *testing.T) {
 	s := newSoundParts()
--- a/decide/poison/unisolated.go
+++ b/decide/poison/unisolated.go
@@ -68,9 +68,11 @@
 	u.counters.Crashes++
 	cause := crash{id: id, upstream: upstream, at: now, alone: responding}
 	reports := u.record(now, c.Fingerprint, cause)
-	// A process that has served few requests can't tell a new part from a common one.
-	cause.alone = responding && u.sound.isWarm()
-	for _, part := range c.Parts {
+	for i, part := range c.Parts {
+		// A process that has served few requests can't tell a new part from a common one.
+		// The last part is then the likeliest, since the fewest requests share it.
+		mostSpecific := i > 0 && i == len(c.Parts)-1
+		cause.alone = responding && (mostSpecific || u.sound.isWarm())
 		if !u.sound.presume(now, part) {
 			reports = append(reports, u.record(now, part, cause)...)
 		}
--- a/service/fleet/fleet.go
+++ b/service/fleet/fleet.go
@@ -28,8 +28,10 @@
 	// callInterval is the time between calls to a seed. A seed lists an edge for 30
 	// intervals after the edge's last call.
 	callInterval = 2 * time.Second
-	// startInterval is the time between the first startCalls calls. It is short, so
-	// that edges that start together discover each other before traffic arrives.
+	// startInterval is the time between the first startCalls calls, and between those
+	// after a seed was lost. It is short, so that edges that start together discover each
+	// other before traffic arrives, and so that a seed that has restarted learns of
+	// crashes from those that call it.
 	startInterval = 250 * time.Millisecond
 	startCalls    = 12
 	// callTimeout bounds a call including the dial. It allows for several round trips
@@ -208,9 +210,13 @@
 	var conn *drpcconn.Conn
 	for n := 0; ctx.Err() == nil; n++ {
 		var result callResult
+		connected := conn != nil
 		if result, conn = s.callSeed(ctx, seed, conn); s.callResults.Post(ctx, result) != nil {
 			break
 		}
+		if connected && conn == nil {
+			n = 0
+		}
 		wait := callInterval
 		if n < startCalls {
 			wait = startInterval
--- a/service/fleet/suspicions.go
+++ b/service/fleet/suspicions.go
@@ -13,7 +13,7 @@
 const (
 	// reportDelay collects the crashes of requests that were in flight at the same
 	// upstream in one message.
-	reportDelay = 20 * time.Millisecond
+	reportDelay = 5 * time.Millisecond
 	// reportRetryInterval is the time between attempts to report to an edge that cannot
 	// be reached. An edge that is back is told at once by others as well.
 	reportRetryInterval = time.Second
