--- a/cmd/mulberryfork-platform/edge_test.go
+++ b/cmd/mulberryfork-platform/edge_test.go
@@ -412,3 +412,33 @@
 		t.Errorf("the view is current as of %v before the start of a watch that ended without changes", watchStart-asOf)
 	}
 }
+
+// Guards against an edge that ends or stops following the list of upstreams because of
+// an entry of another writer.
+func TestOddEntriesAreIgnored(t *testing.T) {
+	f := newFixture(t)
+	const format = `{"service":"svc","address":%q,"availabilityZone":"z","version":"v1","capacitySlots":%s,"lifecycleState":"available","coldRemainingMs":%s,"sequenceNumber":1,"born":%s,"x":%s}`
+	nested := strings.Repeat("[", 200000) + strings.Repeat("]", 200000)
+	for i, value := range []string{
+		fmt.Sprintf(format, f.address("w1"), "4", "0", "1", nested),
+		nested,
+		fmt.Sprintf(format, f.address("w1"), "9000000000000000000", "0", "1", "0"),
+		fmt.Sprintf(format, f.address("w1"), "1e999", "0", "1", "0"),
+		fmt.Sprintf(format, f.address("w1"), "4", "1e300", "1", "0"),
+		fmt.Sprintf(format, f.address("w1"), "4", "0", "9000000000000000000", "0"),
+		fmt.Sprintf(format, "127.0.0.1:70000", "4", "0", "1", "0"),
+		fmt.Sprintf(format, "127.0.0.1:0", "4", "0", "1", "0"),
+		"\xff\xfe",
+		"",
+	} {
+		f.store.Put(fmt.Sprintf("servers/odd%d", i), []byte(value))
+	}
+	f.store.Put("servers/", []byte("{}"))
+	f.register("w3", f.address("w1"), "draining")
+	f.awaitView(func(v *api.View) bool { return v.Instances["w3"].Leaving && len(v.Instances) == 3 })
+	for range 5 {
+		if response, body, err := f.send("/i/x", "key1", "whole x"); err != nil || response.StatusCode != http.StatusOK || body != "answer to x" {
+			t.Fatalf("response %+v, body %q, error %v", response, body, err)
+		}
+	}
+}
