Let no error or other body resume a stream

Cause: the head of a resumed attempt is dropped, since the caller has one, and nothing looked at it. Chunks of a body are numbered from 1, so that the first ones passed for duplicates and the rest for the continuation. A short error was all duplicates, and its end broke the stream off, which is why no test saw it.

An attempt whose head can't continue the stream fails now and is repeated or broken off like any other.

--- a/cmd/mulberryfork-platform/edge_test.go
+++ b/cmd/mulberryfork-platform/edge_test.go
@@ -442,3 +442,28 @@
 		}
 	}
 }
+
+// Guards against the text of an error, or any other body that is no stream, in the
+// middle of a stream that another upstream resumes, and against a stream that ends as
+// complete then.
+func TestErrorDoesNotResumeStream(t *testing.T) {
+	const received = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
+	for _, behaviour := range []string{platformworker.BreakThenError, platformworker.BreakThenPlain} {
+		t.Run(behaviour, func(t *testing.T) {
+			f := newFixture(t)
+			response, body, err := f.send("/s/x", "key1", behaviour)
+			if response == nil {
+				t.Fatal(err)
+			}
+			if err == nil {
+				t.Errorf("the stream ends as if it were complete, after %d bytes", len(body))
+			}
+			if body != received {
+				t.Errorf("%d bytes after the events: %.80q", len(body)-len(received), body[min(len(body), len(received)):])
+			}
+			if n := f.runs(); n != 2 {
+				t.Errorf("%d runs, want 2", n)
+			}
+		})
+	}
+}
--- a/service/dispatch/attempt.go
+++ b/service/dispatch/attempt.go
@@ -24,6 +24,9 @@
 
 	mu       sync.Mutex
 	detached bool
+	// rejected is set if the response can't continue the one that the caller has in part.
+	// The attempt ends with it.
+	rejected *api.Failure
 }
 
 // Bind sets the exchange. It is called before the first Head, Chunk or End.
@@ -37,7 +40,8 @@
 
 // Head forwards the response head to the caller, unless the caller already has the
 // head of an earlier attempt. It returns a DetachedError if the attempt was
-// abandoned or another attempt produced output first.
+// abandoned or another attempt produced output first, and a failure if the response
+// can't continue the earlier one.
 func (a *attemptSink) Head(h api.Head) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -49,6 +53,10 @@
 	}
 	d := a.delivery
 	if !d.assembler.Head(h) {
+		if d.headSent && !continuesStream(h) {
+			a.rejected = api.NewFailure(api.CodeStreamBroken, api.Ran, "the response that resumes the stream is no stream")
+			return a.rejected
+		}
 		return nil
 	}
 	d.headSent, d.resumable = true, api.IsEventStream(h.Headers)
@@ -58,6 +66,12 @@
 	return d.sink.Head(h)
 }
 
+// continuesStream reports whether a response can follow the first part of a stream. The
+// body of an error can't.
+func continuesStream(h api.Head) bool {
+	return h.Status/100 == 2 && api.IsEventStream(h.Headers)
+}
+
 // keyHeader is the response header with the request's idempotency key.
 const keyHeader = "Idempotency-Key"
 
@@ -70,6 +84,9 @@
 		a.delivery.service.counts.lateChunks.Add(1)
 		return &DetachedError{}
 	}
+	if a.rejected != nil {
+		return a.rejected
+	}
 	d := a.delivery
 	if a.timeToFirstChunk == 0 {
 		a.timeToFirstChunk = d.service.clock.Now() - d.startedAt
@@ -113,6 +130,9 @@
 	if a.detached {
 		return
 	}
+	if a.rejected != nil {
+		e = api.End{AttemptID: e.AttemptID, Failure: a.rejected}
+	}
 	if e.Failure != nil && !a.parent.isWinner(a) {
 		// Another attempt may still respond, so the assembler stays open.
 		a.done <- api.End{Failure: e.Failure}
--- a/standin/platformworker/worker.go
+++ b/standin/platformworker/worker.go
@@ -20,6 +20,10 @@
 	// BreakStream aborts a stream between two events, BreakMidEvent within an event.
 	BreakStream   = "break-stream"
 	BreakMidEvent = "mid-event"
+	// BreakThenError breaks a stream like BreakStream and responds to the request that
+	// resumes it with a signed error, BreakThenPlain with a signed body that is no stream.
+	BreakThenError = "break-then-error"
+	BreakThenPlain = "break-then-plain"
 	// Truncated sends a body shorter than its Content-Length.
 	Truncated = "truncated"
 	// Unsigned omits the response signature.
@@ -41,6 +45,13 @@
 // streamEvents is the number of events in a stream.
 const streamEvents = 6
 
+// ErrorText is repeated in the body of BreakThenError and BreakThenPlain. The body is
+// longer than what a relay buffers.
+const (
+	ErrorText        = "no such model. "
+	errorTextRepeats = 40000
+)
+
 // CompleteBody returns the complete response body for a request. text is the
 // request body after its first word.
 func CompleteBody(text string) string {
@@ -194,6 +205,16 @@
 	h := out.Header()
 	lastID, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	switch behaviour {
+	case BreakThenError, BreakThenPlain:
+		if lastID > 0 {
+			if behaviour == BreakThenError {
+				out.WriteHeader(http.StatusNotFound)
+			}
+			_, _ = io.WriteString(out, strings.Repeat(ErrorText, errorTextRepeats))
+			return
+		}
+		w.stream(BreakStream, out, r, lastID)
+		return
 	case Stream, BreakStream, BreakMidEvent:
 		w.stream(behaviour, out, r, lastID)
 		return
