Test that an earlier refusal is not taken for the answer to a request

Other operators reported workers that wrote an earlier refusal once more on a kept connection. Here each attempt has a connection of its own, and a refusal with the id of another request proves nothing about this one. Orders to ranks are sent on kept connections, and their answers carry no id: listed as not examined.

--- a/standin/platformworker/worker.go
+++ b/standin/platformworker/worker.go
@@ -30,6 +30,10 @@
 	Unsigned = "unsigned"
 	// WrongRequestID sends the ID of another request in the response.
 	WrongRequestID = "foreign"
+	// RefuseEarlier writes the refusal of an earlier request before the response.
+	RefuseEarlier = "refuse-earlier"
+	// MisdirectEarlier is the same with a refusal of status 421.
+	MisdirectEarlier = "misdirect-earlier"
 	// Refuse responds that the request was not executed.
 	Refuse = "refuse"
 	// Fail responds with status 500.
@@ -248,6 +252,10 @@
 		panic(http.ErrAbortHandler)
 	case CloseDelimited:
 		w.respondCloseDelimited(out, r)
+	case RefuseEarlier:
+		w.respondAfterEarlierRefusal(http.StatusServiceUnavailable, out, r)
+	case MisdirectEarlier:
+		w.respondAfterEarlierRefusal(http.StatusMisdirectedRequest, out, r)
 	default:
 		_, _ = out.Write([]byte(CompleteBody(text)))
 	}
@@ -266,6 +274,19 @@
 	_ = buffer.Flush()
 }
 
+// respondAfterEarlierRefusal writes the refusal of another request and then the response.
+func (w *Worker) respondAfterEarlierRefusal(status int, out http.ResponseWriter, r *http.Request) {
+	conn, buffer, err := http.NewResponseController(out).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(buffer, "HTTP/1.1 %d Refused\r\nX-Mulberryfork-Attempt-Id: earlier\r\nX-Mulberryfork-Request-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", status)
+	fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nX-Mulberryfork-Attempt-Id: %s\r\nX-Mulberryfork-Response-Signature: sig\r\nContent-Length: 6\r\n\r\nanswer",
+		r.Header.Get("X-Mulberryfork-Attempt-Id"))
+	_ = buffer.Flush()
+}
+
 // stream sends the events after lastID. BreakStream and BreakMidEvent abort the
 // stream halfway.
 func (w *Worker) stream(behaviour string, out http.ResponseWriter, r *http.Request, lastID int) {
