Heed upstreams that say they leave or want no requests for a time

decide/holdoff keeps the statements by incarnation, so that a list that is older or leaves the upstream out changes nothing and a new start is free. If all upstreams are held off, requests are refused at once with the soonest end, spread.

--- a/api/discovery.go
+++ b/api/discovery.go
@@ -166,7 +166,20 @@
 	Slots    int
 }
 
-// LoadObserver receives the loads that upstreams report in their responses.
-type LoadObserver interface {
+// UpstreamStatement is what an upstream says of itself in a response.
+type UpstreamStatement struct {
+	Upstream string
+	// Incarnation is that of the RouteChoice.
+	Incarnation Incarnation
+	// Leaving is true if the upstream is about to end. It must get no new requests.
+	Leaving bool
+	// HoldOff is the time for which the upstream wants no requests from this process, nil
+	// if it says nothing about it.
+	HoldOff *time.Duration
+}
+
+// UpstreamObserver receives what upstreams report in their responses.
+type UpstreamObserver interface {
 	ObserveLoad(l UpstreamLoad)
+	ObserveStatement(s UpstreamStatement)
 }
--- a/api/metrics.go
+++ b/api/metrics.go
@@ -93,6 +93,7 @@
 	{"fleet_report_failures", MetricCounter, "messages", "", "edge", "failed reports to another edge"},
 	{"crash_suspects", MetricCounter, "attempts", "", "edge", "attempts in flight at an upstream when that crashed, before the response had begun"},
 	{"suspects_refused", MetricCounter, "attempts", "", "edge", "attempts refused because the request crashed upstreams"},
+	{"upstream_statements", MetricCounter, "statements", "", "edge", "upstreams that said that they leave or want no requests for a time"},
 	{"store_calls", MetricCounter, "calls", "", "edge", "calls to the platform's store"},
 	{"rank_calls", MetricCounter, "calls", "", "side", "calls to ranks of the group"},
 	{"group_load_calls", MetricCounter, "calls", "", "edge", "requests to side processes for the load of a group"},
--- a/decide/balance/balance.go
+++ b/decide/balance/balance.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/holdoff"
 	"github.com/mulberryfork/mulberryfork/decide/outlier"
 )
 
@@ -71,6 +72,8 @@
 	byAddress map[uint64]*upstream
 	// maxPauses holds the longest accepted pause between events of each service.
 	maxPauses map[string]time.Duration
+	// statements holds what upstreams said of themselves.
+	statements *holdoff.State
 	// traffic holds the request rate and duration of each service.
 	traffic map[string]*traffic
 }
@@ -107,13 +110,30 @@
 		fleet:     &api.FleetView{},
 		upstreams: make(map[string]*upstream),
 		traffic:   make(map[string]*traffic),
+
+		statements: holdoff.New(),
 	}
 }
 
+// incarnation returns the identity of an upstream in statements.
+func (u *upstream) incarnation() holdoff.Incarnation {
+	return holdoff.Incarnation{Upstream: u.instance.ID, StartedAtMs: u.instance.StartedAtMs}
+}
+
+// ObserveStatement records what an upstream said of itself, and reports whether that is
+// new.
+func (s *State) ObserveStatement(now time.Duration, said api.UpstreamStatement) bool {
+	return s.statements.Observe(now, holdoff.Incarnation{Upstream: said.Upstream, StartedAtMs: int64(said.Incarnation)}, said)
+}
+
 // Configure sets the upstreams to the instances of a view. It resets the state
 // of an upstream that has restarted.
-func (s *State) Configure(v *api.View) {
+func (s *State) Configure(now time.Duration, v *api.View) {
 	s.view = v
+	s.statements.SetListed(now, func(of holdoff.Incarnation) bool {
+		in, listed := v.Instances[of.Upstream]
+		return listed && in.StartedAtMs == of.StartedAtMs
+	})
 	upstreams := make(map[string]*upstream, len(v.Instances))
 	s.services = make(map[string][]*upstream)
 	s.byAddress = make(map[uint64]*upstream, len(v.Instances))
@@ -202,6 +222,7 @@
 	}
 	var best *upstream
 	lowest, candidates, eligible, overQuota := math.Inf(1), 0, 0, 0
+	heldUntil := time.Duration(0)
 	for _, worstStatus := range []outlier.Status{outlier.Probing, outlier.Ejected} {
 		for _, u := range s.services[service] {
 			if !s.eligible(u) {
@@ -211,6 +232,10 @@
 			if slices.Contains(exclude, u.instance.ID) || u.effectiveHealth(now) > worstStatus {
 				continue
 			}
+			if until := s.statements.HeldUntil(now, u.incarnation()); until > 0 {
+				heldUntil = earliest(heldUntil, until)
+				continue
+			}
 			if !s.withinColdQuota(now, u) {
 				overQuota++
 				continue
@@ -224,6 +249,9 @@
 			break
 		}
 	}
+	if best == nil && overQuota == 0 && heldUntil > 0 {
+		return Choice{}, s.heldFailure(now, heldUntil)
+	}
 	if best == nil {
 		return Choice{}, noCandidateFailure(eligible, overQuota)
 	}
@@ -261,9 +289,26 @@
 	return u.health
 }
 
-// eligible reports whether an upstream is not leaving and its zone is in service.
+// eligible reports whether an upstream is not leaving, by the list or its own word, and
+// its zone is in service.
 func (s *State) eligible(u *upstream) bool {
-	return !u.instance.Leaving && !s.view.ZonesOut[u.instance.Zone]
+	return !u.instance.Leaving && !s.statements.IsLeaving(u.incarnation()) && !s.view.ZonesOut[u.instance.Zone]
+}
+
+// earliest returns the earlier of two times, of which 0 stands for none.
+func earliest(a, b time.Duration) time.Duration {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
+}
+
+// heldFailure refuses a request while all upstreams that could take it want none. Callers
+// return at different times after the first one takes requests again.
+func (s *State) heldFailure(now, until time.Duration) *api.Failure {
+	f := api.NewFailure(api.CodeOverloaded, api.NotRun, "the upstreams want no requests for some time")
+	f.RetryAfter = until - now + s.spreadRetryAfter() - minRetryAfter
+	return f
 }
 
 // load returns the expected number of requests on an upstream: this process's own
--- a/decide/balance/balance_test.go
+++ b/decide/balance/balance_test.go
@@ -36,7 +36,7 @@
 func newState(v *api.View) *balance.State {
 	s := balance.New(balance.Options{Zone: "z", Seed: 1, ColdOvershoot: 1.5, ColdTolerance: 5})
 	s.SetFleet(newFleetView(0, 24))
-	s.Configure(v)
+	s.Configure(0, v)
 	return s
 }
 
@@ -133,7 +133,7 @@
 // start, before it knows how many processes share the upstream's rate.
 func TestNoColdRequestsWithUnknownProcessCount(t *testing.T) {
 	s := balance.New(balance.Options{Zone: "z", Seed: 1, ColdOvershoot: 1.5, ColdTolerance: 5})
-	s.Configure(newView(api.Instance{ID: "a", Zone: "z", ColdUntil: time.Minute}))
+	s.Configure(0, newView(api.Instance{ID: "a", Zone: "z", ColdUntil: time.Minute}))
 	c, failure := s.Choose(time.Second, "s", nil)
 	if failure == nil || failure.Code != api.CodeColdUpstream || failure.Run != api.NotRun {
 		t.Errorf("unknown number of processes: chose %+v, %v", c, failure)
--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -196,7 +196,7 @@
 			forming++
 			continue
 		}
-		if u.effectiveHealth(now) > outlier.Probing || !s.withinColdQuota(now, u) {
+		if u.effectiveHealth(now) > outlier.Probing || s.statements.HeldUntil(now, u.incarnation()) > 0 || !s.withinColdQuota(now, u) {
 			continue
 		}
 		ranks = append(ranks, u)
--- a/standin/platformworker/worker.go
+++ b/standin/platformworker/worker.go
@@ -89,6 +89,10 @@
 	// OnArrival is called with the ID of each request that expects this instance,
 	// before the worker refuses or executes it.
 	OnArrival func(requestID string)
+	// Leaving makes the worker say in all its responses that it leaves. HoldOff, if set,
+	// makes it refuse all requests and say for how long it wants none.
+	Leaving bool
+	HoldOff time.Duration
 	// EventInterval is the time between the events of a stream.
 	EventInterval time.Duration
 	// OnRun is called when the execution of a request starts. The returned function
@@ -128,6 +132,13 @@
 	return !seen
 }
 
+// SetStatement sets Leaving and HoldOff.
+func (w *Worker) SetStatement(leaving bool, holdOff time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Leaving, w.HoldOff = leaving, holdOff
+}
+
 // Runs returns how many times a request was executed.
 func (w *Worker) Runs(id string) int {
 	w.mu.Lock()
@@ -180,6 +191,18 @@
 	if behaviour == "" {
 		behaviour = Complete
 	}
+	w.mu.Lock()
+	leaving, holdOff := w.Leaving, w.HoldOff
+	w.mu.Unlock()
+	if leaving {
+		h.Set("Server-Leaving", "1")
+	}
+	if holdOff > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(holdOff.Seconds(), 'f', 3, 64))
+		h.Set("X-Mulberryfork-Request-Not-Executed", "1")
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if behaviour == Refuse && w.Once.first(behaviour+id) {
 		h.Set("X-Mulberryfork-Request-Not-Executed", "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
