--- a/service/fleet/fleet.go
+++ b/service/fleet/fleet.go
@@ -184,7 +184,9 @@
 func (s *service) handleCall(now time.Duration, c kernel.Call[*wire.FleetCall, *wire.FleetListing]) {
 	s.state.SetAddress(s.Address())
 	s.state.RecordCall(now, fleet.Edge{Name: c.Query.GetNode(), Address: c.Query.GetAddress()})
-	s.mergeReports(now, wire.ToSuspicions(c.Query.GetSuspicions()))
+	// What is news to this edge, which may have just started, may be news to others that
+	// started with it.
+	s.ReportSuspicions(now, s.mergeReports(now, wire.ToSuspicions(c.Query.GetSuspicions())))
 	edges, digest := s.state.Listing(now)
 	listing := &wire.FleetListing{Digest: digest, Suspicions: s.digest(now)}
 	for _, e := range edges {
@@ -210,20 +212,18 @@
 	var conn *drpcconn.Conn
 	for n := 0; ctx.Err() == nil; n++ {
 		var result callResult
-		connected := conn != nil
 		if result, conn = s.callSeed(ctx, seed, conn); s.callResults.Post(ctx, result) != nil {
 			break
 		}
-		if connected && conn == nil {
-			n = 0
-		}
 		wait := callInterval
 		if n < startCalls {
 			wait = startInterval
 		}
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
+		if !sleep(ctx, wait, closed(conn)) {
+			// A seed that has restarted has to learn again what this edge knows.
+			_ = conn.Close()
+			conn, n = nil, 0
+			sleep(ctx, startInterval, nil)
 		}
 	}
 	if conn != nil {
@@ -231,6 +231,26 @@
 	}
 }
 
+// sleep waits for d or until ctx ends. It returns false if interrupt is closed before.
+func sleep(ctx context.Context, d time.Duration, interrupt <-chan struct{}) bool {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	case <-interrupt:
+		return false
+	}
+	return true
+}
+
+// closed returns a channel that is closed when a connection ends. It blocks for ever if
+// there is none.
+func closed(conn *drpcconn.Conn) <-chan struct{} {
+	if conn == nil {
+		return nil
+	}
+	return conn.Closed()
+}
+
 // callSeed calls a seed once, on conn if it is not nil. It returns the connection for
 // the next call, nil after a failure.
 func (s *service) callSeed(ctx context.Context, seed string, conn *drpcconn.Conn) (callResult, *drpcconn.Conn) {
