Give edges that start what is blocked first

The digest holds only what is blocked now, out of 128 records a call. TestDigestHoldsWhatIsBlocked failed before.

--- a/api/edge.go
+++ b/api/edge.go
@@ -38,7 +38,8 @@
 	Merge(now time.Duration, received []Suspicion) []Suspicion
 	// Report returns the current report on a request, empty if there is none.
 	Report(now time.Duration, fingerprint uint64) []Suspicion
-	// Digest returns up to n reports. Successive calls cycle through all of them.
+	// Digest returns reports for a process that may have none, about n. Successive calls
+	// cycle through all of them.
 	Digest(now time.Duration, n int) []Suspicion
 }
 
--- a/decide/poison/parts_test.go
+++ b/decide/poison/parts_test.go
@@ -123,6 +123,20 @@
 	}
 }
 
+// Guards against an edge that has just started and learns of what is blocked only after
+// many reports on requests that are not.
+func TestDigestHoldsWhatIsBlocked(t *testing.T) {
+	u, fresh := NewUnisolated(0), NewUnisolated(0)
+	for i := range uint64(100) {
+		u.RecordCrash(0, "u", 500+i, Content{Fingerprint: 1000 + i}, false)
+	}
+	u.RecordCrash(0, "u", firstCrash, Content{Fingerprint: 7, Parts: []uint64{commonPart, deadlyPart}}, true)
+	fresh.Merge(0, u.Digest(0, 16))
+	if admitted(fresh, 0, deadlyPart) || !admitted(fresh, 0, commonPart) || fresh.Len() != 2 {
+		t.Errorf("the fresh edge has %d records", fresh.Len())
+	}
+}
+
 // Guards against a record of sound parts that grows with every request.
 func TestSoundPartsAreBounded(t *testing.T) {
 	s := newSoundParts()
--- a/decide/poison/unisolated.go
+++ b/decide/poison/unisolated.go
@@ -111,6 +111,19 @@
 	return updates
 }
 
+// digestScan is the number of records that Digest looks through for each report.
+const digestScan = 8
+
+// Digest returns reports on requests and parts that are blocked, which an edge that has
+// just started needs at once. It looks through the next records of digestScan times n;
+// successive calls cycle through all of them.
+func (u *Unisolated) Digest(now time.Duration, n int) []api.Suspicion {
+	reports := u.State.Digest(now, digestScan*n)
+	return slices.DeleteFunc(reports, func(r api.Suspicion) bool {
+		return u.blockedFor(now, r.Fingerprint, episodeGap) == 0
+	})
+}
+
 // clear clears the crashes held against a request or a part.
 func (u *Unisolated) clear(now time.Duration, key uint64) []api.Suspicion {
 	if !u.isSuspect(now, key) {
--- a/service/fleet/suspicions.go
+++ b/service/fleet/suspicions.go
@@ -23,8 +23,8 @@
 	// maxPendingReports bounds the requests to be reported to one edge. More reach it
 	// with the calls to seeds.
 	maxPendingReports = 512
-	// reportsPerCall bounds the reports in a call to a seed and in its response.
-	reportsPerCall = 8
+	// reportsPerCall is the size of the digest in a call to a seed and in its response.
+	reportsPerCall = 16
 )
 
 // outbox holds what is to be reported to one edge. The control loop owns it.
