--- a/decide/poison/parts_test.go
+++ b/decide/poison/parts_test.go
@@ -128,7 +128,7 @@
 func TestDigestHoldsWhatIsBlocked(t *testing.T) {
 	u, fresh := NewUnisolated(0), NewUnisolated(0)
 	for i := range uint64(100) {
-		u.RecordCrash(0, "u", 500+i, Content{Fingerprint: 1000 + i}, false)
+		u.RecordCrash(0, "u", 500+i, Content{Fingerprint: 5000 + i}, false)
 	}
 	u.RecordCrash(0, "u", firstCrash, Content{Fingerprint: 7, Parts: []uint64{commonPart, deadlyPart}}, true)
 	fresh.Merge(0, u.Digest(0, 16))
