--- a/decide/poison/sound.go
+++ b/decide/poison/sound.go
@@ -43,10 +43,15 @@
 func (s *soundParts) add(parts []uint64) {
 	s.served++
 	for _, part := range parts {
-		if s.parts[part] == nil && len(s.parts) >= maxSoundParts {
-			s.dropOld()
+		p := s.parts[part]
+		if p == nil {
+			if len(s.parts) >= maxSoundParts {
+				s.dropOld()
+			}
+			p = &soundPart{}
+			s.parts[part] = p
 		}
-		s.parts[part] = &soundPart{lastServed: s.served}
+		*p = soundPart{lastServed: s.served}
 	}
 }
 
--- a/service/balance/balance.go
+++ b/service/balance/balance.go
@@ -43,12 +43,12 @@
 	// crashes counts requests in flight at crashes, refusals the requests refused
 	// because they crash upstreams.
 	crashes, refusals api.Counter
-	// statements counts what upstreams said of themselves and was new.
-	statements api.Counter
-	queries    *kernel.Mailbox[kernel.Call[api.RouteQuery, routeReply]]
-	results    *kernel.Mailbox[api.RouteResult]
-	loads      *kernel.Mailbox[api.UpstreamLoad]
-	said       *kernel.Mailbox[api.UpstreamStatement]
+	// statementCount counts what upstreams said of themselves and was new.
+	statementCount api.Counter
+	queries        *kernel.Mailbox[kernel.Call[api.RouteQuery, routeReply]]
+	results        *kernel.Mailbox[api.RouteResult]
+	loads          *kernel.Mailbox[api.UpstreamLoad]
+	statements     *kernel.Mailbox[api.UpstreamStatement]
 
 	// The control loop owns the fields below.
 	state           *balance.State
@@ -84,7 +84,7 @@
 	s.choices = metrics.Counter("route_choices", string(api.RouteLeastWork))
 	s.crashes = metrics.Counter("crash_suspects", "")
 	s.refusals = metrics.Counter("suspects_refused", "")
-	s.statements = metrics.Counter("upstream_statements", "")
+	s.statementCount = metrics.Counter("upstream_statements", "")
 	s.state = balance.New(balance.Options{
 		Zone:          settings.Zone,
 		Seed:          xxhash.Sum64String(settings.Node),
@@ -97,7 +97,7 @@
 	s.results = kernel.NewMailbox(c.Loop(), "routing.result", resultMailboxSize, kernel.Wait, s.handleResult)
 	// A later load report replaces a dropped one.
 	s.loads = kernel.NewMailbox(c.Loop(), "routing.load", loadMailboxSize, kernel.Drop, s.state.ObserveLoad)
-	s.said = kernel.NewMailbox(c.Loop(), "routing.statement", loadMailboxSize, kernel.Wait, s.handleStatement)
+	s.statements = kernel.NewMailbox(c.Loop(), "routing.statement", loadMailboxSize, kernel.Wait, s.handleStatement)
 	s.discovery.Subscribe(s.configure)
 	groups.Subscribe(func(_ time.Duration, l api.GroupLoad) { s.state.ObserveGroupLoad(l) })
 	s.fleet.Subscribe(func(_ time.Duration, v *api.FleetView) { s.state.SetFleet(v) })
@@ -123,7 +123,7 @@
 
 // ObserveStatement handles what an upstream says of itself in a response.
 func (s *service) ObserveStatement(said api.UpstreamStatement) {
-	_ = s.said.Post(context.Background(), said)
+	_ = s.statements.Post(context.Background(), said)
 }
 
 func (s *service) handleStatement(now time.Duration, said api.UpstreamStatement) {
@@ -134,7 +134,7 @@
 	if said.HoldOff != nil {
 		fields["hold_off_ms"] = said.HoldOff.Milliseconds()
 	}
-	s.statements.Add(1)
+	s.statementCount.Add(1)
 	s.log.Change("upstream statement", fields)
 }
 
