Write the growing block time of a request once

Unisolated repeated the doubling and its bound twice, beside the same expression in State.evaluate. All three call blockTime now. No behaviour changes; the tests of the package are unchanged and pass.

--- a/decide/poison/poison.go
+++ b/decide/poison/poison.go
@@ -182,13 +182,16 @@
 	case alone < crashesToBlock:
 		return Suspect, 0
 	}
-	duration := min(minBlockTime<<(alone-crashesToBlock), maxBlockTime)
-	if left := last + duration - now; left > 0 {
+	if left := last + blockTime(alone-crashesToBlock) - now; left > 0 {
 		return Blocked, left
 	}
 	return Suspect, 0
 }
 
+// blockTime returns how long a request is blocked after a number of crashes beyond those
+// that blocked it first.
+func blockTime(further int) time.Duration { return min(minBlockTime<<further, maxBlockTime) }
+
 // Report returns the report on a request, to be sent to a process that has no record
 // of it. The result is empty if this process has no record either.
 func (s *State) Report(now time.Duration, fp uint64) []api.Suspicion {
--- a/decide/poison/unisolated.go
+++ b/decide/poison/unisolated.go
@@ -148,12 +148,12 @@
 	until := time.Duration(0)
 	switch {
 	case likely >= crashesToBlock:
-		until = last + min(minBlockTime<<(likely-crashesToBlock), maxBlockTime)
+		until = last + blockTime(likely-crashesToBlock)
 	case likely > 0:
 		until = last + firstBlockTime
 	}
 	if all >= crashesToBlockWaiting {
-		until = max(until, lastOfAll+min(minBlockTime<<(all-crashesToBlockWaiting), maxBlockTime))
+		until = max(until, lastOfAll+blockTime(all-crashesToBlockWaiting))
 	}
 	return max(until-now, 0)
 }
