--- a/api/edge.go
+++ b/api/edge.go
@@ -28,7 +28,7 @@
 	ExchangeSuspicions(r SuspicionRecords)
 	// ReportSuspicions sends reports to all known edges, with retries. It must be called
 	// on the control loop.
-	ReportSuspicions(now time.Duration, suspicions []Suspicion)
+	ReportSuspicions(suspicions []Suspicion)
 }
 
 // SuspicionRecords is the state that Fleet exchanges. Its methods run on the control
--- a/service/balance/suspects.go
+++ b/service/balance/suspects.go
@@ -25,7 +25,7 @@
 	content := contentOf(r.Fingerprint, r.PromptParts)
 	switch {
 	case r.Failure == nil || r.FirstChunk > 0:
-		s.fleet.ReportSuspicions(now, s.suspects.RecordBegin(now, content))
+		s.fleet.ReportSuspicions(s.suspects.RecordBegin(now, content))
 	case r.Failure.Crash != api.NoCrash:
 		s.crashes.Add(1)
 		responding := r.Failure.Crash == api.CrashInResponse
@@ -38,7 +38,7 @@
 			"responding":  responding,
 			"blocked":     s.suspects.Admit(now, content) != nil,
 		})
-		s.fleet.ReportSuspicions(now, reports)
+		s.fleet.ReportSuspicions(reports)
 	}
 }
 
--- a/service/fleet/fleet.go
+++ b/service/fleet/fleet.go
@@ -186,7 +186,7 @@
 	s.state.RecordCall(now, fleet.Edge{Name: c.Query.GetNode(), Address: c.Query.GetAddress()})
 	// What is news to this edge, which may have just started, may be news to others that
 	// started with it.
-	s.ReportSuspicions(now, s.mergeReports(now, wire.ToSuspicions(c.Query.GetSuspicions())))
+	s.ReportSuspicions(s.mergeReports(now, wire.ToSuspicions(c.Query.GetSuspicions())))
 	edges, digest := s.state.Listing(now)
 	listing := &wire.FleetListing{Digest: digest, Suspicions: s.digest(now)}
 	for _, e := range edges {
--- a/service/fleet/fleet_test.go
+++ b/service/fleet/fleet_test.go
@@ -161,7 +161,7 @@
 	r.records = poison.NewUnisolated(0)
 	r.fleet.ExchangeSuspicions(r.records)
 	r.crashes = kernel.NewMailbox(c.Loop(), "test.crash", 1, kernel.Wait, func(now time.Duration, call kernel.Call[uint64, bool]) {
-		r.fleet.ReportSuspicions(now, r.records.RecordCrash(now, "u", call.Query, poison.Content{Fingerprint: call.Query}, true))
+		r.fleet.ReportSuspicions(r.records.RecordCrash(now, "u", call.Query, poison.Content{Fingerprint: call.Query}, true))
 		call.Reply(true)
 	})
 	r.checks = kernel.NewMailbox(c.Loop(), "test.check", 1, kernel.Wait, func(now time.Duration, call kernel.Call[uint64, bool]) {
--- a/service/fleet/suspicions.go
+++ b/service/fleet/suspicions.go
@@ -48,7 +48,7 @@
 func (s *service) ExchangeSuspicions(r api.SuspicionRecords) { s.records = r }
 
 // ReportSuspicions schedules reports to all known edges.
-func (s *service) ReportSuspicions(_ time.Duration, suspicions []api.Suspicion) {
+func (s *service) ReportSuspicions(suspicions []api.Suspicion) {
 	if len(suspicions) == 0 {
 		return
 	}
@@ -119,7 +119,7 @@
 		s.counts.sentReports.Add(int64(len(r.sent)))
 		// What the called edge knows better, such as a part that is sound, is news to the
 		// others as well.
-		s.ReportSuspicions(now, s.mergeReports(now, r.received))
+		s.ReportSuspicions(s.mergeReports(now, r.received))
 		s.scheduleReport(r.address, box, reportDelay)
 		return
 	}
