--- a/review/harness/refused.go
+++ b/review/harness/refused.go
@@ -12,17 +12,22 @@
 
 func init() { cases["refused"] = playRefused }
 
-// failedShare is the share of its requests that the faulty worker fails.
-const failedShare = 0.4
+const (
+	// failedShare is the share of its requests that the faulty worker fails.
+	failedShare = 0.4
+	// deskWorkers is the number of workers of the ordering service, of smaes-grown.
+	deskWorkers = 7
+	orders      = 200
+)
 
-// playRefused has one of three workers fail part of its requests after it has run them, with
+// playRefused has one of seven workers fail part of its requests after it has run them, with
 // the status 429 of its own: signed, and without the header that says that it did not run
 // them. The clients order once more where a status promises that the order has not run.
 func playRefused(s *system, trouble bool) (bool, error) {
 	s.store.put("op/config", config(7, []map[string]any{route("orders", "/orders/", "non_idempotent", "desk", 1000, 1)}, []map[string]any{serviceEntry("desk")}))
 	var faulty atomic.Bool
 	var workers []*worker
-	for i := range 3 {
+	for i := range deskWorkers {
 		k := &worker{id: fmt.Sprintf("i-%d", i+1), service: "desk", address: "127.0.0.1:0", zone: "sk-west-a", slots: 6, born: time.Now().UnixMilli() - 60_000}
 		k.answer = func(w http.ResponseWriter, _ *http.Request, _ []byte) {
 			time.Sleep(30 * time.Millisecond)
@@ -51,7 +56,7 @@
 		return n
 	}
 	falsely, twice := 0, 0
-	for i := range 60 {
+	for i := range orders {
 		c := &caller{name: "client", address: s.edges[0].http, rec: s.rec}
 		total := 0
 		for attempt := range 2 {
@@ -74,6 +79,6 @@
 			twice++
 		}
 	}
-	s.rec.log("%d requests that had run were answered with a promise that they had not; %d of 60 orders ran twice", falsely, twice)
+	s.rec.log("%d requests that had run were answered with a promise that they had not; %d of %d orders ran twice", falsely, twice, orders)
 	return falsely > 0, nil
 }
