--- a/review/harness/group.go
+++ b/review/harness/group.go
@@ -375,6 +375,8 @@
 	system  *system
 	proxies []*proxy
 	servers []*http.Server
+	// listeners are those that no server owns.
+	listeners []net.Listener
 }
 
 // machineAddress is the address at which machine i reaches machine j.
@@ -394,6 +396,12 @@
 }
 
 func startFleet(s *system, size int, seed uint64) (*fleet, error) {
+	return startFleetWith(s, size, seed, func(f *fleet, r *rank) (string, error) { return f.listen("127.0.0.1:0", f.serve(r, false)) })
+}
+
+// startFleetWith starts a fleet. serveRemote serves a rank to other machines and returns the
+// address.
+func startFleetWith(s *system, size int, seed uint64, serveRemote func(*fleet, *rank) (string, error)) (*fleet, error) {
 	f := &fleet{group: newGroup(s.rec, size, seed), system: s}
 	_, workerPort, _ := net.SplitHostPort(freeAddress())
 	_, sidePort, _ := net.SplitHostPort(freeAddress())
@@ -406,7 +414,7 @@
 	}
 	configuration := config(7, []map[string]any{route("draft", "/draft/", "streaming", "pool", 8000, 2)}, []map[string]any{service})
 	for i, r := range f.ranks {
-		remote, err := f.listen("127.0.0.1:0", f.serve(r, false))
+		remote, err := serveRemote(f, r)
 		if err != nil {
 			return f, err
 		}
@@ -462,6 +470,9 @@
 	for _, s := range f.servers {
 		_ = s.Close()
 	}
+	for _, l := range f.listeners {
+		_ = l.Close()
+	}
 }
 
 // killProcesses kills the processes beside the given ranks at the same moment, and starts each
