--- a/review/harness/system.go
+++ b/review/harness/system.go
@@ -19,7 +19,7 @@
 	"time"
 )
 
-// record writes what was sent, answered and run.
+// record writes what was sent, answered and run. One without a file drops it.
 type record struct {
 	mu    sync.Mutex
 	file  *os.File
@@ -32,6 +32,9 @@
 }
 
 func (r *record) log(format string, args ...any) {
+	if r.file == nil {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	fmt.Fprintf(r.file, "%8.3f s  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -31,7 +31,7 @@
 
 	server *http.Server
 	mu     sync.Mutex
-	runs   []run
+	runs   map[string][]run
 	// misdirected counts the requests that the worker turned away with 421.
 	misdirected int
 }
@@ -88,7 +88,10 @@
 	seen := run{worker: k.id, id: id, method: r.Method, target: r.RequestURI, host: r.Host,
 		tenant: r.Header.Get("X-Mulberryfork-Tenant-Name"), body: string(body), lastEvent: r.Header.Get("Last-Event-Id")}
 	k.mu.Lock()
-	k.runs = append(k.runs, seen)
+	if k.runs == nil {
+		k.runs = map[string][]run{}
+	}
+	k.runs[id] = append(k.runs[id], seen)
 	k.mu.Unlock()
 	shown := len(body)
 	rec.log("worker %s (%s): runs request %s: %s %s, Host %s, path %s, tenant %s, Last-Event-Id %q, body of %d bytes",
@@ -110,11 +113,5 @@
 func (k *worker) ran(id string) []run {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var found []run
-	for _, r := range k.runs {
-		if r.id == id {
-			found = append(found, r)
-		}
-	}
-	return found
+	return k.runs[id]
 }
