--- a/review/harness/group.go
+++ b/review/harness/group.go
@@ -39,8 +39,6 @@
 	counts                        []uint64
 	requests                      int
 	history                       []pastReport
-	address                       string
-	local, remote                 *http.Server
 }
 
 type preparedMap struct {
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -20,7 +20,6 @@
 	Revision  uint64 `json:"revision"`
 	CreatedAt uint64 `json:"createdAt,omitempty"`
 	LeaseID   uint64 `json:"leaseId"`
-	Deleted   bool   `json:"deleted,omitempty"`
 }
 
 // store is a stand-in for the platform's metadata store: linearizable reads, watches, and
@@ -46,18 +45,12 @@
 	s.write(storeEntry{Key: key, Payload: base64.StdEncoding.EncodeToString(data)})
 }
 
-func (s *store) delete(key string) { s.write(storeEntry{Key: key, Deleted: true}) }
-
 func (s *store) write(e storeEntry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
 	e.Revision, e.CreatedAt = s.revision, s.revision
-	if e.Deleted {
-		delete(s.items, e.Key)
-	} else {
-		s.items[e.Key] = e
-	}
+	s.items[e.Key] = e
 	s.history = append(s.history, e)
 	close(s.changed)
 	s.changed = make(chan struct{})
