Size batches for the pass after the next shift of demand

Cause: on groups whose demand for experts shifts every few seconds, a pass takes longer than the accepted pause until the map fits again. A stream lives through one or more shifts, and one long pause makes it late.

Change: the leader may publish the imbalance that it expects right after a shift (api.GroupLoad.ShiftImbalance, sent as an entry that older processes ignore). decide/batchlimit derives a limit from it, the share of the experts, prompt reading and the accepted pause, unless that costs half of the capacity. Nothing publishes the value yet.

--- a/api/discovery.go
+++ b/api/discovery.go
@@ -70,6 +70,13 @@
 	// request adds to it. A pass has StepsPerPass steps.
 	StepTime, RequestTime time.Duration
 	StepsPerPass          int
+	// ExpertShare is the part of the work for tokens that the experts do. The load of the
+	// fullest rank determines its time.
+	ExpertShare float64
+	// ReadTime is the time of reading the prompt of a usual request, and AnswerTokens the
+	// number of steps in which its answer is written. Both are 0 if they are unknown.
+	ReadTime     time.Duration
+	AnswerTokens int
 	// FormTime is the time that a group takes to form again once all ranks are back.
 	FormTime time.Duration
 	// ReportLag is how old the report of a rank may be when it is read from another VM.
--- a/api/experts.go
+++ b/api/experts.go
@@ -134,7 +134,11 @@
 	Formed bool
 	// PassTime is the time of a forward pass, 0 if it is unknown.
 	PassTime time.Duration
-	Ranks    []RankLoad
+	// ShiftImbalance is the load of the fullest rank, as a multiple of the mean, that the
+	// leader expects right after the next shift of demand for experts, 0 if no shift is
+	// expected.
+	ShiftImbalance float64
+	Ranks          []RankLoad
 	// ReadAt is when the load was read, in elapsed time of the receiving process.
 	ReadAt time.Duration
 }
--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -91,28 +91,30 @@
 		paces = append(paces, max(rank.Pace, 1))
 	}
 	usual := median(paces)
+	group := batchlimit.Group{PassTime: l.PassTime, Fullest: fullest, ShiftImbalance: l.ShiftImbalance}
 	for _, rank := range l.Ranks {
 		if u := s.byAddress[rank.AddressHash]; u != nil && (u.groupLoad == nil || l.ReadAt >= u.groupLoad.readAt) {
 			u.groupLoad = &rankLoad{
-				formed: l.Formed, requests: rank.Requests, limit: s.batchLimit(u.instance, l.PassTime, fullest, max(rank.Pace, 1)/usual), readAt: l.ReadAt,
+				formed: l.Formed, requests: rank.Requests, limit: s.batchLimit(u.instance, group, max(rank.Pace, 1)/usual), readAt: l.ReadAt,
 			}
 		}
 	}
 }
 
-// batchLimit returns how many requests an upstream may run at the same time. fullest is
-// the number of requests on the fullest rank of its group, pace that of the upstream
-// relative to the usual one of its group. A slow rank runs as many as take the time of a
-// full batch on the others, possibly none: a pass lasts as long as that of its slowest
-// rank.
-func (s *State) batchLimit(in api.Instance, passTime time.Duration, fullest int, pace float64) int {
+// batchLimit returns how many requests an upstream may run at the same time. pace is that
+// of the upstream relative to the usual one of its group. A slow rank runs as many as take
+// the time of a full batch on the others, possibly none: a pass lasts as long as that of its
+// slowest rank.
+func (s *State) batchLimit(in api.Instance, group batchlimit.Group, pace float64) int {
 	p := s.engineProfile(in.Service)
 	if p == nil {
 		return in.Slots
 	}
-	model := batchlimit.Model{StepTime: p.StepTime, RequestTime: p.RequestTime, StepsPerPass: p.StepsPerPass}
-	limit := model.Limit(in.Slots, passTime, fullest, s.maxPauses[in.Service])
-	return model.AtPace(limit, pace)
+	model := batchlimit.Model{
+		StepTime: p.StepTime, RequestTime: p.RequestTime, StepsPerPass: p.StepsPerPass,
+		ExpertShare: p.ExpertShare, ReadTime: p.ReadTime, AnswerTokens: p.AnswerTokens,
+	}
+	return model.AtPace(model.Limit(in.Slots, group, s.maxPauses[in.Service]), pace)
 }
 
 // engineProfile returns the engine profile of a service, nil if it has none.
--- a/decide/batchlimit/batchlimit.go
+++ b/decide/batchlimit/batchlimit.go
@@ -1,12 +1,16 @@
 // Package batchlimit limits the requests that a rank runs at the same time, so that the
 // passes of its group stay within the pause that callers accept between two events.
 //
-// It answers for a group whose passes take longer than its engine profile says: its
-// expert map does not fit the demand, or a rank is slow. With full batches every pause is
-// then too long and nearly all responses are late. With smaller ones, fewer requests run,
-// but those are in time. If even a small batch is too slow, the limit does not apply:
-// responses are late in any case, and full batches complete the most before their
+// It answers two loads. One is a group whose passes take longer than its engine profile
+// says: its expert map does not fit the demand, or a rank is slow. With full batches every
+// pause is then too long and nearly all responses are late. With smaller ones, fewer
+// requests run, but those are in time. If even a small batch is too slow, the limit does not
+// apply: responses are late in any case, and full batches complete the most before their
 // deadlines.
+//
+// The other is a group whose demand for experts shifts every few seconds. The requests that
+// run at a shift can't be taken back, and one long pause makes a whole stream late, so the
+// batches leave room for the passes right after the next shift.
 package batchlimit
 
 import "time"
@@ -18,6 +22,9 @@
 	// minLimit is the smallest limit. Below it, a batch serves less worth in time than a
 	// full batch serves late.
 	minLimit = 2
+	// minCapacity is the least part of the capacity of full batches that batches sized for
+	// the next shift may have. A late response is worth about half of one in time.
+	minCapacity = 0.5
 )
 
 // Model describes how the time of a pass grows with the requests on a rank.
@@ -27,6 +34,23 @@
 	StepTime, RequestTime time.Duration
 	// StepsPerPass is the number of steps of a pass.
 	StepsPerPass int
+	// ExpertShare is the part of RequestTime and ReadTime that the experts take.
+	ExpertShare float64
+	// ReadTime is the time of reading the prompt of a request, and AnswerTokens the number
+	// of steps in which its answer is written; 0 if they are unknown.
+	ReadTime     time.Duration
+	AnswerTokens int
+}
+
+// Group is what is known of a group at present.
+type Group struct {
+	// PassTime is the measured time of a pass while the fullest rank runs Fullest requests,
+	// 0 if it is unknown.
+	PassTime time.Duration
+	Fullest  int
+	// ShiftImbalance is the load of the fullest rank, as a multiple of the mean, that is
+	// expected right after the next shift of demand, 0 if none is expected.
+	ShiftImbalance float64
 }
 
 // passTime returns the time of a pass with n requests on the fullest rank, on a group
@@ -35,23 +59,65 @@
 	return time.Duration(m.StepsPerPass) * (m.StepTime + time.Duration(n)*m.RequestTime)
 }
 
-// Limit returns how many requests a rank with the given slots may run. observed is the
-// present time of a pass while the fullest rank runs the given number of requests; 0
-// means that it is unknown. maxPause is the longest pause between events that callers
-// accept, 0 if it is unknown.
-func (m Model) Limit(slots int, observed time.Duration, running int, maxPause time.Duration) int {
-	expected := m.passTime(max(1, min(running, slots)))
-	if observed <= 0 || maxPause <= 0 || expected <= 0 {
+// imbalancedPassTime returns the time of a pass with n requests on each rank, at an
+// imbalance of the load on the experts. It includes the prompts that are read beside them.
+func (m Model) imbalancedPassTime(n int, imbalance float64) time.Duration {
+	perRequest := float64(m.RequestTime)
+	if m.AnswerTokens > 0 {
+		perRequest += float64(m.ReadTime) / float64(m.AnswerTokens)
+	}
+	perRequest *= 1 - m.ExpertShare + m.ExpertShare*imbalance
+	return time.Duration(float64(m.StepsPerPass) * (float64(m.StepTime) + float64(n)*perRequest))
+}
+
+// Limit returns how many requests a rank with the given slots may run. maxPause is the
+// longest pause between events that callers accept, 0 if it is unknown.
+func (m Model) Limit(slots int, g Group, maxPause time.Duration) int {
+	longest := time.Duration(passTimeFraction * float64(maxPause))
+	if longest <= 0 || m.passTime(1) <= 0 {
 		return slots
 	}
-	slowdown := float64(observed) / float64(expected)
-	longest := passTimeFraction * float64(maxPause)
-	for n := slots; n >= minLimit; n-- {
-		if slowdown*float64(m.passTime(n)) <= longest {
-			return n
-		}
+	present := m.presentLimit(slots, g, longest)
+	if present < minLimit {
+		return slots
+	}
+	return min(present, m.shiftLimit(slots, g.ShiftImbalance, longest))
+}
+
+// presentLimit returns the limit for the measured time of a pass, less than minLimit if even
+// small batches are too slow.
+func (m Model) presentLimit(slots int, g Group, longest time.Duration) int {
+	if g.PassTime <= 0 {
+		return slots
 	}
-	return slots
+	slowdown := float64(g.PassTime) / float64(m.passTime(max(1, min(g.Fullest, slots))))
+	n := slots
+	for n >= minLimit && slowdown*float64(m.passTime(n)) > float64(longest) {
+		n--
+	}
+	return n
+}
+
+// shiftLimit returns the limit with which passes right after the next shift stay within
+// longest. It returns slots if that costs too much capacity until then.
+func (m Model) shiftLimit(slots int, imbalance float64, longest time.Duration) int {
+	if imbalance <= 1 {
+		return slots
+	}
+	n := slots
+	for n > 0 && m.imbalancedPassTime(n, imbalance) > longest {
+		n--
+	}
+	if m.capacity(n) < minCapacity*m.capacity(slots) {
+		return slots
+	}
+	return n
+}
+
+// capacity returns the requests that a rank completes in a unit of time with batches of n
+// requests and an even load, up to a constant factor.
+func (m Model) capacity(n int) float64 {
+	return float64(n) / m.imbalancedPassTime(n, 1).Seconds()
 }
 
 // AtPace returns how many requests a rank of a pace may run, so that its part of a pass
--- a/decide/batchlimit/batchlimit_test.go
+++ b/decide/batchlimit/batchlimit_test.go
@@ -27,7 +27,7 @@
 		{"too slow for any batch", 12 * pass(6), 6, slots},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if got := model.Limit(slots, c.observed, c.running, 200*time.Millisecond); got != c.want {
+			if got := model.Limit(slots, batchlimit.Group{PassTime: c.observed, Fullest: c.running}, 200*time.Millisecond); got != c.want {
 				t.Errorf("limit %d, want %d", got, c.want)
 			}
 		})
@@ -141,7 +141,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			full := play(c.slowdown, c.perSecond, func(time.Duration, int) int { return playedSlots })
 			limited := play(c.slowdown, c.perSecond, func(observed time.Duration, running int) int {
-				return model.Limit(playedSlots, observed, running, maxPause)
+				return model.Limit(playedSlots, batchlimit.Group{PassTime: observed, Fullest: running}, maxPause)
 			})
 			t.Logf("full batches %+v, limited %+v", full, limited)
 			if limited.worth() < c.minGain*full.worth() {
--- a/wire/rank_test.go
+++ b/wire/rank_test.go
@@ -66,7 +66,7 @@
 func TestRankLoadKeepsEveryField(t *testing.T) {
 	server := &rankServer{load: wire.RankLoadReply{
 		Referral: "a", AgeMs: 70, Publishers: []string{"b", "c"},
-		Load: api.GroupLoad{Group: "g", Epoch: 2, Formed: true, PassTime: 80, Ranks: []api.RankLoad{{AddressHash: 1 << 40, Requests: 3, Pace: 1}, {AddressHash: 5, Pace: 3.5}}},
+		Load: api.GroupLoad{Group: "g", Epoch: 2, Formed: true, PassTime: 80, ShiftImbalance: 2.75, Ranks: []api.RankLoad{{AddressHash: 1 << 40, Requests: 3, Pace: 1}, {AddressHash: 5, Pace: 3.5}}},
 	}}
 	left, right := net.Pipe()
 	go func() { _ = drpcserver.New(&wire.RankHandler{Server: server}).ServeOne(t.Context(), right) }()
