--- a/decide/batchlimit/batchlimit_test.go
+++ b/decide/batchlimit/batchlimit_test.go
@@ -48,10 +48,11 @@
 // worth counts a late response half, as both users do.
 func (p played) worth() float64 { return float64(p.inTime) + 0.5*float64(p.late) }
 
-// play simulates a group for 30 s. slowdown is the factor of the time of a pass, and
-// perSecond the rate of requests. A request is placed on the rank with the fewest; it is
-// refused if that has as many as limit returns. One may wait for a full batch.
-func play(slowdown func(now time.Duration) float64, perSecond float64, limit func(observed time.Duration, running int) int) played {
+// play simulates a group for 30 s. passTime returns the time of a pass with n requests on the
+// fullest rank, and perSecond is the rate of requests. A request is placed on the rank with
+// the fewest; it is refused if that has as many as limit returns. One may wait for a full
+// batch.
+func play(passTime func(now time.Duration, n int) time.Duration, perSecond float64, limit func(observed time.Duration, running int) int) played {
 	type request struct {
 		arrived time.Duration
 		events  int
@@ -69,7 +70,7 @@
 			}
 			fullest = max(fullest, len(running[r]))
 		}
-		pass := time.Duration(slowdown(now) * float64(6*(model.StepTime+time.Duration(max(fullest, 1))*model.RequestTime)))
+		pass := passTime(now, max(fullest, 1))
 		observed = pass
 		now += pass
 		for r := range running {
@@ -139,8 +140,11 @@
 		{"triple demand", calm, 390, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			full := play(c.slowdown, c.perSecond, func(time.Duration, int) int { return playedSlots })
-			limited := play(c.slowdown, c.perSecond, func(observed time.Duration, running int) int {
+			passTime := func(now time.Duration, n int) time.Duration {
+				return time.Duration(c.slowdown(now) * float64(6*(model.StepTime+time.Duration(n)*model.RequestTime)))
+			}
+			full := play(passTime, c.perSecond, func(time.Duration, int) int { return playedSlots })
+			limited := play(passTime, c.perSecond, func(observed time.Duration, running int) int {
 				return model.Limit(playedSlots, batchlimit.Group{PassTime: observed, Fullest: running}, maxPause)
 			})
 			t.Logf("full batches %+v, limited %+v", full, limited)
@@ -153,3 +157,74 @@
 		})
 	}
 }
+
+// Plays demand that shifts every 3.3 s: for a part of that time the fullest rank has three
+// times the mean load. Guards against batches that fill every slot before a shift, so that
+// every stream has a pause that its caller does not accept, and against the loss of requests
+// where shifts are harmless.
+func TestBatchesLeaveRoomForTheNextShift(t *testing.T) {
+	const shiftInterval, imbalanceAtShift = 3300 * time.Millisecond, 3.0
+	experts := model
+	experts.ExpertShare = 0.85
+	for _, c := range []struct {
+		name      string
+		fitsAfter time.Duration
+		perSecond float64
+		// published is the imbalance that the leader publishes.
+		published float64
+		minGain   float64
+	}{
+		{"shifts", 800 * time.Millisecond, 190, imbalanceAtShift, 1},
+		{"shifts and more requests than places", 800 * time.Millisecond, 300, imbalanceAtShift, 1.3},
+		{"no shift seen yet", 800 * time.Millisecond, 190, 0, 1},
+		{"few requests", 800 * time.Millisecond, 60, imbalanceAtShift, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			passTime := func(now time.Duration, n int) time.Duration {
+				factor := 1.0
+				if now%shiftInterval < c.fitsAfter {
+					factor = 1 - experts.ExpertShare + experts.ExpertShare*imbalanceAtShift
+				}
+				return time.Duration(6 * (float64(experts.StepTime) + factor*float64(n)*float64(experts.RequestTime)))
+			}
+			full := play(passTime, c.perSecond, func(time.Duration, int) int { return playedSlots })
+			limited := play(passTime, c.perSecond, func(observed time.Duration, running int) int {
+				return experts.Limit(playedSlots, batchlimit.Group{PassTime: observed, Fullest: running, ShiftImbalance: c.published}, maxPause)
+			})
+			t.Logf("full batches %+v, limited %+v", full, limited)
+			if limited.worth() < c.minGain*full.worth() {
+				t.Errorf("worth %.0f, with full batches %.0f, want at least %.2f times that", limited.worth(), full.worth(), c.minGain)
+			}
+			if c.published > 0 && limited.late > 0 {
+				t.Errorf("%d responses are late", limited.late)
+			}
+		})
+	}
+}
+
+// Guards against a limit that does not follow from the size of the batch and the accepted
+// pause, and against one that gives up most of the capacity.
+func TestShiftLimit(t *testing.T) {
+	engine := batchlimit.Model{
+		StepTime: 4840 * time.Microsecond, RequestTime: 435 * time.Microsecond, StepsPerPass: 7,
+		ExpertShare: 0.85, ReadTime: 11160 * time.Microsecond, AnswerTokens: 158,
+	}
+	for _, c := range []struct {
+		name      string
+		imbalance float64
+		maxPause  time.Duration
+		want      int
+	}{
+		{"no shift expected", 0, 120 * time.Millisecond, 10},
+		{"small shift", 1.5, 120 * time.Millisecond, 10},
+		{"usual shift", 3, 120 * time.Millisecond, 7},
+		{"long pauses accepted", 3, 200 * time.Millisecond, 10},
+		{"too little capacity left", 9, 120 * time.Millisecond, 10},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := engine.Limit(10, batchlimit.Group{ShiftImbalance: c.imbalance}, c.maxPause); got != c.want {
+				t.Errorf("limit %d, want %d", got, c.want)
+			}
+		})
+	}
+}
