Answer a shift of demand with a small change at once; publish the expected imbalance

Cause: a shift within a sample is spread over two, each with half of the distance that the fixed bound required. A shift that was seen led to one change with all copies that fit into 250 ms, made from the sample after it.

Change: decide/expertplan derives the bound from the observed noise and the number of running requests. The first sample that shows a shift leads to a change with at most two copies per rank, for the new demand as extrapolated with the usual size of shifts. The next sample confirms or dismisses the shift; the refinement has the fewest copies that save 0.9 of what is possible until the demand is expected to shift again. A change in preparation is replaced only if waiting for it loses more. The leader publishes the mean imbalance of the maps in use at the last shifts (ShiftImbalance), and counts demand_shifts and map_copies.

--- a/api/metrics.go
+++ b/api/metrics.go
@@ -102,6 +102,8 @@
 	{"rank_readings", MetricCounter, "readings", "", "side", "reads of all ranks of the group"},
 	{"rank_readings_incomplete", MetricCounter, "readings", "", "side", "reads of the group in which a rank was missing or had another epoch"},
 	{"map_changes", MetricCounter, "changes", "", "side", "changes of the expert map that were started"},
+	{"map_copies", MetricCounter, "experts", "", "side", "experts that ranks had to copy for these changes"},
+	{"demand_shifts", MetricCounter, "shifts", "", "side", "shifts of the demand for experts that the leader saw"},
 	{"map_undone", MetricCounter, "changes", "", "side", "changes of the expert map that were rolled back, started by this or another leader"},
 	{"work_started", MetricCounter, "requests", "member", "agent", "requests started at the upstream"},
 	{"work_refused", MetricCounter, "requests", "code", "agent", "requests refused before they started, by code"},
--- a/decide/expertplan/expertplan.go
+++ b/decide/expertplan/expertplan.go
@@ -12,16 +12,6 @@
 )
 
 const (
-	// copySlowdown is the relative increase in pass time while experts are copied,
-	// as the platform documents it. holdTime is how long a change holds the group.
-	copySlowdown = 0.15
-	holdTime     = 40 * time.Millisecond
-	// paybackTime is the time in which a change must save its cost. It is short
-	// because demand shifts every few seconds and part of an expected gain is noise.
-	paybackTime = 550 * time.Millisecond
-	// maxCopyTime limits how long a rank copies experts for one change. The old map
-	// stays in use during that time, and demand shifts within seconds.
-	maxCopyTime = 250 * time.Millisecond
 	// slowPace is the pace above which a rank counts as slow.
 	slowPace = 1.15
 	// paceChange is the relative change of a pace that makes a new plan necessary.
@@ -37,11 +27,12 @@
 // loop uses it.
 type State struct {
 	shape  placement.Shape
-	limits placement.Limits
-	// minGain is the smallest saving worth a change, as a fraction of the expert
-	// time of a pass.
-	minGain float64
-	demand  demand
+	costs  changeCosts
+	demand demand
+	shifts shifts
+	// inUse is the map in use by layer and rank, nil if it is unknown. atShift is the one
+	// in use when the last shift was seen.
+	inUse, atShift [][][]int
 	// paces is nil if no rank is slow.
 	paces placement.Paces
 	// cached is the last result of Plan, or nil if demand has changed since. Plan is
@@ -66,33 +57,52 @@
 			Slots:      p.SlotsPerRank,
 			RanksPerVM: 1,
 		},
-		limits:  copyLimits(ranks, p),
-		minGain: minGain(p),
-		demand:  demand{meanDistance: initialMeanDistance},
+		costs:  newChangeCosts(ranks, p),
+		demand: demand{noise: initialNoise},
 	}
 }
 
-// maxCopiesPerRank returns the maximum number of experts that a rank copies for one
-// change, at least one.
-func maxCopiesPerRank(p api.EngineProfile) int {
-	if p.CopyTime <= 0 {
-		return 1
-	}
-	return max(1, int(maxCopyTime/p.CopyTime))
-}
+// SetMap sets the map in use, by layer and rank, nil if it is unknown.
+func (s *State) SetMap(expertMap [][][]int) { s.inUse = expertMap }
 
-// minGain returns the cost of a change as a fraction of paybackTime.
-func minGain(p api.EngineProfile) float64 {
-	copyTime := time.Duration(maxCopiesPerRank(p)) * p.CopyTime
-	return (copySlowdown*copyTime.Seconds() + holdTime.Seconds()) / paybackTime.Seconds()
-}
+// Shift tells whether a sample showed a shift of demand.
+type Shift uint8
+
+const (
+	// NoShift means that demand did not shift.
+	NoShift Shift = iota
+	// ShiftSeen means that demand shifted during the sample or right before it.
+	ShiftSeen
+	// ShiftConfirmed means that the sample after ShiftSeen showed the new demand as well.
+	ShiftConfirmed
+)
 
-// copyLimits returns the limits on copies for one change.
-func copyLimits(ranks int, p api.EngineProfile) placement.Limits {
-	n := maxCopiesPerRank(p)
-	return placement.Limits{Total: n * ranks, PerRank: n, PerRankLayer: max(1, p.StagedPerRank)}
+// Observe updates the estimate of demand from a sample. counts holds the choices that
+// each rank has counted in total, by layer and expert; running is the number of running
+// requests on these ranks. It leaves out ranks without counts and ranks that restarted.
+func (s *State) Observe(now time.Duration, epoch uint64, counts [][]uint64, running int) Shift {
+	if s.demand.shares == nil {
+		s.shifts.startedAt = now
+	}
+	event := s.demand.observe(s.shape, now, epoch, counts, running)
+	if event != noChoices {
+		s.cached = nil
+	}
+	switch event {
+	case shiftSeen:
+		s.atShift = s.inUse
+		return ShiftSeen
+	case shiftConfirmed:
+		s.shifts.record(now, s.imbalance(s.atShift, nil))
+		return ShiftConfirmed
+	}
+	return NoShift
 }
 
+// ShiftImbalance returns the imbalance that is expected right after the next shift of
+// demand, 0 if none is expected.
+func (s *State) ShiftImbalance(now time.Duration) float64 { return s.shifts.expectedImbalance(now) }
+
 // SetPaces sets the paces of the ranks, 1 for a rank that is not slow. It returns true if
 // they differ from the last ones by more than paceChange.
 func (s *State) SetPaces(paces []float64) (changed bool) {
@@ -125,13 +135,13 @@
 	// Before and After are the imbalance of the current and the new map: the
 	// expert time of a pass as a multiple of that with equal load on all ranks.
 	Before, After float64
-	// Copies is the number of experts that ranks copy for the change.
-	Copies int
+	// Copies is the number of experts that ranks copy for the change, CopiesPerRank the
+	// largest number on one rank.
+	Copies, CopiesPerRank int
 }
 
 // Plan returns a better map than the current one. It returns false if no change is
-// worth its cost, if demand is unknown or has just shifted, or if the current map
-// does not fit the group.
+// worth its cost, if demand is unknown, or if the current map does not fit the group.
 func (s *State) Plan(current [][][]int) (Plan, bool) {
 	if s.cached == nil || !equalMaps(s.cached.currentMap, current) {
 		p, ok := s.improve(current)
@@ -147,37 +157,52 @@
 
 func (s *State) improve(current [][][]int) (Plan, bool) {
 	loads := s.demand.shares
-	if loads == nil || s.demand.justShifted() {
+	if loads == nil {
 		return Plan{}, false
 	}
 	before, ok := s.pack(current)
-	if !ok {
+	even := s.evenCost(loads)
+	if !ok || even <= 0 {
 		return Plan{}, false
 	}
-	after, err := placement.UpdateForPaces(before, loads, s.paces, excessTolerances, s.limits)
+	stages := s.costs.stages(s.demand.justShifted())
+	maps, err := placement.UpdateInStages(before, loads, s.paces, excessTolerances, stages)
 	if err != nil {
 		return Plan{}, false
 	}
-	even := s.evenCost(loads)
-	if even <= 0 {
-		return Plan{}, false
+	imbalance := before.CostAt(loads, s.paces) / even
+	candidates := make([]candidate, len(maps))
+	for i, m := range maps {
+		candidates[i] = candidate{copiesPerRank: stages[i].PerRank, after: m.CostAt(loads, s.paces) / even}
 	}
-	p := Plan{
-		Map: s.unpack(after), Before: before.CostAt(loads, s.paces) / even, After: after.CostAt(loads, s.paces) / even,
-		Copies: after.WeightsToLoad(before),
+	chosen, ok := s.costs.choose(imbalance, candidates, s.horizon())
+	after := maps[chosen]
+	return Plan{
+		Map: s.unpack(after), Before: imbalance, After: candidates[chosen].after,
+		Copies: after.WeightsToLoad(before), CopiesPerRank: candidates[chosen].copiesPerRank,
+	}, ok
+}
+
+// horizon returns the time in which a change that begins now has to pay off. The first
+// change after a shift is soon followed by a refinement.
+func (s *State) horizon() time.Duration {
+	if s.demand.justShifted() {
+		return min(s.shifts.usualInterval(), s.costs.firstHorizon())
 	}
-	return p, p.Before-p.After >= s.minGain*p.Before
+	return s.shifts.persistence(s.demand.lastAt)
 }
 
 // Imbalance returns the expert time of a pass with a map under the current demand,
 // as a multiple of that with equal load on all ranks. It returns 0 if the map does
 // not fit the group or demand is unknown.
-func (s *State) Imbalance(expertMap [][][]int) float64 {
+func (s *State) Imbalance(expertMap [][][]int) float64 { return s.imbalance(expertMap, s.paces) }
+
+func (s *State) imbalance(expertMap [][][]int, paces placement.Paces) float64 {
 	m, ok := s.pack(expertMap)
 	if !ok || s.demand.shares == nil {
 		return 0
 	}
-	return m.CostAt(s.demand.shares, s.paces) / s.evenCost(s.demand.shares)
+	return m.CostAt(s.demand.shares, paces) / s.evenCost(s.demand.shares)
 }
 
 // evenCost returns the expert time of a pass with equal load on all ranks.
--- a/decide/placement/plan.go
+++ b/decide/placement/plan.go
@@ -85,9 +85,20 @@
 // holds the time that each rank takes for a load, relative to a rank that is not slow;
 // nil means that none is.
 func UpdateForPaces(current Map, loads Loads, paces Paces, tolerances []float64, limits Limits) (Map, error) {
+	maps, err := UpdateInStages(current, loads, paces, tolerances, []Limits{limits})
+	if err != nil {
+		return Map{}, err
+	}
+	return maps[0], nil
+}
+
+// UpdateInStages is like UpdateForPaces for several limits in ascending order. It
+// returns one map for each. Each map improves the one before, so that all of them take
+// little more time than the last.
+func UpdateInStages(current Map, loads Loads, paces Paces, tolerances []float64, stages []Limits) ([]Map, error) {
 	s := current.Shape
 	if err := s.validateLoads(loads); err != nil {
-		return Map{}, err
+		return nil, err
 	}
 	m := Map{Shape: s, Slots: slices.Clone(current.Slots)}
 	layers := make([]*layer, s.Layers)
@@ -99,14 +110,20 @@
 	}
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(excess[b], excess[a]) })
 	staged := make([]int, s.Ranks)
-	for _, tolerance := range tolerances {
-		for _, l := range order {
-			target := layerLowerBound(s, loads[l], paces) * (1 + tolerance)
-			layers[l].staged, layers[l].limits = staged, limits
-			limits.Total -= layers[l].improve(target, s.maxSearchSteps())
+	used := 0
+	maps := make([]Map, len(stages))
+	for i, limits := range stages {
+		for _, tolerance := range tolerances {
+			for _, l := range order {
+				target := layerLowerBound(s, loads[l], paces) * (1 + tolerance)
+				layers[l].staged, layers[l].limits = staged, limits
+				layers[l].limits.Total = limits.Total - used
+				used += layers[l].improve(target, s.maxSearchSteps())
+			}
 		}
+		maps[i] = Map{Shape: s, Slots: slices.Clone(m.Slots)}
 	}
-	return m, nil
+	return maps, nil
 }
 
 // maxSearchSteps returns the number of search steps that examine maxSearchSlots
--- a/decide/rankpacing/rankpacing.go
+++ b/decide/rankpacing/rankpacing.go
@@ -50,6 +50,10 @@
 	// minRelayGain is the saved time that justifies sending orders through other ranks'
 	// processes. Each relayed order depends on one more process.
 	minRelayGain = 25 * time.Millisecond
+	// serialOrders is the number of orders of a change that are sent one after the other,
+	// each of which takes about orderTime with the delay between zones and the connection.
+	serialOrders = 4
+	orderTime    = 10 * time.Millisecond
 	// leaderTimeoutReads is the number of missed reads after which a process takes the
 	// lead, but not before minLeaderTimeout.
 	leaderTimeoutReads = 6
@@ -163,6 +167,17 @@
 // ArmTime returns how long small orders to all ranks are expected to take.
 func (g Group) ArmTime() time.Duration { return g.callsTime(g.Ranks, 0) }
 
+// PrepareTime returns how long it is expected to take from a proposal until the leader sees
+// that all ranks have prepared it, beyond the time of copying.
+func (g Group) PrepareTime() time.Duration { return 2*g.ArmTime() + g.ReadInterval(false) }
+
+// SwitchTime returns how long it is expected to take from there until the first pass with
+// the new map: orders to all ranks, to the last two and the release, and on average half of
+// a pass.
+func (g Group) SwitchTime(passTime time.Duration) time.Duration {
+	return g.ArmTime() + serialOrders*orderTime + passTime/2
+}
+
 // Fanout returns the number of ranks to which the leader itself sends an order of a
 // given size; each of their processes relays it to an equal part of the others. It
 // returns the number of receivers if relaying saves too little.
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -47,10 +47,6 @@
 	// One line counts all since the last.
 	failureLogInterval = time.Second
 
-	// replacementFactor is the factor by which the imbalance of the map that ranks
-	// are copying must exceed that of a new plan for the new plan to replace it.
-	replacementFactor = 1.3
-
 	pollMailboxSize        = 4
 	orderResultMailboxSize = 1024
 	leaderReadMailboxSize  = 64
@@ -96,13 +92,16 @@
 	planner             *expertplan.State
 	view                *rankview.State
 	passes              rankview.PassMeter
+	// passTime is the time of a forward pass, 0 if it is unknown.
+	passTime time.Duration
 	// pacing holds the timeouts and intervals for the size of the group.
 	pacing rankpacing.Group
 	// current is the map in use. Its experts are nil if they are not known.
 	current knownMap
-	// next is the map of the last proposed change, and delta its difference from the
-	// current one.
+	// next is the map of the last proposed change, preparing its plan, and delta its
+	// difference from the current one.
 	next        knownMap
+	preparing   expertplan.Change
 	delta       mapDelta
 	epoch       uint64
 	lastReports []api.RankReport
@@ -114,7 +113,7 @@
 	groupLoggedAt time.Duration
 }
 
-type counters struct{ changes, rolledBack, polls, incompletePolls api.Counter }
+type counters struct{ changes, copies, shifts, rolledBack, polls, incompletePolls api.Counter }
 
 // pollResult is the result of one poll of all ranks of the group.
 type pollResult struct {
@@ -163,6 +162,8 @@
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.counters = counters{
 		changes:         metrics.Counter("map_changes", ""),
+		copies:          metrics.Counter("map_copies", ""),
+		shifts:          metrics.Counter("demand_shifts", ""),
 		rolledBack:      metrics.Counter("map_undone", ""),
 		polls:           metrics.Counter("rank_readings", ""),
 		incompletePolls: metrics.Counter("rank_readings_incomplete", ""),
--- a/service/experts/leader.go
+++ b/service/experts/leader.go
@@ -80,8 +80,9 @@
 	if s.rankKnown && r.Group == s.group && r.Leader < s.rank {
 		s.leaderReadAt = now
 		// A replaced leader discards its state, because it is outdated when this
-		// process becomes the leader again.
-		s.state = nil
+		// process becomes the leader again. A leader that was replaced does not know which
+		// shifts of demand it has missed.
+		s.state, s.planner = nil, nil
 		s.current, s.next = knownMap{}, knownMap{}
 	}
 	if s.state != nil {
@@ -170,6 +171,7 @@
 	if s.planner == nil {
 		s.planner = expertplan.New(len(s.lastReports), *profile)
 	}
+	s.planner.SetTimes(s.pacing.PrepareTime(), s.pacing.SwitchTime(s.passTime))
 	s.updatePaces()
 	if r.counts {
 		s.observeCounts(now, r)
@@ -203,10 +205,15 @@
 			running += report.Running
 		}
 	}
-	if s.planner.Observe(now, s.epoch, counts, running) {
+	s.planner.SetMap(s.current.experts)
+	switch s.planner.Observe(now, s.epoch, counts, running) {
+	case expertplan.ShiftSeen:
+		s.counters.shifts.Add(1)
 		s.log.Change("demand shifted", api.Fields{"group": s.group, "epoch": s.epoch, "running": s.requestsInFlight()})
 		// Makes the next poll request counts without waiting for the interval.
 		s.lastCountsAt = 0
+	case expertplan.ShiftConfirmed:
+		s.log.Change("shift confirmed", api.Fields{"group": s.group, "epoch": s.epoch, "shift_imbalance": s.planner.ShiftImbalance(now)})
 	}
 }
 
@@ -255,9 +262,8 @@
 	}
 }
 
-// proposeChange begins a map change if the planner finds a better map. A change
-// whose experts are still being copied is replaced only by a map that is better by
-// replacementFactor.
+// proposeChange begins a map change if the planner finds a better map. It replaces a
+// change whose experts are still being copied only if that change is not worth waiting for.
 func (s *service) proposeChange(now time.Duration) {
 	if s.planner == nil || s.current.experts == nil || !s.state.Ready() || s.lastReports[s.rank].MapVersion != s.current.version {
 		return
@@ -266,17 +272,19 @@
 	if !ok {
 		return
 	}
-	if s.state.Phase() == mapswitch.Preparing && s.planner.Imbalance(s.next.experts) < replacementFactor*p.After {
+	if s.state.Phase() == mapswitch.Preparing && !s.planner.Replaces(now, p, s.preparing) {
 		return
 	}
-	experts := mapdelta.Sort(p.Map)
-	orders := s.state.Begin(now, unixMillis(), experts)
-	s.next = knownMap{version: s.state.Version(), token: s.state.Token(), experts: experts, fromLeader: true}
+	p.Map = mapdelta.Sort(p.Map)
+	orders := s.state.Begin(now, unixMillis(), p.Map)
+	s.preparing = expertplan.Change{Plan: p, BegunAt: now}
+	s.next = knownMap{version: s.state.Version(), token: s.state.Token(), experts: p.Map, fromLeader: true}
 	s.delta = newMapDelta(s.current, s.next, s.planner.Shape())
 	s.counters.changes.Add(1)
+	s.counters.copies.Add(int64(p.Copies))
 	s.log.Change("map proposed", api.Fields{"group": s.group, "epoch": s.epoch, "version": s.state.Version(),
-		"imbalance": p.Before, "imbalance_after": p.After, "copies": p.Copies, "running": s.requestsInFlight(),
-		"order_bytes": s.delta.bytes})
+		"imbalance": p.Before, "imbalance_after": p.After, "copies": p.Copies, "copies_per_rank": p.CopiesPerRank,
+		"running": s.requestsInFlight(), "order_bytes": s.delta.bytes})
 	s.sendOrders(orders)
 	s.logPhase()
 }
--- a/service/experts/load.go
+++ b/service/experts/load.go
@@ -63,10 +63,14 @@
 // publishLoad puts the load of the group on the board. The next poll takes it from there
 // to the processes that publish it.
 func (s *service) publishLoad(now time.Duration, snapshot rankview.Snapshot) {
+	s.passTime = s.passes.Observe(now, snapshot)
 	reply := wire.RankLoadReply{
-		Load:  api.GroupLoad{Group: s.group, Epoch: s.epoch, Formed: snapshot.Reports[s.rank].Formed, PassTime: s.passes.Observe(now, snapshot)},
+		Load:  api.GroupLoad{Group: s.group, Epoch: s.epoch, Formed: snapshot.Reports[s.rank].Formed, PassTime: s.passTime},
 		AgeMs: uint64(max(now-snapshot.StartedAt, 0).Milliseconds()),
 	}
+	if s.planner != nil {
+		reply.Load.ShiftImbalance = s.planner.ShiftImbalance(now)
+	}
 	fullest := 0
 	for rank, r := range snapshot.Reports {
 		fullest = max(fullest, r.Running+r.Waiting)
@@ -99,7 +103,7 @@
 		"fullest": fullest, "pass_ms": reply.Load.PassTime.Milliseconds(), "age_ms": reply.AgeMs, "version": s.current.version, "slowest_pace": slowest,
 	}
 	if s.planner != nil && s.current.experts != nil {
-		fields["imbalance"] = s.planner.Imbalance(s.current.experts)
+		fields["imbalance"], fields["shift_imbalance"] = s.planner.Imbalance(s.current.experts), reply.Load.ShiftImbalance
 	}
 	s.log.Change("group load", fields)
 }
