Read the ranks when a change waits for it; discount noise from expected gains

Cause: a prepared change waited for the next regular read of all ranks (112 ms for 72 ranks at 0.24 cores), often behind one that had started too early, and reads during the arming of ranks delayed orders by their part of the processor. Samples that were due after 243 ms were taken with the third read, at 360 ms. Two refused holds, by reports a few passes old, cost a further read.

Change: rankpacing.NextRead schedules a read at the end of copying and after the release, moves regular reads out of its way, and halves their rate while only orders are awaited.

Where shifts are frequent, the estimate is the mean of all samples since the last one. The planner measures by how much noise raises the imbalance of the map in use, and discounts it from expected gains. A change in preparation is replaced only if that loses less both with and without a further change.

--- a/decide/expertplan/costs.go
+++ b/decide/expertplan/costs.go
@@ -1,6 +1,7 @@
 package expertplan
 
 import (
+	"math"
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
@@ -39,6 +40,10 @@
 	// prepareTime is the time from a proposal to the hold of a pass, beyond that of
 	// copying, and switchTime the time from there to the first pass with the new map.
 	prepareTime, switchTime time.Duration
+	// noise is the moving average of the difference between the imbalance of the map in use
+	// under a sample and under the estimate before it. Random differences between samples
+	// raise the load of the most loaded rank.
+	noise float64
 }
 
 func newChangeCosts(ranks int, p api.EngineProfile) changeCosts {
@@ -91,25 +96,37 @@
 	return 2*(c.prepareTime+c.switchTime) + c.copying(maxFirstCopies+c.limits.PerRank)
 }
 
+func (c *changeCosts) observeNoise(x float64) { c.noise += noiseWeight * (max(x, 0) - c.noise) }
+
+// expectedNoise returns the part of an expected gain that is noise if the last sample has
+// a weight in the estimate. Noise raises the imbalance of the map in use, and lowers that
+// of a map that fits the noise.
+func (c *changeCosts) expectedNoise(weight float64) float64 { return 2 * c.noise * math.Sqrt(weight) }
+
 // saving returns the expert time that a change saves within horizon, in seconds at an
-// imbalance of 1. The old map is in use until the change takes effect.
-func (c *changeCosts) saving(before float64, x candidate, horizon time.Duration) float64 {
+// imbalance of 1, if noise is part of the expected gain. The old map is in use until the change takes effect.
+func (c *changeCosts) saving(before float64, x candidate, horizon time.Duration, noise float64) float64 {
 	copying := c.copying(x.copiesPerRank)
 	inUse := horizon - c.prepareTime - copying - c.switchTime
-	return (before-x.after)*inUse.Seconds() - before*(copySlowdown*copying.Seconds()+holdTime.Seconds())
+	return (before-x.after-noise)*inUse.Seconds() - before*(copySlowdown*copying.Seconds()+holdTime.Seconds())
+}
+
+// minGain returns the relative gain with which a change pays off in time.
+func (c *changeCosts) minGain(copies int, horizon time.Duration) float64 {
+	payback := max(min(paybackTime, horizon), time.Millisecond)
+	return (copySlowdown*c.copying(copies).Seconds() + holdTime.Seconds()) / payback.Seconds()
 }
 
 // choose returns the index of the change to make. It returns false if none is worth its
-// cost within horizon.
-func (c *changeCosts) choose(before float64, candidates []candidate, horizon time.Duration) (index int, worthwhile bool) {
-	best := 0.0
+// cost within horizon. weight is that of the last sample in the estimate.
+func (c *changeCosts) choose(before float64, candidates []candidate, horizon time.Duration, weight float64) (index int, worthwhile bool) {
+	best, noise := 0.0, c.expectedNoise(weight)
 	for _, x := range candidates {
-		best = max(best, c.saving(before, x, horizon))
+		best = max(best, c.saving(before, x, horizon, noise))
 	}
-	payback := min(paybackTime, horizon)
-	minGain := (copySlowdown*c.copying(c.limits.PerRank).Seconds() + holdTime.Seconds()) / max(payback.Seconds(), 0.001)
 	for i, x := range candidates {
-		if best > 0 && c.saving(before, x, horizon) >= sufficientSaving*best && before-x.after >= minGain*before {
+		enough := best > 0 && c.saving(before, x, horizon, noise) >= sufficientSaving*best
+		if enough && before-x.after-noise >= c.minGain(x.copiesPerRank, horizon)*before {
 			return i, true
 		}
 	}
@@ -123,19 +140,34 @@
 	BegunAt time.Duration
 }
 
-// Replaces reports whether a new plan for the current map should replace a change that the
-// ranks still prepare. Both ways end with a map like that of the plan: at once, or by a
-// further change after this one. The change goes on if less is lost by waiting for it than
-// by using the current map until the new plan takes effect.
-func (s *State) Replaces(now time.Duration, p Plan, preparing Change) bool {
-	next := s.Imbalance(preparing.Plan.Map)
-	if next <= 0 || next >= p.Before {
-		return true
+// CopyTime returns how long the ranks copy experts for a plan.
+func (s *State) CopyTime(p Plan) time.Duration { return s.costs.copying(p.CopiesPerRank) }
+
+// Replacement returns a plan for the current map that should replace a change which the
+// ranks still prepare, if there is one. The plan must lose less than the change, both if the
+// change is the last one and if it is followed by a change like the plan.
+func (s *State) Replacement(now time.Duration, current [][][]int, preparing Change) (Plan, bool) {
+	before, next := s.Imbalance(current), s.Imbalance(preparing.Plan.Map)
+	if next <= 0 || next >= before {
+		return s.Plan(current)
 	}
-	c := &s.costs
+	c, horizon := &s.costs, s.horizon().Seconds()
 	// A change that is overdue is expected to take as long again.
-	remaining := (c.prepareTime + c.copying(preparing.Plan.CopiesPerRank) - (now - preparing.BegunAt)).Abs()
-	lostByWaiting := (remaining + c.switchTime).Seconds() * (p.Before - p.After)
-	newTime := c.prepareTime + c.copying(p.CopiesPerRank) + c.switchTime
-	return lostByWaiting > newTime.Seconds()*(p.Before-next)
+	remaining := (c.prepareTime + s.CopyTime(preparing.Plan) - (now - preparing.BegunAt)).Abs()
+	changeTime := (remaining + c.switchTime).Seconds()
+	replaces := func(after float64, copies int) bool {
+		planTime := (c.prepareTime + c.copying(copies) + c.switchTime).Seconds()
+		// Losses are differences to the imbalance after the plan.
+		planLoss := planTime * (before - after)
+		last := changeTime*(before-after) + (horizon-changeTime)*(next-after)
+		followed := changeTime*(before-after) + planTime*(next-after)
+		return planLoss < min(last, followed)
+	}
+	// Planning takes milliseconds, during which no order is sent. No map is better than an
+	// even one with a single copy.
+	if !replaces(1, 1) {
+		return Plan{}, false
+	}
+	p, ok := s.Plan(current)
+	return p, ok && replaces(p.After+c.expectedNoise(s.demand.weight), p.CopiesPerRank)
 }
--- a/decide/expertplan/demand.go
+++ b/decide/expertplan/demand.go
@@ -53,6 +53,9 @@
 // demand estimates each expert's share of the choices in its layer.
 type demand struct {
 	shares placement.Loads
+	// sample holds the shares of the last sample, and weight its weight in the estimate.
+	sample placement.Loads
+	weight float64
 	// previous is the estimate before the last shift, for the confirmation of that shift.
 	previous placement.Loads
 	// lastCounts are the counts of the previous sample, by rank, taken at lastAt.
@@ -79,7 +82,8 @@
 func (d *demand) justShifted() bool { return d.samplesSinceShift == 1 }
 
 // observe updates the estimate with the choices since the previous sample.
-func (d *demand) observe(shape placement.Shape, now time.Duration, epoch uint64, counts [][]uint64, running int) sampleEvent {
+// constant is true if demand is expected to be constant since the last shift.
+func (d *demand) observe(shape placement.Shape, now time.Duration, epoch uint64, counts [][]uint64, running int, constant bool) sampleEvent {
 	loads := make(placement.Loads, shape.Layers)
 	for l := range loads {
 		loads[l] = make([]float64, shape.Experts)
@@ -95,7 +99,7 @@
 	if !counted {
 		return noChoices
 	}
-	return d.update(loads, elapsed, running)
+	return d.update(loads, elapsed, running, constant)
 }
 
 // addChoices adds the choices that a rank counted between two samples. It returns
@@ -116,13 +120,14 @@
 }
 
 // update moves the estimate towards the choices of one interval.
-func (d *demand) update(loads placement.Loads, elapsed time.Duration, running int) sampleEvent {
+func (d *demand) update(loads placement.Loads, elapsed time.Duration, running int, constant bool) sampleEvent {
 	for l, layer := range loads {
 		// A layer without choices keeps its estimate.
 		if !normalize(layer) && d.shares != nil {
 			copy(layer, d.shares[l])
 		}
 	}
+	d.sample, d.weight = loads, 1
 	if d.shares == nil {
 		d.shares = loads
 		return demandKnown
@@ -140,14 +145,17 @@
 		d.samplesSinceShift = 1
 		return shiftSeen
 	}
-	weight := usualWeight
+	d.weight = usualWeight
 	if d.samplesSinceShift > 0 {
-		// The estimate is the mean of the samples after the shift, until their weight
-		// falls to usualWeight.
+		// The estimate is the mean of the samples after the shift, while demand is
+		// expected to be constant, and then until their weight falls to usualWeight.
 		d.samplesSinceShift++
-		weight = max(usualWeight, 1/float64(d.samplesSinceShift-1))
+		d.weight = 1 / float64(d.samplesSinceShift-1)
+		if !constant {
+			d.weight = max(usualWeight, d.weight)
+		}
 	}
-	d.shares = mix(d.shares, loads, weight)
+	d.shares = mix(d.shares, loads, d.weight)
 	return demandKnown
 }
 
--- a/decide/expertplan/expertplan.go
+++ b/decide/expertplan/expertplan.go
@@ -84,16 +84,19 @@
 	if s.demand.shares == nil {
 		s.shifts.startedAt = now
 	}
-	event := s.demand.observe(s.shape, now, epoch, counts, running)
+	expected := s.Imbalance(s.inUse)
+	event := s.demand.observe(s.shape, now, epoch, counts, running, s.shifts.constant(now))
 	if event != noChoices {
 		s.cached = nil
 	}
 	switch event {
+	case demandKnown:
+		s.costs.observeNoise(s.imbalance(s.inUse, s.demand.sample, s.paces) - expected)
 	case shiftSeen:
 		s.atShift = s.inUse
 		return ShiftSeen
 	case shiftConfirmed:
-		s.shifts.record(now, s.imbalance(s.atShift, nil))
+		s.shifts.record(now, s.imbalance(s.atShift, s.demand.shares, nil))
 		return ShiftConfirmed
 	}
 	return NoShift
@@ -165,17 +168,22 @@
 	if !ok || even <= 0 {
 		return Plan{}, false
 	}
+	imbalance := before.CostAt(loads, s.paces) / even
+	// Planning takes milliseconds, so a map that is good enough is not planned for.
+	ideal := []candidate{{copiesPerRank: 1, after: placement.LowerBound(s.shape, loads) / even}}
+	if _, ok := s.costs.choose(imbalance, ideal, s.horizon(), s.demand.weight); !ok {
+		return Plan{}, false
+	}
 	stages := s.costs.stages(s.demand.justShifted())
 	maps, err := placement.UpdateInStages(before, loads, s.paces, excessTolerances, stages)
 	if err != nil {
 		return Plan{}, false
 	}
-	imbalance := before.CostAt(loads, s.paces) / even
 	candidates := make([]candidate, len(maps))
 	for i, m := range maps {
 		candidates[i] = candidate{copiesPerRank: stages[i].PerRank, after: m.CostAt(loads, s.paces) / even}
 	}
-	chosen, ok := s.costs.choose(imbalance, candidates, s.horizon())
+	chosen, ok := s.costs.choose(imbalance, candidates, s.horizon(), s.demand.weight)
 	after := maps[chosen]
 	return Plan{
 		Map: s.unpack(after), Before: imbalance, After: candidates[chosen].after,
@@ -195,14 +203,19 @@
 // Imbalance returns the expert time of a pass with a map under the current demand,
 // as a multiple of that with equal load on all ranks. It returns 0 if the map does
 // not fit the group or demand is unknown.
-func (s *State) Imbalance(expertMap [][][]int) float64 { return s.imbalance(expertMap, s.paces) }
+func (s *State) Imbalance(expertMap [][][]int) float64 {
+	return s.imbalance(expertMap, s.demand.shares, s.paces)
+}
 
-func (s *State) imbalance(expertMap [][][]int, paces placement.Paces) float64 {
+func (s *State) imbalance(expertMap [][][]int, loads placement.Loads, paces placement.Paces) float64 {
+	if loads == nil {
+		return 0
+	}
 	m, ok := s.pack(expertMap)
-	if !ok || s.demand.shares == nil {
+	if !ok {
 		return 0
 	}
-	return m.CostAt(s.demand.shares, paces) / s.evenCost(s.demand.shares)
+	return m.CostAt(loads, paces) / s.evenCost(loads)
 }
 
 // evenCost returns the expert time of a pass with equal load on all ranks.
--- a/decide/expertplan/shifts.go
+++ b/decide/expertplan/shifts.go
@@ -9,6 +9,9 @@
 	// A demand that has persisted for longer than usual is expected to persist for
 	// persistedPart of that time.
 	persistedPart = 0.25
+	// Where shifts are frequent, demand is taken to be constant for constantIntervals of
+	// their usual intervals after each.
+	constantIntervals = 2
 	// shiftIntervalWeight is the weight of a shift in the mean interval.
 	shiftIntervalWeight = 0.3
 	// recentShifts is the number of shifts whose imbalance counts for the next one.
@@ -67,6 +70,12 @@
 	return max(s.usualInterval()-since, time.Duration(persistedPart*float64(since)))
 }
 
+// constant reports whether demand is expected to be constant since the last shift: shifts
+// are frequent, and the next one is not overdue.
+func (s *shifts) constant(now time.Duration) bool {
+	return s.interval > 0 && now-s.lastAt <= constantIntervals*s.interval
+}
+
 // expectedImbalance returns the mean imbalance at the last shifts, 0 if no shift is
 // expected. The mean suffices, since readers leave a margin of a tenth, and the
 // imbalances of successive shifts differ by about as much.
--- a/decide/mapswitch/mapswitch.go
+++ b/decide/mapswitch/mapswitch.go
@@ -48,6 +48,10 @@
 	minPassesAhead = 1
 	// maxPassesAhead limits the distance when orders are lost.
 	maxPassesAhead = 6
+	// maxHoldAttempts is the number of successive passes that the leader tries to hold
+	// before it waits for a newer snapshot. Reports are up to a few passes old, an attempt
+	// takes a fraction of a pass, and a snapshot takes longer than a pass.
+	maxHoldAttempts = 4
 	// prepareTimeout limits how long the ranks may take to copy experts.
 	prepareTimeout = 8 * time.Second
 	// armTimeout limits how long the group is held while results are missing.
@@ -113,10 +117,12 @@
 	version uint64
 	// heldStep is the number of the pass that this change holds.
 	heldStep uint64
-	// retriedHold is set once a hold was refused because its pass had begun and the
-	// leader has tried to hold the next pass.
-	retriedHold bool
-	expertMap   [][][]int
+	// holdAttempts counts the passes that the leader has tried to hold since the last
+	// snapshot. A hold is refused if its pass has begun.
+	holdAttempts int
+	// preparedAt is when the last rank confirmed its prepare order.
+	preparedAt time.Duration
+	expertMap  [][][]int
 	// ranks is the last recorded snapshot: the reports by rank.
 	ranks []api.RankReport
 	// pending holds the orders of the phase that have no result yet, by rank.
@@ -166,6 +172,24 @@
 // SetOrderTime sets how long orders to all ranks are expected to take.
 func (s *State) SetOrderTime(d time.Duration) { s.orderTime = d }
 
+// AwaitsResults reports whether the change waits for nothing but the results of orders.
+func (s *State) AwaitsResults() bool {
+	return s.phase >= Holding && s.phase <= Releasing || s.phase == Fencing || s.phase == Disarming || s.phase == Freeing
+}
+
+// SnapshotDue returns the time from which on a snapshot may show what the change waits
+// for. It returns false if the change does not wait for a snapshot. copying is how long
+// ranks copy experts.
+func (s *State) SnapshotDue(copying time.Duration) (from time.Duration, waits bool) {
+	switch s.phase {
+	case Preparing:
+		return max(s.preparedAt+copying, s.phaseStart), len(s.pending) == 0
+	case Settling, Verifying:
+		return s.phaseStart, true
+	}
+	return 0, false
+}
+
 // Version returns the map version of the last change.
 func (s *State) Version() uint64 { return s.version }
 
@@ -365,7 +389,7 @@
 
 func (s *State) beginHold(now time.Duration) []OutgoingOrder {
 	s.enterPhase(now, Holding)
-	s.heldStep, s.retriedHold = s.lastStep()+s.passesAhead(), false
+	s.heldStep, s.holdAttempts = s.lastStep()+s.passesAhead(), 1
 	return s.sendHold(now)
 }
 
--- a/decide/mapswitch/result.go
+++ b/decide/mapswitch/result.go
@@ -46,10 +46,11 @@
 		return nil
 	case Holding:
 		// The pass has begun. The next one begins a full pass time later, so the
-		// leader tries to hold that one. If this fails too, it waits in the phase
-		// Preparing for a newer snapshot and then holds a later pass.
-		if !s.retriedHold {
-			s.heldStep, s.retriedHold = s.heldStep+1, true
+		// leader tries to hold that one. If this fails for several passes, it waits in the
+		// phase Preparing for a newer snapshot and then holds a later pass.
+		if s.holdAttempts < maxHoldAttempts {
+			s.heldStep++
+			s.holdAttempts++
 			return s.sendHold(now)
 		}
 		s.enterPhase(now, Preparing)
@@ -70,6 +71,8 @@
 // that no order of the current phase is pending.
 func (s *State) advance(now time.Duration) []OutgoingOrder {
 	switch s.phase {
+	case Preparing:
+		s.preparedAt = now
 	case Holding:
 		return s.sendToAll(now, Arming, api.RankOrder{Op: api.RankArm, MapVersion: s.version, Step: s.heldStep})
 	case Arming:
--- a/decide/rankpacing/rankpacing.go
+++ b/decide/rankpacing/rankpacing.go
@@ -13,11 +13,15 @@
 )
 
 const (
-	// minReadInterval is the minimum time between reads of all ranks, and
-	// minChangeInterval that during the later phases of a change, in which the next
-	// orders wait for a read.
-	minReadInterval   = 40 * time.Millisecond
-	minChangeInterval = 25 * time.Millisecond
+	// minReadInterval is the minimum time between regular reads of all ranks.
+	minReadInterval = 40 * time.Millisecond
+	// A change waits for a read a few times. minWantedInterval is the minimum time between
+	// such a read and the one before it.
+	minWantedInterval = 25 * time.Millisecond
+	// orderingReadIntervals is the number of regular intervals between reads while a
+	// change waits for orders alone: a read of all ranks delays these orders by its part of
+	// the processor and the link.
+	orderingReadIntervals = 2
 	// callTime is the processor time of a call at the leader, on a whole core.
 	callTime = 150 * time.Microsecond
 	// maxReadProcessorFraction is the fraction of the process's processor share that
@@ -43,7 +47,7 @@
 	// maxCountsInterval is the longest time between samples of the counts that still
 	// finds a shift of demand soon. Counts are read from a part of the ranks if the
 	// link is too slow to read all within it.
-	maxCountsInterval = 250 * time.Millisecond
+	maxCountsInterval = 125 * time.Millisecond
 	// minCountedRanks is the minimum number of ranks in a sample. Fewer ranks run too
 	// few requests to estimate the demand.
 	minCountedRanks = 12
@@ -107,14 +111,38 @@
 	return g.processing(calls) + g.transfer(float64(calls)*(bytes+callOverheadBytes))
 }
 
-// ReadInterval returns the time between reads of all ranks. changing is true in the
-// later phases of a change.
-func (g Group) ReadInterval(changing bool) time.Duration {
-	interval := minReadInterval
-	if changing {
-		interval = minChangeInterval
+// ReadInterval returns the time between regular reads of all ranks.
+func (g Group) ReadInterval() time.Duration {
+	return max(minReadInterval, time.Duration(float64(g.processing(g.Ranks))/maxReadProcessorFraction))
+}
+
+// Reads describes what a change of the map needs from the next read of all ranks.
+type Reads struct {
+	// LastAt is when the last read of all ranks started.
+	LastAt time.Duration
+	// WantedFrom is the time from which on a read advances the change, valid if Wanted is
+	// set.
+	WantedFrom time.Duration
+	Wanted     bool
+	// Ordering is set while the change waits for the results of orders alone.
+	Ordering bool
+}
+
+// WantedNext reports whether the next read is one for which the change waits.
+func (r Reads) WantedNext() bool { return r.Wanted && r.LastAt < r.WantedFrom }
+
+// NextRead returns when the next read of all ranks is due. A regular read gives way to a
+// wanted one that follows within half an interval, which would have to wait for its end.
+func (g Group) NextRead(r Reads) time.Duration {
+	interval := g.ReadInterval()
+	if r.Ordering {
+		interval *= orderingReadIntervals
+	}
+	regular := r.LastAt + interval
+	if r.WantedNext() && r.WantedFrom <= regular+interval/2 {
+		return max(r.WantedFrom, r.LastAt+minWantedInterval)
 	}
-	return max(interval, time.Duration(float64(g.processing(g.Ranks))/maxReadProcessorFraction))
+	return regular
 }
 
 // countsSize returns the encoded size of the counts of one rank.
@@ -168,8 +196,8 @@
 func (g Group) ArmTime() time.Duration { return g.callsTime(g.Ranks, 0) }
 
 // PrepareTime returns how long it is expected to take from a proposal until the leader sees
-// that all ranks have prepared it, beyond the time of copying.
-func (g Group) PrepareTime() time.Duration { return 2*g.ArmTime() + g.ReadInterval(false) }
+// that all ranks have prepared it, beyond the time of copying: the orders and a read.
+func (g Group) PrepareTime() time.Duration { return 2*g.ArmTime() + 2*orderTime }
 
 // SwitchTime returns how long it is expected to take from there until the first pass with
 // the new map: orders to all ranks, to the last two and the release, and on average half of
@@ -197,5 +225,5 @@
 // LeaderTimeout returns the time without a read by a lower rank after which a process
 // takes the lead.
 func (g Group) LeaderTimeout() time.Duration {
-	return max(minLeaderTimeout, leaderTimeoutReads*g.ReadInterval(false))
+	return max(minLeaderTimeout, leaderTimeoutReads*g.ReadInterval())
 }
--- a/service/experts/leader.go
+++ b/service/experts/leader.go
@@ -27,13 +27,26 @@
 		s.logPhase()
 	}
 	s.logFailures(now)
-	changing := s.state != nil && s.state.Phase() > mapswitch.Preparing
-	if s.polling || now-s.lastPollAt < s.pacing.ReadInterval(changing) {
+	s.pollIfDue(now)
+}
+
+// pollIfDue starts a poll if none is in flight and one is due.
+func (s *service) pollIfDue(now time.Duration) {
+	reads := rankpacing.Reads{LastAt: s.lastPollAt}
+	phase := mapswitch.Idle
+	if s.state != nil {
+		reads.WantedFrom, reads.Wanted = s.state.SnapshotDue(s.copyTime())
+		reads.Ordering, phase = s.state.AwaitsResults(), s.state.Phase()
+	}
+	if s.polling || now < s.pacing.NextRead(reads) {
 		return
 	}
 	s.polling, s.lastPollAt = true, now
 	request := wire.RankReadRequest{Leader: s.rank, Group: s.group, Experts: s.mapUnknown()}
-	counts := !changing && now-s.lastCountsAt >= s.pacing.CountsInterval()
+	// Counts would delay the read for which a prepared change waits. The ones after the
+	// change are for its refinement.
+	counts := now-s.lastCountsAt >= s.pacing.CountsInterval() &&
+		(phase == mapswitch.Idle || phase == mapswitch.Settling || phase == mapswitch.Preparing && !reads.WantedNext())
 	if counts {
 		s.lastCountsAt = now
 	}
@@ -110,13 +123,14 @@
 	if r.local == nil {
 		return
 	}
-	snapshot := s.view.Snapshot(now, max(minReportAge, reportMaxReads*s.pacing.ReadInterval(false)))
+	snapshot := s.view.Snapshot(now, max(minReportAge, reportMaxReads*s.pacing.ReadInterval()))
 	s.lastAsOf = snapshot.AsOf
 	s.rescanIfIncomplete(now, snapshot.Complete)
 	s.updateState(now, r, snapshot)
 	s.sendOrders(s.state.Observe(now, snapshot.AsOf, unixMillis(), s.lastReports))
 	s.logPhase()
 	s.proposeChange(now)
+	s.pollIfDue(now)
 }
 
 // recordLocal updates what depends on the local rank: its group, the size of the group
@@ -268,13 +282,10 @@
 	if s.planner == nil || s.current.experts == nil || !s.state.Ready() || s.lastReports[s.rank].MapVersion != s.current.version {
 		return
 	}
-	p, ok := s.planner.Plan(s.current.experts)
+	p, ok := s.plan(now)
 	if !ok {
 		return
 	}
-	if s.state.Phase() == mapswitch.Preparing && !s.planner.Replaces(now, p, s.preparing) {
-		return
-	}
 	p.Map = mapdelta.Sort(p.Map)
 	orders := s.state.Begin(now, unixMillis(), p.Map)
 	s.preparing = expertplan.Change{Plan: p, BegunAt: now}
@@ -289,6 +300,22 @@
 	s.logPhase()
 }
 
+// copyTime returns how long the ranks copy experts for the change in preparation.
+func (s *service) copyTime() time.Duration {
+	if s.planner == nil {
+		return 0
+	}
+	return s.planner.CopyTime(s.preparing.Plan)
+}
+
+// plan returns the change to begin, or the one to begin in place of that in preparation.
+func (s *service) plan(now time.Duration) (expertplan.Plan, bool) {
+	if s.state.Phase() == mapswitch.Preparing {
+		return s.planner.Replacement(now, s.current.experts, s.preparing)
+	}
+	return s.planner.Plan(s.current.experts)
+}
+
 // logPhase logs phase transitions of a map change and counts rollbacks.
 func (s *service) logPhase() {
 	phase := s.state.Phase()
--- a/service/experts/orders.go
+++ b/service/experts/orders.go
@@ -202,6 +202,7 @@
 	}
 	s.sendOrders(s.state.HandleResult(now, unixMillis(), r.outgoing, r.result))
 	s.logPhase()
+	s.pollIfDue(now)
 }
 
 // orderFailures counts the orders without confirmation since the last log line.
