--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -46,6 +46,9 @@
 	// failureLogInterval is the time between log lines on orders without confirmation.
 	// One line counts all since the last.
 	failureLogInterval = time.Second
+	// localFailureLogInterval is the time between log lines on failed reads of the local
+	// rank. One line counts all since the last.
+	localFailureLogInterval = 10 * time.Second
 
 	pollMailboxSize        = 4
 	orderResultMailboxSize = 1024
@@ -109,6 +112,8 @@
 	lastAsOf    time.Duration
 	loggedPhase mapswitch.Phase
 	failures    orderFailures
+	// localFailures are those of reads of the local rank.
+	localFailures localFailures
 	// groupLoggedAt is the time of the last log line on the load of the group.
 	groupLoggedAt time.Duration
 }
@@ -118,8 +123,9 @@
 // pollResult is the result of one poll of all ranks of the group.
 type pollResult struct {
 	startedAt time.Duration
-	// local is nil if the local rank did not respond.
-	local *api.RankState
+	// local is nil if the local rank did not respond. localErr is the error then.
+	local    *api.RankState
+	localErr error
 	// readings holds the responses that arrived during the poll, also to reads that
 	// an earlier poll started.
 	readings []reading
--- a/service/experts/leader.go
+++ b/service/experts/leader.go
@@ -108,6 +108,8 @@
 	s.counters.polls.Add(1)
 	if r.local != nil {
 		s.recordLocal(now, r)
+	} else {
+		s.recordLocalFailure(now, r.localErr)
 	}
 	if !s.rankKnown || !s.isLeader(now) {
 		return
--- a/service/experts/read.go
+++ b/service/experts/read.go
@@ -71,9 +71,7 @@
 	defer cancel()
 	local, err := s.readLocal(ctx, localRequest)
 	if err != nil {
-		s.log.Decision("reading local rank failed", api.DecisionRoutine, api.Fields{
-			"upstream": s.settings.Edge.LocalUpstreamAddress, "error": err.Error(),
-		})
+		r.localErr = err
 		return
 	}
 	r.local = &local
@@ -84,6 +82,26 @@
 	r.readings = s.reader.read(s.ctx, request, targets, pacing)
 }
 
+// localFailures counts the failed reads of the local rank since the last log line.
+type localFailures struct {
+	count    int
+	loggedAt time.Duration
+}
+
+// recordLocalFailure logs a failed read of the local rank, at most once in
+// localFailureLogInterval. All processes fail to read theirs until the engines listen.
+func (s *service) recordLocalFailure(now time.Duration, err error) {
+	f := &s.localFailures
+	f.count++
+	if f.loggedAt > 0 && now-f.loggedAt < localFailureLogInterval {
+		return
+	}
+	s.log.Decision("reading local rank failed", api.DecisionRoutine, api.Fields{
+		"upstream": s.settings.Edge.LocalUpstreamAddress, "error": err.Error(), "failures": f.count,
+	})
+	*f = localFailures{loggedAt: now}
+}
+
 // candidateAddresses returns the addresses of other upstreams of the local service
 // that are not known to belong to another group.
 func (s *service) candidateAddresses() []string {
