--- a/service/experts/read_test.go
+++ b/service/experts/read_test.go
@@ -37,7 +37,9 @@
 	report api.RankReport
 }
 
-func (e *reportEngine) ReadRank(context.Context, string) (api.RankReport, error) { return e.report, nil }
+func (e *reportEngine) ReadRank(context.Context, string) (api.RankReport, error) {
+	return e.report, nil
+}
 
 // Guards against a report that counts as new although it was read from another VM, where
 // it may be as old as the engine's report lag: a leader would take it for the state after
