--- a/decide/expertplan/expertplan.go
+++ b/decide/expertplan/expertplan.go
@@ -1,5 +1,10 @@
 // Package expertplan plans the next expert map of a group from the expert
 // choices that its ranks count.
+//
+// It answers demand that shifts every few seconds: the fullest rank then has about three
+// times the mean load until a map for the new demand is in use. The first sample that shows
+// a shift leads to a small change, a later one to a refinement whose copies pay off until
+// the next shift is expected. It also tells the imbalance to expect right after that.
 package expertplan
 
 import (
--- a/decide/expertplan/shift_test.go
+++ b/decide/expertplan/shift_test.go
@@ -117,3 +117,30 @@
 		}
 	}
 }
+
+// Guards against one unusual sample that replaces a good estimate for longer than until the
+// next one, or counts as a shift that makes edges run smaller batches.
+func TestUnusualSampleIsDismissed(t *testing.T) {
+	engine := api.EngineProfile{Layers: 3, Experts: 96, SlotsPerRank: 5, StagedPerRank: 2, CopyTime: 16400 * time.Microsecond}
+	s, p := fitted(t, 24, engine, 1), newPresent(24, engine)
+	sample := func() {
+		s.choose(10)
+		s.now += minSampleInterval
+		s.sample()
+		p.observe(s)
+	}
+	for range 20 {
+		sample()
+	}
+	usual, before := s.loads, p.state.Imbalance(s.current)
+	s.loads = newSimulation(24, engine, 2).loads
+	sample()
+	s.loads = usual
+	sample()
+	if p.seen != 1 || p.confirmed != 0 || p.state.ShiftImbalance(s.now) != 0 {
+		t.Errorf("%d shifts seen, %d confirmed, imbalance %.2f expected", p.seen, p.confirmed, p.state.ShiftImbalance(s.now))
+	}
+	if after := p.state.Imbalance(s.current); after > 1.05*before {
+		t.Errorf("imbalance of the map in use is estimated as %.2f, before the sample as %.2f", after, before)
+	}
+}
--- a/service/experts/read_test.go
+++ b/service/experts/read_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/expertplan"
 	"github.com/mulberryfork/mulberryfork/decide/rankview"
 	"github.com/mulberryfork/mulberryfork/wire"
 )
@@ -97,3 +98,13 @@
 		t.Errorf("%d lines after a minute, want 2", n)
 	}
 }
+
+// Guards against a process that leads again with what it knew of demand long ago: it would
+// publish the imbalance of shifts that have stopped, and count a long gap as one sample.
+func TestReplacedLeaderForgetsDemand(t *testing.T) {
+	s := &service{rank: 2, group: "g", rankKnown: true, planner: expertplan.New(3, api.EngineProfile{Layers: 1, Experts: 3, SlotsPerRank: 2})}
+	s.handleLeaderRead(time.Second, wire.RankReadRequest{Leader: 1, Group: "g"})
+	if s.planner != nil || s.state != nil {
+		t.Error("the demand is still known after another process has led")
+	}
+}
