Check configurations by meaning: decide/configcheck, used by config.Merge

Cause: a folder that every process accepts can hold patterns that never decide, members whose zones have no upstream, and timeouts that contradict each other.

Change: config.Result translates the folder into a neutral model. configcheck.Check finds such entries, and configcheck.Diff compares two models by meaning. Merge refuses the errors of the same check.

--- a/decide/config/config_test.go
+++ b/decide/config/config_test.go
@@ -8,11 +8,13 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sebdah/goldie/v2"
 	"pgregory.net/rapid"
 
 	"github.com/mulberryfork/mulberryfork/decide/config"
+	"github.com/mulberryfork/mulberryfork/decide/configcheck"
 	"github.com/mulberryfork/mulberryfork/decide/tomltree"
 	"github.com/mulberryfork/mulberryfork/internal/rapidtest"
 )
@@ -58,6 +60,48 @@
 	}
 }
 
+// TestWarnings guards against entries without effect that the check does not find, and
+// against warnings about a configuration without such entries. Each file is merged over a
+// valid configuration.
+func TestWarnings(t *testing.T) {
+	base := readFile(t, "testdata/base.toml")
+	process := &configcheck.Process{StopDeadline: 45 * time.Second}
+	golden := goldie.New(t, goldie.WithFixtureDir("testdata/warn"))
+	for _, name := range []string{"none", "members", "services", "patterns"} {
+		r, errs := config.Merge(map[string][]byte{"10-base.toml": base, "20-warn.toml": readFile(t, "testdata/warn/"+name+".toml")})
+		if errs != nil {
+			t.Fatal(errs)
+		}
+		var out strings.Builder
+		for _, f := range configcheck.Check(r.Model(), process) {
+			fmt.Fprintln(&out, f.Severity, f)
+		}
+		golden.Assert(t, name, []byte(out.String()))
+	}
+}
+
+// BenchmarkCheck merges, checks and compares a folder of 10,000 entries. The target is less
+// than a second.
+func BenchmarkCheck(b *testing.B) {
+	files := map[string][]byte{}
+	for i := range 5 {
+		var text strings.Builder
+		for j := range 2000 {
+			fmt.Fprintf(&text, "[members.m%d-%d]\nshare = 2\nqueue_requests = 3\nrequests_per_second = 4\n", i, j)
+		}
+		files[fmt.Sprint(i, ".toml")] = []byte(text.String())
+	}
+	before, errs := config.Merge(files)
+	if errs != nil {
+		b.Fatal(errs)
+	}
+	for b.Loop() {
+		r, _ := config.Merge(files)
+		configcheck.Check(r.Model(), nil)
+		configcheck.Diff(before.Model(), r.Model())
+	}
+}
+
 // TestValidInputGetsDefaults guards against rejecting a valid configuration, and
 // against defaults that are missing or replace an explicit value.
 func TestValidInputGetsDefaults(t *testing.T) {
--- a/decide/config/merge.go
+++ b/decide/config/merge.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/configcheck"
 	"github.com/mulberryfork/mulberryfork/decide/tomltree"
 )
 
@@ -57,7 +58,11 @@
 	if all := tomltree.NewErrors(errs); all != nil {
 		return nil, all
 	}
-	return &Result{Config: c, Digest: digest(names, files), tree: tree}, nil
+	result := &Result{Config: c, Digest: digest(names, files), tree: tree}
+	if all := tomltree.NewErrors(refusals(configcheck.Check(result.Model(), nil))); all != nil {
+		return nil, all
+	}
+	return result, nil
 }
 
 // Digest returns the hash of file names and contents. It is the same in all
