--- a/cmd/mulberryfork/main.go
+++ b/cmd/mulberryfork/main.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/mulberryfork/mulberryfork/bench"
+	"github.com/mulberryfork/mulberryfork/configreport"
 	"github.com/mulberryfork/mulberryfork/decide/tomltree"
 )
 
@@ -30,7 +31,7 @@
 	Router  routerCommand  `cmd:"" help:"Run a router on an entry VM."`
 	Agent   agentCommand   `cmd:"" help:"Run the agent on the VM of an upstream."`
 	Demo    demoCommand    `cmd:"" help:"Run routers, agents and stand-ins in this process and send requests."`
-	Check   checkCommand   `cmd:"" help:"Check a folder of configuration files and print every error."`
+	Check   checkCommand   `cmd:"" help:"Check a folder of configuration files, and compare it with the one in force."`
 	Explain explainCommand `cmd:"" help:"Show which file sets a key and which files it overrides."`
 	Bench   benchCommand   `cmd:"" help:"Run an experiment; 'list' describes each."`
 	Burn    burnCommand    `cmd:"" help:"Report the burn rates of service-level error budgets."`
@@ -82,9 +83,13 @@
 func (e *InvalidInputError) Unwrap() error { return e.Err }
 
 func exitCode(err error) int {
+	var status *configreport.StatusError
 	var invalid *InvalidInputError
 	var files *tomltree.Errors
 	var experiment *bench.UnknownExperimentError
+	if errors.As(err, &status) {
+		return status.Status
+	}
 	if errors.As(err, &experiment) {
 		return exitUsage
 	}
@@ -104,8 +109,8 @@
 	return code
 }
 
-// underlyingError unwraps InvalidInputError, which only sets the exit code, and joined
-// errors, of which it takes the first. It keeps all other wrappers.
+// underlyingError unwraps errors that only set the exit code, and joined errors, of which it
+// takes the first. It keeps all other wrappers.
 func underlyingError(err error) error {
 	for {
 		switch e := err.(type) {
@@ -113,6 +118,8 @@
 			err = e.Unwrap()[0]
 		case *InvalidInputError:
 			err = e.Err
+		case *configreport.StatusError:
+			err = e.Err
 		default:
 			return err
 		}
--- a/cmd/mulberryfork/tools.go
+++ b/cmd/mulberryfork/tools.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -12,20 +11,31 @@
 
 	"github.com/mulberryfork/mulberryfork/bench"
 	"github.com/mulberryfork/mulberryfork/confdir"
+	"github.com/mulberryfork/mulberryfork/configreport"
+	"github.com/mulberryfork/mulberryfork/decide/settings"
 )
 
 type checkCommand struct {
-	Dir string `arg:"" type:"existingdir" help:"Folder of configuration files."`
+	configreport.Options
+	Dir     string `arg:"" type:"existingdir" help:"Folder of configuration files."`
+	Against string `placeholder:"PATH" help:"Folder or file of the configuration in force, to show the differences from."`
 }
 
 func (c checkCommand) Run(s streams) error {
-	// Problems are printed to standard error, a summary to standard output.
-	var summary bytes.Buffer
-	if err := confdir.Check(&summary, c.Dir); err != nil {
-		return &InvalidInputError{Err: err}
+	process, err := c.Process(settings.Router)
+	if err != nil {
+		return err
+	}
+	result, report, err := confdir.Check(c.Dir, process)
+	if err != nil {
+		return &configreport.StatusError{Status: configreport.StatusErrors, Err: err}
+	}
+	if c.Against != "" && result != nil {
+		if err := confdir.Compare(&report, result, c.Against); err != nil {
+			return &configreport.StatusError{Status: configreport.StatusErrors, Err: err}
+		}
 	}
-	_, err := s.out.Write(summary.Bytes())
-	return err
+	return configreport.Write(s.out, report, c.Options)
 }
 
 type explainCommand struct {
--- a/confdir/confdir.go
+++ b/confdir/confdir.go
@@ -86,10 +86,10 @@
 	return data, nil
 }
 
-// Load reads and merges the files of a folder. It returns a *ReadError, a
+// Load reads and merges the files of a folder, or a single file. It returns a *ReadError, a
 // *TooLargeError or a *config.Errors.
-func Load(dir string) (*config.Result, error) {
-	files, err := Read(dir)
+func Load(path string) (*config.Result, error) {
+	files, err := read(path)
 	if err != nil {
 		return nil, err
 	}
@@ -99,3 +99,14 @@
 	}
 	return result, nil
 }
+
+func read(path string) (map[string][]byte, error) {
+	if info, err := os.Stat(path); err != nil || info.IsDir() {
+		return Read(path)
+	}
+	data, err := readFile(path, config.MaxBytes)
+	if err != nil {
+		return nil, err
+	}
+	return map[string][]byte{filepath.Base(path): data}, nil
+}
--- a/confdir/render.go
+++ b/confdir/render.go
@@ -1,35 +1,58 @@
 package confdir
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"strings"
 
+	"github.com/mulberryfork/mulberryfork/configreport"
 	"github.com/mulberryfork/mulberryfork/decide/config"
+	"github.com/mulberryfork/mulberryfork/decide/configcheck"
 	"github.com/mulberryfork/mulberryfork/decide/tomltree"
 )
 
-// Check writes the problems of a folder, one per line in the form
-// "file:line: key: kind: message", or a summary if there are none. It returns an
-// *EmptyError, the error of Load or a *WriteError.
-func Check(w io.Writer, dir string) error {
+// Check checks a folder. Its result is nil if the folder has errors, which are among the
+// findings. It returns an *EmptyError, a *ReadError or a *TooLargeError. p is nil if the
+// settings of the processes are unknown.
+func Check(dir string, p *configcheck.Process) (*config.Result, configreport.Report, error) {
 	files, err := Read(dir)
 	if err == nil && len(files) == 0 {
 		err = &EmptyError{Path: dir}
-		return errors.Join(err, write(w, err.Error()+"\n"))
 	}
-	result, err := Load(dir)
-	var problems *config.Errors
-	if errors.As(err, &problems) {
-		return errors.Join(err, write(w, problems.Error()+"\n"))
+	if err != nil {
+		return nil, configreport.Report{}, err
+	}
+	result, errs := config.Merge(files)
+	if errs != nil {
+		return nil, configreport.Report{Findings: config.Findings(errs)}, nil
 	}
+	return result, configreport.Report{Findings: configcheck.Check(result.Model(), p), Summary: formatSummary(result)}, nil
+}
+
+// Compare adds the differences from the configuration in another folder or file to the
+// report of a result. It returns an *AgainstError.
+func Compare(report *configreport.Report, result *config.Result, against string) error {
+	before, err := Load(against)
 	if err != nil {
-		return errors.Join(err, write(w, err.Error()+"\n"))
+		return &AgainstError{Path: against, Err: err}
 	}
-	return write(w, formatSummary(result))
+	report.Compared, report.Differences = true, configcheck.Diff(before.Model(), result.Model())
+	return nil
 }
 
+// AgainstError reports that the configuration to compare with cannot be read or is invalid.
+type AgainstError struct {
+	Path string
+	Err  error
+}
+
+func (e *AgainstError) Error() string {
+	return "cannot compare with " + e.Path + ": " + e.Err.Error()
+}
+
+// Unwrap returns the error of Load.
+func (e *AgainstError) Unwrap() error { return e.Err }
+
 // Explain writes the value of a key, the file and line that set it, and the files and
 // lines whose values it overrides. For a table, it does so for each key in it. It
 // returns the error of Load, or a *config.UnknownKeyError.
@@ -66,7 +89,7 @@
 
 func formatSummary(r *config.Result) string {
 	c := r.Config
-	return fmt.Sprintf("ok: digest %016x, %d members, %d zones, %d upstreams, %d services, %d models, %d groups, %d objectives\n",
+	return fmt.Sprintf("digest %016x, %d members, %d zones, %d upstreams, %d services, %d models, %d groups, %d objectives",
 		r.Digest, len(c.Members), len(c.Zones), len(c.Upstreams), len(c.Services), len(c.Models), len(c.Groups), len(c.Objectives))
 }
 
--- a/service/apikeys/apikeys.go
+++ b/service/apikeys/apikeys.go
@@ -22,12 +22,7 @@
 	// is short because another process can serve the retry at once.
 	staleRetryAfter = 200 * time.Millisecond
 	busyRetryAfter  = 300 * time.Millisecond
-	// bodyMemoryFraction is the fraction of the process's memory that request bodies may
-	// take. The rest is for responses, for what the garbage collector has not freed yet, and
-	// for everything else.
-	bodyMemoryFraction = 0.25
-	bytesPerMB         = 1 << 20
-	bodyMailboxSize    = 1024
+	bodyMailboxSize = 1024
 )
 
 // bodyChange is a number of bytes that are taken or returned for the bodies of a member.
@@ -78,7 +73,7 @@
 	})
 	fleet.Subscribe(func(_ time.Duration, v *api.FleetView) { s.budget.SetProcessCount(v.LimitDivisor) })
 	s.refusedBodies = metrics.Counter("bodies_refused", "")
-	s.bodyBudget = bodybudget.New(int64(bodyMemoryFraction * edge.MemoryMB * bytesPerMB))
+	s.bodyBudget = bodybudget.New(bodybudget.Capacity(edge.MemoryMB))
 	s.bodies = kernel.NewMailbox(c.Loop(), "admission.body", bodyMailboxSize, kernel.Wait,
 		func(_ time.Duration, call kernel.Call[bodyChange, bool]) {
 			call.Reply(s.bodyBudget.Take(call.Query.member, call.Query.n))
