--- a/cmd/mulberryfork-platform/main.go
+++ b/cmd/mulberryfork-platform/main.go
@@ -4,15 +4,19 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/configreport"
 	"github.com/mulberryfork/mulberryfork/daemon"
 	"github.com/mulberryfork/mulberryfork/decide/settings"
 	"github.com/mulberryfork/mulberryfork/kernel"
@@ -39,9 +43,10 @@
 	Edge edgeCommand `cmd:"" help:"Route requests of callers to upstreams."`
 	Side sideCommand `cmd:"" help:"Manage the expert map of the engine on this VM."`
 
-	Check   checkCommand   `cmd:"" help:"Check a settings file and print every problem."`
-	Explain explainCommand `cmd:"" help:"Show the value of a setting and the line that sets it."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Check       checkCommand       `cmd:"" help:"Check a settings file and print every problem."`
+	CheckConfig checkConfigCommand `cmd:"" help:"Check a configuration document, and compare it with the one in force."`
+	Explain     explainCommand     `cmd:"" help:"Show the value of a setting and the line that sets it."`
+	Version     versionCommand     `cmd:"" help:"Print the version."`
 }
 
 // version is set by the linker for a release.
@@ -127,11 +132,22 @@
 		kong.Name("mulberryfork-platform"),
 		kong.Description("The processes of mulberryfork on a platform with a store."))
 	if err := parsed.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "mulberryfork-platform:", err)
-		os.Exit(1)
+		os.Exit(printError(os.Stderr, err))
 	}
 }
 
+// printError prints each line of an error and returns the exit code.
+func printError(w io.Writer, err error) int {
+	for line := range strings.Lines(err.Error()) {
+		fmt.Fprintf(w, "mulberryfork-platform: %s\n", strings.TrimRight(line, "\n"))
+	}
+	var status *configreport.StatusError
+	if errors.As(err, &status) {
+		return status.Status
+	}
+	return 1
+}
+
 type sideCommand struct{ edgeCommand }
 
 func (c sideCommand) Run() error { return serve(c.Settings, settings.Side, sideServices) }
--- a/configreport/configreport.go
+++ b/configreport/configreport.go
@@ -38,7 +38,7 @@
 	JSON bool `help:"Print one JSON object instead of text."`
 	// Strict makes warnings set the exit status.
 	Strict   bool   `help:"Exit with status 1 if there are warnings."`
-	Settings string `type:"existingfile" help:"Settings file of a process that will use the configuration, to check limits against."`
+	Settings string `placeholder:"FILE" help:"Settings file of a process that will use the configuration, to check limits against."`
 }
 
 // Process returns the settings to check against, nil if no file is named. The error is a
--- a/decide/config/merge.go
+++ b/decide/config/merge.go
@@ -5,8 +5,10 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,8 +61,9 @@
 		return nil, all
 	}
 	result := &Result{Config: c, Digest: digest(names, files), tree: tree}
-	if all := tomltree.NewErrors(refusals(configcheck.Check(result.Model(), nil))); all != nil {
-		return nil, all
+	var refused *configcheck.RefusedError
+	if errors.As(configcheck.Errors(result.Model(), math.MaxInt), &refused) {
+		return nil, toErrors(refused.Findings)
 	}
 	return result, nil
 }
--- a/decide/config/model.go
+++ b/decide/config/model.go
@@ -134,14 +134,12 @@
 	return key, ""
 }
 
-// refusals returns the errors among the findings.
-func refusals(findings []configcheck.Finding) []*Error {
+// toErrors returns findings as errors of a configuration.
+func toErrors(findings []configcheck.Finding) *Errors {
 	var errs []*Error
 	for _, f := range findings {
-		if f.Severity == configcheck.Error {
-			key := strings.TrimSuffix(f.Entry+"."+f.Field, ".")
-			errs = append(errs, &Error{File: f.File, Line: f.Line, Key: key, Kind: tomltree.Kind(f.Kind), Message: f.Message})
-		}
+		key := strings.TrimSuffix(f.Entry+"."+f.Field, ".")
+		errs = append(errs, &Error{File: f.File, Line: f.Line, Key: key, Kind: tomltree.Kind(f.Kind), Message: f.Message})
 	}
-	return errs
+	return tomltree.NewErrors(errs)
 }
--- a/decide/configcheck/check.go
+++ b/decide/configcheck/check.go
@@ -13,12 +13,33 @@
 	services  map[string]bool
 	upstreams map[string]*Upstream
 	zonesOut  map[string]bool
+	// errorsOnly leaves out warnings, and errors beyond a limit, which are counted.
+	errorsOnly     bool
+	limit, omitted int
 }
 
 // Check returns the findings of a configuration in the order of Sort. p is nil if the
 // settings of the processes are unknown. The errors do not depend on p.
 func Check(m *Model, p *Process) []Finding {
-	c := &checker{model: m, services: map[string]bool{}, upstreams: map[string]*Upstream{}, zonesOut: map[string]bool{}}
+	c := &checker{model: m}
+	c.check(p)
+	return c.found
+}
+
+// Errors returns a *RefusedError with the errors that Check finds, at most limit, or nil if
+// there are none. Others are only counted, since it runs in processes with little memory.
+func Errors(m *Model, limit int) error {
+	c := &checker{model: m, errorsOnly: true, limit: limit}
+	c.check(nil)
+	if len(c.found) == 0 {
+		return nil
+	}
+	return &RefusedError{Findings: c.found, Omitted: c.omitted}
+}
+
+func (c *checker) check(p *Process) {
+	m := c.model
+	c.services, c.upstreams, c.zonesOut = map[string]bool{}, map[string]*Upstream{}, map[string]bool{}
 	for i := range m.Services {
 		c.services[m.Services[i].Name] = true
 	}
@@ -35,7 +56,6 @@
 	c.memberPlaces()
 	c.limits(p)
 	Sort(c.found)
-	return c.found
 }
 
 // CheckAgainst returns the findings about a configuration that would replace another one.
@@ -48,6 +68,12 @@
 }
 
 func (c *checker) add(s Severity, k Kind, e *Entry, field, format string, args ...any) {
+	if c.errorsOnly && (s != Error || len(c.found) >= c.limit) {
+		if s == Error {
+			c.omitted++
+		}
+		return
+	}
 	if name, ok := c.model.Fields[field]; ok {
 		field = name
 	}
