--- a/confdir/docs_test.go
+++ b/confdir/docs_test.go
@@ -1,8 +1,11 @@
 package confdir_test
 
 import (
+	"bytes"
 	"os"
+	"path/filepath"
 	"reflect"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -42,6 +45,38 @@
 	}
 }
 
+// Guards against kinds of findings that are not documented or that no golden file covers.
+func TestFindingsAreDocumentedAndCovered(t *testing.T) {
+	source, err := os.ReadFile("../decide/configcheck/model.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile("../docs/operators/commands.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var golden []byte
+	for _, pattern := range []string{"../platform/testdata/check/*.golden", "../decide/config/testdata/warn/*.golden", "../cmd/*/testdata/check*.golden"} {
+		paths, _ := filepath.Glob(pattern)
+		for _, path := range paths {
+			data, _ := os.ReadFile(path)
+			golden = append(golden, data...)
+		}
+	}
+	kinds := regexp.MustCompile(`Kind = "(\w+)"`).FindAllSubmatch(source, -1)
+	if len(kinds) < 20 {
+		t.Fatalf("%d kinds", len(kinds))
+	}
+	for _, kind := range kinds {
+		if !regexp.MustCompile("\n\\|[^|]*`" + string(kind[1]) + "`").Match(page) {
+			t.Errorf("%s is not documented", kind[1])
+		}
+		if !bytes.Contains(golden, []byte(": "+string(kind[1])+": ")) {
+			t.Errorf("no golden file has %s", kind[1])
+		}
+	}
+}
+
 func expectRow(t *testing.T, text, where, key string) {
 	t.Helper()
 	if !strings.Contains(text, "\n| `"+key+"` |") {
