--- a/configreport/configreport.go
+++ b/configreport/configreport.go
@@ -7,7 +7,6 @@
 	"io"
 	"math"
 	"os"
-	"slices"
 	"strings"
 	"time"
 
@@ -142,48 +141,21 @@
 	return b.String()
 }
 
-// finding and difference are the JSON forms of findings and differences.
-type finding struct {
-	Severity configcheck.Severity `json:"severity"`
-	Kind     configcheck.Kind     `json:"kind"`
-	Entry    string               `json:"entry"`
-	File     string               `json:"file"`
-	Line     int                  `json:"line"`
-	Field    string               `json:"field"`
-	Message  string               `json:"message"`
-}
-
-type difference struct {
-	Change  configcheck.Change `json:"change"`
-	Entry   string             `json:"entry"`
-	Field   string             `json:"field"`
-	Before  string             `json:"before"`
-	After   string             `json:"after"`
-	Affects string             `json:"affects"`
-	Effect  configcheck.Effect `json:"effect"`
-}
-
 type document struct {
-	Status   int       `json:"status"`
-	Summary  string    `json:"summary"`
-	Findings []finding `json:"findings"`
+	Status   int                   `json:"status"`
+	Summary  string                `json:"summary"`
+	Findings []configcheck.Finding `json:"findings"`
 	// Differences is null if nothing was compared.
-	Differences []difference `json:"differences"`
+	Differences []configcheck.Difference `json:"differences"`
 }
 
 func writeJSON(w io.Writer, r Report, failure *StatusError) error {
-	d := document{Summary: r.Summary, Findings: []finding{}}
+	d := document{Summary: r.Summary, Findings: append([]configcheck.Finding{}, r.Findings...)}
 	if failure != nil {
 		d.Status = failure.Status
 	}
-	for _, f := range r.Findings {
-		d.Findings = append(d.Findings, finding(f))
-	}
 	if r.Compared {
-		d.Differences = slices.Grow([]difference{}, len(r.Differences))
-	}
-	for _, c := range r.Differences {
-		d.Differences = append(d.Differences, difference(c))
+		d.Differences = append([]configcheck.Difference{}, r.Differences...)
 	}
 	encoder := json.NewEncoder(w)
 	encoder.SetEscapeHTML(false)
--- a/decide/configcheck/diff.go
+++ b/decide/configcheck/diff.go
@@ -36,14 +36,16 @@
 
 // Difference is one difference in meaning between two configurations.
 type Difference struct {
-	Change Change
+	Change Change `json:"change"`
 	// Entry is the dotted key of the entry. Field is empty if it was added or removed.
-	Entry, Field string
+	Entry string `json:"entry"`
+	Field string `json:"field"`
 	// Before and After are values of the field; for keys, their numbers.
-	Before, After string
+	Before string `json:"before"`
+	After  string `json:"after"`
 	// Affects names whose requests the difference concerns.
-	Affects string
-	Effect  Effect
+	Affects string `json:"affects"`
+	Effect  Effect `json:"effect"`
 }
 
 func (d Difference) String() string {
--- a/decide/configcheck/model.go
+++ b/decide/configcheck/model.go
@@ -61,16 +61,16 @@
 
 // Finding is one problem of a configuration.
 type Finding struct {
-	Severity Severity
-	Kind     Kind
+	Severity Severity `json:"severity"`
+	Kind     Kind     `json:"kind"`
 	// Entry is the dotted key of the entry, such as "routes.chat".
-	Entry string
-	File  string
+	Entry string `json:"entry"`
+	File  string `json:"file"`
 	// Line counts from 1; 0 means the whole file.
-	Line int
+	Line int `json:"line"`
 	// Field is the field of the entry, empty for the entry itself.
-	Field   string
-	Message string
+	Field   string `json:"field"`
+	Message string `json:"message"`
 }
 
 // String has the format of the errors of a settings file.
