--- a/decide/config/merge.go
+++ b/decide/config/merge.go
@@ -5,13 +5,16 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/configcheck"
 	"github.com/mulberryfork/mulberryfork/decide/tomltree"
 )
 
@@ -57,7 +60,12 @@
 	if all := tomltree.NewErrors(errs); all != nil {
 		return nil, all
 	}
-	return &Result{Config: c, Digest: digest(names, files), tree: tree}, nil
+	result := &Result{Config: c, Digest: digest(names, files), tree: tree}
+	var refused *configcheck.RefusedError
+	if errors.As(configcheck.Errors(result.Model(), math.MaxInt), &refused) {
+		return nil, toErrors(refused.Findings)
+	}
+	return result, nil
 }
 
 // Digest returns the hash of file names and contents. It is the same in all
