Keep regular reads out of the way of orders to prepare

Cause: a regular read of all ranks began right after a proposal, while orders to prepare were on their way, and was still in flight when the experts were copied.

--- a/decide/mapswitch/hold_test.go
+++ b/decide/mapswitch/hold_test.go
@@ -94,3 +94,42 @@
 		})
 	}
 }
+
+// Guards against a change that waits for a read longer than necessary: one that started
+// before the experts were copied shows nothing new, and is in the way of the next one.
+func TestReadIsDueWhenExpertsAreCopied(t *testing.T) {
+	const copying = 33 * time.Millisecond
+	s := New(0)
+	ranks := make([]api.RankReport, 3)
+	for i := range ranks {
+		ranks[i] = api.RankReport{Rank: i, Size: 3, Formed: true, Epoch: 1, Step: 100}
+	}
+	s.Observe(time.Second, time.Second, 1, ranks)
+	prepares := s.Begin(time.Second, 1, nil)
+	confirmed := time.Second
+	for _, prepare := range prepares {
+		if _, waits := s.SnapshotDue(copying); waits || !s.AwaitsResults() {
+			t.Fatal("a read is due while orders to prepare have no result")
+		}
+		confirmed += 20 * time.Millisecond
+		s.HandleResult(confirmed, 1, prepare, api.RankDone)
+	}
+	if from, waits := s.SnapshotDue(copying); !waits || s.AwaitsResults() || from != confirmed+copying {
+		t.Errorf("read due from %v (%t), want %v after the last confirmation", from, waits, copying)
+	}
+	version, now := s.Version(), confirmed+copying
+	for i := range ranks {
+		ranks[i].PreparedMapVersion = &version
+	}
+	orders := s.Observe(now, now, 1, ranks)
+	for s.Phase() != Settling {
+		if _, waits := s.SnapshotDue(copying); waits || !s.AwaitsResults() || len(orders) == 0 {
+			t.Fatalf("phase %v: a read is due, or no order is left", s.Phase())
+		}
+		o := orders[0]
+		orders = append(orders[1:], s.HandleResult(now, 1, o, api.RankDone)...)
+	}
+	if from, waits := s.SnapshotDue(copying); !waits || from != now {
+		t.Errorf("read due from %v (%t) after the release, want at once", from, waits)
+	}
+}
--- a/decide/mapswitch/mapswitch.go
+++ b/decide/mapswitch/mapswitch.go
@@ -174,7 +174,13 @@
 
 // AwaitsResults reports whether the change waits for nothing but the results of orders.
 func (s *State) AwaitsResults() bool {
-	return s.phase >= Holding && s.phase <= Releasing || s.phase == Fencing || s.phase == Disarming || s.phase == Freeing
+	switch s.phase {
+	case Preparing:
+		return len(s.pending) > 0
+	case Idle, Settling, Verifying:
+		return false
+	}
+	return true
 }
 
 // SnapshotDue returns the time from which on a snapshot may show what the change waits
