--- a/api/discovery.go
+++ b/api/discovery.go
@@ -30,6 +30,11 @@
 	// MaxAttempts bounds the attempts of one request, each at another upstream.
 	MaxAttempts int
 	Splits      []Split
+	// Priority is that of requests whose member has none, as in Request.
+	Priority int32
+	// FirstEventTarget is the time from the arrival of a request within which the first
+	// event of its response, or a response that is no stream, is in time. 0 if none is given.
+	FirstEventTarget time.Duration
 	// Anonymous allows requests without an API key.
 	Anonymous bool
 	// MaxPause is the longest pause between the events of a stream that is still in
@@ -87,6 +92,14 @@
 // it. Reports of engines are some hundred milliseconds old.
 const UnknownReportLag = time.Second
 
+// PriorityOf returns the priority of a member's request to a route.
+func (t *RouteTable) PriorityOf(r *Route, member string) int32 {
+	if p, ok := t.MemberPriorities[member]; ok {
+		return p
+	}
+	return r.Priority
+}
+
 // RouteTable is one version of the operator's configuration.
 type RouteTable struct {
 	Version  uint64
@@ -94,6 +107,9 @@
 	Services map[string]ServiceProfile
 	// Keys maps an API key to its member.
 	Keys map[string]string
+	// MemberPriorities maps a member to the priority of its requests, as in Request. A
+	// member without an entry has the priority of the route.
+	MemberPriorities map[string]int32
 	// MemberCount is the number of members. If it is 0, requests need no API key.
 	MemberCount int
 	// MaxBodyBytes bounds the body of a request.
--- a/api/services.go
+++ b/api/services.go
@@ -169,7 +169,19 @@
 	// block, the first two, and so on.
 	PrefixHashes []uint64
 	CostTokens   uint32
-	Priority     int32
+	// Priority is that of the Request.
+	Priority int32
+	// MayWait allows the request to wait for room until one of the times below. Without it,
+	// a request that finds no room is refused at once.
+	MayWait bool
+	// FirstEventBy is the elapsed time until which the first event of the response is in
+	// time, 0 if there is no such time.
+	FirstEventBy time.Duration
+	// QuietSince is the elapsed time of the last event that the caller received, or of its
+	// arrival if there was none.
+	QuietSince time.Duration
+	// Deadline is the elapsed time of the caller's deadline.
+	Deadline time.Duration
 	// Exclude lists upstreams that were tried already.
 	Exclude []string
 	// OnlyUpstream is the only upstream that may be chosen, for bound keys. Empty means no
@@ -290,7 +302,11 @@
 	PrefixHashes []uint64
 	// CostTokens is the estimated number of prompt and completion tokens.
 	CostTokens uint32
-	Priority   int32
+	// Priority is higher for more urgent requests, 0 by default.
+	Priority int32
+	// FirstEventTarget is the time from the call of Dispatch within which the first event of
+	// the response is in time, 0 if none is given.
+	FirstEventTarget time.Duration
 	// Timeout is the time from the call of Dispatch to the caller's deadline.
 	Timeout time.Duration
 	// Stream is true if the caller requested a stream of tokens.
--- a/service/dispatch/attempt.go
+++ b/service/dispatch/attempt.go
@@ -92,8 +92,11 @@
 		return &DetachedError{}
 	}
 	d := a.delivery
-	if a.timeToFirstChunk == 0 && c.Kind != api.ChunkFiller {
-		a.timeToFirstChunk = d.service.clock.Now() - d.startedAt
+	if c.Kind != api.ChunkFiller {
+		d.lastEventAt = d.service.clock.Now()
+		if a.timeToFirstChunk == 0 {
+			a.timeToFirstChunk = d.lastEventAt - d.startedAt
+		}
 	}
 	for _, next := range d.assembler.Chunk(c) {
 		if next.Kind != api.ChunkFiller {
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -62,6 +62,8 @@
 	// is set if the response is an event stream, which a later attempt can continue.
 	headSent  bool
 	resumable bool
+	// lastEventAt is when the caller got the last piece of the response, 0 before the first.
+	lastEventAt time.Duration
 	// unnumbered is set while the last piece that the caller got has no position after
 	// which a later attempt could continue.
 	unnumbered bool
@@ -304,7 +306,7 @@
 	if d.boundUpstream != "" {
 		d.service.links.EnsureLink(ctx, d.boundUpstream)
 	}
-	choice, failure := d.service.routing.Route(ctx, api.RouteQuery{
+	query := api.RouteQuery{
 		RequestID:    r.ID,
 		Member:       r.Member,
 		Model:        r.Model,
@@ -317,7 +319,11 @@
 		AllowLeaving: d.boundUpstream != "",
 		Fingerprint:  r.Fingerprint,
 		PromptParts:  r.PromptParts,
-	})
+	}
+	if len(inUse) == 0 {
+		d.allowWait(&query)
+	}
+	choice, failure := d.service.routing.Route(ctx, query)
 	if failure != nil || r.Idempotent || r.Unbound || d.key != "" {
 		return choice, failure
 	}
@@ -326,6 +332,17 @@
 	return choice, failure
 }
 
+// allowWait lets routing hold the request until there is room. A hedge must not wait: its
+// first attempt may end at any time.
+func (d *delivery) allowWait(q *api.RouteQuery) {
+	q.MayWait = true
+	q.Deadline = d.startedAt + d.request.Timeout
+	q.QuietSince = max(d.lastEventAt, d.startedAt)
+	if d.request.FirstEventTarget > 0 && d.lastEventAt == 0 && d.request.ResumeFrom == 0 {
+		q.FirstEventBy = d.startedAt + d.request.FirstEventTarget
+	}
+}
+
 // exclusions returns the upstreams that must not be chosen. A bound request has no
 // alternative to its upstream.
 func (d *delivery) exclusions() []string {
--- a/service/dispatch/hedgedattempt.go
+++ b/service/dispatch/hedgedattempt.go
@@ -215,6 +215,11 @@
 // reportResult reports the result of an attempt to routing, which closes the route
 // choice.
 func (d *delivery) reportResult(s *openAttempt, f *api.Failure, unsent bool) {
+	firstChunk := time.Duration(0)
+	if s.sink.timeToFirstChunk > 0 {
+		// The time that the request waited before this attempt is not the upstream's.
+		firstChunk = max(d.startedAt+s.sink.timeToFirstChunk-s.startedAt, 1)
+	}
 	d.service.routing.Done(api.RouteResult{
 		RequestID:   d.request.ID,
 		Fingerprint: d.request.Fingerprint,
@@ -225,7 +230,7 @@
 		Unsent:      unsent,
 		CostTokens:  d.request.CostTokens,
 		Failure:     f,
-		FirstChunk:  s.sink.timeToFirstChunk,
+		FirstChunk:  firstChunk,
 		Total:       d.service.clock.Now() - s.startedAt,
 	})
 }
