Let requests without room wait at the edge, the most urgent first

A request that finds no room in the groups was refused at once, whatever its urgency, and its caller came back once to be refused again. It now waits in decide/urgency until a place is free or its caller gives up. Places go to requests that can still be in time, by priority and in fair turns between members, with a reserve for urgent arrivals and floors for all. Each edge takes an equal part of the room that a report shows, less what it took since.

service/balance sends waiting requests on each load of a group and each end of a request. A canceled call leaves the queue, a stopping process refuses what waits, and without loads of the groups all waiting requests are placed by expected load. A choice that crosses the end of its call is taken back: its place was lost before.

--- a/api/metrics.go
+++ b/api/metrics.go
@@ -80,6 +80,8 @@
 	{"request_time", MetricHistogram, "us", "member", "router", "time from arrival to the end of the response"},
 	{"burn", MetricReport, "", "", "router", "counts for the service-level objectives; read by `mulberryfork burn`"},
 	{"route_choices", MetricCounter, "choices", "reason", "router", "choices of upstream, by the deciding factor: `affinity` (a cached prefix), `work` (outstanding work and zone) or `only` (no alternative)"},
+	{"waited", MetricCounter, "requests", "", "edge", "requests that found no room in the groups and waited for it"},
+	{"wait_ends", MetricCounter, "requests", "end", "edge", "ends of such waits: `sent`, `canceled` (the caller is gone), `expired` (no room in time) or `displaced` (by a more urgent request)"},
 	{"route_ejected", MetricCounter, "ejections", "", "router", "upstreams ejected as outliers"},
 	{"discovery_updates", MetricCounter, "views", "", "edge", "changes of the known routes, members and upstreams"},
 	{"discovery_malformed", MetricCounter, "entries", "", "edge", "unusable entries of the platform's store, ignored"},
--- a/decide/balance/balance.go
+++ b/decide/balance/balance.go
@@ -216,7 +216,12 @@
 // qualifies. Choose returns a failure if none qualifies or the selected upstream
 // is full.
 func (s *State) Choose(now time.Duration, service string, exclude []string) (Choice, *api.Failure) {
-	s.trafficOf(service).recordArrival(now)
+	s.RecordArrival(now, service)
+	return s.ChooseRecorded(now, service, exclude)
+}
+
+// ChooseRecorded is like Choose for a request whose arrival was recorded before.
+func (s *State) ChooseRecorded(now time.Duration, service string, exclude []string) (Choice, *api.Failure) {
 	if choice, failure, ok := s.chooseRank(now, service, exclude); ok {
 		return choice, failure
 	}
--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -7,7 +7,6 @@
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/batchlimit"
-	"github.com/mulberryfork/mulberryfork/decide/outlier"
 	"github.com/mulberryfork/mulberryfork/decide/waterfill"
 )
 
@@ -185,51 +184,23 @@
 // by the load that this process expects for upstreams whose group's load is unknown. ok
 // is false if no upstream of the service has such a load, or if none qualifies.
 func (s *State) chooseRank(now time.Duration, service string, exclude []string) (choice Choice, failure *api.Failure, ok bool) {
-	t := s.trafficOf(service)
-	var ranks []*upstream
-	var candidates []waterfill.Candidate
-	oldest, forming, known := now, 0, 0
-	for _, u := range s.services[service] {
-		load, recent := u.currentGroupLoad(now)
-		if !s.eligible(u) || slices.Contains(exclude, u.instance.ID) {
-			continue
-		}
-		if recent && !load.formed {
-			forming++
-			continue
-		}
-		if u.effectiveHealth(now) > outlier.Probing || s.statements.HeldUntil(now, u.incarnation()) > 0 || !s.withinColdQuota(now, u) {
-			continue
-		}
-		ranks = append(ranks, u)
-		if !recent {
-			candidates = append(candidates, s.unknownCandidate(now, u))
-			continue
-		}
-		known++
-		candidates = append(candidates, s.candidate(now, u, load, t.meanDuration))
-		oldest = min(oldest, load.readAt)
-	}
-	if len(ranks) == 0 && forming > 0 {
-		return Choice{}, s.formingFailure(service), true
+	room := s.Survey(now, service, exclude)
+	if room.Forming {
+		return Choice{}, s.FormingFailure(service), true
 	}
-	if known == 0 {
+	if !room.Known {
 		return Choice{}, nil, false
 	}
-	arrivals := 1 + t.rateNow(now)*(now-oldest).Seconds()*float64(s.otherProcesses())
-	i := waterfill.Choose(candidates, arrivals, s.random.Float64())
-	if i == waterfill.Refused {
-		f := api.NewFailure(api.CodeOverloaded, api.NotRun, "the groups of the service are full")
-		f.RetryAfter = s.spreadRetryAfter()
-		return Choice{Candidates: len(candidates)}, f, true
+	choice, placed := s.Place(now, &room)
+	if !placed {
+		return choice, s.FullFailure(), true
 	}
-	s.recordAttempt(now, ranks[i])
-	return choiceOf(ranks[i], candidates[i].Load, len(candidates)), nil, true
+	return choice, nil, true
 }
 
-// formingFailure returns the refusal while every group of a service is broken. A broken
+// FormingFailure returns the refusal while every group of a service is broken. A broken
 // group refuses all requests, after some time.
-func (s *State) formingFailure(service string) *api.Failure {
+func (s *State) FormingFailure(service string) *api.Failure {
 	f := api.NewFailure(api.CodeNoUpstream, api.NotRun, "the groups of the service are being formed")
 	f.RetryAfter = s.spreadRetryAfter()
 	if p := s.engineProfile(service); p != nil {
--- /dev/null
+++ b/decide/balance/room.go
@@ -0,0 +1,147 @@
+package balance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/outlier"
+	"github.com/mulberryfork/mulberryfork/decide/waterfill"
+)
+
+// placeTolerance covers the rounding errors of Room.Places.
+const placeTolerance = 1e-6
+
+// Room is what the upstreams of a service can take by the loads of its groups. It is valid
+// until the next event.
+type Room struct {
+	// Known is set if the load of a group is known. Without it, ChooseRecorded chooses by
+	// the loads that this process expects.
+	Known bool
+	// Forming is set if no upstream qualifies and groups are being formed.
+	Forming bool
+	// Places is the number of requests for which there is a place, and Total the same with
+	// the tolerance that lets an upstream of this zone win over an equally loaded one. Sent is the number of this process's attempts that
+	// the readings do not contain. Arrivals is the expected number of requests of all
+	// processes that neither contains, with the one to be placed.
+	Places, Total, Sent, Arrivals float64
+	// ReadAt is the time of the oldest reading.
+	ReadAt time.Duration
+	// EndRate is the number of requests that end in a second, 0 if it is unknown.
+	EndRate float64
+	// Processes is the number of processes that share the upstreams. It is at least the
+	// number of the upstreams while the other processes are unknown.
+	Processes int
+
+	ranks      []*upstream
+	candidates []waterfill.Candidate
+}
+
+// RecordArrival counts a request of a service.
+func (s *State) RecordArrival(now time.Duration, service string) {
+	s.trafficOf(service).recordArrival(now)
+}
+
+// Survey returns the room of a service for a request that must not go to the excluded
+// upstreams.
+func (s *State) Survey(now time.Duration, service string, exclude []string) Room {
+	t := s.trafficOf(service)
+	room := Room{ReadAt: now}
+	forming, running := 0, 0.0
+	for _, u := range s.services[service] {
+		load, recent := u.currentGroupLoad(now)
+		if !s.eligible(u) || slices.Contains(exclude, u.instance.ID) {
+			continue
+		}
+		if recent && !load.formed {
+			forming++
+			continue
+		}
+		if u.effectiveHealth(now) > outlier.Probing || s.statements.HeldUntil(now, u.incarnation()) > 0 || !s.withinColdQuota(now, u) {
+			continue
+		}
+		room.ranks = append(room.ranks, u)
+		c := s.unknownCandidate(now, u)
+		if recent {
+			c = s.candidate(now, u, load, t.meanDuration)
+			room.Known = true
+			room.ReadAt = min(room.ReadAt, load.readAt)
+			room.Sent += float64(u.sentSince(load.readAt))
+			running += min(float64(load.requests), float64(u.instance.Slots))
+		}
+		room.candidates = append(room.candidates, c)
+		places := c.Capacity - c.Load
+		room.Total += max(places, 0)
+		room.Places += max(min(places, places+s.penalty(u)-crossZonePenalty), 0)
+	}
+	room.Forming = len(room.ranks) == 0 && forming > 0
+	if t.meanDuration > 0 {
+		room.EndRate = running / t.meanDuration.Seconds()
+	}
+	room.Processes = max(len(s.fleet.Names), 1)
+	if s.fleet.LimitDivisor == 0 {
+		room.Processes = max(room.Processes, len(room.ranks))
+	}
+	room.Arrivals = 1 + t.rateNow(now)*(now-room.ReadAt).Seconds()*float64(s.otherProcesses())
+	return room
+}
+
+// ServiceOf returns the service of an upstream, empty if it is not known.
+func (s *State) ServiceOf(upstream string) string {
+	if u := s.upstreams[upstream]; u != nil {
+		return u.instance.Service
+	}
+	return ""
+}
+
+// Withdraw takes back an attempt that was chosen but not made.
+func (s *State) Withdraw(now time.Duration, id string) {
+	s.Done(now, id, api.NewFailure(api.CodeCanceled, api.NotRun, ""))
+	if u := s.upstreams[id]; u != nil && len(u.sentAt) > 0 {
+		u.sentAt = u.sentAt[:len(u.sentAt)-1]
+	}
+}
+
+// LoadsValidUntil returns the time at which the load of the last known group of a service gets
+// too old, unless it is read again.
+func (s *State) LoadsValidUntil(service string) time.Duration {
+	until := time.Duration(0)
+	for _, u := range s.services[service] {
+		if u.groupLoad != nil {
+			until = max(until, u.groupLoad.readAt+maxGroupLoadAge)
+		}
+	}
+	return until
+}
+
+// Fits reports whether there is room for all expected requests and a reserve of further ones.
+func (r *Room) Fits(reserve float64) bool { return r.Places >= r.Arrivals+reserve-placeTolerance }
+
+// Place selects an upstream and counts the attempt. It returns false if there is no room for
+// all expected requests.
+func (s *State) Place(now time.Duration, room *Room) (Choice, bool) {
+	return s.place(now, room, room.Arrivals)
+}
+
+// PlaceShare is like Place for a request within this process's share of the room. The other
+// processes are expected to take no more than theirs.
+func (s *State) PlaceShare(now time.Duration, room *Room) (Choice, bool) {
+	sent := room.Sent * float64(max(room.Processes-1, 0))
+	return s.place(now, room, max(min(1+sent, room.Total), 1))
+}
+
+func (s *State) place(now time.Duration, room *Room, arrivals float64) (Choice, bool) {
+	i := waterfill.Choose(room.candidates, arrivals, s.random.Float64())
+	if i == waterfill.Refused {
+		return Choice{Candidates: len(room.candidates)}, false
+	}
+	s.recordAttempt(now, room.ranks[i])
+	return choiceOf(room.ranks[i], room.candidates[i].Load, len(room.candidates)), true
+}
+
+// FullFailure returns the refusal of a request that finds no room in the groups.
+func (s *State) FullFailure() *api.Failure {
+	f := api.NewFailure(api.CodeOverloaded, api.NotRun, "the groups of the service are full")
+	f.RetryAfter = s.spreadRetryAfter()
+	return f
+}
--- /dev/null
+++ b/decide/urgency/bounds.go
@@ -0,0 +1,152 @@
+package urgency
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Add lets a request wait. If there are too many already, it displaces the one that would
+// be served last, or is not added itself. displaced must be refused.
+func (s *State) Add(now time.Duration, r Request, room Room) (w, displaced *Waiter) {
+	leaveAt := min(r.QuietSince+Patience-s.firstEvent, r.Deadline)
+	if leaveAt <= now {
+		return nil, nil
+	}
+	l := s.levelOf(r.Priority)
+	l.forget(now)
+	t := l.turnOf(r.Member)
+	bound := s.maxWaiting(room)
+	if s.waiting >= bound || s.waitingOf(r.Member) >= (bound+1)/2 {
+		if displaced = s.last(r, s.waitingOf(r.Member) >= (bound+1)/2); displaced == nil {
+			return nil, nil
+		}
+	}
+	w = &Waiter{Request: r, Since: now, leaveAt: leaveAt, turn: t, waiting: true}
+	l.add(w, s.firstEvent)
+	s.waiting++
+	return w, displaced
+}
+
+// maxWaiting returns the bound of the waiting requests: as many as can be sent while a caller
+// waits.
+func (s *State) maxWaiting(room Room) int {
+	if room.EndRate == 0 {
+		return minWaiting
+	}
+	return min(max(int(math.Ceil(room.ownEndRate()*Patience.Seconds())), minWaiting), maxWaiting)
+}
+
+func (s *State) waitingOf(member string) int {
+	n := 0
+	for _, l := range s.levels {
+		for _, t := range l.turns {
+			if t.member == member {
+				n += t.waiting()
+			}
+		}
+	}
+	return n
+}
+
+// last returns the waiting request that r may displace: the newest of the member with the
+// most requests in the lowest priority, if that is lower than r's or if that member has more
+// requests than r's. ofMember restricts it to the member of r.
+func (s *State) last(r Request, ofMember bool) *Waiter {
+	for _, l := range slices.Backward(s.levels) {
+		if l.priority > r.Priority {
+			return nil
+		}
+		var most *turn
+		for _, t := range l.turns {
+			if t.waiting() > 0 && (!ofMember || t.member == r.Member) && (most == nil || t.waiting() > most.waiting()) {
+				most = t
+			}
+		}
+		if most == nil {
+			continue
+		}
+		if l.priority == r.Priority && most.waiting() <= l.turnOf(r.Member).waiting()+1 {
+			return nil
+		}
+		if n := len(most.inTime); n > 0 {
+			return most.inTime[n-1]
+		}
+		return most.late[len(most.late)-1]
+	}
+	return nil
+}
+
+// CanServe reports whether a waiting request is expected to be sent while waiting serves its
+// caller.
+func (s *State) CanServe(now time.Duration, w *Waiter, room Room) bool {
+	return room.EndRate == 0 || now+s.expectedWait(now, w.Priority, room) <= w.leaveAt
+}
+
+// expectedWait returns the time in which the waiting requests of at least a priority are
+// sent, and those of higher priority that arrive meanwhile. The floor of the priority is
+// taken into account.
+func (s *State) expectedWait(now time.Duration, priority int32, room Room) time.Duration {
+	ahead, urgent, own, all := 0, 0.0, 0.0, 0.0
+	for _, l := range s.levels {
+		rate := l.arrivals.rate(now)
+		all += rate
+		if l.priority >= priority {
+			ahead += l.waiting
+			own = rate
+		}
+		if l.priority > priority {
+			urgent += rate
+		}
+	}
+	if ahead == 0 || room.EndRate == 0 {
+		return 0
+	}
+	rate := room.ownEndRate() - urgent
+	if all > 0 {
+		rate = max(rate, minFloor*own/all*room.ownEndRate())
+	}
+	if rate <= 0 {
+		return math.MaxInt32 * time.Millisecond
+	}
+	return time.Duration(float64(ahead) / rate * float64(time.Second))
+}
+
+// Expired returns the requests that can't be served anymore. They must be refused.
+func (s *State) Expired(now time.Duration) []*Waiter {
+	return s.collect(func(w *Waiter) bool { return w.leaveAt <= now })
+}
+
+// All returns all waiting requests, the most urgent ones first.
+func (s *State) All() []*Waiter {
+	return s.collect(func(*Waiter) bool { return true })
+}
+
+// NextExpiry returns the time at which the next waiting request expires. It is only
+// meaningful if there is one.
+func (s *State) NextExpiry() time.Duration {
+	next := time.Duration(math.MaxInt64)
+	for _, w := range s.All() {
+		next = min(next, w.leaveAt)
+	}
+	return next
+}
+
+func (s *State) collect(want func(*Waiter) bool) []*Waiter {
+	var list []*Waiter
+	if s.waiting == 0 {
+		return nil
+	}
+	for _, l := range s.levels {
+		for _, t := range l.turns {
+			for _, queue := range [][]*Waiter{t.inTime, t.late} {
+				for _, w := range queue {
+					if want(w) {
+						list = append(list, w)
+					}
+				}
+			}
+		}
+	}
+	return list
+}
--- a/decide/waterfill/waterfill.go
+++ b/decide/waterfill/waterfill.go
@@ -29,6 +29,9 @@
 
 func (c Candidate) room() float64 { return max(c.Capacity-c.Load, 0) }
 
+// tolerance covers the rounding errors of sums of loads.
+const tolerance = 1e-6
+
 // Refused is the choice if no upstream has room for the request.
 const Refused = -1
 
@@ -41,7 +44,7 @@
 		room += c.room()
 	}
 	arrivals = max(arrivals, 1)
-	if room < arrivals {
+	if room < arrivals-tolerance {
 		return Refused
 	}
 	level := fillLevel(candidates, arrivals)
--- a/service/balance/balance.go
+++ b/service/balance/balance.go
@@ -45,16 +45,28 @@
 	crashes, refusals api.Counter
 	// statementCount counts what upstreams said of themselves and was new.
 	statementCount api.Counter
-	queries        *kernel.Mailbox[kernel.Call[api.RouteQuery, routeReply]]
-	results        *kernel.Mailbox[api.RouteResult]
-	loads          *kernel.Mailbox[api.UpstreamLoad]
-	statements     *kernel.Mailbox[api.UpstreamStatement]
+	waits          waitCounters
+	queries        *kernel.Mailbox[call]
+	// abandoned holds the queries whose caller is gone.
+	abandoned  *kernel.Mailbox[*asked]
+	drains     *kernel.Mailbox[struct{}]
+	results    *kernel.Mailbox[api.RouteResult]
+	loads      *kernel.Mailbox[api.UpstreamLoad]
+	statements *kernel.Mailbox[api.UpstreamStatement]
 
 	// The control loop owns the fields below.
 	state           *balance.State
 	outliers        *outlier.State
 	suspects        *poison.Unisolated
 	viewChangeCount uint64
+	// lines holds the requests that wait for room, by service.
+	lines map[string]*line
+	seed  uint64
+	loop  *kernel.Loop
+	// wakeAt is when the next timer for waiting requests is due, 0 if there is none.
+	wakeAt     time.Duration
+	cancelWake func()
+	draining   bool
 }
 
 func (s *service) Provision(c *kernel.Context) (err error) {
@@ -85,21 +97,25 @@
 	s.crashes = metrics.Counter("crash_suspects", "")
 	s.refusals = metrics.Counter("suspects_refused", "")
 	s.statementCount = metrics.Counter("upstream_statements", "")
+	s.waits = newWaitCounters(metrics)
+	s.seed, s.loop, s.lines = xxhash.Sum64String(settings.Node), c.Loop(), make(map[string]*line)
 	s.state = balance.New(balance.Options{
 		Zone:          settings.Zone,
-		Seed:          xxhash.Sum64String(settings.Node),
+		Seed:          s.seed,
 		ColdOvershoot: settings.Edge.ColdOvershoot,
 		ColdTolerance: settings.Edge.ColdTolerance,
 	})
 	s.outliers = outlier.New()
 	s.suspects = poison.NewUnisolated(0)
 	s.queries = kernel.NewMailbox(c.Loop(), "routing.query", queryMailboxSize, kernel.Wait, s.handleQuery)
+	s.abandoned = kernel.NewMailbox(c.Loop(), "routing.abandoned", resultMailboxSize, kernel.Wait, s.abandon)
+	s.drains = kernel.NewMailbox(c.Loop(), "routing.drain", 1, kernel.Wait, s.handleDrain)
 	s.results = kernel.NewMailbox(c.Loop(), "routing.result", resultMailboxSize, kernel.Wait, s.handleResult)
 	// A later load report replaces a dropped one.
 	s.loads = kernel.NewMailbox(c.Loop(), "routing.load", loadMailboxSize, kernel.Drop, s.state.ObserveLoad)
 	s.statements = kernel.NewMailbox(c.Loop(), "routing.statement", loadMailboxSize, kernel.Wait, s.handleStatement)
 	s.discovery.Subscribe(s.configure)
-	groups.Subscribe(func(_ time.Duration, l api.GroupLoad) { s.state.ObserveGroupLoad(l) })
+	groups.Subscribe(s.handleGroupLoad)
 	s.fleet.Subscribe(func(_ time.Duration, v *api.FleetView) { s.state.SetFleet(v) })
 	s.fleet.ExchangeSuspicions(&sharedSuspects{Unisolated: s.suspects, log: s.log})
 	c.Loop().Every(tickInterval, func(now time.Duration) { s.applyHealth(s.outliers.Tick(now)) })
@@ -108,8 +124,10 @@
 
 // Route chooses an upstream.
 func (s *service) Route(ctx context.Context, q api.RouteQuery) (api.RouteChoice, *api.Failure) {
-	reply, err := kernel.Ask(ctx, s.queries, q)
+	query := &asked{RouteQuery: q}
+	reply, err := kernel.Ask(ctx, s.queries, query)
 	if err != nil {
+		_ = s.abandoned.Post(context.Background(), query)
 		return api.RouteChoice{}, &api.Failure{Code: api.CodeCanceled, Run: api.NotRun, Err: err}
 	}
 	return reply.choice, reply.failure
@@ -161,20 +179,24 @@
 	}
 }
 
-func (s *service) handleQuery(now time.Duration, c kernel.Call[api.RouteQuery, routeReply]) {
-	var choice balance.Choice
-	failure := s.suspects.Admit(now, contentOf(c.Query.Fingerprint, c.Query.PromptParts))
-	if failure != nil {
+func (s *service) handleQuery(now time.Duration, c call) {
+	if failure := s.suspects.Admit(now, contentOf(c.Query.Fingerprint, c.Query.PromptParts)); failure != nil {
 		s.refusals.Add(1)
-	} else {
-		choice, failure = s.state.Choose(now, c.Query.Service, c.Query.Exclude)
+		s.answer(now, c, balance.Choice{}, failure)
+		return
 	}
-	s.logChoice(now, c.Query, choice, failure)
+	s.admit(now, c)
+}
+
+// answer replies to a call.
+func (s *service) answer(now time.Duration, c call, choice balance.Choice, failure *api.Failure) {
+	s.logChoice(now, c.Query.RouteQuery, choice, failure)
 	if failure != nil {
 		c.Reply(routeReply{failure: failure})
 		return
 	}
 	s.choices.Add(1)
+	c.Query.chosen = choice.Upstream
 	c.Reply(routeReply{choice: api.RouteChoice{
 		Upstream:    choice.Upstream,
 		Incarnation: choice.Incarnation,
@@ -183,6 +205,11 @@
 	}})
 }
 
+func (s *service) handleGroupLoad(now time.Duration, l api.GroupLoad) {
+	s.state.ObserveGroupLoad(l)
+	s.dispatchEverywhere(now)
+}
+
 func (s *service) logChoice(now time.Duration, q api.RouteQuery, choice balance.Choice, f *api.Failure) {
 	fields := api.Fields{
 		"request":     q.RequestID,
@@ -232,6 +259,10 @@
 	if r.Failure == nil {
 		s.state.ObserveDuration(r.Upstream, r.Total)
 	}
+	if r.FirstChunk > 0 {
+		s.lineOf(s.state.ServiceOf(r.Upstream)).ObserveFirstEvent(r.FirstChunk)
+	}
+	s.dispatchEverywhere(now)
 	if r.Unsent {
 		return
 	}
--- /dev/null
+++ b/service/balance/waiting.go
@@ -0,0 +1,250 @@
+package balance
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/balance"
+	"github.com/mulberryfork/mulberryfork/decide/urgency"
+	"github.com/mulberryfork/mulberryfork/kernel"
+)
+
+// asked is a query with what is known of its reply. The control loop owns all fields but
+// the query.
+type asked struct {
+	api.RouteQuery
+	// chosen is the upstream of the reply, empty if there is none.
+	chosen string
+	// waiter is set while the request waits.
+	waiter *urgency.Waiter
+}
+
+type call = kernel.Call[*asked, routeReply]
+
+// line holds the calls of one service that wait for room.
+type line struct {
+	*urgency.State
+	calls map[*urgency.Waiter]call
+}
+
+// waitCounters count the requests that wait at this process.
+type waitCounters struct {
+	waited, sent, canceled, expired, displaced api.Counter
+}
+
+func newWaitCounters(metrics api.Metrics) waitCounters {
+	count := func(end string) api.Counter { return metrics.Counter("wait_ends", end) }
+	return waitCounters{
+		waited: metrics.Counter("waited", ""), sent: count("sent"), canceled: count("canceled"),
+		expired: count("expired"), displaced: count("displaced"),
+	}
+}
+
+func requestOf(q *asked) urgency.Request {
+	return urgency.Request{
+		Member: q.Member, Priority: q.Priority, FirstEventBy: q.FirstEventBy, QuietSince: q.QuietSince, Deadline: q.Deadline,
+	}
+}
+
+func capacityOf(r balance.Room) urgency.Room {
+	return urgency.Room{Places: r.Places, Sent: r.Sent, Processes: r.Processes, ReadAt: r.ReadAt, EndRate: r.EndRate}
+}
+
+func (s *service) lineOf(service string) *line {
+	l := s.lines[service]
+	if l == nil {
+		l = &line{State: urgency.New(s.seed ^ xxhash.Sum64String(service)), calls: make(map[*urgency.Waiter]call)}
+		s.lines[service] = l
+	}
+	return l
+}
+
+// admit replies to a call at once if its service has room for it or it can't wait. Otherwise
+// the call waits.
+func (s *service) admit(now time.Duration, c call) {
+	q := c.Query
+	s.state.RecordArrival(now, q.Service)
+	room := s.state.Survey(now, q.Service, q.Exclude)
+	if !room.Known {
+		choice, failure := s.state.ChooseRecorded(now, q.Service, q.Exclude)
+		s.answer(now, c, choice, failure)
+		return
+	}
+	l, request := s.lineOf(q.Service), requestOf(q)
+	l.Arrive(now, request)
+	if l.Len() == 0 && room.Fits(l.Reserve(now, q.Priority, capacityOf(room))*float64(room.Processes)) {
+		if choice, placed := s.state.Place(now, &room); placed {
+			l.Admitted(now, request)
+			s.answer(now, c, choice, nil)
+			return
+		}
+	}
+	if !q.MayWait || s.draining {
+		l.Refused(now, request)
+		s.answer(now, c, balance.Choice{}, s.state.FullFailure())
+		return
+	}
+	s.enqueue(now, c, l, capacityOf(room))
+}
+
+// enqueue lets a call wait. It is refused at once if it can't be served while waiting serves
+// its caller.
+func (s *service) enqueue(now time.Duration, c call, l *line, room urgency.Room) {
+	w, displaced := l.Add(now, requestOf(c.Query), room)
+	if displaced != nil {
+		s.waits.displaced.Add(1)
+		s.refuse(now, l, displaced, s.state.FullFailure())
+	}
+	if w == nil {
+		l.Refused(now, requestOf(c.Query))
+		s.answer(now, c, balance.Choice{}, s.state.FullFailure())
+		return
+	}
+	c.Query.waiter, l.calls[w] = w, c
+	s.dispatch(now, c.Query.Service)
+	if !w.Waiting() {
+		return
+	}
+	if !l.CanServe(now, w, room) {
+		s.refuse(now, l, w, s.state.FullFailure())
+		return
+	}
+	s.waits.waited.Add(1)
+	s.setWake(now)
+}
+
+// dispatch sends waiting requests of a service while there is room for them, and refuses
+// those that can't be served anymore.
+func (s *service) dispatch(now time.Duration, service string) {
+	l := s.lines[service]
+	if l == nil || l.Len() == 0 {
+		return
+	}
+	for _, w := range l.Expired(now) {
+		s.waits.expired.Add(1)
+		s.refuse(now, l, w, s.state.FullFailure())
+	}
+	for l.Len() > 0 {
+		room := s.state.Survey(now, service, nil)
+		if !room.Known {
+			s.dispatchAll(now, l)
+			return
+		}
+		w := l.Next(now, capacityOf(room))
+		if w == nil {
+			return
+		}
+		s.send(now, l, w, &room)
+	}
+}
+
+// send places a waiting request. It refuses one that has tried all upstreams with room.
+func (s *service) send(now time.Duration, l *line, w *urgency.Waiter, room *balance.Room) {
+	q := l.calls[w].Query
+	if len(q.Exclude) > 0 {
+		*room = s.state.Survey(now, q.Service, q.Exclude)
+	}
+	choice, placed := s.state.PlaceShare(now, room)
+	if !placed {
+		s.refuse(now, l, w, s.state.FullFailure())
+		return
+	}
+	s.sent(now, l, w, choice)
+}
+
+// dispatchAll places all waiting requests as if they arrived now, because the loads of the
+// groups are not known anymore or the groups are broken.
+func (s *service) dispatchAll(now time.Duration, l *line) {
+	for _, w := range l.All() {
+		q := l.calls[w].Query
+		choice, failure := s.state.ChooseRecorded(now, q.Service, q.Exclude)
+		if failure != nil {
+			s.refuse(now, l, w, failure)
+			continue
+		}
+		s.sent(now, l, w, choice)
+	}
+}
+
+func (s *service) refuse(now time.Duration, l *line, w *urgency.Waiter, f *api.Failure) {
+	c := l.calls[w]
+	l.Refuse(now, w)
+	delete(l.calls, w)
+	s.answer(now, c, balance.Choice{}, f)
+}
+
+func (s *service) sent(now time.Duration, l *line, w *urgency.Waiter, choice balance.Choice) {
+	c := l.calls[w]
+	l.Admit(now, w)
+	delete(l.calls, w)
+	s.waits.sent.Add(1)
+	s.answer(now, c, choice, nil)
+}
+
+func (s *service) dispatchEverywhere(now time.Duration) {
+	for service := range s.lines {
+		s.dispatch(now, service)
+	}
+	s.setWake(now)
+}
+
+// setWake arranges that dispatch runs when the next waiting request expires or the loads of
+// its groups get too old.
+func (s *service) setWake(now time.Duration) {
+	next, waiting := time.Duration(math.MaxInt64), false
+	for service, l := range s.lines {
+		if l.Len() > 0 {
+			next, waiting = min(next, l.NextExpiry(), s.state.LoadsValidUntil(service)+1), true
+		}
+	}
+	if !waiting || s.wakeAt > now && s.wakeAt <= next {
+		return
+	}
+	if s.cancelWake != nil {
+		s.cancelWake()
+	}
+	s.wakeAt = next
+	s.cancelWake = s.loop.After(max(next-now, 0), func(now time.Duration) {
+		s.wakeAt = 0
+		s.dispatchEverywhere(now)
+	})
+}
+
+// abandon ends a call whose caller doesn't wait for the reply anymore.
+func (s *service) abandon(now time.Duration, q *asked) {
+	switch {
+	case q.waiter != nil && q.waiter.Waiting():
+		s.waits.canceled.Add(1)
+		l := s.lineOf(q.Service)
+		l.Cancel(q.waiter)
+		delete(l.calls, q.waiter)
+	case q.chosen != "":
+		// The reply crossed the end of the call: nothing is sent.
+		s.state.Withdraw(now, q.chosen)
+		s.dispatch(now, q.Service)
+	default:
+		// The call was refused.
+	}
+}
+
+// Drain refuses the waiting requests, and from then on those that would wait.
+func (s *service) Drain() { _ = s.drains.Post(context.Background(), struct{}{}) }
+
+func (s *service) handleDrain(now time.Duration, _ struct{}) {
+	s.draining = true
+	for _, l := range s.lines {
+		for _, w := range l.All() {
+			f := api.NewFailure(api.CodeShuttingDown, api.NotRun, "the process is being stopped")
+			f.RetryAfter = drainRetryAfter
+			s.refuse(now, l, w, f)
+		}
+	}
+}
+
+// drainRetryAfter is the Retry-After of requests that waited in a process that is being
+// stopped. Other processes can take them at once.
+const drainRetryAfter = 50 * time.Millisecond
--- /dev/null
+++ b/service/balance/waiting_test.go
@@ -0,0 +1,286 @@
+package balance_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/service/balance"
+)
+
+const (
+	ranks = 4
+	slots = 6
+	// fullRank is the number of requests at which a rank takes no more: a sixth of the slots
+	// may wait.
+	fullRank = slots + 1
+)
+
+// fakes are the services that routing looks up.
+type fakes struct {
+	mu     sync.Mutex
+	counts map[string]int64
+	loads  *kernel.Mailbox[api.GroupLoad]
+	views  *kernel.Mailbox[*api.View]
+	onLoad func(time.Duration, api.GroupLoad)
+	onView func(time.Duration, *api.View)
+}
+
+func (f *fakes) Provision(c *kernel.Context) error {
+	f.counts = make(map[string]int64)
+	f.loads = kernel.NewMailbox(c.Loop(), "test.loads", 1, kernel.Wait, func(now time.Duration, l api.GroupLoad) { f.onLoad(now, l) })
+	f.views = kernel.NewMailbox(c.Loop(), "test.views", 1, kernel.Wait, func(now time.Duration, v *api.View) { f.onView(now, v) })
+	return nil
+}
+
+type fakeDiscovery struct {
+	api.Discovery
+	*fakes
+}
+
+func (d fakeDiscovery) Subscribe(f func(time.Duration, *api.View)) { d.onView = f }
+func (fakeDiscovery) AsOf() time.Duration                          { return 0 }
+
+type fakeGroups struct{ *fakes }
+
+func (g fakeGroups) Subscribe(f func(time.Duration, api.GroupLoad)) { g.onLoad = f }
+
+type fakeFleet struct{ api.Fleet }
+
+func (fakeFleet) Subscribe(f func(time.Duration, *api.FleetView)) {
+	f(0, &api.FleetView{Self: "e", Names: []string{"e"}, LimitDivisor: 1})
+}
+func (fakeFleet) ExchangeSuspicions(api.SuspicionRecords)       {}
+func (fakeFleet) ReportSuspicions([]api.Suspicion)              {}
+
+type fakeLog struct{}
+
+func (fakeLog) Change(string, api.Fields)                     {}
+func (fakeLog) Decision(string, api.DecisionKind, api.Fields) {}
+
+type fakeMetrics struct {
+	api.Metrics
+	*fakes
+}
+
+type fakeCounter struct {
+	*fakes
+	key string
+}
+
+func (m fakeMetrics) Counter(name, label string) api.Counter {
+	return fakeCounter{m.fakes, name + "/" + label}
+}
+
+func (c fakeCounter) Add(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts[c.key] += n
+}
+
+func (f *fakes) count(key string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.counts[key]
+}
+
+// edge is a process with one service "s" of one group.
+type edge struct {
+	*fakes
+	api.Routing
+	host  *kernel.Host
+	clock kernel.Clock
+}
+
+// startEdge starts an edge in a synctest bubble.
+func startEdge(t *testing.T) *edge {
+	t.Helper()
+	f, clock := &fakes{}, kernel.NewRuntimeClock()
+	r := kernel.NewRegistry()
+	for name, service := range map[string]any{
+		"test.fakes":          f,
+		api.ServiceDiscovery:  fakeDiscovery{fakes: f},
+		api.ServiceGroupLoads: fakeGroups{f},
+		api.ServiceFleet:      fakeFleet{},
+		api.ServiceLog:        fakeLog{},
+		api.ServiceMetrics:    fakeMetrics{fakes: f},
+	} {
+		if err := r.Register(name, func() any { return service }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := balance.Register(r); err != nil {
+		t.Fatal(err)
+	}
+	names := []string{"test.fakes", api.ServiceDiscovery, api.ServiceGroupLoads, api.ServiceFleet, api.ServiceLog, api.ServiceMetrics, api.ServiceRouting}
+	host := kernel.NewHost(r, names, kernel.Options{Clock: clock, Values: []any{&api.Settings{Zone: "z"}}})
+	if err := host.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = host.Stop(context.Background()) })
+	routing, err := kernel.Find[api.Routing](host, api.ServiceRouting)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &edge{fakes: f, Routing: routing, host: host, clock: clock}
+	v := &api.View{
+		Table:     &api.RouteTable{Services: map[string]api.ServiceProfile{"s": {Name: "s"}}},
+		Instances: make(map[string]api.Instance), ZonesOut: make(map[string]bool),
+	}
+	for i := range ranks {
+		id := fmt.Sprint("r", i)
+		v.Instances[id] = api.Instance{ID: id, Service: "s", Zone: "z", Slots: slots, Address: fmt.Sprintf("10.0.0.%d:80", i)}
+	}
+	_ = f.views.Post(t.Context(), v)
+	synctest.Wait()
+	return e
+}
+
+// report reports the same number of requests on each rank.
+func (e *edge) report(requests int, formed bool) {
+	l := api.GroupLoad{Group: "g", Formed: formed, ReadAt: e.clock.Now()}
+	for i := range ranks {
+		l.Ranks = append(l.Ranks, api.RankLoad{AddressHash: xxhash.Sum64String(fmt.Sprintf("10.0.0.%d:80", i)), Requests: requests})
+	}
+	_ = e.loads.Post(context.Background(), l)
+	synctest.Wait()
+}
+
+// ask routes a request on another goroutine.
+func (e *edge) ask(ctx context.Context, priority int32, mayWait bool) <-chan *api.Failure {
+	reply, now := make(chan *api.Failure, 1), e.clock.Now()
+	go func() {
+		_, failure := e.Route(ctx, api.RouteQuery{
+			Service: "s", Priority: priority, MayWait: mayWait,
+			FirstEventBy: now + 400*time.Millisecond, QuietSince: now, Deadline: now + 8*time.Second,
+		})
+		reply <- failure
+	}()
+	synctest.Wait()
+	return reply
+}
+
+// answered returns the reply of a call if there is one.
+func answered(reply <-chan *api.Failure) (failure *api.Failure, ok bool) {
+	synctest.Wait()
+	select {
+	case f := <-reply:
+		return f, true
+	default:
+		return nil, false
+	}
+}
+
+// Guards against a refusal of a request that has only to wait for a place, and against one
+// that gets the place of a more urgent request that came later.
+func TestPlaceGoesToMostUrgentWaitingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := startEdge(t)
+		e.report(fullRank, true)
+		usual, urgent := e.ask(t.Context(), 0, true), e.ask(t.Context(), 5, true)
+		if f, ok := answered(e.ask(t.Context(), 5, false)); !ok || f == nil || f.Run != api.NotRun {
+			t.Errorf("reply %v, %v to a request that must not wait, want a refusal", f, ok)
+		}
+		if _, ok := answered(urgent); ok {
+			t.Fatal("answered without room")
+		}
+		// The reading shows the first place, the end of a request the second.
+		l := api.GroupLoad{Group: "g", Formed: true, ReadAt: e.clock.Now()}
+		for i := range ranks {
+			l.Ranks = append(l.Ranks, api.RankLoad{AddressHash: xxhash.Sum64String(fmt.Sprintf("10.0.0.%d:80", i)), Requests: fullRank - (ranks-i)/ranks})
+		}
+		_ = e.loads.Post(t.Context(), l)
+		if f, ok := answered(urgent); !ok || f != nil {
+			t.Errorf("urgent request: %v, %v, want a choice", f, ok)
+		}
+		if f, ok := answered(usual); ok {
+			t.Errorf("usual request: %v, want none yet", f)
+		}
+		e.report(fullRank-1, true)
+		if f, ok := answered(usual); !ok || f != nil {
+			t.Errorf("usual request: %v, %v, want a choice", f, ok)
+		}
+	})
+}
+
+// Guards against requests that wait for longer than serves their callers, and against a wait
+// that nothing ends when no load is reported anymore.
+func TestWaitIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := startEdge(t)
+		e.report(fullRank, true)
+		reply := e.ask(t.Context(), 0, true)
+		for range 19 {
+			time.Sleep(100 * time.Millisecond)
+			e.report(fullRank, true)
+		}
+		if f, ok := answered(reply); ok {
+			t.Fatalf("%v before the caller gives up", f)
+		}
+		time.Sleep(101 * time.Millisecond)
+		if f, ok := answered(reply); !ok || f == nil || f.Run != api.NotRun || f.RetryAfter <= 0 {
+			t.Errorf("%v, %v, want a refusal", f, ok)
+		}
+		e.report(fullRank, true)
+		reply = e.ask(t.Context(), 0, true)
+		time.Sleep(1100 * time.Millisecond)
+		if f, ok := answered(reply); !ok || f != nil {
+			t.Errorf("%v, %v after the loads got too old, want a choice by expected load", f, ok)
+		}
+	})
+}
+
+// Guards against places that go to callers that are gone, and against calls that nobody
+// answers when the process stops or the group breaks.
+func TestWaitEndsWithCallerGroupAndProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := startEdge(t)
+		e.report(fullRank, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		gone := e.ask(ctx, 5, true)
+		cancel()
+		if f, ok := answered(gone); !ok || f == nil || f.Run != api.NotRun {
+			t.Errorf("canceled request: %v, %v", f, ok)
+		}
+		if n := e.count("wait_ends/canceled"); n != 1 {
+			t.Errorf("%d waits canceled, want 1", n)
+		}
+		broken := e.ask(t.Context(), 5, true)
+		e.report(0, false)
+		if f, ok := answered(broken); !ok || f == nil || f.Code != api.CodeNoUpstream {
+			t.Errorf("broken group: %v, %v, want a refusal", f, ok)
+		}
+		e.report(fullRank, true)
+		left := e.ask(t.Context(), 5, true)
+		_ = e.host.Stop(t.Context())
+		if f, ok := answered(left); !ok || f == nil || f.Run != api.NotRun || f.Code != api.CodeShuttingDown {
+			t.Errorf("stopped process: %v, %v, want a refusal", f, ok)
+		}
+	})
+}
+
+// Guards against room that is lost because a choice crossed the end of its call.
+func TestChoiceOfCanceledCallIsReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := startEdge(t)
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		e.report(fullRank-1, true)
+		for range 10 * ranks {
+			<-e.ask(ended, 0, true)
+		}
+		e.report(fullRank-1, true)
+		for i := range ranks {
+			if f, ok := answered(e.ask(t.Context(), 0, false)); !ok || f != nil {
+				t.Fatalf("request %d: %v, %v, want a choice", i, f, ok)
+			}
+		}
+	})
+}
