Share the room of a report between edges by priority

A process now takes what arrives of the priorities that fit at all processes, and an equal part of the rest. Before, each request had to be within the equal part of its process, and urgent requests were late where a few arrived together.

--- a/decide/balance/room.go
+++ b/decide/balance/room.go
@@ -9,9 +9,6 @@
 	"github.com/mulberryfork/mulberryfork/decide/waterfill"
 )
 
-// placeTolerance covers the rounding errors of Room.Places.
-const placeTolerance = 1e-6
-
 // Room is what the upstreams of a service can take by the loads of its groups. It is valid
 // until the next event.
 type Room struct {
@@ -114,20 +111,21 @@
 	return until
 }
 
-// Fits reports whether there is room for all expected requests and a reserve of further ones.
-func (r *Room) Fits(reserve float64) bool { return r.Places >= r.Arrivals+reserve-placeTolerance }
-
 // Place selects an upstream and counts the attempt. It returns false if there is no room for
 // all expected requests.
 func (s *State) Place(now time.Duration, room *Room) (Choice, bool) {
 	return s.place(now, room, room.Arrivals)
 }
 
-// PlaceShare is like Place for a request within this process's share of the room. The other
-// processes are expected to take no more than theirs.
+// PlaceUrgent is like Place for a request that has room before some of the expected ones.
+func (s *State) PlaceUrgent(now time.Duration, room *Room) (Choice, bool) {
+	return s.place(now, room, min(room.Arrivals, room.Total))
+}
+
+// PlaceShare is like Place for a request that waited. The other processes are expected to
+// have sent as many as this one.
 func (s *State) PlaceShare(now time.Duration, room *Room) (Choice, bool) {
-	sent := room.Sent * float64(max(room.Processes-1, 0))
-	return s.place(now, room, max(min(1+sent, room.Total), 1))
+	return s.place(now, room, min(1+room.Sent*float64(room.Processes-1), room.Total))
 }
 
 func (s *State) place(now time.Duration, room *Room, arrivals float64) (Choice, bool) {
--- a/decide/urgency/bounds.go
+++ b/decide/urgency/bounds.go
@@ -78,9 +78,9 @@
 }
 
 // CanServe reports whether a waiting request is expected to be sent while waiting serves its
-// caller.
+// caller. One of a priority below its floor is.
 func (s *State) CanServe(now time.Duration, w *Waiter, room Room) bool {
-	return room.EndRate == 0 || now+s.expectedWait(now, w.Priority, room) <= w.leaveAt
+	return room.EndRate == 0 || s.levelOf(w.Priority) == s.belowFloor(now, highFloor) || now+s.expectedWait(now, w.Priority, room) <= w.leaveAt
 }
 
 // expectedWait returns the time in which the waiting requests of at least a priority are
@@ -89,7 +89,7 @@
 func (s *State) expectedWait(now time.Duration, priority int32, room Room) time.Duration {
 	ahead, urgent, own, all := 0, 0.0, 0.0, 0.0
 	for _, l := range s.levels {
-		rate := l.arrivals.rate(now)
+		rate := l.arrivals.rate(now, s.firstAt)
 		all += rate
 		if l.priority >= priority {
 			ahead += l.waiting
@@ -104,7 +104,7 @@
 	}
 	rate := room.ownEndRate() - urgent
 	if all > 0 {
-		rate = max(rate, minFloor*own/all*room.ownEndRate())
+		rate = max(rate, lowFloor*own/all*room.ownEndRate())
 	}
 	if rate <= 0 {
 		return math.MaxInt32 * time.Millisecond
--- a/decide/urgency/turns.go
+++ b/decide/urgency/turns.go
@@ -40,7 +40,7 @@
 // forget drops the members that neither wait nor sent anything lately.
 func (l *level) forget(now time.Duration) {
 	l.turns = slices.DeleteFunc(l.turns, func(t *turn) bool {
-		return t.waiting() == 0 && t.results.total(now) < forgottenCount
+		return t.waiting() == 0 && t.results.at(now).total() < forgottenCount
 	})
 }
 
@@ -84,7 +84,7 @@
 		if len(t.queue(inTime)) == 0 {
 			continue
 		}
-		below := t.results.at(now).belowFloor(all)
+		below := t.results.at(now).belowFloor(all, highFloor)
 		if best == nil || below && !bestBelow || below == bestBelow && t.tag < best.tag {
 			best, bestBelow = t, below
 		}
@@ -125,10 +125,11 @@
 // results counts the requests that were sent and refused.
 type results struct{ admitted, refused decayed }
 
-func (r *results) total(now time.Duration) float64 { return r.admitted.now(now) + r.refused.now(now) }
+func (r *results) admit(now time.Duration)  { r.admitted.add(now, 1, floorMemory) }
+func (r *results) refuse(now time.Duration) { r.refused.add(now, 1, floorMemory) }
 
 func (r *results) at(now time.Duration) counts {
-	return counts{admitted: r.admitted.now(now), refused: r.refused.now(now)}
+	return counts{admitted: r.admitted.now(now, floorMemory), refused: r.refused.now(now, floorMemory)}
 }
 
 type counts struct{ admitted, refused float64 }
@@ -147,21 +148,20 @@
 	return c.admitted / c.total()
 }
 
-// belowFloor reports whether c, a part of all, gets less than its floor. The floor is a part
-// of the admission rate of the others: a half where at least half of all requests have room,
-// a quarter where less than a quarter has, and the admission rate of all in between.
-func (c counts) belowFloor(all counts) bool {
-	if c.refused == 0 {
-		return false
-	}
-	floor := min(max(all.rate(), minFloor), maxFloor)
-	return c.rate() < floor*all.minus(c).rate()
+// halfRequest is the number of requests, rounded to one, from which a floor is missed. A
+// single refusal in a process with few requests gives no precedence.
+const halfRequest = 0.5
+
+// belowFloor reports whether c, a part of all, would need one more request admitted to have a
+// fraction of the admission rate of the others.
+func (c counts) belowFloor(all counts, fraction float64) bool {
+	return fraction*all.minus(c).rate()*c.total()-c.admitted >= halfRequest
 }
 
 // belowFloor returns the most urgent priority with waiting requests that gets less than its
 // floor, nil if there is none. One that would then get more than a more urgent one is left
 // out.
-func (s *State) belowFloor(now time.Duration) *level {
+func (s *State) belowFloor(now time.Duration, fraction float64) *level {
 	var all counts
 	for _, l := range s.levels {
 		c := l.results.at(now)
@@ -171,10 +171,24 @@
 	lowest := 1.0
 	for _, l := range s.levels {
 		c := l.results.at(now)
-		if l.waiting > 0 && c.belowFloor(all) && c.rate() <= lowest {
+		if l.waiting > 0 && c.belowFloor(all, fraction) && c.rate() <= lowest {
 			return l
 		}
 		lowest = min(lowest, c.rate())
 	}
 	return nil
 }
+
+// onFloor returns the priority that goes before all others because of its floor, nil if there
+// is none. The lower floor always counts. The higher one takes its places only from the
+// highest priority that doesn't fit and those below, and not from the highest of all.
+func (s *State) onFloor(now time.Duration, room Room) *level {
+	if l := s.belowFloor(now, lowFloor); l != nil && s.share(now, s.levels[0].priority, room) >= onePlace {
+		return l
+	}
+	l := s.belowFloor(now, highFloor)
+	if l == nil || !s.Fits(now, s.levels[0].priority, room) || s.share(now, s.marginal(now, room), room) < onePlace {
+		return nil
+	}
+	return l
+}
--- a/decide/urgency/urgency.go
+++ b/decide/urgency/urgency.go
@@ -15,6 +15,7 @@
 package urgency
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -24,44 +25,31 @@
 const (
 	// Patience is the time without an event after which a caller gives up.
 	Patience = 2 * time.Second
-	// memory is the half-life of the counts behind rates and floors. It is shorter than a
-	// burst or the time between two shifts of demand, which last 3 to 6 s.
-	memory = 2 * time.Second
+	// memory is the half-life of the counts behind the rates of arrivals. A burst lasts 3.5 to
+	// 6 s.
+	memory = 3 * time.Second
+	// floorMemory is the half-life of the counts behind floors. A process with few requests
+	// gets one of the least urgent kind in some seconds.
+	floorMemory = 10 * time.Second
 	// maxWaiting bounds the waiting requests of a service. Each holds a connection of about
 	// 31 KB, so that they take 16 MB of processes that have 136 MB and more.
 	maxWaiting = 512
 	// minWaiting is the bound for a process with a small part of a small group.
 	minWaiting = 8
-	// minFloor and maxFloor bound the admission rate that each priority and member gets, as
-	// a part of that of the others. See floorFraction.
-	minFloor, maxFloor = 0.25, 0.5
+	// lowFloor and highFloor are the parts of the admission rate of the others that a priority
+	// gets always, and where the room allows it. Members of one priority get highFloor.
+	lowFloor, highFloor = 0.25, 0.5
+	// minCounted is the shortest time over which a rate is counted: about the age of a load.
+	minCounted = 200 * time.Millisecond
 	// onePlace is a place, less the rounding errors of a sum of places.
 	onePlace = 1 - 1e-6
+	// sentWindow is how long the times of sent requests are kept. It exceeds the age of a
+	// load that is used.
+	sentWindow = 2 * time.Second
 	// firstEventWeight is the weight of one request in the mean time to the first event.
 	firstEventWeight = 0.1
 )
 
-// Room is what all upstreams of a service can take, as one process sees it.
-type Room struct {
-	// Places is the number of requests that find a place now. Sent is the number of this
-	// process's requests since the reading, which Places does not contain.
-	Places, Sent float64
-	// Processes is the number of processes that share the upstreams.
-	Processes int
-	// ReadAt is the time of the oldest reading in use.
-	ReadAt time.Duration
-	// EndRate is the number of requests of all processes that end in a second, 0 if unknown.
-	EndRate float64
-}
-
-// share returns the part of the room that this process may still take.
-func (r Room) share() float64 {
-	return min((r.Places+r.Sent)/float64(max(r.Processes, 1))-r.Sent, r.Places)
-}
-
-// ownEndRate returns the part of EndRate that this process may expect.
-func (r Room) ownEndRate() float64 { return r.EndRate / float64(max(r.Processes, 1)) }
-
 // Request is what the decisions depend on.
 type Request struct {
 	Member string
@@ -95,12 +83,17 @@
 	// levels are sorted, the highest priority first.
 	levels  []*level
 	waiting int
+	// firstAt is the time of the first arrival.
+	firstAt time.Duration
 	// firstEvent is the mean time from the sending of a request to its first event.
 	firstEvent time.Duration
-	// rounding decides the fraction of a place for one reading of the loads, so that many
-	// processes that may each take less than one place use them all together.
-	rounding   float64
-	roundingOf time.Duration
+	// rounding decides the fraction of a place, so that many processes that may each take
+	// less than one place use them all together. It changes once the loads contain all that
+	// was sent since roundedAt: a second draw before would be a second chance.
+	rounding  float64
+	roundedAt time.Duration
+	// sent holds the requests that were sent since sentWindow.
+	sent []sentRequest
 }
 
 // level holds the requests of one priority.
@@ -117,7 +110,7 @@
 
 // New returns a state without requests.
 func New(seed uint64) *State {
-	return &State{random: rand.New(rand.NewPCG(seed, 2)), roundingOf: -1}
+	return &State{random: rand.New(rand.NewPCG(seed, 2))}
 }
 
 // Len returns the number of waiting requests.
@@ -141,34 +134,25 @@
 
 // Arrive records the arrival of a request.
 func (s *State) Arrive(now time.Duration, r Request) {
-	s.levelOf(r.Priority).arrivals.add(now, 1)
-}
-
-// Reserve returns the number of places that this process needs for arrivals of higher
-// priority until a report shows what is sent now, which takes as long as the last one took.
-func (s *State) Reserve(now time.Duration, priority int32, room Room) float64 {
-	rate := 0.0
-	for _, l := range s.levels {
-		if l.priority <= priority {
-			break
-		}
-		rate += l.arrivals.rate(now)
+	if len(s.levels) == 0 {
+		s.firstAt = now
 	}
-	return rate * (now - room.ReadAt).Seconds()
+	s.levelOf(r.Priority).arrivals.add(now, 1, memory)
 }
 
 // Admitted records that a request was sent without waiting.
 func (s *State) Admitted(now time.Duration, r Request) {
+	s.recordSent(now, r.Priority)
 	l := s.levelOf(r.Priority)
-	l.results.admitted.add(now, 1)
-	l.turnOf(r.Member).results.admitted.add(now, 1)
+	l.results.admit(now)
+	l.turnOf(r.Member).results.admit(now)
 }
 
 // Refused records that a request was refused without waiting.
 func (s *State) Refused(now time.Duration, r Request) {
 	l := s.levelOf(r.Priority)
-	l.results.refused.add(now, 1)
-	l.turnOf(r.Member).results.refused.add(now, 1)
+	l.results.refuse(now)
+	l.turnOf(r.Member).results.refuse(now)
 }
 
 // Next returns the waiting request that gets the next place, nil if none does. Requests that
@@ -178,25 +162,21 @@
 	if s.waiting == 0 {
 		return nil
 	}
-	if room.ReadAt != s.roundingOf {
-		s.rounding, s.roundingOf = s.random.Float64(), room.ReadAt
+	if room.ReadAt >= s.roundedAt {
+		s.rounding, s.roundedAt = s.random.Float64(), now
 	}
-	share := room.share() + s.rounding
-	if share < onePlace || room.Places < onePlace {
+	if room.Places < onePlace {
 		return nil
 	}
 	for _, l := range s.levels {
 		l.sortOutLate(now, s.firstEvent)
 	}
-	if l := s.belowFloor(now); l != nil {
-		if w := l.next(now, true); w != nil {
-			return w
-		}
-		return l.next(now, false)
+	if l := s.onFloor(now, room); l != nil {
+		return cmp.Or(l.next(now, true), l.next(now, false))
 	}
 	for _, inTime := range []bool{true, false} {
 		for _, l := range s.levels {
-			if l.waiting == 0 || share < onePlace+s.Reserve(now, l.priority, room) {
+			if l.waiting == 0 || s.share(now, l.priority, room) < onePlace+s.Reserve(now, l.priority, room) && !s.Fits(now, l.priority, room) {
 				continue
 			}
 			if w := l.next(now, inTime); w != nil {
@@ -210,17 +190,18 @@
 // Admit removes a request that was sent. The turn of its member is over.
 func (s *State) Admit(now time.Duration, w *Waiter) {
 	s.remove(w)
+	s.recordSent(now, w.Priority)
 	l := s.levelOf(w.Priority)
 	l.take(w.turn)
-	l.results.admitted.add(now, 1)
-	w.turn.results.admitted.add(now, 1)
+	l.results.admit(now)
+	w.turn.results.admit(now)
 }
 
 // Refuse removes a request that was refused.
 func (s *State) Refuse(now time.Duration, w *Waiter) {
 	s.remove(w)
-	s.levelOf(w.Priority).results.refused.add(now, 1)
-	w.turn.results.refused.add(now, 1)
+	s.levelOf(w.Priority).results.refuse(now)
+	w.turn.results.refuse(now)
 }
 
 // Cancel removes a request whose caller is gone. It does nothing if it does not wait.
@@ -237,21 +218,22 @@
 	w.turn.drop(w)
 }
 
-// decayed is a count with a half-life of memory.
+// decayed is a count with a half-life.
 type decayed struct {
 	value float64
 	at    time.Duration
 }
 
-func (d *decayed) now(now time.Duration) float64 {
-	return d.value * math.Exp2(-(now-d.at).Seconds()/memory.Seconds())
+func (d *decayed) now(now, halfLife time.Duration) float64 {
+	return d.value * math.Exp2(-(now-d.at).Seconds()/halfLife.Seconds())
 }
 
-func (d *decayed) add(now time.Duration, n float64) {
-	d.value, d.at = d.now(now)+n, now
+func (d *decayed) add(now time.Duration, n float64, halfLife time.Duration) {
+	d.value, d.at = d.now(now, halfLife)+n, now
 }
 
-// rate returns the events in a second.
-func (d *decayed) rate(now time.Duration) float64 {
-	return d.now(now) * math.Ln2 / memory.Seconds()
+// rate returns the events in a second, counted from the time since.
+func (d *decayed) rate(now, since time.Duration) float64 {
+	seen := 1 - math.Exp2(-max(now-since, minCounted).Seconds()/memory.Seconds())
+	return d.now(now, memory) * math.Ln2 / memory.Seconds() / seen
 }
--- a/service/balance/waiting.go
+++ b/service/balance/waiting.go
@@ -76,8 +76,8 @@
 	}
 	l, request := s.lineOf(q.Service), requestOf(q)
 	l.Arrive(now, request)
-	if l.Len() == 0 && room.Fits(l.Reserve(now, q.Priority, capacityOf(room))*float64(room.Processes)) {
-		if choice, placed := s.state.Place(now, &room); placed {
+	if l.Len() == 0 && l.Fits(now, q.Priority, capacityOf(room)) {
+		if choice, placed := s.state.PlaceUrgent(now, &room); placed {
 			l.Admitted(now, request)
 			s.answer(now, c, choice, nil)
 			return
--- a/service/balance/waiting_test.go
+++ b/service/balance/waiting_test.go
@@ -57,8 +57,8 @@
 func (fakeFleet) Subscribe(f func(time.Duration, *api.FleetView)) {
 	f(0, &api.FleetView{Self: "e", Names: []string{"e"}, LimitDivisor: 1})
 }
-func (fakeFleet) ExchangeSuspicions(api.SuspicionRecords)       {}
-func (fakeFleet) ReportSuspicions([]api.Suspicion)              {}
+func (fakeFleet) ExchangeSuspicions(api.SuspicionRecords) {}
+func (fakeFleet) ReportSuspicions([]api.Suspicion)        {}
 
 type fakeLog struct{}
 
