--- a/decide/balance/balance.go
+++ b/decide/balance/balance.go
@@ -217,14 +217,15 @@
 // is full.
 func (s *State) Choose(now time.Duration, service string, exclude []string) (Choice, *api.Failure) {
 	s.RecordArrival(now, service)
-	return s.ChooseRecorded(now, service, exclude)
-}
-
-// ChooseRecorded is like Choose for a request whose arrival was recorded before.
-func (s *State) ChooseRecorded(now time.Duration, service string, exclude []string) (Choice, *api.Failure) {
 	if choice, failure, ok := s.chooseRank(now, service, exclude); ok {
 		return choice, failure
 	}
+	return s.ChooseByExpectedLoad(now, service, exclude)
+}
+
+// ChooseByExpectedLoad is like Choose without the loads of groups, for a request whose arrival
+// was recorded.
+func (s *State) ChooseByExpectedLoad(now time.Duration, service string, exclude []string) (Choice, *api.Failure) {
 	var best *upstream
 	lowest, candidates, eligible, overQuota := math.Inf(1), 0, 0, 0
 	heldUntil := time.Duration(0)
--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -186,7 +186,7 @@
 func (s *State) chooseRank(now time.Duration, service string, exclude []string) (choice Choice, failure *api.Failure, ok bool) {
 	room := s.Survey(now, service, exclude)
 	if room.Forming {
-		return Choice{}, s.formingFailure(service), true
+		return Choice{}, s.FormingFailure(service), true
 	}
 	if !room.Known {
 		return Choice{}, nil, false
@@ -198,9 +198,9 @@
 	return choice, nil, true
 }
 
-// formingFailure returns the refusal while every group of a service is broken. A broken
+// FormingFailure returns the refusal while every group of a service is broken. A broken
 // group refuses all requests, after some time.
-func (s *State) formingFailure(service string) *api.Failure {
+func (s *State) FormingFailure(service string) *api.Failure {
 	f := api.NewFailure(api.CodeNoUpstream, api.NotRun, "the groups of the service are being formed")
 	f.RetryAfter = s.spreadRetryAfter()
 	f.RetryAfter += s.FormTime(service)
--- a/decide/balance/room.go
+++ b/decide/balance/room.go
@@ -12,8 +12,8 @@
 // Room is what the upstreams of a service can take by the loads of its groups. It is valid
 // until the next event.
 type Room struct {
-	// Known is set if the load of a group is known. Without it, ChooseRecorded chooses by
-	// the loads that this process expects.
+	// Known is set if the load of a group is known. Without it, and unless Forming is
+	// set, ChooseByExpectedLoad applies.
 	Known bool
 	// Forming is set if no upstream qualifies and groups are being formed.
 	Forming bool
--- a/decide/urgency/share.go
+++ b/decide/urgency/share.go
@@ -36,7 +36,8 @@
 // share returns the part of the room that this process may still take for a priority. Higher
 // ones take what arrives of them at all processes; the rest is shared equally.
 func (s *State) share(now time.Duration, priority int32, room Room) float64 {
-	share := (room.Places+room.Sent)/float64(max(room.Processes, 1)) - s.arrivalRate(now, priority+1)*(now-room.ReadAt).Seconds() + s.rounding
+	share := (room.Places+room.Sent)/float64(max(room.Processes, 1)) + s.rounding
+	share -= s.arrivalRate(now, priority+1) * (now - room.ReadAt).Seconds()
 	for _, sent := range s.sent {
 		if sent.at >= room.ReadAt && sent.priority <= priority {
 			share--
@@ -77,12 +78,14 @@
 }
 
 // Fits reports whether there is room for all requests of at least a priority that arrived
-// at all processes since the reading, and the reserve. Such a request needs no share: those
-// of lower priority leave it the room.
+// at all processes since the reading, and for those of higher priority that arrive in the
+// same time from now. Such a request needs no share: those of lower priority leave it the
+// room.
 func (s *State) Fits(now time.Duration, priority int32, room Room) bool {
 	rate := s.arrivalRate(now, priority)
 	// The rate is known by its square root of samples; the margin is one standard deviation.
 	rate += math.Sqrt(rate * math.Ln2 / memory.Seconds())
-	others := rate * (now - room.ReadAt).Seconds() * float64(room.Processes-1)
-	return room.Places >= onePlace+others+s.arrivalRate(now, priority+1)*(now-room.ReadAt).Seconds()*float64(room.Processes)
+	age := (now - room.ReadAt).Seconds()
+	others := rate * age * float64(room.Processes-1)
+	return room.Places >= onePlace+others+s.arrivalRate(now, priority+1)*age*float64(room.Processes)
 }
--- a/service/balance/waiting.go
+++ b/service/balance/waiting.go
@@ -84,7 +84,7 @@
 	s.state.RecordArrival(now, q.Service)
 	room := s.state.Survey(now, q.Service, q.Exclude)
 	if !room.Known {
-		choice, failure := s.chooseWithoutLoads(now, q)
+		choice, failure := s.chooseWithoutLoads(now, q, room.Forming)
 		s.answer(now, c, choice, failure)
 		return
 	}
@@ -97,12 +97,14 @@
 			return
 		}
 	}
-	if !q.MayWait || s.draining {
-		l.Refused(now, request)
-		s.answer(now, c, balance.Choice{}, s.full(now, l, q.Priority))
-		return
+	switch {
+	case !q.MayWait:
+		s.answer(now, c, balance.Choice{}, s.state.FullFailure())
+	case s.draining:
+		s.answer(now, c, balance.Choice{}, stoppingFailure())
+	default:
+		s.enqueue(now, c, l, capacityOf(room))
 	}
-	s.enqueue(now, c, l, capacityOf(room))
 }
 
 // enqueue lets a call wait. It is refused at once if it can't be served while waiting serves
@@ -145,7 +147,7 @@
 	for l.Len() > 0 {
 		room := s.state.Survey(now, service, nil)
 		if !room.Known {
-			s.dispatchAll(now, l)
+			s.dispatchAll(now, l, room.Forming)
 			return
 		}
 		w := l.Next(now, capacityOf(room))
@@ -177,23 +179,24 @@
 
 // chooseWithoutLoads places a request by expected load, or refuses it while the groups are
 // being formed.
-func (s *service) chooseWithoutLoads(now time.Duration, q *asked) (balance.Choice, *api.Failure) {
-	choice, failure := s.state.ChooseRecorded(now, q.Service, q.Exclude)
-	if failure != nil && s.state.Survey(now, q.Service, q.Exclude).Forming {
-		failure.RetryAfter = s.lineOf(q.Service).RetryAfterForming(now, q.Priority, s.state.FormTime(q.Service))
+func (s *service) chooseWithoutLoads(now time.Duration, q *asked, forming bool) (balance.Choice, *api.Failure) {
+	if !forming {
+		return s.state.ChooseByExpectedLoad(now, q.Service, q.Exclude)
 	}
-	return choice, failure
+	failure := s.state.FormingFailure(q.Service)
+	failure.RetryAfter = s.lineOf(q.Service).RetryAfterForming(now, q.Priority, s.state.FormTime(q.Service))
+	return balance.Choice{}, failure
 }
 
 // dispatchAll places all waiting requests as if they arrived now, because the loads of the
 // groups are not known anymore or the groups are broken.
-func (s *service) dispatchAll(now time.Duration, l *line) {
+func (s *service) dispatchAll(now time.Duration, l *line, forming bool) {
 	for _, w := range l.All() {
 		q := l.calls[w].Query
 		failure := s.suspected(now, q)
 		var choice balance.Choice
 		if failure == nil {
-			choice, failure = s.chooseWithoutLoads(now, q)
+			choice, failure = s.chooseWithoutLoads(now, q, forming)
 		}
 		if failure != nil {
 			s.refuse(now, l, w, failure)
@@ -279,13 +282,17 @@
 	s.draining = true
 	for _, l := range s.lines {
 		for _, w := range l.All() {
-			f := api.NewFailure(api.CodeShuttingDown, api.NotRun, "the process is being stopped")
-			f.RetryAfter = drainRetryAfter
-			s.refuse(now, l, w, f)
+			s.refuse(now, l, w, stoppingFailure())
 		}
 	}
 }
 
-// drainRetryAfter is the Retry-After of requests that waited in a process that is being
-// stopped. Other processes can take them at once.
-const drainRetryAfter = 50 * time.Millisecond
+// stoppingRetryAfter is the Retry-After of a refusal by a process that is being stopped. Other
+// processes can take the request at once.
+const stoppingRetryAfter = 50 * time.Millisecond
+
+func stoppingFailure() *api.Failure {
+	f := api.NewFailure(api.CodeShuttingDown, api.NotRun, "the process is being stopped and has no room now")
+	f.RetryAfter = stoppingRetryAfter
+	return f
+}
