Count places in batches only, for requests that can wait at the edge

The sixth of the slots that may wait at an engine was always in use under load, and a request there used up 0.3 s of the 0.4 s for its first event, behind all that were sent before it. Waiting at the edge in order of urgency then gained nothing. Requests that can wait at the edge now wait there until a batch has a place; those at engines count against the places. Requests that must not wait are placed as before.

--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -185,13 +185,14 @@
 // is false if no upstream of the service has such a load, or if none qualifies.
 func (s *State) chooseRank(now time.Duration, service string, exclude []string) (choice Choice, failure *api.Failure, ok bool) {
 	room := s.Survey(now, service, exclude)
+	room.addQueues(now)
 	if room.Forming {
 		return Choice{}, s.FormingFailure(service), true
 	}
 	if !room.Known {
 		return Choice{}, nil, false
 	}
-	choice, placed := s.Place(now, &room)
+	choice, placed := s.place(now, &room, room.Arrivals)
 	if !placed {
 		return choice, s.FullFailure(), true
 	}
@@ -223,8 +224,8 @@
 // otherProcesses returns the number of other processes that place requests.
 func (s *State) otherProcesses() int { return max(len(s.fleet.Names)-1, 0) }
 
-// candidate returns the estimated load and the capacity of a rank: the requests that the
-// leader read, less those that have ended since, plus the own attempts since.
+// candidate returns the estimated load and the batch of a rank: the requests that the leader
+// read, less those that have ended since, plus the own attempts since.
 func (s *State) candidate(now time.Duration, u *upstream, l rankLoad, meanDuration time.Duration) waterfill.Candidate {
 	slots := float64(u.instance.Slots)
 	load := float64(l.requests)
@@ -234,9 +235,6 @@
 	}
 	load += float64(u.sentSince(l.readAt)) + s.penalty(u)
 	c := waterfill.Candidate{Load: load, Capacity: float64(l.limit)}
-	if l.limit == u.instance.Slots {
-		c.Capacity += slots * queuedFraction
-	}
 	if l.limit > 0 {
 		c.Capacity += crossZonePenalty
 	}
--- a/decide/balance/room.go
+++ b/decide/balance/room.go
@@ -17,8 +17,9 @@
 	Known bool
 	// Forming is set if no upstream qualifies and groups are being formed.
 	Forming bool
-	// Places is the number of requests for which there is a place, and Total the same with
-	// the tolerance that lets an upstream of this zone win over an equally loaded one. Sent is the number of this process's attempts that
+	// Places is the number of requests that can run, less those that wait at upstreams. Total
+	// is the number of places at upstreams with any, with the tolerance that lets an upstream
+	// of this zone win over an equally loaded one. Sent is the number of this process's attempts that
 	// the readings do not contain. Arrivals is the expected number of requests of all
 	// processes that neither contains, with the one to be placed.
 	Places, Total, Sent, Arrivals float64
@@ -71,11 +72,12 @@
 		room.candidates = append(room.candidates, c)
 		places := c.Capacity - c.Load
 		room.Total += max(places, 0)
-		room.Places += max(min(places, places+s.penalty(u)-crossZonePenalty), 0)
+		room.Places += min(places, places+s.penalty(u)-crossZonePenalty)
 	}
 	if known > 0 {
 		room.Known, room.ReadAt = true, now-age/time.Duration(known)
 	}
+	room.Places = max(room.Places, 0)
 	room.Forming = len(room.ranks) == 0 && forming > 0
 	if t.meanDuration > 0 {
 		room.EndRate = running / t.meanDuration.Seconds()
@@ -116,18 +118,26 @@
 	return until
 }
 
-// Place selects an upstream and counts the attempt. It returns false if there is no room for
-// all expected requests.
-func (s *State) Place(now time.Duration, room *Room) (Choice, bool) {
-	return s.place(now, room, room.Arrivals)
+// addQueues adds what may wait at upstreams behind full batches, for a request that must not
+// wait at this process.
+func (r *Room) addQueues(now time.Duration) {
+	r.Total = 0
+	for i, u := range r.ranks {
+		c := &r.candidates[i]
+		if load, recent := u.currentGroupLoad(now); recent && load.limit == u.instance.Slots {
+			c.Capacity += float64(u.instance.Slots) * queuedFraction
+		}
+		r.Total += max(c.Capacity-c.Load, 0)
+	}
 }
 
-// PlaceUrgent is like Place for a request that has room before some of the expected ones.
+// PlaceUrgent selects an upstream for a request that has room before some of the expected
+// ones, and counts the attempt. It returns false if there is no room at all.
 func (s *State) PlaceUrgent(now time.Duration, room *Room) (Choice, bool) {
 	return s.place(now, room, min(room.Arrivals, room.Total))
 }
 
-// PlaceShare is like Place for a request that waited. The other processes are expected to
+// PlaceShare is like PlaceUrgent for a request that waited. The other processes are expected to
 // have sent as many as this one.
 func (s *State) PlaceShare(now time.Duration, room *Room) (Choice, bool) {
 	return s.place(now, room, min(1+room.Sent*float64(room.Processes-1), room.Total))
--- a/service/balance/waiting.go
+++ b/service/balance/waiting.go
@@ -77,10 +77,15 @@
 	return l
 }
 
-// admit replies to a call at once if its service has room for it or it can't wait. Otherwise
-// the call waits.
+// admit replies to a call at once if its service has room for it or it must not wait.
+// Otherwise the call waits. One that must not wait here may wait at its upstream.
 func (s *service) admit(now time.Duration, c call) {
 	q := c.Query
+	if !q.MayWait {
+		choice, failure := s.state.Choose(now, q.Service, q.Exclude)
+		s.answer(now, c, choice, failure)
+		return
+	}
 	s.state.RecordArrival(now, q.Service)
 	room := s.state.Survey(now, q.Service, q.Exclude)
 	if !room.Known {
@@ -97,14 +102,11 @@
 			return
 		}
 	}
-	switch {
-	case !q.MayWait:
-		s.answer(now, c, balance.Choice{}, s.state.FullFailure())
-	case s.draining:
+	if s.draining {
 		s.answer(now, c, balance.Choice{}, stoppingFailure())
-	default:
-		s.enqueue(now, c, l, capacityOf(room))
+		return
 	}
+	s.enqueue(now, c, l, capacityOf(room))
 }
 
 // enqueue lets a call wait. It is refused at once if it can't be served while waiting serves
