--- a/decide/balance/balance.go
+++ b/decide/balance/balance.go
@@ -216,10 +216,16 @@
 // qualifies. Choose returns a failure if none qualifies or the selected upstream
 // is full.
 func (s *State) Choose(now time.Duration, service string, exclude []string) (Choice, *api.Failure) {
-	s.trafficOf(service).recordArrival(now)
+	s.RecordArrival(now, service)
 	if choice, failure, ok := s.chooseRank(now, service, exclude); ok {
 		return choice, failure
 	}
+	return s.ChooseByExpectedLoad(now, service, exclude)
+}
+
+// ChooseByExpectedLoad is like Choose without the loads of groups, for a request whose arrival
+// was recorded.
+func (s *State) ChooseByExpectedLoad(now time.Duration, service string, exclude []string) (Choice, *api.Failure) {
 	var best *upstream
 	lowest, candidates, eligible, overQuota := math.Inf(1), 0, 0, 0
 	heldUntil := time.Duration(0)
