Count only requests that wait at upstreams against the places of others

A rank whose batch became smaller runs more than it, and a rank that outlier detection probes counts as loaded. Neither takes the places of the others.

--- a/decide/balance/room.go
+++ b/decide/balance/room.go
@@ -19,9 +19,9 @@
 	Forming bool
 	// Places is the number of requests that can run, less those that wait at upstreams. Total
 	// is the number of places at upstreams with any, with the tolerance that lets an upstream
-	// of this zone win over an equally loaded one. Sent is the number of this process's attempts that
-	// the readings do not contain. Arrivals is the expected number of requests of all
-	// processes that neither contains, with the one to be placed.
+	// of this zone win over an equally loaded one. Sent is the number of this process's
+	// attempts that the readings do not contain. Arrivals is the expected number of requests
+	// of all processes that neither contains, with the one to be placed.
 	Places, Total, Sent, Arrivals float64
 	// ReadAt is the mean time of the readings. The loads contain what was sent until then if
 	// requests go to all groups alike.
@@ -70,9 +70,8 @@
 			running += min(float64(load.requests), float64(u.instance.Slots))
 		}
 		room.candidates = append(room.candidates, c)
-		places := c.Capacity - c.Load
-		room.Total += max(places, 0)
-		room.Places += min(places, places+s.penalty(u)-crossZonePenalty)
+		room.Total += max(c.Capacity-c.Load, 0)
+		room.Places += s.places(u, c)
 	}
 	if known > 0 {
 		room.Known, room.ReadAt = true, now-age/time.Duration(known)
@@ -90,6 +89,17 @@
 	return room
 }
 
+// places returns the number of requests that a candidate has room for. It is negative by the
+// requests that wait there: they need the places of others as if they waited here. Those that
+// run beyond the batch, which has become smaller, need none.
+func (s *State) places(u *upstream, c waterfill.Candidate) float64 {
+	load := c.Load - s.penalty(u)
+	if waiting := load - float64(u.instance.Slots); waiting > 0 {
+		return -waiting
+	}
+	return max(min(c.Capacity-c.Load, c.Capacity-crossZonePenalty-load), 0)
+}
+
 // ServiceOf returns the service of an upstream, empty if it is not known.
 func (s *State) ServiceOf(upstream string) string {
 	if u := s.upstreams[upstream]; u != nil {
--- a/decide/urgency/share.go
+++ b/decide/urgency/share.go
@@ -26,10 +26,10 @@
 	priority int32
 }
 
-// Reserve returns the number of places that this process keeps for arrivals of higher
+// reserve returns the number of places that this process keeps for arrivals of higher
 // priority until a report shows what is sent now, which takes as long as the last one took:
 // those that find no place of a request that ends meanwhile.
-func (s *State) Reserve(now time.Duration, priority int32, room Room) float64 {
+func (s *State) reserve(now time.Duration, priority int32, room Room) float64 {
 	return max(s.arrivalRate(now, priority+1)-room.ownEndRate(), 0) * (now - room.ReadAt).Seconds()
 }
 
--- a/decide/urgency/urgency.go
+++ b/decide/urgency/urgency.go
@@ -8,10 +8,10 @@
 // fair turns between members. A reserve keeps places for urgent requests that are about to
 // arrive, and floors keep every priority and member from getting nothing.
 //
-// The processes need no shared state. Each one takes an equal part of the room that a report
-// shows, less what it has taken since. What one leaves, the next report offers to all, so
-// that processes of unequal size settle within a few reports and never take more than there
-// is. All durations that are called now are elapsed times of the process.
+// The processes need no shared state. Requests of a priority go at once where there is room
+// for all of that and higher priorities at all processes. Of the rest of the room that a report
+// shows, each process takes an equal part, less what it has taken since. What one leaves, the
+// next report offers to all, so that processes of unequal size settle within a few reports. All durations that are called now are elapsed times of the process.
 package urgency
 
 import (
@@ -184,7 +184,7 @@
 	}
 	for _, inTime := range []bool{true, false} {
 		for _, l := range s.levels {
-			if l.waiting == 0 || s.share(now, l.priority, room) < onePlace+s.Reserve(now, l.priority, room) && !s.Fits(now, l.priority, room) {
+			if l.waiting == 0 || s.share(now, l.priority, room) < onePlace+s.reserve(now, l.priority, room) && !s.Fits(now, l.priority, room) {
 				continue
 			}
 			if w := l.next(now, inTime); w != nil {
