Expect unknown demand to persist for 3 s at least

Cause: before the second shift, the expected persistence fell to 0.75 s with the time since the start, although no interval was known.

--- a/decide/expertplan/expertplan.go
+++ b/decide/expertplan/expertplan.go
@@ -96,7 +96,9 @@
 	}
 	switch event {
 	case demandKnown:
-		s.costs.observeNoise(s.imbalance(s.inUse, s.demand.sample, s.paces) - expected)
+		if expected > 0 {
+			s.costs.observeNoise(s.imbalance(s.inUse, s.demand.sample, s.paces) - expected)
+		}
 	case shiftSeen:
 		s.atShift = s.inUse
 		return ShiftSeen
--- a/decide/expertplan/shifts.go
+++ b/decide/expertplan/shifts.go
@@ -23,8 +23,8 @@
 
 // shifts records the shifts of demand.
 type shifts struct {
-	// lastAt is the time of the last confirmed shift, and startedAt that of the first
-	// sample before the first one.
+	// lastAt is the time of the last confirmed shift. startedAt is that of the first one, or
+	// of the first sample before that.
 	lastAt, startedAt time.Duration
 	seen              int
 	// interval is the mean time between shifts, 0 before the second one.
@@ -37,9 +37,12 @@
 // record adds a shift. imbalance is that of the map that was in use, 0 if it is
 // unknown.
 func (s *shifts) record(now time.Duration, imbalance float64) {
-	if since := now - s.lastAt; s.seen == 1 {
+	switch since := now - s.lastAt; s.seen {
+	case 0:
+		s.startedAt = now
+	case 1:
 		s.interval = since
-	} else if s.seen > 1 {
+	default:
 		s.interval += time.Duration(shiftIntervalWeight * float64(since-s.interval))
 	}
 	s.lastAt = now
@@ -63,11 +66,11 @@
 
 // persistence returns how long the present demand is expected to persist.
 func (s *shifts) persistence(now time.Duration) time.Duration {
-	since := now - s.startedAt
-	if s.seen > 0 {
-		since = now - s.lastAt
+	if s.interval == 0 {
+		return max(unknownPersistence, time.Duration(persistedPart*float64(now-s.startedAt)))
 	}
-	return max(s.usualInterval()-since, time.Duration(persistedPart*float64(since)))
+	since := now - s.lastAt
+	return max(s.interval-since, time.Duration(persistedPart*float64(since)))
 }
 
 // constant reports whether demand is expected to be constant since the last shift: shifts
