Decide how much work leaves a zone by waits, delays and a price of bytes

Package decide/zoneshare replaces the constant of 0.3 requests that was added to the load of upstreams in other zones. Nothing leaves a zone that has room; a share of the work leaves once requests wait longer than leaving costs, counting the delay, the bytes and the waits of the other zone's callers. Groups that run in lockstep keep the constant, unless edge.zone_byte_price makes it larger.

--- a/api/discovery.go
+++ b/api/discovery.go
@@ -98,6 +98,13 @@
 	MemberCount int
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
+	// ZoneDelays holds the one-way delays between zones, as far as they are published.
+	ZoneDelays map[ZonePair]time.Duration
+}
+
+// ZonePair is a direction between two availability zones.
+type ZonePair struct {
+	From, To string
 }
 
 // Instance is one incarnation of an upstream, as it registered itself.
--- a/api/edge.go
+++ b/api/edge.go
@@ -94,4 +94,7 @@
 	MemoryMB float64 `toml:"memory_mb"`
 	// CPUShare is the processor share of the process as a fraction of a core.
 	CPUShare float64 `toml:"cpu_share"`
+	// ZoneBytePrice is the price of bytes between zones, in milliseconds of a caller's time
+	// for a megabyte.
+	ZoneBytePrice float64 `toml:"zone_byte_price"`
 }
--- a/decide/balance/balance.go
+++ b/decide/balance/balance.go
@@ -18,16 +18,13 @@
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/holdoff"
 	"github.com/mulberryfork/mulberryfork/decide/outlier"
+	"github.com/mulberryfork/mulberryfork/decide/zoneshare"
 )
 
 const (
 	// reportHalfLife is the half-life of a reported load. A model request runs
 	// for about that long.
 	reportHalfLife = time.Second
-	// crossZonePenalty is added to the load of an upstream in another zone, in
-	// requests. It is small enough to decide only between equally loaded
-	// upstreams.
-	crossZonePenalty = 0.3
 	// probingPenalty is added to the load of an upstream that outlier detection
 	// is probing, in requests, so that it is selected only if the others are
 	// busier by about that many requests.
@@ -57,6 +54,9 @@
 	// from all processes to a cold upstream: the cold rate of its service times
 	// ColdOvershoot, plus ColdTolerance requests per second.
 	ColdOvershoot, ColdTolerance float64
+	// ZoneBytePrice is the price of bytes between zones, in milliseconds of a caller's time
+	// for a megabyte.
+	ZoneBytePrice float64
 }
 
 // State holds the known upstreams and their estimated load. It is owned by the
@@ -76,6 +76,8 @@
 	statements *holdoff.State
 	// traffic holds the request rate and duration of each service.
 	traffic map[string]*traffic
+	// zones holds the shares of the work that goes to other zones.
+	zones *zoneshare.State
 }
 
 type upstream struct {
@@ -90,6 +92,8 @@
 	// requests.
 	othersLoad   float64
 	othersLoadAt time.Duration
+	// reported is true once the upstream has reported a load.
+	reported bool
 	// groupLoad is the load last read by the leader of the upstream's group, nil if
 	// there is none.
 	groupLoad *rankLoad
@@ -112,6 +116,7 @@
 		traffic:   make(map[string]*traffic),
 
 		statements: holdoff.New(),
+		zones:      zoneshare.New(zoneshare.Options{Zone: o.Zone, BytePrice: o.ZoneBytePrice}),
 	}
 }
 
@@ -158,6 +163,7 @@
 	s.upstreams = upstreams
 	s.maxPauses = shortestPauses(v.Table)
 	s.updateColdQuotas()
+	s.configureZones()
 }
 
 // SetFleet sets the known edges. They share the request rates of cold upstreams.
@@ -178,6 +184,7 @@
 	if u := s.upstreams[l.Upstream]; u != nil {
 		u.othersLoad = math.Max(float64(l.Running+l.Waiting-u.inFlight), 0)
 		u.othersLoadAt = now
+		u.reported = true
 	}
 }
 
@@ -321,20 +328,18 @@
 // score ranks upstreams; the lowest is best. The random part keeps processes from
 // choosing the same one of several equally loaded upstreams.
 func (s *State) score(now time.Duration, u *upstream) float64 {
-	return s.load(now, u) + s.random.Float64()/2 + s.penalty(u)
+	load := s.load(now, u)
+	limit := maxLoadFactor * float64(u.instance.Slots)
+	return load + s.random.Float64()/2 + s.penalty(u) + s.zonePenalty(now, u, load, limit)
 }
 
-// penalty returns the load that is added to that of an upstream in another zone or one
-// that outlier detection is probing.
+// penalty returns the load that is added to that of an upstream that outlier detection is
+// probing.
 func (s *State) penalty(u *upstream) float64 {
-	penalty := 0.0
-	if u.instance.Zone != s.options.Zone {
-		penalty += crossZonePenalty
-	}
 	if u.health == outlier.Probing {
-		penalty += probingPenalty
+		return probingPenalty
 	}
-	return penalty
+	return 0
 }
 
 func noCandidateFailure(eligible, overQuota int) *api.Failure {
--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -48,6 +48,8 @@
 	rateAt time.Duration
 	// meanDuration is the moving average of the duration of a request, 0 if unknown.
 	meanDuration time.Duration
+	// meanBytes is the moving average of the bytes of a request and its response.
+	meanBytes float64
 }
 
 func (s *State) trafficOf(service string) *traffic {
@@ -129,7 +131,11 @@
 // known.
 func (s *State) unknownCandidate(now time.Duration, u *upstream) waterfill.Candidate {
 	slots := float64(u.instance.Slots)
-	return waterfill.Candidate{Load: s.load(now, u) + s.penalty(u), Capacity: slots*(1+queuedFraction) + crossZonePenalty}
+	c := waterfill.Candidate{Load: s.load(now, u), Capacity: slots * (1 + queuedFraction)}
+	penalty := s.zonePenalty(now, u, c.Load, c.Capacity)
+	c.Load += s.penalty(u) + penalty
+	c.Capacity += s.zoneMargin(u, penalty)
+	return c
 }
 
 // median returns the median of a list that is not empty, 1 if it is.
@@ -255,13 +261,15 @@
 		running := min(load, slots)
 		load -= min(running, running*float64(now-l.readAt)/float64(meanDuration))
 	}
-	load += float64(u.sentSince(l.readAt)) + s.penalty(u)
+	load += float64(u.sentSince(l.readAt))
 	c := waterfill.Candidate{Load: load, Capacity: float64(l.limit)}
 	if l.limit == u.instance.Slots {
 		c.Capacity += slots * queuedFraction
 	}
+	penalty := s.zonePenalty(now, u, load, c.Capacity)
+	c.Load += s.penalty(u) + penalty
 	if l.limit > 0 {
-		c.Capacity += crossZonePenalty
+		c.Capacity += s.zoneMargin(u, penalty)
 	}
 	return c
 }
--- a/decide/settings/edge.go
+++ b/decide/settings/edge.go
@@ -12,6 +12,9 @@
 	maxRevocation  = time.Hour
 	minRetryWindow = time.Second
 	maxRetryWindow = time.Hour
+	// maxZoneBytePrice is in ms for a megabyte. At this price a request of 1 KB costs
+	// longer than any request may take, so that none leaves its zone by choice.
+	maxZoneBytePrice = 1e9
 )
 
 // edge checks the keys of the edge and side roles, whose processes read the
@@ -43,4 +46,7 @@
 	if e.RetryRatio < 0 || e.RetryRatio > 1 {
 		c.Fail(tomltree.OutOfRange, "must be between 0 and 1", "edge", "retry_ratio")
 	}
+	if p := e.ZoneBytePrice; !(p >= 0 && p <= maxZoneBytePrice) {
+		c.Fail(tomltree.OutOfRange, "must be between 0 and 1e9", "edge", "zone_byte_price")
+	}
 }
--- /dev/null
+++ b/decide/zoneshare/zoneshare.go
@@ -0,0 +1,224 @@
+// Package zoneshare decides how much of the work of an availability zone goes to which
+// other zone.
+//
+// It answers demand that exceeds the servers of one zone while those of another have room:
+// peaks of the zones at different times, a zone that lost half of its servers, a zone
+// without any, and all zones full. Requests that wait at home are late, and requests that
+// all leave at once fill the other zone and come back. Traffic between zones costs money
+// and the delay between them, and takes capacity from the callers of the other zone.
+//
+// Each process decides for its own part of the zone's work. A share is a fraction, so that
+// processes of unequal size that see the same loads send in proportion to what they
+// receive. It moves by a part of the distance to its target, at the pace of load reports:
+// processes that don't talk to each other would otherwise leave and return together.
+package zoneshare
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// Preference is the least preference for the own zone, in requests on an upstream. It
+	// decides between equally loaded upstreams.
+	Preference = 0.3
+	// MaxReportAge is the age above which the report of a load is not used.
+	MaxReportAge = time.Second
+	// assumedDelay is the one-way delay between zones that is assumed without a published
+	// one. Zones of one region are 0.5 to 1.4 ms apart.
+	assumedDelay = time.Millisecond
+
+	bytesPerMegabyte = 1e6
+)
+
+// Reason is why a zone gets the share that it gets.
+type Reason string
+
+// Reasons.
+const (
+	// ReasonRoom is that the own zone has room. Nothing leaves.
+	ReasonRoom Reason = "room"
+	// ReasonWait is that requests wait longer in the own zone than leaving costs.
+	ReasonWait Reason = "wait"
+	// ReasonCost is that requests wait in the own zone, but leaving costs more.
+	ReasonCost Reason = "cost"
+	// ReasonUnusable is that no upstream of the other zone can take more than a few
+	// requests.
+	ReasonUnusable Reason = "unusable"
+	// ReasonKept is that a report of the other zone is late. The share is kept.
+	ReasonKept Reason = "kept"
+	// ReasonNoReport is that requests to the other zone have brought no report for
+	// MaxReportAge.
+	ReasonNoReport Reason = "no_report"
+	// ReasonUnmeasured is that the duration of a request is not known yet.
+	ReasonUnmeasured Reason = "unmeasured"
+	// ReasonNoHome is that no upstream of the own zone can be used.
+	ReasonNoHome Reason = "no_home"
+	// ReasonGroup is that the upstreams run in lockstep, and are loaded evenly.
+	ReasonGroup Reason = "group"
+)
+
+// Zone is what is known of the upstreams of a service in one zone.
+type Zone struct {
+	// Load is the number of requests on its usable upstreams, running and waiting.
+	Load float64
+	// Slots is the number of requests that they run at the same time.
+	Slots float64
+	// Upstreams is their number.
+	Upstreams int
+	// ReportedAt is the time of the last report of one of them, and Reported false if
+	// there is none.
+	ReportedAt time.Duration
+	Reported   bool
+	// AskedAt is the time of the first request to one of them since its last report, and
+	// Asked false if there is none.
+	AskedAt time.Duration
+	Asked   bool
+}
+
+// Work describes the requests of a service.
+type Work struct {
+	// Duration is the mean duration of a request, 0 if it is unknown.
+	Duration time.Duration
+	// Bytes is the mean number of bytes of a request and its response.
+	Bytes float64
+	// LoadCost is what one more request on an upstream costs a caller, 0 if it is unknown.
+	LoadCost time.Duration
+	// Lockstep is true for upstreams that run in lockstep. Their slowest one determines the
+	// time of all, so that they are loaded evenly across zones.
+	Lockstep bool
+}
+
+// Share is the part of the own zone's work that goes to another zone.
+type Share struct {
+	// Fraction is the share. It is 1 if requests leave by load and Preference alone.
+	Fraction float64
+	// Preference is added to the load of the other zone's upstreams.
+	Preference float64
+	Reason     Reason
+	// room is the load of an upstream of the own zone at which leaving is worth its cost.
+	room float64
+	// full is true if requests wait in the other zone too.
+	full bool
+}
+
+// Unlimited reports whether requests leave by load and Preference alone. It is not known
+// how many do.
+func (h Share) Unlimited() bool {
+	switch h.Reason {
+	case ReasonNoReport, ReasonUnmeasured, ReasonNoHome, ReasonGroup:
+		return true
+	}
+	return false
+}
+
+// limited returns the share, 0 if it is not limited.
+func (h Share) limited() float64 {
+	if h.Unlimited() {
+		return 0
+	}
+	return h.Fraction
+}
+
+// Penalty returns the load that is added to that of an upstream in another zone, for one
+// request. load and slots are those of the upstream, and limit the load at which it gets no
+// more. upstreams is the number of upstreams in its zone, and random a uniform random number
+// in [0, 1).
+//
+// A part of the requests leaves, which is the share: for them, the slots of the upstream
+// count as free. Of n upstreams, each is open to a request with the probability with which at
+// least one of n is open with that of the share. Beyond the share, a request leaves if it
+// would wait longer at home than leaving costs. It does not if requests wait in the other
+// zone too: all zones would exchange theirs.
+func (h Share) Penalty(load, slots, limit float64, upstreams int, random float64) float64 {
+	switch {
+	case h.Unlimited():
+		return h.Preference
+	case random < 1-math.Pow(1-h.Fraction, 1/float64(max(upstreams, 1))):
+		return h.Preference - slots
+	case h.full:
+		return max(h.Preference, limit)
+	}
+	return h.Preference + max(h.room-load, 0)
+}
+
+// Options configures a State.
+type Options struct {
+	// Zone is the zone of this process.
+	Zone string
+	// BytePrice is the price of bytes between zones, in milliseconds of a caller's time
+	// for a megabyte.
+	BytePrice float64
+}
+
+// State holds the shares of one process. It is owned by the control loop.
+type State struct {
+	options  Options
+	services map[string]*service
+	// delays returns the published one-way delay between two zones.
+	delays func(from, to string) (time.Duration, bool)
+}
+
+// New returns a state without shares.
+func New(o Options) *State {
+	return &State{
+		options: o, services: make(map[string]*service),
+		delays: func(string, string) (time.Duration, bool) { return 0, false },
+	}
+}
+
+// SetDelays sets the function that returns the published one-way delay between two zones.
+func (s *State) SetDelays(f func(from, to string) (time.Duration, bool)) { s.delays = f }
+
+// Share returns the share of another zone.
+func (s *State) Share(name, to string) Share {
+	if v := s.services[name]; v != nil && v.zones[to] != nil {
+		return v.zones[to].share
+	}
+	return Share{Fraction: 1, Preference: Preference, Reason: ReasonUnmeasured}
+}
+
+// Upstreams returns the number of usable upstreams of a zone at the last update.
+func (s *State) Upstreams(name, in string) int {
+	if v := s.services[name]; v != nil && v.zones[in] != nil {
+		return v.zones[in].Upstreams
+	}
+	return 0
+}
+
+// Retain removes the services for which keep returns false.
+func (s *State) Retain(keep func(service string) bool) {
+	for name := range s.services {
+		if !keep(name) {
+			delete(s.services, name)
+		}
+	}
+}
+
+// crossingCost returns what a request to another zone costs: the delay to it and back, and
+// the price of its bytes.
+func (s *State) crossingCost(to string, w Work) time.Duration {
+	price := time.Duration(s.options.BytePrice * w.Bytes / bytesPerMegabyte * float64(time.Millisecond))
+	return s.delay(s.options.Zone, to) + s.delay(to, s.options.Zone) + price
+}
+
+// delay returns the one-way delay between two zones. A delay that is published in one
+// direction only holds in both.
+func (s *State) delay(from, to string) time.Duration {
+	if d, ok := s.delays(from, to); ok {
+		return d
+	}
+	if d, ok := s.delays(to, from); ok {
+		return d
+	}
+	return assumedDelay
+}
+
+// preference returns the preference for the own zone in requests: the crossing cost in
+// units of what a request on an upstream costs, but at least Preference.
+func (s *State) preference(to string, w Work) float64 {
+	if w.LoadCost <= 0 {
+		return Preference
+	}
+	return max(Preference, float64(s.crossingCost(to, w))/float64(w.LoadCost))
+}
--- a/service/balance/balance.go
+++ b/service/balance/balance.go
@@ -90,6 +90,7 @@
 		Seed:          xxhash.Sum64String(settings.Node),
 		ColdOvershoot: settings.Edge.ColdOvershoot,
 		ColdTolerance: settings.Edge.ColdTolerance,
+		ZoneBytePrice: settings.Edge.ZoneBytePrice,
 	})
 	s.outliers = outlier.New()
 	s.suspects = poison.NewUnisolated(0)
