--- a/decide/balance/zones.go
+++ b/decide/balance/zones.go
@@ -55,6 +55,9 @@
 	return "", ""
 }
 
+// ZoneShare returns the share of the work on a service that goes to another zone.
+func (s *State) ZoneShare(service, zone string) zoneshare.Share { return s.zones.Share(service, zone) }
+
 // ZoneShares returns the shares of the work that goes to other zones, sorted by service and
 // zone.
 func (s *State) ZoneShares() []ZoneShare {
@@ -83,8 +86,7 @@
 	if s.zones.Due(now, service) {
 		s.zones.Update(now, service, s.zoneWork(service), s.zoneLoads(now, service))
 	}
-	share := s.zones.Share(service, zone)
-	return share.Penalty(load, float64(u.instance.Slots), limit, s.zones.Upstreams(service, zone), s.random.Float64())
+	return s.zones.Share(service, zone).Penalty(load, float64(u.instance.Slots), limit, s.random.Float64())
 }
 
 // zoneMargin returns what the penalty of an upstream adds to its capacity in water filling,
--- /dev/null
+++ b/decide/balance/zones_test.go
@@ -0,0 +1,121 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/balance"
+)
+
+// plainZones plays 10 requests a second of one process to a service with one upstream in
+// each of two zones. homeLoad is the number of requests of other processes at home. It
+// returns the number of requests that left.
+func plainZones(t *testing.T, s *balance.State, homeLoad int, exclude []string) (left, sent int) {
+	t.Helper()
+	const responseTime = 180 * time.Millisecond
+	for i := range 200 {
+		now := time.Second + time.Duration(i)*100*time.Millisecond
+		c, failure := s.Choose(now, "s", exclude)
+		if failure != nil {
+			t.Fatal(failure)
+		}
+		sent++
+		load := homeLoad
+		if c.Upstream == "away" {
+			left++
+			load = 1
+		}
+		ended := now + responseTime/2
+		s.ObserveLoad(ended, api.UpstreamLoad{Upstream: c.Upstream, Running: load, Slots: 12})
+		s.ObserveDuration(c.Upstream, responseTime)
+		s.Done(ended, c.Upstream, nil)
+	}
+	return left, sent
+}
+
+func newPlainZones(away api.Instance) *balance.State {
+	away.ID = "away"
+	return newState(newView(api.Instance{ID: "home", Zone: "z"}, away))
+}
+
+// Guards against requests that leave a zone with room, against ones that wait at a full home
+// while another zone is idle, and against a retry that goes nowhere else.
+func TestRequestsLeaveAFullZoneOnly(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		homeLoad int
+		exclude  []string
+		min, max int
+	}{
+		{"room", 5, nil, 0, 2},
+		{"full", 18, nil, 100, 200},
+		{"home tried", 5, []string{"home"}, 200, 200},
+	} {
+		left, sent := plainZones(t, newPlainZones(api.Instance{Zone: "y"}), c.homeLoad, c.exclude)
+		if left < c.min || left > c.max {
+			t.Errorf("%s: %d of %d requests left, want %d to %d", c.name, left, sent, c.min, c.max)
+		}
+	}
+}
+
+// Guards against a share that overrides the evacuation of a zone or a cold quota.
+func TestSharesYieldToEvacuationAndColdQuotas(t *testing.T) {
+	v := newView(api.Instance{ID: "home", Zone: "z"}, api.Instance{ID: "away", Zone: "y"})
+	v.ZonesOut["y"] = true
+	if left, _ := plainZones(t, newState(v), 18, nil); left > 0 {
+		t.Errorf("%d requests to a zone that is out", left)
+	}
+	cold := newPlainZones(api.Instance{Zone: "y", ColdUntil: time.Hour})
+	const seconds, rate = 20, (36*1.5 + 5) / 24
+	if left, _ := plainZones(t, cold, 18, nil); float64(left) > seconds*rate {
+		t.Errorf("%d requests in %d s to a cold upstream, quota %.1f a second", left, seconds, rate)
+	}
+}
+
+// Guards against a zone whose upstream is cold, held or failing, and whose requests stay
+// there because its slots look free.
+func TestRequestsLeaveAZoneWithoutUsableUpstreams(t *testing.T) {
+	s := newState(newView(api.Instance{ID: "home", Zone: "z", Leaving: true}, api.Instance{ID: "away", Zone: "y"}))
+	if left, sent := plainZones(t, s, 0, nil); left != sent {
+		t.Errorf("%d of %d requests left a zone whose upstream is leaving", left, sent)
+	}
+}
+
+// Guards against a group across zones that is loaded unevenly without a price, and against a
+// price without effect.
+func TestGroupAcrossZones(t *testing.T) {
+	left := func(price float64) int {
+		var instances []api.Instance
+		for rank := range groupRanks {
+			instances = append(instances, api.Instance{
+				ID: fmt.Sprint("r", rank), Zone: [...]string{"z", "y"}[rank%2], Address: fmt.Sprintf("10.0.0.%d:80", rank),
+			})
+		}
+		v := newView(instances...)
+		v.Table.Services["s"] = api.ServiceProfile{Name: "s", Engine: &api.EngineProfile{
+			Experts: 96, RequestTime: 500 * time.Microsecond, AnswerTokens: 160, StepTime: 5 * time.Millisecond, StepsPerPass: 6,
+		}}
+		s := balance.New(balance.Options{Zone: "z", Seed: 1, ZoneBytePrice: price})
+		s.Configure(0, v)
+		s.ObserveBytes("r0", 50_000)
+		l := newGroupLoad(time.Second, 2)
+		for i := range l.Ranks {
+			l.Ranks[i].AddressHash = xxhash.Sum64String(fmt.Sprintf("10.0.0.%d:80", i))
+		}
+		s.ObserveGroupLoad(l)
+		n := 0
+		for id, k := range countChoices(t, s, 1010*time.Millisecond, 16) {
+			if v.Instances[id].Zone == "y" {
+				n += k
+			}
+		}
+		return n
+	}
+	if free, dear := left(0), left(1e4); free < 4 || dear > 0 {
+		t.Errorf("%d of 16 requests left without a price, %d at 10 ms/KB; want a part and none", free, dear)
+	}
+}
--- a/decide/zoneshare/share.go
+++ b/decide/zoneshare/share.go
@@ -103,7 +103,7 @@
 		if z == home {
 			continue
 		}
-		z.share.Preference = s.preference(to, w)
+		z.share.Preference, z.share.upstreams = s.preference(to, w), z.Upstreams
 		switch {
 		case w.Lockstep:
 			z.open(ReasonGroup)
--- a/decide/zoneshare/sim_test.go
+++ b/decide/zoneshare/sim_test.go
@@ -176,7 +176,7 @@
 			score += zoneshare.Preference
 		default:
 			slots := float64(s.slots[z])
-			score += e.state.Share("s", zoneNames[z]).Penalty(load, slots, maxFactor*slots, 1, s.random.Float64())
+			score += e.state.Share("s", zoneNames[z]).Penalty(load, slots, maxFactor*slots, s.random.Float64())
 		}
 		if score < lowest {
 			best, lowest = z, score
--- a/decide/zoneshare/zoneshare.go
+++ b/decide/zoneshare/zoneshare.go
@@ -100,6 +100,8 @@
 	room float64
 	// full is true if requests wait in the other zone too.
 	full bool
+	// upstreams is the number of usable upstreams of the other zone.
+	upstreams int
 }
 
 // Unlimited reports whether requests leave by load and Preference alone. It is not known
@@ -122,19 +124,18 @@
 
 // Penalty returns the load that is added to that of an upstream in another zone, for one
 // request. load and slots are those of the upstream, and limit the load at which it gets no
-// more. upstreams is the number of upstreams in its zone, and random a uniform random number
-// in [0, 1).
+// more. random is a uniform random number in [0, 1).
 //
 // A part of the requests leaves, which is the share: for them, the slots of the upstream
 // count as free. Of n upstreams, each is open to a request with the probability with which at
 // least one of n is open with that of the share. Beyond the share, a request leaves if it
 // would wait longer at home than leaving costs. It does not if requests wait in the other
 // zone too: all zones would exchange theirs.
-func (h Share) Penalty(load, slots, limit float64, upstreams int, random float64) float64 {
+func (h Share) Penalty(load, slots, limit, random float64) float64 {
 	switch {
 	case h.Unlimited():
 		return h.Preference
-	case random < 1-math.Pow(1-h.Fraction, 1/float64(max(upstreams, 1))):
+	case random < 1-math.Pow(1-h.Fraction, 1/float64(max(h.upstreams, 1))):
 		return h.Preference - slots
 	case h.full:
 		return max(h.Preference, limit)
@@ -178,14 +179,6 @@
 	return Share{Fraction: 1, Preference: Preference, Reason: ReasonUnmeasured}
 }
 
-// Upstreams returns the number of usable upstreams of a zone at the last update.
-func (s *State) Upstreams(name, in string) int {
-	if v := s.services[name]; v != nil && v.zones[in] != nil {
-		return v.zones[in].Upstreams
-	}
-	return 0
-}
-
 // Retain removes the services for which keep returns false.
 func (s *State) Retain(keep func(service string) bool) {
 	for name := range s.services {
