--- a/api/services.go
+++ b/api/services.go
@@ -254,6 +254,9 @@
 	// chunk and to the end of the response.
 	FirstChunk time.Duration
 	Total      time.Duration
+	// SentBytes and ReceivedBytes are the sizes of the request and of the part of its
+	// response that was received, without the response header.
+	SentBytes, ReceivedBytes int64
 }
 
 // Routing chooses upstreams. Each successful Route must be followed by exactly
--- a/service/balance/balance.go
+++ b/service/balance/balance.go
@@ -45,6 +45,7 @@
 	crashes, refusals api.Counter
 	// statementCount counts what upstreams said of themselves and was new.
 	statementCount api.Counter
+	zones          *zoneTraffic
 	queries        *kernel.Mailbox[kernel.Call[api.RouteQuery, routeReply]]
 	results        *kernel.Mailbox[api.RouteResult]
 	loads          *kernel.Mailbox[api.UpstreamLoad]
@@ -79,6 +80,11 @@
 	if err != nil {
 		return err
 	}
+	publisher, err := kernel.Lookup[api.Publisher](c, api.ServiceMetrics)
+	if err != nil {
+		return err
+	}
+	s.zones = newZoneTraffic(settings.Zone, s.log, metrics, publisher)
 	s.clock = c.Clock()
 	s.ejections = metrics.Counter("route_ejected", "")
 	s.choices = metrics.Counter("route_choices", string(api.RouteLeastWork))
@@ -103,7 +109,10 @@
 	groups.Subscribe(func(_ time.Duration, l api.GroupLoad) { s.state.ObserveGroupLoad(l) })
 	s.fleet.Subscribe(func(_ time.Duration, v *api.FleetView) { s.state.SetFleet(v) })
 	s.fleet.ExchangeSuspicions(&sharedSuspects{Unisolated: s.suspects, log: s.log})
-	c.Loop().Every(tickInterval, func(now time.Duration) { s.applyHealth(s.outliers.Tick(now)) })
+	c.Loop().Every(tickInterval, func(now time.Duration) {
+		s.applyHealth(s.outliers.Tick(now))
+		s.zones.publish(now, s.state.ZoneShares())
+	})
 	return nil
 }
 
@@ -176,6 +185,7 @@
 		return
 	}
 	s.choices.Add(1)
+	s.zones.recordChoice(s.state, choice.Upstream)
 	c.Reply(routeReply{choice: api.RouteChoice{
 		Upstream:    choice.Upstream,
 		Incarnation: choice.Incarnation,
@@ -232,7 +242,9 @@
 	s.recordSuspects(now, r)
 	if r.Failure == nil {
 		s.state.ObserveDuration(r.Upstream, r.Total)
+		s.state.ObserveBytes(r.Upstream, r.SentBytes+r.ReceivedBytes)
 	}
+	s.zones.recordBytes(s.state, r)
 	if r.Unsent {
 		return
 	}
--- a/service/dispatch/attempt.go
+++ b/service/dispatch/attempt.go
@@ -18,6 +18,8 @@
 	// timeToFirstChunk is the time from the start of the request, not of the attempt, to
 	// the attempt's first chunk. It is 0 before that chunk.
 	timeToFirstChunk time.Duration
+	// receivedBytes is the number of bytes of the response's chunks.
+	receivedBytes int64
 	// pendingCredit is the number of bytes delivered to the caller for which the
 	// agent has not been granted new flow-control credit.
 	pendingCredit int
@@ -91,6 +93,7 @@
 		a.delivery.service.counts.lateChunks.Add(1)
 		return &DetachedError{}
 	}
+	a.receivedBytes += int64(len(c.Payload))
 	d := a.delivery
 	if a.timeToFirstChunk == 0 && c.Kind != api.ChunkFiller {
 		a.timeToFirstChunk = d.service.clock.Now() - d.startedAt
--- a/service/dispatch/hedgedattempt.go
+++ b/service/dispatch/hedgedattempt.go
@@ -227,5 +227,8 @@
 		Failure:     f,
 		FirstChunk:  s.sink.timeToFirstChunk,
 		Total:       d.service.clock.Now() - s.startedAt,
+
+		SentBytes:     sentBytes(d.request, f, unsent),
+		ReceivedBytes: s.sink.receivedBytes,
 	})
 }
