--- a/decide/zoneshare/share.go
+++ b/decide/zoneshare/share.go
@@ -28,6 +28,10 @@
 	maxShare = 0.9
 	// minShare is the share below which a share that ends is 0.
 	minShare = 0.01
+	// othersWeight is the weight of the waits of another zone's callers. At 1, too few
+	// requests leave while the peaks of zones alternate: the load of the other zone is known
+	// later than that of the own one, and its peak is over by then.
+	othersWeight = 0.4
 	// fillSteps is the number of parts in which work is distributed between zones.
 	fillSteps = 40
 	// assumedLoad is the load of a zone without a recent report, as a fraction of its slots.
@@ -118,8 +122,9 @@
 			z.share = Share{Preference: z.share.Preference, Reason: ReasonUnusable, full: true}
 			continue
 		}
+		z.share.meanLoad = z.meanLoad / float64(max(z.Upstreams, 1))
 		z.share.full = z.meanLoad >= z.Slots
-		z.share.room = loadOfWait(marginalWait(z.meanLoad, z.Slots)+s.cost(to, w), home.Slots/float64(max(home.Upstreams, 1)))
+		z.share.room = loadOfWait(lossThere(z.meanLoad, z.Slots)+s.cost(to, w), home.Slots/float64(max(home.Upstreams, 1)))
 		switch {
 		case expectedWait(home.meanLoad, home.Slots) <= z.startFactor()*s.cost(to, w):
 			z.approach(now, 0, ReasonRoom)
@@ -188,7 +193,7 @@
 		best, least := -1, expectedWait(staying, home.Slots)
 		for i, name := range to {
 			z := v.zones[name]
-			if c := marginalWait(others[i]+flows[i], z.Slots) + z.startFactor()*s.cost(name, w); c < least {
+			if c := lossThere(others[i]+flows[i], z.Slots) + z.startFactor()*s.cost(name, w); c < least {
 				best, least = i, c
 			}
 		}
--- a/decide/zoneshare/wait.go
+++ b/decide/zoneshare/wait.go
@@ -22,11 +22,11 @@
 	return (excess*(1+math.Erf(d/math.Sqrt2))/2 + sigma*density) / slots
 }
 
-// marginalWait returns the expected wait of one more request and what it adds to the waits
-// of the others, in durations of a request.
-func marginalWait(load, slots float64) float64 {
+// lossThere returns the expected wait of one more request in another zone and the weighted
+// waits that it adds to those of the other callers there, in durations of a request.
+func lossThere(load, slots float64) float64 {
 	wait := expectedWait(load, slots)
-	return wait + load*(expectedWait(load+loadStep, slots)-wait)/loadStep
+	return wait + othersWeight*load*(expectedWait(load+loadStep, slots)-wait)/loadStep
 }
 
 // loadOfWait returns the load at which the expected wait has a value.
--- a/decide/zoneshare/zoneshare.go
+++ b/decide/zoneshare/zoneshare.go
@@ -100,6 +100,8 @@
 	room float64
 	// full is true if requests wait in the other zone too.
 	full bool
+	// meanLoad is the mean load of an upstream of the other zone.
+	meanLoad float64
 	// upstreams is the number of usable upstreams of the other zone.
 	upstreams int
 }
@@ -126,23 +128,27 @@
 // request. load and slots are those of the upstream, and limit the load at which it gets no
 // more. random is a uniform random number in [0, 1).
 //
-// A part of the requests leaves, which is the share: for them, the slots of the upstream
-// count as free. Of n upstreams, each is open to a request with the probability with which at
-// least one of n is open with that of the share. Beyond the share, a request leaves if it
-// would wait longer at home than leaving costs. It does not if requests wait in the other
-// zone too: all zones would exchange theirs.
+// A part of the requests, which is the share, goes by load and Preference. Of n upstreams,
+// each is open to a request with the probability with which at least one of n is open with
+// that of the share. Beyond the share, a request leaves if it would wait longer at home than
+// leaving costs. If requests wait in the other zone too, it leaves only where it would be
+// refused at home, and not if the other zone is about to refuse it as well: zones would
+// exchange requests that are late in any case.
 func (h Share) Penalty(load, slots, limit, random float64) float64 {
 	switch {
-	case h.Unlimited():
+	case h.Unlimited() || random < 1-math.Pow(1-h.Fraction, 1/float64(max(h.upstreams, 1))):
 		return h.Preference
-	case random < 1-math.Pow(1-h.Fraction, 1/float64(max(h.upstreams, 1))):
-		return h.Preference - slots
-	case h.full:
+	case h.meanLoad >= (slots+limit)/2:
 		return max(h.Preference, limit)
+	case h.full:
+		return max(h.Preference, limit-randomWidth-load)
 	}
 	return h.Preference + max(h.room-load, 0)
 }
 
+// randomWidth is the width of the random part of a score.
+const randomWidth = 0.5
+
 // Options configures a State.
 type Options struct {
 	// Zone is the zone of this process.
