--- a/decide/balance/balance.go
+++ b/decide/balance/balance.go
@@ -94,6 +94,10 @@
 	othersLoadAt time.Duration
 	// reported is true once the upstream has reported a load.
 	reported bool
+	// unansweredSince is the time of the first request in flight since the last report, if
+	// unanswered is true.
+	unanswered      bool
+	unansweredSince time.Duration
 	// groupLoad is the load last read by the leader of the upstream's group, nil if
 	// there is none.
 	groupLoad *rankLoad
--- a/decide/balance/zones.go
+++ b/decide/balance/zones.go
@@ -147,12 +147,25 @@
 	if u.reported && (!z.Reported || u.othersLoadAt > z.ReportedAt) {
 		z.Reported, z.ReportedAt = true, u.othersLoadAt
 	}
+	u.updateUnanswered()
+	if u.unanswered && (!z.Asked || u.unansweredSince < z.AskedAt) {
+		z.Asked, z.AskedAt = true, u.unansweredSince
+	}
+}
+
+// updateUnanswered records the time of the first request in flight since the last report. It
+// outlasts sentAt, which covers less than a long request takes.
+func (u *upstream) updateUnanswered() {
+	if u.inFlight == 0 || u.reported && u.othersLoadAt >= u.unansweredSince {
+		u.unanswered = false
+	}
+	if u.unanswered || u.inFlight == 0 {
+		return
+	}
 	for _, at := range u.sentAt {
-		if u.inFlight > 0 && (!u.reported || at > u.othersLoadAt) {
-			if !z.Asked || at < z.AskedAt {
-				z.Asked, z.AskedAt = true, at
-			}
-			break
+		if !u.reported || at > u.othersLoadAt {
+			u.unanswered, u.unansweredSince = true, at
+			return
 		}
 	}
 }
