--- a/decide/balance/zones.go
+++ b/decide/balance/zones.go
@@ -58,15 +58,15 @@
 // ZoneShare returns the share of the work on a service that goes to another zone.
 func (s *State) ZoneShare(service, zone string) zoneshare.Share { return s.zones.Share(service, zone) }
 
-// ZoneShares returns the shares of the work that goes to other zones, sorted by service and
-// zone.
+// ZoneShares returns the shares of the work that goes to other zones in service, sorted by
+// service and zone.
 func (s *State) ZoneShares() []ZoneShare {
 	var list []ZoneShare
 	for _, service := range slices.Sorted(maps.Keys(s.services)) {
 		seen := map[string]bool{s.options.Zone: true}
 		first := len(list)
 		for _, u := range s.services[service] {
-			if zone := u.instance.Zone; !seen[zone] {
+			if zone := u.instance.Zone; !seen[zone] && s.eligible(u) {
 				seen[zone] = true
 				list = append(list, ZoneShare{Service: service, Zone: zone, Share: s.zones.Share(service, zone)})
 			}
--- a/decide/balance/zones_test.go
+++ b/decide/balance/zones_test.go
@@ -67,8 +67,9 @@
 func TestSharesYieldToEvacuationAndColdQuotas(t *testing.T) {
 	v := newView(api.Instance{ID: "home", Zone: "z"}, api.Instance{ID: "away", Zone: "y"})
 	v.ZonesOut["y"] = true
-	if left, _ := plainZones(t, newState(v), 18, nil); left > 0 {
-		t.Errorf("%d requests to a zone that is out", left)
+	out := newState(v)
+	if left, _ := plainZones(t, out, 18, nil); left > 0 || len(out.ZoneShares()) > 0 {
+		t.Errorf("%d requests to a zone that is out, shares %+v", left, out.ZoneShares())
 	}
 	cold := newPlainZones(api.Instance{Zone: "y", ColdUntil: time.Hour})
 	const seconds, rate = 20, (36*1.5 + 5) / 24
