--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -47,6 +47,8 @@
 	rateAt time.Duration
 	// meanDuration is the moving average of the duration of a request, 0 if unknown.
 	meanDuration time.Duration
+	// meanBytes is the moving average of the bytes of a request and its response.
+	meanBytes float64
 }
 
 func (s *State) trafficOf(service string) *traffic {
@@ -124,13 +126,6 @@
 	return s.view.Table.Services[service].Engine
 }
 
-// unknownCandidate returns the expected load of an upstream whose group's load is not
-// known.
-func (s *State) unknownCandidate(now time.Duration, u *upstream) waterfill.Candidate {
-	slots := float64(u.instance.Slots)
-	return waterfill.Candidate{Load: s.load(now, u) + s.penalty(u), Capacity: slots*(1+queuedFraction) + crossZonePenalty}
-}
-
 // median returns the median of a list that is not empty, 1 if it is.
 func median(list []float64) float64 {
 	if len(list) == 0 {
@@ -224,19 +219,33 @@
 // otherProcesses returns the number of other processes that place requests.
 func (s *State) otherProcesses() int { return max(len(s.fleet.Names)-1, 0) }
 
-// candidate returns the estimated load and the batch of a rank: the requests that the leader
-// read, less those that have ended since, plus the own attempts since.
-func (s *State) candidate(now time.Duration, u *upstream, l rankLoad, meanDuration time.Duration) waterfill.Candidate {
-	slots := float64(u.instance.Slots)
+// estimate is the number of requests that are expected on an upstream, and that above which
+// it gets no more.
+type estimate struct{ load, limit float64 }
+
+// estimateRank returns the estimate of a rank: the requests that the leader read, less those
+// that have ended since, plus the own attempts since. The limit is its batch.
+func (s *State) estimateRank(now time.Duration, u *upstream, l rankLoad, meanDuration time.Duration) estimate {
 	load := float64(l.requests)
 	if meanDuration > 0 {
-		running := min(load, slots)
+		running := min(load, float64(u.instance.Slots))
 		load -= min(running, running*float64(now-l.readAt)/float64(meanDuration))
 	}
-	load += float64(u.sentSince(l.readAt)) + s.penalty(u)
-	c := waterfill.Candidate{Load: load, Capacity: float64(l.limit)}
-	if l.limit > 0 {
-		c.Capacity += crossZonePenalty
+	return estimate{load: load + float64(u.sentSince(l.readAt)), limit: float64(l.limit)}
+}
+
+// estimateUnknown returns the estimate of an upstream whose group's load is not known.
+func (s *State) estimateUnknown(now time.Duration, u *upstream) estimate {
+	return estimate{load: s.load(now, u), limit: float64(u.instance.Slots) * (1 + queuedFraction)}
+}
+
+// candidate returns an upstream as water filling sees it. The penalties order upstreams and
+// take no room, but for that of a probed one.
+func (s *State) candidate(now time.Duration, u *upstream, e estimate) waterfill.Candidate {
+	zone := s.zonePenalty(now, u, e.load, e.limit)
+	c := waterfill.Candidate{Load: e.load + s.penalty(u) + zone, Capacity: e.limit}
+	if e.limit > 0 {
+		c.Capacity += s.zoneMargin(u, zone)
 	}
 	return c
 }
--- a/decide/balance/room.go
+++ b/decide/balance/room.go
@@ -61,17 +61,18 @@
 			continue
 		}
 		room.ranks = append(room.ranks, u)
-		c := s.unknownCandidate(now, u)
+		e := s.estimateUnknown(now, u)
 		if recent {
-			c = s.candidate(now, u, load, t.meanDuration)
+			e = s.estimateRank(now, u, load, t.meanDuration)
 			known++
 			age += now - load.readAt
 			room.Sent += float64(u.sentSince(load.readAt))
 			running += min(float64(load.requests), float64(u.instance.Slots))
 		}
+		c := s.candidate(now, u, e)
 		room.candidates = append(room.candidates, c)
 		room.Total += max(c.Capacity-c.Load, 0)
-		room.Places += s.places(u, c)
+		room.Places += s.places(u, e)
 	}
 	if known > 0 {
 		room.Known, room.ReadAt = true, now-age/time.Duration(known)
@@ -89,15 +90,14 @@
 	return room
 }
 
-// places returns the number of requests that a candidate has room for. It is negative by the
+// places returns the number of requests that an upstream has room for. It is negative by the
 // requests that wait there: they need the places of others as if they waited here. Those that
 // run beyond the batch, which has become smaller, need none.
-func (s *State) places(u *upstream, c waterfill.Candidate) float64 {
-	load := c.Load - s.penalty(u)
-	if waiting := load - float64(u.instance.Slots); waiting > 0 {
+func (s *State) places(u *upstream, e estimate) float64 {
+	if waiting := e.load - float64(u.instance.Slots); waiting > 0 {
 		return -waiting
 	}
-	return max(min(c.Capacity-c.Load, c.Capacity-crossZonePenalty-load), 0)
+	return max(e.limit-e.load-s.penalty(u), 0)
 }
 
 // ServiceOf returns the service of an upstream, empty if it is not known.
--- a/service/balance/balance.go
+++ b/service/balance/balance.go
@@ -46,6 +46,7 @@
 	// statementCount counts what upstreams said of themselves and was new.
 	statementCount api.Counter
 	waits          waitCounters
+	zones          *zoneTraffic
 	queries        *kernel.Mailbox[call]
 	// abandoned holds the queries whose caller is gone.
 	abandoned  *kernel.Mailbox[*asked]
@@ -91,6 +92,11 @@
 	if err != nil {
 		return err
 	}
+	publisher, err := kernel.Lookup[api.Publisher](c, api.ServiceMetrics)
+	if err != nil {
+		return err
+	}
+	s.zones = newZoneTraffic(settings.Zone, s.log, metrics, publisher)
 	s.clock = c.Clock()
 	s.ejections = metrics.Counter("route_ejected", "")
 	s.choices = metrics.Counter("route_choices", string(api.RouteLeastWork))
@@ -104,6 +110,7 @@
 		Seed:          s.seed,
 		ColdOvershoot: settings.Edge.ColdOvershoot,
 		ColdTolerance: settings.Edge.ColdTolerance,
+		ZoneBytePrice: settings.Edge.ZoneBytePrice,
 	})
 	s.outliers = outlier.New()
 	s.suspects = poison.NewUnisolated(0)
@@ -118,7 +125,10 @@
 	groups.Subscribe(s.handleGroupLoad)
 	s.fleet.Subscribe(func(_ time.Duration, v *api.FleetView) { s.state.SetFleet(v) })
 	s.fleet.ExchangeSuspicions(&sharedSuspects{Unisolated: s.suspects, log: s.log})
-	c.Loop().Every(tickInterval, func(now time.Duration) { s.applyHealth(s.outliers.Tick(now)) })
+	c.Loop().Every(tickInterval, func(now time.Duration) {
+		s.applyHealth(s.outliers.Tick(now))
+		s.zones.publish(now, s.state.ZoneShares())
+	})
 	return nil
 }
 
@@ -196,6 +206,7 @@
 	}
 	s.choices.Add(1)
 	c.Query.chosen = choice.Upstream
+	s.zones.recordChoice(s.state, choice.Upstream)
 	c.Reply(routeReply{choice: api.RouteChoice{
 		Upstream:    choice.Upstream,
 		Incarnation: choice.Incarnation,
@@ -260,10 +271,12 @@
 	s.recordSuspects(now, r)
 	if r.Failure == nil {
 		s.state.ObserveDuration(r.Upstream, r.Total)
+		s.state.ObserveBytes(r.Upstream, r.SentBytes+r.ReceivedBytes)
 	}
 	if r.FirstChunk > 0 {
 		s.lineOf(s.state.ServiceOf(r.Upstream)).ObserveFirstEvent(r.FirstChunk)
 	}
+	s.zones.recordBytes(s.state, r)
 	s.dispatchEverywhere(now)
 	if r.Unsent {
 		return
--- a/service/balance/waiting_test.go
+++ b/service/balance/waiting_test.go
@@ -78,6 +78,8 @@
 	key string
 }
 
+func (fakeMetrics) Publish(string, func() any) {}
+
 func (m fakeMetrics) Counter(name, label string) api.Counter {
 	return fakeCounter{m.fakes, name + "/" + label}
 }
--- a/service/dispatch/hedgedattempt.go
+++ b/service/dispatch/hedgedattempt.go
@@ -232,5 +232,8 @@
 		Failure:     f,
 		FirstChunk:  firstChunk,
 		Total:       d.service.clock.Now() - s.startedAt,
+
+		SentBytes:     sentBytes(d.request, f, unsent),
+		ReceivedBytes: s.sink.receivedBytes,
 	})
 }
