--- /dev/null
+++ b/standin/crowd/process.go
@@ -0,0 +1,200 @@
+// Package crowd plays clients that nobody controls against the listeners of a process, and
+// measures what the process holds meanwhile. The process is a program of its own, so that its
+// memory and its descriptors are not those of its clients.
+package crowd
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	// sampleInterval is the time between two counts of open descriptors.
+	sampleInterval = 20 * time.Millisecond
+	// startTimeout bounds the time until a process listens.
+	startTimeout = 20 * time.Second
+	// maxOutput bounds the log lines that are kept.
+	maxOutput = 16 << 10
+)
+
+// StartError reports a process that did not start to listen.
+type StartError struct {
+	Output string
+	Err    error
+}
+
+func (e *StartError) Error() string { return fmt.Sprintf("%v; output: %s", e.Err, e.Output) }
+
+// Unwrap returns the cause.
+func (e *StartError) Unwrap() error { return e.Err }
+
+var (
+	errExited  = errors.New("the process has exited")
+	errNoStart = errors.New("the process does not listen")
+)
+
+// Process is a running program.
+type Process struct {
+	// Addresses are those on which the process listens, by the names in its log.
+	Addresses map[string]string
+
+	command     *exec.Cmd
+	exited      chan struct{}
+	descriptors atomic.Int64
+
+	mu     sync.Mutex
+	output strings.Builder
+}
+
+// lockName is the file by which the tests of several packages wait for each other.
+const lockName = "mulberryfork-crowd.lock"
+
+// Alone waits until no other test with a crowd runs on the machine. The returned function lets
+// the next one run. Two crowds at a time take the processor from each other's processes.
+func Alone() (done func(), err error) {
+	file, err := os.OpenFile(filepath.Join(os.TempDir(), lockName), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX); err != nil {
+		_ = file.Close()
+		return nil, err
+	}
+	return func() { _ = file.Close() }, nil
+}
+
+// Build builds the main package in the current folder.
+func Build(folder string) (program string, err error) {
+	program = filepath.Join(folder, "program")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		return "", &StartError{Output: string(out), Err: err}
+	}
+	return program, nil
+}
+
+// Start starts a program whose settings make it log as JSON, and waits until it listens. A
+// limit of descriptors above 0 is in force for this process alone.
+func Start(program string, descriptors int, args ...string) (*Process, error) {
+	script := `exec "$0" "$@"`
+	if descriptors > 0 {
+		script = fmt.Sprintf("ulimit -n %d && %s", descriptors, script)
+	}
+	p := &Process{command: exec.Command("sh", append([]string{"-c", script, program}, args...)...), exited: make(chan struct{})}
+	out, in := io.Pipe()
+	p.command.Stdout, p.command.Stderr = in, in
+	if err := p.command.Start(); err != nil {
+		return nil, err
+	}
+	addresses := make(chan map[string]string, 1)
+	go p.readOutput(out, addresses)
+	go func() {
+		_ = p.command.Wait()
+		_ = in.Close()
+		close(p.exited)
+	}()
+	select {
+	case p.Addresses = <-addresses:
+	case <-p.exited:
+		return nil, &StartError{Output: p.Output(), Err: errExited}
+	case <-time.After(startTimeout):
+		p.Kill()
+		return nil, &StartError{Output: p.Output(), Err: errNoStart}
+	}
+	go p.sample()
+	return p, nil
+}
+
+func (p *Process) readOutput(out io.Reader, addresses chan<- map[string]string) {
+	lines := bufio.NewReader(out)
+	for {
+		line, err := lines.ReadString('\n')
+		var entry map[string]any
+		if json.Unmarshal([]byte(line), &entry) == nil && entry["msg"] == "listening" {
+			found := make(map[string]string)
+			for name, value := range entry {
+				if text, ok := value.(string); ok {
+					found[name] = text
+				}
+			}
+			addresses <- found
+		}
+		p.mu.Lock()
+		if p.output.Len() < maxOutput {
+			p.output.WriteString(line)
+		}
+		p.mu.Unlock()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Output returns the first log lines of the process.
+func (p *Process) Output() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.output.String()
+}
+
+// sample counts the open descriptors until the process ends.
+func (p *Process) sample() {
+	tick := time.NewTicker(sampleInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-p.exited:
+			return
+		case <-tick.C:
+			p.descriptors.Store(max(p.descriptors.Load(), p.openDescriptors()))
+		}
+	}
+}
+
+func (p *Process) openDescriptors() int64 {
+	names, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid))
+	return int64(len(names))
+}
+
+// Alive reports whether the process is running.
+func (p *Process) Alive() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// PeakDescriptors returns the largest number of descriptors that were open at a time.
+func (p *Process) PeakDescriptors() int64 { return max(p.descriptors.Load(), p.openDescriptors()) }
+
+// PeakMemory returns the largest resident memory of the process in bytes, 0 if it has exited.
+func (p *Process) PeakMemory() int64 {
+	const field, kilobyte = "VmHWM:", 1 << 10
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, field); ok {
+			n, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			return n * kilobyte
+		}
+	}
+	return 0
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	_ = p.command.Process.Signal(syscall.SIGKILL)
+	<-p.exited
+}
