Account of what connections make a process hold

Heads, small bodies, frames, idle connections and unread responses were bounded by nothing, and a stalled body kept its share until the timeout of its route. The service connections now bounds connections, requests in flight and charged bytes by the memory and the descriptors of the VM, at every listener. When the account is short, connections without progress are ended first (decide/connbudget).

The body budget moves from the admission of edges to the account, and the test of canceled bodies looks it up there. Tests of the front end run the new service.

--- /dev/null
+++ b/api/connections.go
@@ -0,0 +1,37 @@
+package api
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Connections is the account of what connections make the process hold.
+type Connections interface {
+	// Guard returns a listener whose connections are charged to the account. The main
+	// listener of a process has the largest guaranteed part. It must be called while services
+	// are started.
+	Guard(l net.Listener, name string, main bool) net.Listener
+	// TakeBody takes n bytes for a body of a member. ctx is that of the request. If the failure
+	// is nil, ReturnBody must be called with the same bytes once they are no longer held.
+	TakeBody(ctx context.Context, member string, n int64) *Failure
+	ReturnBody(ctx context.Context, member string, n int64)
+	// NewBody returns a reader for the body of a request.
+	NewBody(r *http.Request) RequestBody
+	// ReportShortage ends responses that no client reads, after a request was refused because
+	// there are too many in flight. It does not wait.
+	ReportShortage()
+}
+
+// RequestBody reads the body of one request, within what its member may hold and as long as
+// the account does not end it.
+type RequestBody interface {
+	// ReadFor reads a body of at most maxBytes within a time. Release must be called
+	// afterwards, also after a failure.
+	ReadFor(member string, w http.ResponseWriter, r *http.Request, maxBytes int64, within time.Duration) ([]byte, *Failure)
+	// Release gives back what the body takes of the account.
+	Release()
+	// Discard reads the rest of a refused body, so that its caller sees the refusal.
+	Discard(w http.ResponseWriter, r *http.Request)
+}
--- a/api/edge.go
+++ b/api/edge.go
@@ -1,9 +1,6 @@
 package api
 
-import (
-	"context"
-	"time"
-)
+import "time"
 
 // FleetView is the set of edges known to one edge. The edges share two global
 // limits: the retry budget and the request rates of cold upstreams.
@@ -46,14 +43,6 @@
 	Digest(now time.Duration, n int) []Suspicion
 }
 
-// BodyBudget bounds the bytes of request bodies that a process holds.
-type BodyBudget interface {
-	// TakeBody takes n bytes for a body of a member. If the failure is nil, ReturnBody must
-	// be called with the same bytes once they are no longer held.
-	TakeBody(ctx context.Context, member string, n int64) *Failure
-	ReturnBody(member string, n int64)
-}
-
 // EdgeSettings holds the settings of an edge or side process.
 type EdgeSettings struct {
 	// Store is the address of the platform's store.
@@ -92,6 +81,8 @@
 	LinkMbps float64 `toml:"link_mbps"`
 	// MemoryMB is the memory limit of the process in MB.
 	MemoryMB float64 `toml:"memory_mb"`
+	// Descriptors is the limit of open descriptors of the process, 0 if it is unknown.
+	Descriptors int `toml:"descriptors"`
 	// CPUShare is the processor share of the process as a fraction of a core.
 	CPUShare float64 `toml:"cpu_share"`
 }
--- a/api/metrics.go
+++ b/api/metrics.go
@@ -20,7 +20,7 @@
 	// Label is the name of the metric's label, empty if it has none.
 	Label string
 	// Process is the kind of process that publishes the metric: "router", "agent",
-	// "both" (these two), "edge" or "side".
+	// "both" (these two), "edge", "side" or "all".
 	Process string
 	// Help is the meaning of the metric.
 	Help string
@@ -74,6 +74,10 @@
 	{"keys_issued", MetricCounter, "keys", "", "router", "bound idempotency keys issued"},
 	{"streams", MetricGauge, "requests", "", "router", "requests in flight"},
 	{"streams_refused", MetricCounter, "requests", "", "router", "requests refused by the limit on requests in flight"},
+	{"connections", MetricGauge, "connections", "", "all", "open connections of all listeners"},
+	{"connection_bytes", MetricGauge, "bytes", "", "all", "bytes of heads, bodies and frames that are charged to connections"},
+	{"connections_refused", MetricCounter, "connections", "listener", "all", "new connections closed because there was no room for another one"},
+	{"connections_ended", MetricCounter, "connections", "reason", "all", "connections ended because of the least progress: for lack of room for `connections`, `bytes` or `requests`, or because the response was `unread` for too long"},
 	{"bodies_refused", MetricCounter, "requests", "", "edge", "requests refused because too many bytes of request bodies are held"},
 	{"first_chunk", MetricHistogram, "us", "member", "router", "time from arrival to the first chunk"},
 	{"chunk_gap", MetricHistogram, "us", "member", "router", "time between two successive chunks"},
--- a/api/names.go
+++ b/api/names.go
@@ -18,6 +18,7 @@
 	ServiceEngine          = "engine"
 	ServiceEngineFeed      = "engine.feed"
 	ServiceMetrics         = "metrics"
+	ServiceConnections     = "connections"
 	ServiceAdminHTTP       = "admin.http"
 	ServiceLog             = "log"
 	ServiceReport          = "report"
--- a/api/settings.go
+++ b/api/settings.go
@@ -82,8 +82,25 @@
 	RequestTimeout Duration `toml:"request_timeout"`
 	// Streams bounds the requests in flight of one process.
 	Streams int `toml:"streams"`
+	// MemoryMB is the memory limit of a router or an agent in MB, Descriptors its limit of
+	// open descriptors. 0 stands for unknown. Edges have their own in EdgeSettings.
+	MemoryMB    float64 `toml:"memory_mb"`
+	Descriptors int     `toml:"descriptors"`
+	// MinRate is the rate in bytes/s below which a connection that receives a request or
+	// sends a response makes no progress. Without progress for StallTime, it may be ended
+	// when memory, connections or descriptors run short.
+	MinRate   int64    `toml:"min_rate"`
+	StallTime Duration `toml:"stall_time"`
+	// WriteTimeout limits the time in which a client takes less than MinRate of a response.
+	WriteTimeout Duration `toml:"write_timeout"`
 }
 
+// MemoryLimitMB returns the memory limit of the process in MB, 0 if it is unknown.
+func (s *Settings) MemoryLimitMB() float64 { return max(s.Limits.MemoryMB, s.Edge.MemoryMB) }
+
+// DescriptorLimit returns the limit of open descriptors, 0 if it is unknown.
+func (s *Settings) DescriptorLimit() int { return max(s.Limits.Descriptors, s.Edge.Descriptors) }
+
 // Log holds the log level and format.
 type Log struct {
 	Level string `toml:"level"`
--- a/cmd/mulberryfork-platform/body_test.go
+++ b/cmd/mulberryfork-platform/body_test.go
@@ -179,7 +179,7 @@
 func TestCanceledBodyKeepsNoBudget(t *testing.T) {
 	f := newFixture(t)
 	f.process = startEdge(t, edgeSettings("bodies", f.storeAddress, "", 200)+"memory_mb = 4\n")
-	budget, err := kernel.Find[api.BodyBudget](f.process.Host, api.ServiceAdmission)
+	budget, err := kernel.Find[api.Connections](f.process.Host, api.ServiceConnections)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -188,7 +188,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go cancel()
 		if budget.TakeBody(ctx, "m", half) == nil {
-			budget.ReturnBody("m", half)
+			budget.ReturnBody(ctx, "m", half)
 		}
 	}
 	if failure := budget.TakeBody(t.Context(), "m", half); failure != nil {
--- a/cmd/mulberryfork-platform/crowd_test.go
+++ b/cmd/mulberryfork-platform/crowd_test.go
@@ -26,6 +26,8 @@
 	// reservedDescriptors are for files.
 	crowdDescriptors    = 800
 	reservedDescriptors = 200
+	// crowdStallTime is less than by default, so that the tests are short.
+	crowdStallTime = "500ms"
 	// crowdBodyBytes is the largest body in the configuration.
 	crowdBodyBytes = 1 << 20
 	// crowdConfigFormat lets requests take so long that time ends none during a test.
@@ -121,7 +123,7 @@
 
 func (f *crowdFixture) startEdge(descriptors int) *crowd.Process {
 	f.t.Helper()
-	text := edgeSettings("crowd", f.store, "", 200) + fmt.Sprintf("memory_mb = %d\n[log]\nformat = \"json\"\n", crowdMemoryMB)
+	text := edgeSettings("crowd", f.store, "", 200) + fmt.Sprintf("memory_mb = %d\n[limits]\nstall_time = %q\n[log]\nformat = \"json\"\n", crowdMemoryMB, crowdStallTime)
 	p := f.start("edge", text, descriptors)
 	if !waitFor(func() bool { return status("http://"+p.Addresses["ready"]+"/-/readiness") == http.StatusOK }) {
 		f.t.Fatalf("the edge is not ready: %s", p.Output())
@@ -142,9 +144,11 @@
 service = "svc"
 poll = "1s"
 memory_mb = %d
+[limits]
+stall_time = %q
 [log]
 format = "json"
-`, f.store, crowdMemoryMB), descriptors)
+`, f.store, crowdMemoryMB, crowdStallTime), descriptors)
 }
 
 // status returns the status of a GET request on a connection of its own, 0 without a response.
--- a/cmd/mulberryfork-platform/main.go
+++ b/cmd/mulberryfork-platform/main.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -20,6 +19,7 @@
 	"github.com/mulberryfork/mulberryfork/service/adminhttp"
 	"github.com/mulberryfork/mulberryfork/service/apikeys"
 	"github.com/mulberryfork/mulberryfork/service/balance"
+	"github.com/mulberryfork/mulberryfork/service/connections"
 	"github.com/mulberryfork/mulberryfork/service/discovery"
 	"github.com/mulberryfork/mulberryfork/service/dispatch"
 	"github.com/mulberryfork/mulberryfork/service/experts"
@@ -29,12 +29,6 @@
 	"github.com/mulberryfork/mulberryfork/service/metrics"
 )
 
-// memoryFraction is the fraction of the process's memory that the Go runtime gets as
-// its soft limit. The rest is for stacks and buffers of the operating system.
-const memoryFraction = 0.75
-
-const bytesPerMB = 1 << 20
-
 type commands struct {
 	Edge edgeCommand `cmd:"" help:"Route requests of callers to upstreams."`
 	Side sideCommand `cmd:"" help:"Manage the expert map of the engine on this VM."`
@@ -76,6 +70,7 @@
 var edgeServices = []string{
 	api.ServiceLog,
 	api.ServiceMetrics,
+	api.ServiceConnections,
 	api.ServiceDiscovery,
 	api.ServicePlatformStore,
 	api.ServiceAdminHTTP,
@@ -92,6 +87,7 @@
 var sideServices = []string{
 	api.ServiceLog,
 	api.ServiceMetrics,
+	api.ServiceConnections,
 	api.ServiceDiscovery,
 	api.ServicePlatformStore,
 	api.ServiceAdminHTTP,
@@ -105,6 +101,7 @@
 		adminhttp.Register,
 		apikeys.Register,
 		balance.Register,
+		connections.Register,
 		discovery.Register,
 		dispatch.Register,
 		experts.Register,
@@ -169,9 +166,7 @@
 	if err != nil {
 		return err
 	}
-	if loaded.Edge.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryFraction * loaded.Edge.MemoryMB * bytesPerMB))
-	}
+	daemon.LimitMemory(loaded)
 	r, err := registry()
 	if err != nil {
 		return err
--- a/cmd/mulberryfork/crowd_test.go
+++ b/cmd/mulberryfork/crowd_test.go
@@ -28,6 +28,8 @@
 	reservedDescriptors = 200
 	crowdBodyBytes      = 1 << 20
 	crowdToken          = "crowd"
+	// crowdStallTime is less than by default, so that the tests are short.
+	crowdStallTime = "500ms"
 	// crowdWait bounds the time until an ordinary request is answered.
 	crowdWait = 10 * time.Second
 )
@@ -69,9 +71,10 @@
 [limits]
 body_bytes = %d
 memory_mb = %d
+stall_time = %q
 [log]
 format = "json"
-`, folder, crowdBodyBytes, crowdMemoryMB))
+`, folder, crowdBodyBytes, crowdMemoryMB, crowdStallTime))
 		p, err := crowd.Start(program, crowdDescriptors, role, path)
 		if err != nil {
 			t.Fatal(err)
--- a/cmd/mulberryfork/daemons.go
+++ b/cmd/mulberryfork/daemons.go
@@ -69,6 +69,7 @@
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	daemon.LimitMemory(loaded)
 	p, err := daemon.Start(context.Background(), services, loaded)
 	if err != nil {
 		return err
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/mulberryfork/mulberryfork/service/admission"
 	"github.com/mulberryfork/mulberryfork/service/configsource"
 	"github.com/mulberryfork/mulberryfork/service/configstore"
+	"github.com/mulberryfork/mulberryfork/service/connections"
 	"github.com/mulberryfork/mulberryfork/service/dispatch"
 	"github.com/mulberryfork/mulberryfork/service/engine"
 	"github.com/mulberryfork/mulberryfork/service/enginefeed"
@@ -34,6 +35,7 @@
 var commonServices = []string{
 	api.ServiceLog,
 	api.ServiceMetrics,
+	api.ServiceConnections,
 	api.ServiceTrust,
 	api.ServiceConfigSource,
 	api.ServiceConfigStore,
@@ -72,6 +74,7 @@
 		adminhttp.Register,
 		admission.Register,
 		configsource.Register,
+		connections.Register,
 		configstore.Register,
 		dispatch.Register,
 		engine.Register,
--- a/decide/reassembly/assembler.go
+++ b/decide/reassembly/assembler.go
@@ -4,7 +4,11 @@
 // response is complete.
 package reassembly
 
-import "github.com/mulberryfork/mulberryfork/api"
+import (
+	"bytes"
+
+	"github.com/mulberryfork/mulberryfork/api"
+)
 
 // Status is the state of a response.
 type Status int
@@ -136,6 +140,8 @@
 		a.fail("too many bytes of chunks are held because an earlier chunk is missing")
 		return
 	}
+	// The sender may use the payload again once the chunk is accepted.
+	c.Payload = bytes.Clone(c.Payload)
 	a.held[c.Seq] = c
 	a.heldBytes += size
 }
--- a/decide/settings/edge.go
+++ b/decide/settings/edge.go
@@ -21,6 +21,7 @@
 	if c.Required("edge", "store") {
 		c.Address(e.Store, "edge", "store")
 	}
+	c.resources(e.MemoryMB, e.Descriptors, "edge")
 	if c.role == Side {
 		if c.Required("edge", "worker") {
 			c.Address(e.LocalUpstreamAddress, "edge", "worker")
--- a/decide/settings/settings.go
+++ b/decide/settings/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/connbudget"
 	"github.com/mulberryfork/mulberryfork/decide/tomltree"
 )
 
@@ -75,6 +76,9 @@
 	tomltree.Default(tree, &l.ReadTimeout, api.Duration(DefaultReadTimeout), "limits", "read_timeout")
 	tomltree.Default(tree, &l.RequestTimeout, api.Duration(DefaultRequestTimeout), "limits", "request_timeout")
 	tomltree.Default(tree, &l.Streams, DefaultStreams, "limits", "streams")
+	tomltree.Default(tree, &l.MinRate, int64(connbudget.DefaultMinRate), "limits", "min_rate")
+	tomltree.Default(tree, &l.StallTime, api.Duration(connbudget.DefaultStallTime), "limits", "stall_time")
+	tomltree.Default(tree, &l.WriteTimeout, api.Duration(connbudget.DefaultWriteTimeout), "limits", "write_timeout")
 	tomltree.Default(tree, &s.Log.Level, DefaultLogLevel, "log", "level")
 	tomltree.Default(tree, &s.Log.Format, DefaultLogFormat, "log", "format")
 	tomltree.Default(tree, &s.StopDeadline, api.Duration(DefaultStopDeadline), "stop_deadline")
--- a/decide/settings/validate.go
+++ b/decide/settings/validate.go
@@ -21,6 +21,14 @@
 	minRequestTimeout = 100 * time.Millisecond
 	maxRequestTimeout = 24 * time.Hour
 	maxStreams        = 1_000_000
+	maxMemoryMB       = 16 << 20
+	maxDescriptors    = 1 << 30
+	minDescriptors    = 256
+	maxMinRate        = 1 << 20
+	minStallTime      = 100 * time.Millisecond
+	maxStallTime      = time.Minute
+	minWriteTimeout   = time.Second
+	maxWriteTimeout   = time.Hour
 	minStopDeadline   = time.Second
 	maxStopDeadline   = time.Hour
 )
@@ -56,9 +64,22 @@
 	}
 }
 
+// resources checks the memory and the descriptors of the VM in a table. 0 stands for unknown.
+func (c *checker) resources(memoryMB float64, descriptors int, table string) {
+	if memoryMB < 0 || memoryMB > maxMemoryMB {
+		c.Fail(tomltree.OutOfRange, fmt.Sprintf("must be between 0 and %d", maxMemoryMB), table, "memory_mb")
+	}
+	if descriptors != 0 {
+		c.IntegerBetween(descriptors, minDescriptors, maxDescriptors, table, "descriptors")
+	}
+}
+
 // roleKeys checks the keys that only routers or only agents have.
 func (c *checker) roleKeys() {
 	if c.role == Edge || c.role == Side {
+		for _, key := range []string{"memory_mb", "descriptors"} {
+			c.notApplicable("a process with a store", "limits", key)
+		}
 		return
 	}
 	agentKeys := [][]string{{"upstream"}, {"engine", "url"}, {"engine", "weight_store"}}
@@ -160,6 +181,10 @@
 	c.DurationBetween(time.Duration(l.ReadTimeout), minReadTimeout, maxReadTimeout, "limits", "read_timeout")
 	c.DurationBetween(time.Duration(l.RequestTimeout), minRequestTimeout, maxRequestTimeout, "limits", "request_timeout")
 	c.IntegerBetween(l.Streams, 1, maxStreams, "limits", "streams")
+	c.IntegerBetween(int(l.MinRate), 1, maxMinRate, "limits", "min_rate")
+	c.DurationBetween(time.Duration(l.StallTime), minStallTime, maxStallTime, "limits", "stall_time")
+	c.DurationBetween(time.Duration(l.WriteTimeout), minWriteTimeout, maxWriteTimeout, "limits", "write_timeout")
+	c.resources(l.MemoryMB, l.Descriptors, "limits")
 	c.DurationBetween(time.Duration(c.settings.StopDeadline), minStopDeadline, maxStopDeadline, "stop_deadline")
 	c.DurationBetween(time.Duration(c.settings.DrainDelay), 0, maxStopDeadline, "drain_delay")
 }
--- a/service/adminhttp/adminhttp.go
+++ b/service/adminhttp/adminhttp.go
@@ -14,19 +14,27 @@
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/kernel/guard"
 )
 
-const headerTimeout = 5 * time.Second
+const (
+	headerTimeout = 5 * time.Second
+	// idleTimeout is longer than the interval at which metrics are usually read.
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 16 << 10
+)
 
 type exporter interface{ JSON() string }
 
 type service struct {
 	settings *api.Settings
 	metrics  exporter
-	checks   map[string]api.Readiness
-	draining atomic.Bool
-	server   *http.Server
-	listener net.Listener
+	// connections is nil in a process that does not bound its connections.
+	connections api.Connections
+	checks      map[string]api.Readiness
+	draining    atomic.Bool
+	server      *http.Server
+	listener    net.Listener
 }
 
 // checkedServices are the services that must be ready for the process to be ready.
@@ -40,6 +48,9 @@
 	if s.metrics, err = kernel.Lookup[exporter](c, api.ServiceMetrics); err != nil {
 		return err
 	}
+	if s.connections, _, err = kernel.LookupOptional[api.Connections](c, api.ServiceConnections); err != nil {
+		return err
+	}
 	s.checks = make(map[string]api.Readiness)
 	for _, name := range checkedServices {
 		found, ok, err := kernel.LookupOptional[any](c, name)
@@ -93,7 +104,16 @@
 		return &api.ListenError{Address: s.settings.Listen.Admin, Err: err}
 	}
 	s.listener = listener
-	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout}
+	s.server = &http.Server{
+		Handler:           s.routes(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	guard.Install(s.server)
+	if s.connections != nil {
+		listener = s.connections.Guard(listener, "admin", false)
+	}
 	go func() { _ = s.server.Serve(listener) }()
 	return nil
 }
--- a/service/admission/admission.go
+++ b/service/admission/admission.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/connbudget"
 	"github.com/mulberryfork/mulberryfork/decide/retrybudget"
 	"github.com/mulberryfork/mulberryfork/kernel"
 )
@@ -35,6 +36,8 @@
 	firstAttempts   *kernel.Mailbox[string]
 	retries         *kernel.Mailbox[kernel.Call[string, bool]]
 	hedges          *kernel.Mailbox[kernel.Call[api.HedgeCandidate, bool]]
+	// maxInFlight bounds the requests in flight.
+	maxInFlight int64
 	// The control loop owns budget.
 	budget *retrybudget.State
 }
@@ -60,6 +63,7 @@
 	if s.settings, err = kernel.Value[*api.Settings](c); err != nil {
 		return err
 	}
+	s.maxInFlight = int64(min(s.settings.Limits.Streams, connbudget.Derive(s.settings.MemoryLimitMB(), 0).Requests))
 	if s.store, err = kernel.Lookup[api.ConfigStore](c, api.ServiceConfigStore); err != nil {
 		return err
 	}
@@ -148,7 +152,7 @@
 			RetryAfter: busyRetryAfter,
 		}
 	}
-	if s.inFlight.Add(1) > int64(s.settings.Limits.Streams) {
+	if s.inFlight.Add(1) > s.maxInFlight {
 		s.inFlight.Add(-1)
 		s.refusedRequests.Add(1)
 		return nil, &api.Failure{
--- a/service/apikeys/apikeys.go
+++ b/service/apikeys/apikeys.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
-	"github.com/mulberryfork/mulberryfork/decide/bodybudget"
+	"github.com/mulberryfork/mulberryfork/decide/connbudget"
 	"github.com/mulberryfork/mulberryfork/decide/discovery"
 	"github.com/mulberryfork/mulberryfork/decide/fleetbudget"
 	"github.com/mulberryfork/mulberryfork/kernel"
@@ -22,20 +22,8 @@
 	// is short because another process can serve the retry at once.
 	staleRetryAfter = 200 * time.Millisecond
 	busyRetryAfter  = 300 * time.Millisecond
-	// bodyMemoryFraction is the fraction of the process's memory that request bodies may
-	// take. The rest is for responses, for what the garbage collector has not freed yet, and
-	// for everything else.
-	bodyMemoryFraction = 0.25
-	bytesPerMB         = 1 << 20
-	bodyMailboxSize    = 1024
 )
 
-// bodyChange is a number of bytes that are taken or returned for the bodies of a member.
-type bodyChange struct {
-	member string
-	n      int64
-}
-
 type service struct {
 	settings        *api.Settings
 	discovery       api.Discovery
@@ -44,12 +32,10 @@
 	inFlight        atomic.Int64
 	requests        *kernel.Mailbox[string]
 	retries         *kernel.Mailbox[kernel.Call[string, bool]]
-	bodies          *kernel.Mailbox[kernel.Call[bodyChange, bool]]
-	returnedBodies  *kernel.Mailbox[bodyChange]
-	refusedBodies   api.Counter
-	// The control loop owns budget and bodyBudget.
-	budget     *fleetbudget.State
-	bodyBudget *bodybudget.State
+	// maxInFlight bounds the requests in flight.
+	maxInFlight int64
+	// The control loop owns budget.
+	budget *fleetbudget.State
 }
 
 func (s *service) Provision(c *kernel.Context) (err error) {
@@ -77,14 +63,7 @@
 		Window:       time.Duration(edge.RetryWindow),
 	})
 	fleet.Subscribe(func(_ time.Duration, v *api.FleetView) { s.budget.SetProcessCount(v.LimitDivisor) })
-	s.refusedBodies = metrics.Counter("bodies_refused", "")
-	s.bodyBudget = bodybudget.New(int64(bodyMemoryFraction * edge.MemoryMB * bytesPerMB))
-	s.bodies = kernel.NewMailbox(c.Loop(), "admission.body", bodyMailboxSize, kernel.Wait,
-		func(_ time.Duration, call kernel.Call[bodyChange, bool]) {
-			call.Reply(s.bodyBudget.Take(call.Query.member, call.Query.n))
-		})
-	s.returnedBodies = kernel.NewMailbox(c.Loop(), "admission.body_returned", bodyMailboxSize, kernel.Wait,
-		func(_ time.Duration, r bodyChange) { s.bodyBudget.Return(r.member, r.n) })
+	s.maxInFlight = int64(min(s.settings.Limits.Streams, connbudget.Derive(s.settings.MemoryLimitMB(), 0).Requests))
 	// The mailbox may drop requests: that only makes the retry budget smaller.
 	s.requests = kernel.NewMailbox(c.Loop(), "admission.first", requestMailboxSize, kernel.Drop, s.budget.RecordRequest)
 	s.retries = kernel.NewMailbox(c.Loop(), "admission.retry", retryMailboxSize, kernel.Wait,
@@ -122,7 +101,7 @@
 // for the retry budget of the service. The returned function must be called when the
 // request has ended.
 func (s *service) Admit(ctx context.Context, _, service string, _ uint32) (func(), *api.Failure) {
-	if s.inFlight.Add(1) > int64(s.settings.Limits.Streams) {
+	if s.inFlight.Add(1) > s.maxInFlight {
 		s.inFlight.Add(-1)
 		s.refusedRequests.Add(1)
 		f := api.NewFailure(api.CodeTooManyStreams, api.NotRun, "this process has reached its limit of concurrent requests")
@@ -143,26 +122,3 @@
 // SpendHedge always returns false. All processes share the retry budget, and a hedge
 // is not worth one of its retries.
 func (s *service) SpendHedge(context.Context, api.HedgeCandidate) bool { return false }
-
-// TakeBody takes n bytes of the budget for request bodies. It fails at once while too many
-// are held: a body that waits keeps its connection and what has arrived of it.
-func (s *service) TakeBody(ctx context.Context, member string, n int64) *api.Failure {
-	// The reply is awaited even if the caller disconnects meanwhile: bytes that were granted
-	// must be returned.
-	granted, err := kernel.Ask(context.WithoutCancel(ctx), s.bodies, bodyChange{member: member, n: n})
-	if err != nil {
-		return &api.Failure{Code: api.CodeShuttingDown, Run: api.NotRun, Err: err}
-	}
-	if granted {
-		return nil
-	}
-	s.refusedBodies.Add(1)
-	f := api.NewFailure(api.CodeOverloaded, api.NotRun, "this process holds too many bytes of request bodies")
-	f.RetryAfter = busyRetryAfter
-	return f
-}
-
-// ReturnBody gives back bytes that TakeBody took.
-func (s *service) ReturnBody(member string, n int64) {
-	_ = s.returnedBodies.Post(context.Background(), bodyChange{member: member, n: n})
-}
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -57,16 +57,18 @@
 )
 
 type service struct {
-	settings  *api.Settings
-	discovery api.Discovery
-	engine    api.RankEngine
-	clock     kernel.Clock
-	loop      *kernel.Loop
-	log       api.Logger
-	counters  counters
-	listener  net.Listener
-	cancel    context.CancelFunc
-	ctx       context.Context
+	// connections is nil in a process that does not bound its connections.
+	connections api.Connections
+	settings    *api.Settings
+	discovery   api.Discovery
+	engine      api.RankEngine
+	clock       kernel.Clock
+	loop        *kernel.Loop
+	log         api.Logger
+	counters    counters
+	listener    net.Listener
+	cancel      context.CancelFunc
+	ctx         context.Context
 
 	pollResults  *kernel.Mailbox[pollResult]
 	orderResults *kernel.Mailbox[orderResult]
@@ -154,6 +156,9 @@
 	if s.log, err = kernel.Lookup[api.Logger](c, api.ServiceLog); err != nil {
 		return err
 	}
+	if s.connections, _, err = kernel.LookupOptional[api.Connections](c, api.ServiceConnections); err != nil {
+		return err
+	}
 	metrics, err := kernel.Lookup[api.Metrics](c, api.ServiceMetrics)
 	if err != nil {
 		return err
@@ -187,6 +192,9 @@
 		return &api.ListenError{Address: s.settings.Listen.Link, Err: err}
 	}
 	s.listener = listener
+	if s.connections != nil {
+		listener = s.connections.Guard(listener, "link", true)
+	}
 	go func() {
 		_ = wire.ServePlaintext(s.ctx, listener, &wire.RankHandler{Server: s}, wire.MaxRankMessageBytes)
 	}()
--- a/service/fleet/fleet.go
+++ b/service/fleet/fleet.go
@@ -45,6 +45,8 @@
 )
 
 type service struct {
+	// connections is nil in a process that does not bound its connections.
+	connections   api.Connections
 	settings      *api.Settings
 	log           api.Logger
 	counts        counters
@@ -88,6 +90,9 @@
 	if s.log, err = kernel.Lookup[api.Logger](c, api.ServiceLog); err != nil {
 		return err
 	}
+	if s.connections, _, err = kernel.LookupOptional[api.Connections](c, api.ServiceConnections); err != nil {
+		return err
+	}
 	metrics, err := kernel.Lookup[api.Metrics](c, api.ServiceMetrics)
 	if err != nil {
 		return err
@@ -141,6 +146,9 @@
 	}
 	s.listener = listener
 	s.running, s.cancel = context.WithCancel(context.Background())
+	if s.connections != nil {
+		listener = s.connections.Guard(listener, "link", false)
+	}
 	go func() { _ = wire.ServePlaintext(s.running, listener, mux, wire.MaxFleetMessageBytes) }()
 	for _, seed := range s.otherSeeds() {
 		go s.pollSeed(s.running, seed)
--- a/service/frontend/frontend.go
+++ b/service/frontend/frontend.go
@@ -16,18 +16,24 @@
 	"github.com/mulberryfork/mulberryfork/decide/shutdown"
 	"github.com/mulberryfork/mulberryfork/kernel"
 	"github.com/mulberryfork/mulberryfork/kernel/drain"
+	"github.com/mulberryfork/mulberryfork/kernel/guard"
 )
 
 // finalResponseTimeout is the time before the shutdown deadline in which handlers end the
 // remaining requests.
 const finalResponseTimeout = 500 * time.Millisecond
 
+// idleTimeout is how long a connection without a request is kept. It is above the idle timeouts
+// of usual balancers, so that the router does not close a connection that one is about to use.
+const idleTimeout = 10 * time.Minute
+
 type service struct {
-	settings   *api.Settings
-	store      api.ConfigStore
-	admission  api.Admission
-	dispatcher api.Dispatcher
-	metrics    api.Metrics
+	settings    *api.Settings
+	store       api.ConfigStore
+	admission   api.Admission
+	dispatcher  api.Dispatcher
+	metrics     api.Metrics
+	connections api.Connections
 	// sloRecorder is nil in a process without a report on service-level objectives.
 	sloRecorder api.SLORecorder
 	clock       kernel.Clock
@@ -55,6 +61,9 @@
 	if s.metrics, err = kernel.Lookup[api.Metrics](c, api.ServiceMetrics); err != nil {
 		return err
 	}
+	if s.connections, err = kernel.Lookup[api.Connections](c, api.ServiceConnections); err != nil {
+		return err
+	}
 	if s.sloRecorder, _, err = kernel.LookupOptional[api.SLORecorder](c, api.ServiceReport); err != nil {
 		return err
 	}
@@ -71,12 +80,15 @@
 	s.listener = listener
 	base, cancel := context.WithCancelCause(context.Background())
 	s.cancel = cancel
-	s.server = drain.NewServer(&http.Server{
+	server := &http.Server{
 		Handler:           s.routes(),
 		ReadHeaderTimeout: time.Duration(s.settings.Limits.ReadTimeout),
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    s.settings.Limits.HeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return base },
-	}, listener)
+	}
+	s.server = drain.NewServer(server, s.connections.Guard(listener, "http", true))
+	guard.Install(server)
 	go s.server.Serve()
 	return nil
 }
--- a/service/frontend/frontend_test.go
+++ b/service/frontend/frontend_test.go
@@ -11,7 +11,9 @@
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/service/connections"
 	"github.com/mulberryfork/mulberryfork/service/frontend"
+	"github.com/mulberryfork/mulberryfork/service/log"
 	"github.com/mulberryfork/mulberryfork/service/metrics"
 )
 
@@ -71,14 +73,16 @@
 	if err := r.Register(api.ServiceMetrics, func() any { return metrics.New() }); err != nil {
 		t.Fatal(err)
 	}
-	if err := frontend.Register(r); err != nil {
-		t.Fatal(err)
+	for _, register := range []func(*kernel.Registry) error{log.Register, connections.Register, frontend.Register} {
+		if err := register(r); err != nil {
+			t.Fatal(err)
+		}
 	}
 	settings := &api.Settings{
 		Listen: api.Listen{HTTP: "127.0.0.1:0"},
 		Limits: api.Limits{HeaderBytes: 8 << 10, BodyBytes: 1 << 10, ReadTimeout: api.Duration(time.Minute), RequestTimeout: api.Duration(time.Minute)},
 	}
-	host := kernel.NewHost(r, r.Names(), kernel.Options{Values: []any{settings}})
+	host := kernel.NewHost(r, r.Names(), kernel.Options{Values: []any{settings, &log.Output{Writer: io.Discard}}})
 	if err := host.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
--- a/service/frontend/request.go
+++ b/service/frontend/request.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -72,16 +70,38 @@
 }
 
 func (s *service) serveCompletion(w http.ResponseWriter, r *http.Request, caller api.Caller) {
-	request, failure := s.completionRequest(r, caller)
+	s.decodeAndServe(w, r, caller, s.completionRequest)
+}
+
+// decodeAndServe reads the body of a request, decodes the request and serves it.
+func (s *service) decodeAndServe(w http.ResponseWriter, r *http.Request, caller api.Caller,
+	decode func(*http.Request, api.Caller, []byte) (api.Request, *api.Failure)) {
+	s.withBody(w, r, caller, func(body []byte) {
+		request, failure := decode(r, caller, body)
+		if failure != nil {
+			s.fail(w, failure)
+			return
+		}
+		s.serve(w, r, request)
+	})
+}
+
+// withBody reads the body of a request and calls use with it, which must not keep it.
+func (s *service) withBody(w http.ResponseWriter, r *http.Request, caller api.Caller, use func(body []byte)) {
+	body := s.connections.NewBody(r)
+	defer body.Release()
+	data, failure := body.ReadFor(caller.Member, w, r, s.settings.Limits.BodyBytes, time.Duration(s.settings.Limits.RequestTimeout))
 	if failure != nil {
+		body.Release()
 		s.fail(w, failure)
+		body.Discard(w, r)
 		return
 	}
-	s.serve(w, r, request)
+	use(data)
 }
 
-func (s *service) completionRequest(r *http.Request, caller api.Caller) (api.Request, *api.Failure) {
-	request, failure := s.baseRequest(r, caller)
+func (s *service) completionRequest(r *http.Request, caller api.Caller, body []byte) (api.Request, *api.Failure) {
+	request, failure := s.baseRequest(r, caller, body)
 	if failure != nil {
 		return request, failure
 	}
@@ -108,16 +128,11 @@
 }
 
 func (s *service) servePlain(w http.ResponseWriter, r *http.Request, caller api.Caller) {
-	request, failure := s.plainRequest(r, caller)
-	if failure != nil {
-		s.fail(w, failure)
-		return
-	}
-	s.serve(w, r, request)
+	s.decodeAndServe(w, r, caller, s.plainRequest)
 }
 
-func (s *service) plainRequest(r *http.Request, caller api.Caller) (api.Request, *api.Failure) {
-	request, failure := s.baseRequest(r, caller)
+func (s *service) plainRequest(r *http.Request, caller api.Caller, body []byte) (api.Request, *api.Failure) {
+	request, failure := s.baseRequest(r, caller, body)
 	if failure != nil {
 		return request, failure
 	}
@@ -151,11 +166,7 @@
 }
 
 // baseRequest decodes the parts that all kinds of requests have in common.
-func (s *service) baseRequest(r *http.Request, caller api.Caller) (api.Request, *api.Failure) {
-	body, failure := s.readBody(r)
-	if failure != nil {
-		return api.Request{}, failure
-	}
+func (s *service) baseRequest(r *http.Request, caller api.Caller, body []byte) (api.Request, *api.Failure) {
 	deadline, failure := parseTimeout(r.Header.Get(headerTimeout), time.Duration(s.settings.Limits.RequestTimeout))
 	if failure != nil {
 		return api.Request{}, failure
@@ -187,19 +198,6 @@
 	}, nil
 }
 
-func (s *service) readBody(r *http.Request) ([]byte, *api.Failure) {
-	limited := http.MaxBytesReader(nil, r.Body, s.settings.Limits.BodyBytes)
-	body, err := io.ReadAll(limited)
-	if err == nil {
-		return body, nil
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, api.NewFailure(api.CodeBodyTooLarge, api.NotRun, "the body exceeds "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
-	}
-	return nil, &api.Failure{Code: api.CodeBadRequest, Run: api.NotRun, Err: err}
-}
-
 func parsePriority(text string) (int32, *api.Failure) {
 	if text == "" {
 		return 0, nil
--- a/service/frontend/response.go
+++ b/service/frontend/response.go
@@ -24,6 +24,9 @@
 	}
 	release, failure := s.admission.Admit(r.Context(), request.Member, request.Service, request.CostTokens)
 	if failure != nil {
+		if failure.Code == api.CodeTooManyStreams {
+			s.connections.ReportShortage()
+		}
 		s.recordSLO(request, api.RequestSummary{Failure: failure})
 		s.fail(w, failure)
 		return
@@ -202,11 +205,10 @@
 }
 
 func (s *service) issueKey(w http.ResponseWriter, r *http.Request, caller api.Caller) {
-	body, failure := s.readBody(r)
-	if failure != nil {
-		s.fail(w, failure)
-		return
-	}
+	s.withBody(w, r, caller, func(body []byte) { s.issueKeyFor(w, r, caller, body) })
+}
+
+func (s *service) issueKeyFor(w http.ResponseWriter, r *http.Request, caller api.Caller, body []byte) {
 	var request keyRequest
 	if err := json.Unmarshal(body, &request); err != nil || (request.Service == "") == (request.Model == "") {
 		s.fail(w, badRequest("the body must name either a service or a model"))
--- a/service/linkserver/server.go
+++ b/service/linkserver/server.go
@@ -37,7 +37,9 @@
 	// if the store does not use them.
 	revisions api.RevisionObserver
 	work      api.Executor
-	counts    counters
+	// connections is nil in a process that does not bound its connections.
+	connections api.Connections
+	counts      counters
 
 	mux           *drpcmux.Mux
 	listener      net.Listener
@@ -64,6 +66,9 @@
 	if s.store, err = kernel.Lookup[api.ConfigStore](c, api.ServiceConfigStore); err != nil {
 		return err
 	}
+	if s.connections, _, err = kernel.LookupOptional[api.Connections](c, api.ServiceConnections); err != nil {
+		return err
+	}
 	s.revisions, _ = s.store.(api.RevisionObserver)
 	work, hasWork, err := kernel.LookupOptional[api.Executor](c, api.ServiceWork)
 	if err != nil {
@@ -150,6 +155,9 @@
 		return &api.ListenError{Address: s.settings.Listen.Link, Err: err}
 	}
 	s.listener = listener
+	if s.connections != nil {
+		listener = s.connections.Guard(listener, "link", s.work != nil)
+	}
 	if tlsConfig := s.trust.Server(); tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
 	}
