--- a/api/connections.go
+++ b/api/connections.go
@@ -9,10 +9,9 @@
 
 // Connections is the account of what connections make the process hold.
 type Connections interface {
-	// Guard returns a listener whose connections are charged to the account. The main
-	// listener of a process has the largest guaranteed part. It must be called while services
-	// are started.
-	Guard(l net.Listener, name string, main bool) net.Listener
+	// Guard returns a listener whose connections are charged to the account. It must be called
+	// while services are started.
+	Guard(l net.Listener, o GuardOptions) net.Listener
 	// TakeBody takes n bytes for a body of a member. ctx is that of the request. If the failure
 	// is nil, ReturnBody must be called with the same bytes once they are no longer held.
 	TakeBody(ctx context.Context, member string, n int64) *Failure
@@ -35,3 +34,16 @@
 	// Discard reads the rest of a refused body, so that its caller sees the refusal.
 	Discard(w http.ResponseWriter, r *http.Request)
 }
+
+// GuardOptions describe a listener.
+type GuardOptions struct {
+	// Name is that of the listener in the settings.
+	Name string
+	// Main is set for the listener that the process is there for. It has the largest
+	// guaranteed part of the connections.
+	Main bool
+	// Trusted is set if only processes of the system that have shown who they are get a
+	// response. What they send afterwards is not charged: a connection carries the work of
+	// many requests, which would be lost with it.
+	Trusted bool
+}
--- a/kernel/guard/guard.go
+++ b/kernel/guard/guard.go
@@ -69,8 +69,10 @@
 
 	// isHTTP is set before the first byte is read.
 	isHTTP bool
-	phase  atomic.Int32
-	moved  atomic.Int64
+	// trusted is set if a client that got a response sends without a charge.
+	trusted bool
+	phase   atomic.Int32
+	moved   atomic.Int64
 	// pending is the cost of what has come of a head, or of frames without a response. taken
 	// is the part of it that is charged.
 	pending, taken  atomic.Int64
@@ -82,14 +84,16 @@
 type Listener struct {
 	net.Listener
 	name    string
+	trusted bool
 	account Account
 }
 
 var lastID atomic.Uint64
 
-// NewListener returns a listener whose connections are charged to an account.
-func NewListener(l net.Listener, name string, a Account) *Listener {
-	return &Listener{Listener: l, name: name, account: a}
+// NewListener returns a listener whose connections are charged to an account. If its clients
+// are trusted after a response, what they send then is not charged.
+func NewListener(l net.Listener, name string, trusted bool, a Account) *Listener {
+	return &Listener{Listener: l, name: name, trusted: trusted, account: a}
 }
 
 // Accept returns the next connection for which there is room. Others are closed at once.
@@ -99,7 +103,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &Conn{Conn: raw, account: l.account, Listener: l.name, ID: lastID.Add(1)}
+		c := &Conn{Conn: raw, account: l.account, Listener: l.name, ID: lastID.Add(1), trusted: l.trusted}
 		c.Source, _, _ = net.SplitHostPort(raw.RemoteAddr().String())
 		if l.account.Open(c) {
 			return c, nil
@@ -115,6 +119,9 @@
 		return n, err
 	}
 	c.moved.Add(int64(n))
+	if c.trusted && c.served.Load() {
+		return n, err
+	}
 	if c.phase.Load() == waiting && !c.charge(p[:n]) {
 		return 0, &RefusedError{}
 	}
--- a/service/adminhttp/adminhttp.go
+++ b/service/adminhttp/adminhttp.go
@@ -112,7 +112,7 @@
 	}
 	guard.Install(s.server)
 	if s.connections != nil {
-		listener = s.connections.Guard(listener, "admin", false)
+		listener = s.connections.Guard(listener, api.GuardOptions{Name: "admin"})
 	}
 	go func() { _ = s.server.Serve(listener) }()
 	return nil
--- a/service/connections/connections.go
+++ b/service/connections/connections.go
@@ -38,7 +38,7 @@
 	clock kernel.Clock
 	log   api.Logger
 
-	listeners *kernel.Mailbox[kernel.Call[listener, bool]]
+	listeners *kernel.Mailbox[kernel.Call[api.GuardOptions, bool]]
 	opened    *kernel.Mailbox[kernel.Call[*guard.Conn, bool]]
 	closed    *kernel.Mailbox[uint64]
 	taken     *kernel.Mailbox[kernel.Call[charge, bool]]
@@ -60,11 +60,6 @@
 	report     report
 }
 
-type listener struct {
-	name string
-	main bool
-}
-
 func (s *service) Provision(c *kernel.Context) error {
 	settings, err := kernel.Value[*api.Settings](c)
 	if err != nil {
@@ -92,8 +87,8 @@
 
 func (s *service) addMailboxes(loop *kernel.Loop) {
 	s.listeners = kernel.NewMailbox(loop, "connections.listener", mailboxSize, kernel.Wait,
-		func(_ time.Duration, call kernel.Call[listener, bool]) {
-			s.state.AddListener(call.Query.name, call.Query.main)
+		func(_ time.Duration, call kernel.Call[api.GuardOptions, bool]) {
+			s.state.AddListener(call.Query.Name, call.Query.Main)
 			call.Reply(true)
 		})
 	s.opened = kernel.NewMailbox(loop, "connections.opened", mailboxSize, kernel.Wait,
@@ -115,9 +110,9 @@
 }
 
 // Guard returns a listener whose connections are charged to the account.
-func (s *service) Guard(l net.Listener, name string, main bool) net.Listener {
-	_, _ = kernel.Ask(context.Background(), s.listeners, listener{name, main})
-	return guard.NewListener(l, name, s)
+func (s *service) Guard(l net.Listener, o api.GuardOptions) net.Listener {
+	_, _ = kernel.Ask(context.Background(), s.listeners, o)
+	return guard.NewListener(l, o.Name, o.Trusted, s)
 }
 
 // Open reports whether a new connection may be kept. While the process stops, all are.
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -193,7 +193,7 @@
 	}
 	s.listener = listener
 	if s.connections != nil {
-		listener = s.connections.Guard(listener, "link", true)
+		listener = s.connections.Guard(listener, api.GuardOptions{Name: "link", Main: true})
 	}
 	go func() {
 		_ = wire.ServePlaintext(s.ctx, listener, &wire.RankHandler{Server: s}, wire.MaxRankMessageBytes)
--- a/service/fleet/fleet.go
+++ b/service/fleet/fleet.go
@@ -147,7 +147,7 @@
 	s.listener = listener
 	s.running, s.cancel = context.WithCancel(context.Background())
 	if s.connections != nil {
-		listener = s.connections.Guard(listener, "link", false)
+		listener = s.connections.Guard(listener, api.GuardOptions{Name: "link"})
 	}
 	go func() { _ = wire.ServePlaintext(s.running, listener, mux, wire.MaxFleetMessageBytes) }()
 	for _, seed := range s.otherSeeds() {
--- a/service/frontend/frontend.go
+++ b/service/frontend/frontend.go
@@ -87,7 +87,7 @@
 		MaxHeaderBytes:    s.settings.Limits.HeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return base },
 	}
-	s.server = drain.NewServer(server, s.connections.Guard(listener, "http", true))
+	s.server = drain.NewServer(server, s.connections.Guard(listener, api.GuardOptions{Name: "http", Main: true}))
 	guard.Install(server)
 	go s.server.Serve()
 	return nil
--- a/service/linkserver/server.go
+++ b/service/linkserver/server.go
@@ -156,7 +156,7 @@
 	}
 	s.listener = listener
 	if s.connections != nil {
-		listener = s.connections.Guard(listener, "link", s.work != nil)
+		listener = s.connections.Guard(listener, api.GuardOptions{Name: "link", Main: s.work != nil, Trusted: true})
 	}
 	if tlsConfig := s.trust.Server(); tlsConfig != nil {
 		listener = tls.NewListener(listener, tlsConfig)
