--- a/api/edge.go
+++ b/api/edge.go
@@ -82,7 +82,7 @@
 	// MemoryMB is the memory limit of the process in MB.
 	MemoryMB float64 `toml:"memory_mb"`
 	// Descriptors is the limit of open descriptors of the process, 0 if it is unknown.
-	Descriptors int `toml:"descriptors"`
+	Descriptors float64 `toml:"descriptors"`
 	// CPUShare is the processor share of the process as a fraction of a core.
 	CPUShare float64 `toml:"cpu_share"`
 }
--- a/api/settings.go
+++ b/api/settings.go
@@ -85,7 +85,7 @@
 	// MemoryMB is the memory limit of a router or an agent in MB, Descriptors its limit of
 	// open descriptors. 0 stands for unknown. Edges have their own in EdgeSettings.
 	MemoryMB    float64 `toml:"memory_mb"`
-	Descriptors int     `toml:"descriptors"`
+	Descriptors float64 `toml:"descriptors"`
 	// MinRate is the rate in bytes/s below which a connection that receives a request or
 	// sends a response makes no progress. Without progress for StallTime, it may be ended
 	// when memory, connections or descriptors run short.
@@ -99,7 +99,7 @@
 func (s *Settings) MemoryLimitMB() float64 { return max(s.Limits.MemoryMB, s.Edge.MemoryMB) }
 
 // DescriptorLimit returns the limit of open descriptors, 0 if it is unknown.
-func (s *Settings) DescriptorLimit() int { return max(s.Limits.Descriptors, s.Edge.Descriptors) }
+func (s *Settings) DescriptorLimit() int { return int(max(s.Limits.Descriptors, s.Edge.Descriptors)) }
 
 // Log holds the log level and format.
 type Log struct {
--- a/decide/settings/validate.go
+++ b/decide/settings/validate.go
@@ -65,12 +65,12 @@
 }
 
 // resources checks the memory and the descriptors of the VM in a table. 0 stands for unknown.
-func (c *checker) resources(memoryMB float64, descriptors int, table string) {
+func (c *checker) resources(memoryMB, descriptors float64, table string) {
 	if memoryMB < 0 || memoryMB > maxMemoryMB {
 		c.Fail(tomltree.OutOfRange, fmt.Sprintf("must be between 0 and %d", maxMemoryMB), table, "memory_mb")
 	}
-	if descriptors != 0 {
-		c.IntegerBetween(descriptors, minDescriptors, maxDescriptors, table, "descriptors")
+	if descriptors != 0 && (descriptors < minDescriptors || descriptors > maxDescriptors) {
+		c.Fail(tomltree.OutOfRange, fmt.Sprintf("must be 0 or between %d and %d", minDescriptors, maxDescriptors), table, "descriptors")
 	}
 }
 
