--- a/api/discovery.go
+++ b/api/discovery.go
@@ -98,6 +98,8 @@
 	MemberCount int
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
+	// MaxHeaderBytes bounds the header of a request, 0 if the configuration has no bound.
+	MaxHeaderBytes int
 }
 
 // Instance is one incarnation of an upstream, as it registered itself.
--- a/cmd/mulberryfork-platform/body_test.go
+++ b/cmd/mulberryfork-platform/body_test.go
@@ -198,3 +198,31 @@
 		t.Errorf("a second body was refused: %v", failure)
 	}
 }
+
+// Guards against a refused head that the published limits allow, and against one without a
+// bound.
+func TestHeaderWithinPublishedLimitIsServed(t *testing.T) {
+	f := newFixture(t)
+	send := func(id string, bytes int) int {
+		caller := f.dial()
+		caller.write(fmt.Sprintf("POST /u/x HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: key1\r\nX-Mulberryfork-Attempt-Id: %s\r\nX-Filler: %s\r\nContent-Length: 5\r\n\r\nwhole", id, strings.Repeat("x", bytes)))
+		response, _, err := caller.read()
+		if err != nil {
+			return 0
+		}
+		return response.StatusCode
+	}
+	const long = 100 << 10
+	if status := send("unpublished", long); status != http.StatusBadRequest {
+		t.Errorf("status %d for a head of %d bytes without a published limit", status, long)
+	}
+	text := strings.Replace(configFormat, `"maxBodyBytes":100000`, `"maxBodyBytes":100000,"maxHeaderBytes":131072`, 1)
+	f.store.Put("op/config", fmt.Appendf(nil, text, 2, 1))
+	f.awaitView(func(v *api.View) bool { return v.Table.Version == 2 })
+	if status := send("allowed", long); status != http.StatusOK {
+		t.Errorf("status %d for a head of %d bytes, of 128 KiB allowed", status, long)
+	}
+	if status := send("beyond", 2*long); status != http.StatusBadRequest {
+		t.Errorf("status %d for a head of %d bytes, of 128 KiB allowed", status, 2*long)
+	}
+}
