--- a/api/discovery.go
+++ b/api/discovery.go
@@ -125,6 +125,8 @@
 	MemberCount int
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
+	// MaxHeaderBytes bounds the header of a request, 0 if the configuration has no bound.
+	MaxHeaderBytes int
 	// ZoneDelays holds the one-way delays between zones, as far as they are published.
 	ZoneDelays map[ZonePair]time.Duration
 }
--- a/configreport/configreport.go
+++ b/configreport/configreport.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
-	"github.com/mulberryfork/mulberryfork/decide/bodybudget"
+	"github.com/mulberryfork/mulberryfork/decide/connbudget"
 	"github.com/mulberryfork/mulberryfork/decide/configcheck"
 	"github.com/mulberryfork/mulberryfork/decide/settings"
 )
@@ -60,7 +60,7 @@
 func processOf(s *api.Settings, role settings.Role) *configcheck.Process {
 	return &configcheck.Process{
 		StopDeadline: time.Duration(s.StopDeadline),
-		BodyBytes:    bodybudget.Capacity(s.Edge.MemoryMB),
+		BodyBytes:    connbudget.Derive(s.MemoryLimitMB(), 0).Bytes,
 		NoRetries:    role == settings.Edge && s.Edge.RetryRatio == 0 && s.Edge.RetryExtra == 0,
 	}
 }
