--- a/configreport/configreport.go
+++ b/configreport/configreport.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
-	"github.com/mulberryfork/mulberryfork/decide/connbudget"
 	"github.com/mulberryfork/mulberryfork/decide/configcheck"
+	"github.com/mulberryfork/mulberryfork/decide/connbudget"
 	"github.com/mulberryfork/mulberryfork/decide/settings"
 )
 
