Let requests wait while the only groups of a service are being formed

Change: while all ranks are back and their groups are being formed, requests wait at the edge, as many as the groups have places for, for as long as callers wait. A group that is not formed within that time is not waited for.

--- a/decide/balance/room.go
+++ b/decide/balance/room.go
@@ -17,6 +17,8 @@
 	Known bool
 	// Forming is set if no upstream qualifies and groups are being formed.
 	Forming bool
+	// Opening is the number of places that open once the groups are formed.
+	Opening float64
 	// Places is the number of requests that can run, less those that wait at upstreams. Total
 	// is the number of places at upstreams with any, with the tolerance that lets an upstream
 	// of this zone win over an equally loaded one. Sent is the number of this process's
@@ -55,6 +57,7 @@
 		}
 		if recent && !load.formed {
 			forming++
+			room.Opening += float64(min(load.limit, u.instance.Slots))
 			continue
 		}
 		if u.effectiveHealth(now) > outlier.Probing || s.statements.HeldUntil(now, u.incarnation()) > 0 || !s.withinColdQuota(now, u) {
--- a/decide/urgency/bounds.go
+++ b/decide/urgency/bounds.go
@@ -29,12 +29,13 @@
 }
 
 // maxWaiting returns the bound of the waiting requests: as many as can be sent while a caller
-// waits.
+// waits, or when the groups are formed.
 func (s *State) maxWaiting(room Room) int {
-	if room.EndRate == 0 {
-		return minWaiting
+	n := room.ownEndRate() * Patience.Seconds()
+	if room.Opening > 0 {
+		n = room.Opening / float64(max(room.Processes, 1))
 	}
-	return min(max(int(math.Ceil(room.ownEndRate()*Patience.Seconds())), minWaiting), maxWaiting)
+	return min(max(int(math.Ceil(n)), minWaiting), maxWaiting)
 }
 
 func (s *State) waitingOf(member string) int {
--- a/decide/urgency/share.go
+++ b/decide/urgency/share.go
@@ -16,6 +16,8 @@
 	ReadAt time.Duration
 	// EndRate is the number of requests of all processes that end in a second, 0 if unknown.
 	EndRate float64
+	// Opening is the number of places that open together soon: the groups are being formed.
+	Opening float64
 }
 
 // ownEndRate returns the part of EndRate that this process may expect.
--- a/service/balance/waiting.go
+++ b/service/balance/waiting.go
@@ -30,6 +30,23 @@
 type line struct {
 	*urgency.State
 	calls map[*urgency.Waiter]call
+	// formingSince is the time since which all groups of the service are being formed.
+	formingSince time.Duration
+	forming      bool
+}
+
+// observe records whether the groups are being formed.
+func (l *line) observe(now time.Duration, room balance.Room) {
+	if room.Forming && !l.forming {
+		l.formingSince = now
+	}
+	l.forming = room.Forming
+}
+
+// awaitForming reports whether requests wait until the groups are formed. All ranks are back
+// then, so that they are formed within the time that a caller waits; if not, nobody knows when.
+func (l *line) awaitForming(now time.Duration) bool {
+	return l.forming && now-l.formingSince < urgency.Patience
 }
 
 // waitCounters count the requests that wait at this process.
@@ -65,7 +82,7 @@
 }
 
 func capacityOf(r balance.Room) urgency.Room {
-	return urgency.Room{Places: r.Places, Sent: r.Sent, Processes: r.Processes, ReadAt: r.ReadAt, EndRate: r.EndRate}
+	return urgency.Room{Places: r.Places, Sent: r.Sent, Processes: r.Processes, ReadAt: r.ReadAt, EndRate: r.EndRate, Opening: r.Opening}
 }
 
 func (s *service) lineOf(service string) *line {
@@ -88,12 +105,13 @@
 	}
 	s.state.RecordArrival(now, q.Service)
 	room := s.state.Survey(now, q.Service, q.Exclude)
-	if !room.Known {
-		choice, failure := s.chooseWithoutLoads(now, q, room.Forming)
+	l, request := s.lineOf(q.Service), requestOf(q)
+	l.observe(now, room)
+	if !room.Known && !l.awaitForming(now) {
+		choice, failure := s.chooseWithoutLoads(now, q, l)
 		s.answer(now, c, choice, failure)
 		return
 	}
-	l, request := s.lineOf(q.Service), requestOf(q)
 	l.Arrive(now, request, capacityOf(room))
 	if l.Len() == 0 && l.Fits(now, q.Priority, capacityOf(room)) {
 		if choice, placed := s.state.PlaceUrgent(now, &room); placed {
@@ -148,8 +166,12 @@
 	}
 	for l.Len() > 0 {
 		room := s.state.Survey(now, service, nil)
+		l.observe(now, room)
+		if l.awaitForming(now) {
+			return
+		}
 		if !room.Known {
-			s.dispatchAll(now, l, room.Forming)
+			s.dispatchAll(now, l)
 			return
 		}
 		w := l.Next(now, capacityOf(room))
@@ -181,24 +203,24 @@
 
 // chooseWithoutLoads places a request by expected load, or refuses it while the groups are
 // being formed.
-func (s *service) chooseWithoutLoads(now time.Duration, q *asked, forming bool) (balance.Choice, *api.Failure) {
-	if !forming {
+func (s *service) chooseWithoutLoads(now time.Duration, q *asked, l *line) (balance.Choice, *api.Failure) {
+	if !l.forming {
 		return s.state.ChooseByExpectedLoad(now, q.Service, q.Exclude)
 	}
 	failure := s.state.FormingFailure(q.Service)
-	failure.RetryAfter = s.lineOf(q.Service).RetryAfterForming(now, q.Priority, s.state.FormTime(q.Service))
+	failure.RetryAfter = l.RetryAfterForming(now, q.Priority, s.state.FormTime(q.Service))
 	return balance.Choice{}, failure
 }
 
 // dispatchAll places all waiting requests as if they arrived now, because the loads of the
-// groups are not known anymore or the groups are broken.
-func (s *service) dispatchAll(now time.Duration, l *line, forming bool) {
+// groups are not known anymore or the groups are not formed in time.
+func (s *service) dispatchAll(now time.Duration, l *line) {
 	for _, w := range l.All() {
 		q := l.calls[w].Query
 		failure := s.suspected(now, q)
 		var choice balance.Choice
 		if failure == nil {
-			choice, failure = s.chooseWithoutLoads(now, q, forming)
+			choice, failure = s.chooseWithoutLoads(now, q, l)
 		}
 		if failure != nil {
 			s.refuse(now, l, w, failure)
