Keep a tolerable expert map while passes are short

A hold of 77 ms then made all running streams late.

Change: while passes take less than half of the accepted pause, a map with an imbalance of up to 1.5 stays in use.

--- a/api/discovery.go
+++ b/api/discovery.go
@@ -131,6 +131,23 @@
 	ZoneDelays map[ZonePair]time.Duration
 }
 
+// ShortestPauses returns the shortest of the pauses that callers of the routes to each
+// service accept. The table may be nil.
+func (t *RouteTable) ShortestPauses() map[string]time.Duration {
+	pauses := make(map[string]time.Duration)
+	if t == nil {
+		return pauses
+	}
+	for _, r := range t.Routes {
+		for _, split := range r.Splits {
+			if p := pauses[split.Service]; r.MaxPause > 0 && (p == 0 || r.MaxPause < p) {
+				pauses[split.Service] = r.MaxPause
+			}
+		}
+	}
+	return pauses
+}
+
 // ZonePair is a direction between two availability zones.
 type ZonePair struct {
 	From, To string
--- a/decide/balance/balance.go
+++ b/decide/balance/balance.go
@@ -165,7 +165,7 @@
 		})
 	}
 	s.upstreams = upstreams
-	s.maxPauses = shortestPauses(v.Table)
+	s.maxPauses = v.Table.ShortestPauses()
 	s.updateColdQuotas()
 	s.configureZones()
 }
--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -135,23 +135,6 @@
 	return list[len(list)/2]
 }
 
-// shortestPauses returns the shortest of the accepted pauses of the routes to each
-// service.
-func shortestPauses(t *api.RouteTable) map[string]time.Duration {
-	pauses := make(map[string]time.Duration)
-	if t == nil {
-		return pauses
-	}
-	for _, r := range t.Routes {
-		for _, split := range r.Splits {
-			if p := pauses[split.Service]; r.MaxPause > 0 && (p == 0 || r.MaxPause < p) {
-				pauses[split.Service] = r.MaxPause
-			}
-		}
-	}
-	return pauses
-}
-
 func (u *upstream) recordSent(now time.Duration) {
 	u.sentAt = slices.DeleteFunc(u.sentAt, func(at time.Duration) bool { return now-at > sentWindow })
 	u.sentAt = append(u.sentAt, now)
--- a/decide/expertplan/costs.go
+++ b/decide/expertplan/costs.go
@@ -28,6 +28,10 @@
 	// sufficientSaving is the part of the largest saving that a change with fewer copies
 	// must reach to be preferred. Each copy moves the weights of an expert.
 	sufficientSaving = 0.9
+	// tolerableImbalance is the imbalance up to which the map in use is kept while passes are
+	// short. The first change after a shift usually gets below it, with a fifth of the copies
+	// of a refinement.
+	tolerableImbalance = 1.5
 	// defaultPrepareTime and defaultSwitchTime apply until SetTimes is called.
 	defaultPrepareTime = 100 * time.Millisecond
 	defaultSwitchTime  = 150 * time.Millisecond
--- a/decide/expertplan/expertplan.go
+++ b/decide/expertplan/expertplan.go
@@ -40,6 +40,8 @@
 	inUse, atShift [][][]int
 	// paces is nil if no rank is slow.
 	paces placement.Paces
+	// spare is set while passes are so short that callers gain nothing from shorter ones.
+	spare bool
 	// cached is the last result of Plan, or nil if demand has changed since. Plan is
 	// called several times per sample, and planning takes milliseconds of CPU time.
 	cached *cachedPlan
@@ -135,6 +137,13 @@
 	return true
 }
 
+// SetSpare tells whether passes are so short that callers gain nothing from shorter ones.
+func (s *State) SetSpare(spare bool) {
+	if spare != s.spare {
+		s.spare, s.cached = spare, nil
+	}
+}
+
 // Shape returns the numbers of ranks, experts, layers and slots of the group.
 func (s *State) Shape() placement.Shape { return s.shape }
 
@@ -176,6 +185,9 @@
 		return Plan{}, false
 	}
 	imbalance := before.CostAt(loads, s.paces) / even
+	if s.spare && imbalance <= tolerableImbalance {
+		return Plan{}, false
+	}
 	// Planning takes milliseconds, so a map that is good enough is not planned for.
 	ideal := []candidate{{copiesPerRank: 1, after: placement.LowerBound(s.shape, loads) / even}}
 	if _, ok := s.costs.choose(imbalance, ideal, s.horizon(), s.demand.weight); !ok {
--- a/decide/expertplan/expertplan_test.go
+++ b/decide/expertplan/expertplan_test.go
@@ -298,3 +298,27 @@
 		}
 	}
 }
+
+// Guards against experts that are copied, and groups that are held, for shorter passes from
+// which no caller gains, and against a map that stays in use although it doesn't fit at all.
+func TestTolerableMapIsKeptWhilePassesAreShort(t *testing.T) {
+	engine := profile
+	engine.CopyTime = 16 * time.Millisecond
+	s := stateAfter(ranks, engine, 5)
+	current := expertplan.InitialMap(s.Shape())
+	s.SetSpare(true)
+	for s.Imbalance(current) > 1.5 {
+		p, ok := s.Plan(current)
+		if !ok {
+			t.Fatalf("no plan at an imbalance of %.2f", s.Imbalance(current))
+		}
+		current = p.Map
+	}
+	if p, ok := s.Plan(current); ok {
+		t.Errorf("plan from %.2f to %.2f while passes are short", p.Before, p.After)
+	}
+	s.SetSpare(false)
+	if _, ok := s.Plan(current); !ok && s.Imbalance(current) > 1.3 {
+		t.Errorf("no plan at an imbalance of %.2f while passes are long", s.Imbalance(current))
+	}
+}
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -50,6 +50,10 @@
 	// rank. One line counts all since the last.
 	localFailureLogInterval = 10 * time.Second
 
+	// sparePassFraction is the part of the accepted pause below which passes count as short:
+	// their events are in time even if the next shift doubles the time of a pass.
+	sparePassFraction = 0.5
+
 	pollMailboxSize        = 4
 	orderResultMailboxSize = 1024
 	leaderReadMailboxSize  = 64
@@ -99,6 +103,9 @@
 	passes              rankview.PassMeter
 	// passTime is the time of a forward pass, 0 if it is unknown.
 	passTime time.Duration
+	// pause is the shortest accepted pause by pauseTable.
+	pauseTable *api.RouteTable
+	pause      time.Duration
 	// pacing holds the timeouts and intervals for the size of the group.
 	pacing rankpacing.Group
 	// current is the map in use. Its experts are nil if they are not known.
--- a/service/experts/leader.go
+++ b/service/experts/leader.go
@@ -189,6 +189,7 @@
 	}
 	s.planner.SetTimes(s.pacing.PrepareTime(), s.pacing.SwitchTime(s.passTime))
 	s.updatePaces()
+	s.planner.SetSpare(s.passTime > 0 && s.passTime < time.Duration(sparePassFraction*float64(s.shortestPause())))
 	if r.counts {
 		s.observeCounts(now, r)
 	}
@@ -256,6 +257,16 @@
 	return p
 }
 
+// shortestPause returns the shortest accepted pause between events of the local service, 0 if
+// it is unknown.
+func (s *service) shortestPause() time.Duration {
+	table := s.discovery.View().Table
+	if table != s.pauseTable {
+		s.pauseTable, s.pause = table, table.ShortestPauses()[s.settings.Edge.LocalService]
+	}
+	return s.pause
+}
+
 // updateMap sets the current map if all ranks have the same map version. The experts
 // of the last proposed change are known; those of any other version are read from the
 // ranks.
