--- a/api/metrics.go
+++ b/api/metrics.go
@@ -86,7 +86,7 @@
 	{"route_choices", MetricCounter, "choices", "reason", "router", "choices of upstream, by the deciding factor: `affinity` (a cached prefix), `work` (outstanding work and zone) or `only` (no alternative)"},
 	{"waited", MetricCounter, "requests", "", "edge", "requests that found no room in the groups and waited for it"},
 	{"wait_ends", MetricCounter, "requests", "end", "edge", "ends of such waits: `sent`, `canceled` (the caller is gone), `expired` (no room in time) or `displaced` (by a more urgent request)"},
-	{"room_refused", MetricCounter, "requests", "priority", "edge", "requests refused for want of room in the groups, at once or after a wait; a higher priority is more urgent, 0 is the usual one"},
+	{"room_refused", MetricCounter, "requests", "priority", "edge", "requests refused for want of room in the groups, at once or after a wait; the label holds the priorities of the customer and the route, higher is more urgent, 0 is the usual one"},
 	{"route_ejected", MetricCounter, "ejections", "", "router", "upstreams ejected as outliers"},
 	{"discovery_updates", MetricCounter, "views", "", "edge", "changes of the known routes, members and upstreams"},
 	{"discovery_malformed", MetricCounter, "entries", "", "edge", "unusable entries of the platform's store, ignored"},
--- a/service/balance/waiting.go
+++ b/service/balance/waiting.go
@@ -57,10 +57,13 @@
 	metrics api.Metrics
 }
 
+// refusedOf returns the counter of refusals of a priority. Its label holds the priorities of
+// the member and the route.
 func (w *waitCounters) refusedOf(priority int32) api.Counter {
 	c := w.refused[priority]
 	if c == nil {
-		c = w.metrics.Counter("room_refused", strconv.Itoa(int(priority)))
+		member, route := api.SplitPriority(priority)
+		c = w.metrics.Counter("room_refused", strconv.Itoa(int(member))+"/"+strconv.Itoa(int(route)))
 		w.refused[priority] = c
 	}
 	return c
