--- a/standin/crowd/process.go
+++ b/standin/crowd/process.go
@@ -6,7 +6,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -32,19 +31,25 @@
 // StartError reports a process that did not start to listen.
 type StartError struct {
 	Output string
-	Err    error
+	// Exited is set if the process has exited.
+	Exited bool
+	// Err is the cause if the process could not be started at all.
+	Err error
 }
 
-func (e *StartError) Error() string { return fmt.Sprintf("%v; output: %s", e.Err, e.Output) }
+func (e *StartError) Error() string {
+	switch {
+	case e.Err != nil:
+		return e.Err.Error() + "; output: " + e.Output
+	case e.Exited:
+		return "the process has exited; output: " + e.Output
+	}
+	return "the process does not listen; output: " + e.Output
+}
 
 // Unwrap returns the cause.
 func (e *StartError) Unwrap() error { return e.Err }
 
-var (
-	errExited  = errors.New("the process has exited")
-	errNoStart = errors.New("the process does not listen")
-)
-
 // Process is a running program.
 type Process struct {
 	// Addresses are those on which the process listens, by the names in its log.
@@ -107,10 +112,10 @@
 	select {
 	case p.Addresses = <-addresses:
 	case <-p.exited:
-		return nil, &StartError{Output: p.Output(), Err: errExited}
+		return nil, &StartError{Output: p.Output(), Exited: true}
 	case <-time.After(startTimeout):
 		p.Kill()
-		return nil, &StartError{Output: p.Output(), Err: errNoStart}
+		return nil, &StartError{Output: p.Output()}
 	}
 	go p.sample()
 	return p, nil
