Refuse a waiting request before its caller gives up

Cause: the wait ended 2 s after the request had been read, but the caller's patience began when it connected.

Change: 0.1 s are left for the refusal.

--- a/decide/urgency/urgency.go
+++ b/decide/urgency/urgency.go
@@ -25,6 +25,9 @@
 const (
 	// Patience is the time without an event after which a caller gives up.
 	Patience = 2 * time.Second
+	// replyTime is left for a refusal to reach a caller before it gives up: its patience began
+	// when it connected.
+	replyTime = 100 * time.Millisecond
 	// memory is the half-life of the counts behind the rates of arrivals. A burst lasts 3.5 to
 	// 6 s.
 	memory = 3 * time.Second
