--- a/service/balance/balance.go
+++ b/service/balance/balance.go
@@ -49,7 +49,7 @@
 	zones          *zoneTraffic
 	queries        *kernel.Mailbox[call]
 	// abandoned holds the queries whose caller is gone.
-	abandoned  *kernel.Mailbox[*asked]
+	abandoned  *kernel.Mailbox[*pendingQuery]
 	drains     *kernel.Mailbox[struct{}]
 	results    *kernel.Mailbox[api.RouteResult]
 	loads      *kernel.Mailbox[api.UpstreamLoad]
@@ -60,10 +60,10 @@
 	outliers        *outlier.State
 	suspects        *poison.Unisolated
 	viewChangeCount uint64
-	// lines holds the requests that wait for room, by service.
-	lines map[string]*line
-	seed  uint64
-	loop  *kernel.Loop
+	// queues holds the requests that wait for room, by service.
+	queues map[string]*waitQueue
+	seed   uint64
+	loop   *kernel.Loop
 	// wakeAt is when the next timer for waiting requests is due, 0 if there is none.
 	wakeAt     time.Duration
 	cancelWake func()
@@ -104,7 +104,7 @@
 	s.refusals = metrics.Counter("suspects_refused", "")
 	s.statementCount = metrics.Counter("upstream_statements", "")
 	s.waits = newWaitCounters(metrics)
-	s.seed, s.loop, s.lines = xxhash.Sum64String(settings.Node), c.Loop(), make(map[string]*line)
+	s.seed, s.loop, s.queues = xxhash.Sum64String(settings.Node), c.Loop(), make(map[string]*waitQueue)
 	s.state = balance.New(balance.Options{
 		Zone:          settings.Zone,
 		Seed:          s.seed,
@@ -134,7 +134,7 @@
 
 // Route chooses an upstream.
 func (s *service) Route(ctx context.Context, q api.RouteQuery) (api.RouteChoice, *api.Failure) {
-	query := &asked{RouteQuery: q}
+	query := &pendingQuery{RouteQuery: q}
 	reply, err := kernel.Ask(ctx, s.queries, query)
 	if err != nil {
 		_ = s.abandoned.Post(context.Background(), query)
@@ -220,7 +220,7 @@
 	s.dispatchEverywhere(now)
 }
 
-func (s *service) logChoice(now time.Duration, q *asked, choice balance.Choice, f *api.Failure) {
+func (s *service) logChoice(now time.Duration, q *pendingQuery, choice balance.Choice, f *api.Failure) {
 	fields := api.Fields{
 		"request":     q.RequestID,
 		"service":     q.Service,
@@ -274,7 +274,7 @@
 		s.state.ObserveBytes(r.Upstream, r.SentBytes+r.ReceivedBytes)
 	}
 	if r.FirstChunk > 0 {
-		s.lineOf(s.state.ServiceOf(r.Upstream)).ObserveFirstEvent(r.FirstChunk)
+		s.queueOf(s.state.ServiceOf(r.Upstream)).ObserveFirstEvent(r.FirstChunk)
 	}
 	s.zones.recordBytes(s.state, r)
 	s.dispatchEverywhere(now)
--- a/service/balance/suspects.go
+++ b/service/balance/suspects.go
@@ -17,7 +17,7 @@
 }
 
 // suspected returns the refusal of a request that crashes upstreams, nil for any other.
-func (s *service) suspected(now time.Duration, q *asked) *api.Failure {
+func (s *service) suspected(now time.Duration, q *pendingQuery) *api.Failure {
 	failure := s.suspects.Admit(now, contentOf(q.Fingerprint, q.PromptParts))
 	if failure != nil {
 		s.refusals.Add(1)
--- a/service/balance/waiting.go
+++ b/service/balance/waiting.go
@@ -14,9 +14,9 @@
 	"github.com/mulberryfork/mulberryfork/kernel"
 )
 
-// asked is a query with what is known of its reply. The control loop owns all fields but
+// pendingQuery is a query with what is known of its reply. The control loop owns all fields but
 // the query.
-type asked struct {
+type pendingQuery struct {
 	api.RouteQuery
 	// chosen is the upstream of the reply, empty if there is none.
 	chosen string
@@ -24,10 +24,10 @@
 	waiter *urgency.Waiter
 }
 
-type call = kernel.Call[*asked, routeReply]
+type call = kernel.Call[*pendingQuery, routeReply]
 
-// line holds the calls of one service that wait for room.
-type line struct {
+// waitQueue holds the calls of one service that wait for room.
+type waitQueue struct {
 	*urgency.State
 	calls map[*urgency.Waiter]call
 	// formingSince is the time since which all groups of the service are being formed.
@@ -36,7 +36,7 @@
 }
 
 // observe records whether the groups are being formed.
-func (l *line) observe(now time.Duration, room balance.Room) {
+func (l *waitQueue) observe(now time.Duration, room balance.Room) {
 	if room.Forming && !l.forming {
 		l.formingSince = now
 	}
@@ -45,7 +45,7 @@
 
 // awaitForming reports whether requests wait until the groups are formed. All ranks are back
 // then, so that they are formed within the time that a caller waits; if not, nobody knows when.
-func (l *line) awaitForming(now time.Duration) bool {
+func (l *waitQueue) awaitForming(now time.Duration) bool {
 	return l.forming && now-l.formingSince < urgency.Patience
 }
 
@@ -78,7 +78,7 @@
 	}
 }
 
-func requestOf(q *asked) urgency.Request {
+func requestOf(q *pendingQuery) urgency.Request {
 	return urgency.Request{
 		Member: q.Member, Priority: q.Priority, FirstEventBy: q.FirstEventBy, QuietSince: q.QuietSince, Deadline: q.Deadline,
 	}
@@ -88,11 +88,11 @@
 	return urgency.Room{Places: r.Places, Sent: r.Sent, Processes: r.Processes, ReadAt: r.ReadAt, EndRate: r.EndRate, Opening: r.Opening}
 }
 
-func (s *service) lineOf(service string) *line {
-	l := s.lines[service]
+func (s *service) queueOf(service string) *waitQueue {
+	l := s.queues[service]
 	if l == nil {
-		l = &line{State: urgency.New(s.seed ^ xxhash.Sum64String(service)), calls: make(map[*urgency.Waiter]call)}
-		s.lines[service] = l
+		l = &waitQueue{State: urgency.New(s.seed ^ xxhash.Sum64String(service)), calls: make(map[*urgency.Waiter]call)}
+		s.queues[service] = l
 	}
 	return l
 }
@@ -108,7 +108,7 @@
 	}
 	s.state.RecordArrival(now, q.Service)
 	room := s.state.Survey(now, q.Service, q.Exclude)
-	l, request := s.lineOf(q.Service), requestOf(q)
+	l, request := s.queueOf(q.Service), requestOf(q)
 	l.observe(now, room)
 	if !room.Known && !l.awaitForming(now) {
 		choice, failure := s.chooseWithoutLoads(now, q, l)
@@ -132,7 +132,7 @@
 
 // enqueue lets a call wait. It is refused at once if it can't be served while waiting serves
 // its caller.
-func (s *service) enqueue(now time.Duration, c call, l *line, room urgency.Room) {
+func (s *service) enqueue(now time.Duration, c call, l *waitQueue, room urgency.Room) {
 	w, displaced := l.Add(now, requestOf(c.Query), room)
 	if displaced != nil {
 		s.waits.displaced.Add(1)
@@ -159,7 +159,7 @@
 // dispatch sends waiting requests of a service while there is room for them, and refuses
 // those that can't be served anymore.
 func (s *service) dispatch(now time.Duration, service string) {
-	l := s.lines[service]
+	l := s.queues[service]
 	if l == nil || l.Len() == 0 {
 		return
 	}
@@ -187,7 +187,7 @@
 
 // send places a waiting request. It refuses one that has tried all upstreams with room, and
 // one that was found to crash upstreams while it waited.
-func (s *service) send(now time.Duration, l *line, w *urgency.Waiter, room *balance.Room) {
+func (s *service) send(now time.Duration, l *waitQueue, w *urgency.Waiter, room *balance.Room) {
 	q := l.calls[w].Query
 	if failure := s.suspected(now, q); failure != nil {
 		s.refuse(now, l, w, failure)
@@ -206,7 +206,7 @@
 
 // chooseWithoutLoads places a request by expected load, or refuses it while the groups are
 // being formed.
-func (s *service) chooseWithoutLoads(now time.Duration, q *asked, l *line) (balance.Choice, *api.Failure) {
+func (s *service) chooseWithoutLoads(now time.Duration, q *pendingQuery, l *waitQueue) (balance.Choice, *api.Failure) {
 	if !l.forming {
 		return s.state.ChooseByExpectedLoad(now, q.Service, q.Exclude)
 	}
@@ -217,7 +217,7 @@
 
 // dispatchAll places all waiting requests as if they arrived now, because the loads of the
 // groups are not known anymore or the groups are not formed in time.
-func (s *service) dispatchAll(now time.Duration, l *line) {
+func (s *service) dispatchAll(now time.Duration, l *waitQueue) {
 	for _, w := range l.All() {
 		q := l.calls[w].Query
 		failure := s.suspected(now, q)
@@ -234,21 +234,21 @@
 }
 
 // full returns the refusal of a request that finds no room.
-func (s *service) full(now time.Duration, l *line, priority int32) *api.Failure {
+func (s *service) full(now time.Duration, l *waitQueue, priority int32) *api.Failure {
 	f := s.state.FullFailure()
 	f.RetryAfter = l.RetryAfter(now, priority)
 	s.waits.refusedOf(priority).Add(1)
 	return f
 }
 
-func (s *service) refuse(now time.Duration, l *line, w *urgency.Waiter, f *api.Failure) {
+func (s *service) refuse(now time.Duration, l *waitQueue, w *urgency.Waiter, f *api.Failure) {
 	c := l.calls[w]
 	l.Refuse(now, w)
 	delete(l.calls, w)
 	s.answer(now, c, balance.Choice{}, f)
 }
 
-func (s *service) sent(now time.Duration, l *line, w *urgency.Waiter, choice balance.Choice) {
+func (s *service) sent(now time.Duration, l *waitQueue, w *urgency.Waiter, choice balance.Choice) {
 	c := l.calls[w]
 	l.Admit(now, w)
 	delete(l.calls, w)
@@ -257,7 +257,7 @@
 }
 
 func (s *service) dispatchEverywhere(now time.Duration) {
-	for service := range s.lines {
+	for service := range s.queues {
 		s.dispatch(now, service)
 	}
 	s.setWake(now)
@@ -267,7 +267,7 @@
 // its groups get too old.
 func (s *service) setWake(now time.Duration) {
 	next, waiting := time.Duration(math.MaxInt64), false
-	for service, l := range s.lines {
+	for service, l := range s.queues {
 		if l.Len() > 0 {
 			next, waiting = min(next, l.NextExpiry(), s.state.LoadsValidUntil(service)+1), true
 		}
@@ -286,11 +286,11 @@
 }
 
 // abandon ends a call whose caller doesn't wait for the reply anymore.
-func (s *service) abandon(now time.Duration, q *asked) {
+func (s *service) abandon(now time.Duration, q *pendingQuery) {
 	switch {
 	case q.waiter != nil && q.waiter.Waiting():
 		s.waits.canceled.Add(1)
-		l := s.lineOf(q.Service)
+		l := s.queueOf(q.Service)
 		l.Cancel(q.waiter)
 		delete(l.calls, q.waiter)
 	case q.chosen != "":
@@ -307,7 +307,7 @@
 
 func (s *service) handleDrain(now time.Duration, _ struct{}) {
 	s.draining = true
-	for _, l := range s.lines {
+	for _, l := range s.queues {
 		for _, w := range l.All() {
 			s.refuse(now, l, w, stoppingFailure())
 		}
