--- a/decide/balance/room.go
+++ b/decide/balance/room.go
@@ -103,14 +103,6 @@
 	return max(e.limit-e.load-s.penalty(u), 0)
 }
 
-// ServiceOf returns the service of an upstream, empty if it is not known.
-func (s *State) ServiceOf(upstream string) string {
-	if u := s.upstreams[upstream]; u != nil {
-		return u.instance.Service
-	}
-	return ""
-}
-
 // Withdraw takes back an attempt that was chosen but not made.
 func (s *State) Withdraw(now time.Duration, id string) {
 	s.Done(now, id, api.NewFailure(api.CodeCanceled, api.NotRun, ""))
--- a/service/balance/balance.go
+++ b/service/balance/balance.go
@@ -274,7 +274,8 @@
 		s.state.ObserveBytes(r.Upstream, r.SentBytes+r.ReceivedBytes)
 	}
 	if r.FirstChunk > 0 {
-		s.queueOf(s.state.ServiceOf(r.Upstream)).ObserveFirstEvent(r.FirstChunk)
+		service, _ := s.state.ZoneOf(r.Upstream)
+		s.queueOf(service).ObserveFirstEvent(r.FirstChunk)
 	}
 	s.zones.recordBytes(s.state, r)
 	s.dispatchEverywhere(now)
