Stop sending to a group that has lost a rank before its engines notice

Cause: the ranks of a group report it as formed for about two seconds after one of them has crashed (stall_ms 1500 and more).

The leader now reports a group as not formed once it makes no pass for twice the time of a pass (150 ms at least) while a rank does not respond; an edge applies that to the ranks that are missing in the load too. Requests wait until their own patience ends instead of until two seconds after the loss, unless the length of the last outage shows that it is too long for them: those are refused at once with the time that is left.

TestRequestsWaitWhileGroupIsFormed asked for a refusal at once after 2.1 s; a crashed rank is back after 3.5 to 4.5 s, so it asks for it after 6.1 s now and still for one refusal within the patience of each caller.

--- a/api/experts.go
+++ b/api/experts.go
@@ -130,7 +130,8 @@
 type GroupLoad struct {
 	Group string
 	Epoch uint64
-	// Formed is false while the group is broken, until it is formed again.
+	// Formed is false while the group is broken, until it is formed again, and from the time
+	// at which its leader finds that it makes no passes.
 	Formed bool
 	// PassTime is the time of a forward pass, 0 if it is unknown.
 	PassTime time.Duration
--- a/api/metrics.go
+++ b/api/metrics.go
@@ -110,6 +110,7 @@
 	{"group_load_calls", MetricCounter, "calls", "", "edge", "requests to side processes for the load of a group"},
 	{"group_load_failures", MetricCounter, "calls", "", "edge", "such requests without an answer"},
 	{"rank_readings", MetricCounter, "readings", "", "side", "reads of all ranks of the group"},
+	{"group_stalls", MetricCounter, "stalls", "", "side", "times the group made no passes although requests ran, mostly because a rank was lost"},
 	{"rank_readings_incomplete", MetricCounter, "readings", "", "side", "reads of the group in which a rank was missing or had another epoch"},
 	{"map_changes", MetricCounter, "changes", "", "side", "changes of the expert map that were started"},
 	{"map_copies", MetricCounter, "experts", "", "side", "experts that ranks had to copy for these changes"},
--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -33,6 +33,7 @@
 
 // rankLoad is the load of an upstream as the leader of its group read it.
 type rankLoad struct {
+	group    string
 	formed   bool
 	requests int
 	// limit is the number of requests that the upstream may run at the same time.
@@ -96,10 +97,23 @@
 	for _, rank := range l.Ranks {
 		if u := s.byAddress[rank.AddressHash]; u != nil && (u.groupLoad == nil || l.ReadAt >= u.groupLoad.readAt) {
 			u.groupLoad = &rankLoad{
-				formed: l.Formed, requests: rank.Requests, limit: s.batchLimit(u.instance, group, max(rank.Pace, 1)/usual), readAt: l.ReadAt,
+				group: l.Group, formed: l.Formed, requests: rank.Requests, limit: s.batchLimit(u.instance, group, max(rank.Pace, 1)/usual), readAt: l.ReadAt,
 			}
 		}
 	}
+	if !l.Formed {
+		s.closeGroup(l)
+	}
+}
+
+// closeGroup records that a group is not formed for its ranks that are not in its load. One
+// that is lost has stalled the others and must get no requests either.
+func (s *State) closeGroup(l api.GroupLoad) {
+	for _, u := range s.byAddress {
+		if u.groupLoad != nil && u.groupLoad.group == l.Group && u.groupLoad.formed && u.groupLoad.readAt < l.ReadAt {
+			u.groupLoad.formed, u.groupLoad.readAt = false, l.ReadAt
+		}
+	}
 }
 
 // batchLimit returns how many requests an upstream may run at the same time. pace is that
--- a/decide/urgency/bounds.go
+++ b/decide/urgency/bounds.go
@@ -9,7 +9,7 @@
 // Add lets a request wait. If there are too many already, it displaces the one that would
 // be served last, or is not added itself. displaced must be refused.
 func (s *State) Add(now time.Duration, r Request, room Room) (w, displaced *Waiter) {
-	leaveAt := min(r.QuietSince+Patience-max(s.firstEvent, replyTime), r.Deadline)
+	leaveAt := s.leaveAt(r)
 	if leaveAt <= now {
 		return nil, nil
 	}
--- a/decide/urgency/retryafter.go
+++ b/decide/urgency/retryafter.go
@@ -20,10 +20,10 @@
 	return s.returnIn(now, s.levelOf(priority), 0, s.endRate-s.arrivalRate(now, priority))
 }
 
-// RetryAfterForming is like RetryAfter while the groups are being formed for at least the
-// given time. All their places are free then.
+// RetryAfterForming is like RetryAfter while the groups are broken. They take at least the
+// given time to form, and all their places are free then.
 func (s *State) RetryAfterForming(now time.Duration, priority int32, forming time.Duration) time.Duration {
-	return s.returnIn(now, s.levelOf(priority), forming, s.endRate)
+	return s.returnIn(now, s.levelOf(priority), max(forming, s.FormingLeft(now)), s.endRate)
 }
 
 // returnIn returns the time until the caller of a refused request of a level may come back, at
--- a/decide/urgency/urgency.go
+++ b/decide/urgency/urgency.go
@@ -99,7 +99,8 @@
 	rounding  float64
 	roundedAt time.Duration
 	// sent holds the requests that were sent since sentWindow.
-	sent []sentRequest
+	sent   []sentRequest
+	outage outage
 }
 
 // level holds the requests of one priority.
--- a/service/balance/waiting.go
+++ b/service/balance/waiting.go
@@ -30,23 +30,6 @@
 type waitQueue struct {
 	*urgency.State
 	calls map[*urgency.Waiter]call
-	// formingSince is the time since which all groups of the service are being formed.
-	formingSince time.Duration
-	forming      bool
-}
-
-// observe records whether the groups are being formed.
-func (l *waitQueue) observe(now time.Duration, room balance.Room) {
-	if room.Forming && !l.forming {
-		l.formingSince = now
-	}
-	l.forming = room.Forming
-}
-
-// awaitForming reports whether requests wait until the groups are formed. All ranks are back
-// then, so that they are formed within the time that a caller waits; if not, nobody knows when.
-func (l *waitQueue) awaitForming(now time.Duration) bool {
-	return l.forming && now-l.formingSince < urgency.Patience
 }
 
 // waitCounters count the requests that wait at this process.
@@ -109,8 +92,8 @@
 	s.state.RecordArrival(now, q.Service)
 	room := s.state.Survey(now, q.Service, q.Exclude)
 	l, request := s.queueOf(q.Service), requestOf(q)
-	l.observe(now, room)
-	if !room.Known && !l.awaitForming(now) {
+	l.ObserveForming(now, room.Forming)
+	if !room.Known && !l.MayAwaitForming(now, request) {
 		choice, failure := s.chooseWithoutLoads(now, q, l)
 		s.answer(now, c, choice, failure)
 		return
@@ -165,12 +148,13 @@
 	}
 	for _, w := range l.Expired(now) {
 		s.waits.expired.Add(1)
-		s.refuse(now, l, w, s.full(now, l, w.Priority))
+		s.refuse(now, l, w, s.unavailable(now, service, l, w.Priority))
 	}
 	for l.Len() > 0 {
 		room := s.state.Survey(now, service, nil)
-		l.observe(now, room)
-		if l.awaitForming(now) {
+		l.ObserveForming(now, room.Forming)
+		if room.Forming {
+			s.refuseUnserved(now, service, l)
 			return
 		}
 		if !room.Known {
@@ -204,19 +188,37 @@
 	s.sent(now, l, w, choice)
 }
 
+// refuseUnserved refuses the waiting requests that can't be served because the groups are not
+// formed before their callers give up.
+func (s *service) refuseUnserved(now time.Duration, service string, l *waitQueue) {
+	for _, w := range l.All() {
+		if !l.MayAwaitForming(now, w.Request) {
+			s.refuse(now, l, w, s.unavailable(now, service, l, w.Priority))
+		}
+	}
+}
+
 // chooseWithoutLoads places a request by expected load, or refuses it while the groups are
 // being formed.
 func (s *service) chooseWithoutLoads(now time.Duration, q *pendingQuery, l *waitQueue) (balance.Choice, *api.Failure) {
-	if !l.forming {
+	if !l.Forming() {
 		return s.state.ChooseByExpectedLoad(now, q.Service, q.Exclude)
 	}
-	failure := s.state.FormingFailure(q.Service)
-	failure.RetryAfter = l.RetryAfterForming(now, q.Priority, s.state.FormTime(q.Service))
-	return balance.Choice{}, failure
+	return balance.Choice{}, s.unavailable(now, q.Service, l, q.Priority)
+}
+
+// unavailable returns the refusal of a request that finds no room, or no group that is formed.
+func (s *service) unavailable(now time.Duration, service string, l *waitQueue, priority int32) *api.Failure {
+	if !l.Forming() {
+		return s.full(now, l, priority)
+	}
+	f := s.state.FormingFailure(service)
+	f.RetryAfter = l.RetryAfterForming(now, priority, s.state.FormTime(service))
+	return f
 }
 
 // dispatchAll places all waiting requests as if they arrived now, because the loads of the
-// groups are not known anymore or the groups are not formed in time.
+// groups are not known anymore.
 func (s *service) dispatchAll(now time.Duration, l *waitQueue) {
 	for _, w := range l.All() {
 		q := l.calls[w].Query
--- a/service/balance/waiting_test.go
+++ b/service/balance/waiting_test.go
@@ -279,6 +279,10 @@
 		if f, ok := answered(late); !ok || f == nil || f.Run != api.NotRun || f.RetryAfter <= 0 {
 			t.Errorf("group that stays broken: %v, %v, want a refusal", f, ok)
 		}
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			e.report(0, false)
+		}
 		if f, ok := answered(e.ask(t.Context(), 5, true)); !ok || f == nil || f.Code != api.CodeNoUpstream {
 			t.Errorf("group that has been broken for long: %v, %v, want a refusal at once", f, ok)
 		}
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -101,6 +101,9 @@
 	planner             *expertplan.State
 	view                *rankview.State
 	passes              rankview.PassMeter
+	stalls              rankview.StallMeter
+	// stalled is set while the group makes no passes although requests run.
+	stalled bool
 	// passTime is the time of a forward pass, 0 if it is unknown.
 	passTime time.Duration
 	// pause is the shortest accepted pause by pauseTable.
@@ -127,7 +130,7 @@
 	groupLoggedAt time.Duration
 }
 
-type counters struct{ changes, copies, shifts, rolledBack, polls, incompletePolls api.Counter }
+type counters struct{ changes, copies, shifts, rolledBack, polls, incompletePolls, stalls api.Counter }
 
 // pollResult is the result of one poll of all ranks of the group.
 type pollResult struct {
@@ -185,6 +188,7 @@
 		rolledBack:      metrics.Counter("map_undone", ""),
 		polls:           metrics.Counter("rank_readings", ""),
 		incompletePolls: metrics.Counter("rank_readings_incomplete", ""),
+		stalls:          metrics.Counter("group_stalls", ""),
 	}
 	s.otherGroupAddresses = make(map[string]bool)
 	s.peers.conns = make(map[string][]*drpcconn.Conn)
--- a/service/experts/leader.go
+++ b/service/experts/leader.go
@@ -175,7 +175,7 @@
 	s.lastReports = snapshot.Reports
 	if epoch := r.local.Report.Epoch; epoch != s.epoch {
 		s.epoch = epoch
-		s.passes = rankview.PassMeter{}
+		s.passes, s.stalls = rankview.PassMeter{}, rankview.StallMeter{}
 		s.current, s.next = knownMap{}, knownMap{}
 	}
 	s.publishLoad(now, snapshot)
--- a/service/experts/load.go
+++ b/service/experts/load.go
@@ -64,8 +64,9 @@
 // to the processes that publish it.
 func (s *service) publishLoad(now time.Duration, snapshot rankview.Snapshot) {
 	s.passTime = s.passes.Observe(now, snapshot)
+	formed := snapshot.Reports[s.rank].Formed && !s.observeStall(now, snapshot)
 	reply := wire.RankLoadReply{
-		Load:  api.GroupLoad{Group: s.group, Epoch: s.epoch, Formed: snapshot.Reports[s.rank].Formed, PassTime: s.passTime},
+		Load:  api.GroupLoad{Group: s.group, Epoch: s.epoch, Formed: formed, PassTime: s.passTime},
 		AgeMs: uint64(max(now-snapshot.StartedAt, 0).Milliseconds()),
 	}
 	if s.planner != nil {
@@ -87,6 +88,17 @@
 	s.logGroup(now, reply, fullest)
 }
 
+// observeStall reports whether the group makes no passes, and logs it when it begins.
+func (s *service) observeStall(now time.Duration, snapshot rankview.Snapshot) bool {
+	stalled := s.stalls.Observe(now, snapshot, s.passTime)
+	if stalled && !s.stalled {
+		s.counters.stalls.Add(1)
+		s.log.Change("group stalled", api.Fields{"group": s.group, "epoch": s.epoch, "ranks_known": snapshot.Complete})
+	}
+	s.stalled = stalled
+	return stalled
+}
+
 // logGroup logs the load of the group, at most once in groupLogInterval.
 func (s *service) logGroup(now time.Duration, reply wire.RankLoadReply, fullest int) {
 	if now-s.groupLoggedAt < groupLogInterval {
