Serve the requests that meet cold, unread or just formed groups

A cold upstream may get 44 requests a second; shared by the least count of 24 processes and rounded down, six edges used 6 of them. And once the quota was used up, the loads counted as unknown, so that all waiting requests were placed or refused at once. 58 more were sent to groups that were still broken, because an edge that starts does not know their loads.

Quotas now share out the rest of the division by rendezvous hashing, also among processes that are counted and not known. Upstreams beyond their quota take no request, but their loads stay known. An edge that starts lets requests wait for the first load, 300 ms at most, and asks for the next group as soon as it has found one.

--- a/decide/balance/balance.go
+++ b/decide/balance/balance.go
@@ -105,7 +105,8 @@
 	sentAt []time.Duration
 	// coldAttempts holds the times of the attempts within the last coldWindow.
 	coldAttempts []time.Duration
-	// coldQuota is the maximum length of coldAttempts while the upstream is cold.
+	// coldQuota is the maximum length of coldAttempts while the upstream is cold,
+	// unknownQuota until it is needed.
 	coldQuota int
 }
 
@@ -166,14 +167,14 @@
 	}
 	s.upstreams = upstreams
 	s.maxPauses = v.Table.ShortestPauses()
-	s.updateColdQuotas()
+	s.resetColdQuotas()
 	s.configureZones()
 }
 
 // SetFleet sets the known edges. They share the request rates of cold upstreams.
 func (s *State) SetFleet(v *api.FleetView) {
 	s.fleet = v
-	s.updateColdQuotas()
+	s.resetColdQuotas()
 }
 
 // SetHealth sets the outlier status of an upstream.
--- a/decide/balance/cold.go
+++ b/decide/balance/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/decide/rendezvous"
@@ -11,11 +12,18 @@
 	// coldWindow is the sliding window over which requests to a cold upstream are
 	// counted.
 	coldWindow = time.Second
-	// selectedFraction is the number of processes that get a quota of one when there
-	// are more processes than requests to share, as a fraction of the requests. The
-	// rest is a margin: processes may have different views of the fleet, so slightly
-	// more of them than intended select themselves.
+	// selectedFraction is the number of processes that get one request more than the others
+	// of those that can't be shared equally, as a fraction of these. The rest is a margin:
+	// processes may have different views of the fleet, so slightly more of them than
+	// intended select themselves.
 	selectedFraction = 0.8
+	// partlyKnownFraction takes its place where not all processes are known: each then selects
+	// itself with that probability, and the number of those that do varies.
+	partlyKnownFraction = 0.5
+	// unknownProcess begins the name that stands for a process that is not known.
+	unknownProcess = "\x00"
+	// unknownQuota marks a quota that is not computed yet. Few upstreams are cold.
+	unknownQuota = -1
 )
 
 // withinColdQuota reports whether an upstream may get another request now. A
@@ -25,6 +33,9 @@
 	if now >= u.instance.ColdUntil || s.coldRate(u) <= 0 {
 		return true
 	}
+	if u.coldQuota == unknownQuota {
+		u.coldQuota = s.quota(int(s.coldRate(u)*s.options.ColdOvershoot+s.options.ColdTolerance), u.instance.ID)
+	}
 	u.coldAttempts = slices.DeleteFunc(u.coldAttempts, func(at time.Duration) bool { return now-at > coldWindow })
 	return len(u.coldAttempts) < u.coldQuota
 }
@@ -38,30 +49,33 @@
 	return s.view.Table.Services[u.instance.Service].ColdRate
 }
 
-// updateColdQuotas computes this process's quota for each upstream.
-func (s *State) updateColdQuotas() {
-	for id, u := range s.upstreams {
-		total := int(s.coldRate(u)*s.options.ColdOvershoot + s.options.ColdTolerance)
-		u.coldQuota = s.quota(total, id)
+// resetColdQuotas discards the quotas, which depend on the processes and the cold rate.
+func (s *State) resetColdQuotas() {
+	for _, u := range s.upstreams {
+		u.coldQuota = unknownQuota
 	}
 }
 
-// quota returns how many of total requests per coldWindow this process may send to
-// the upstream. All processes get the same quota, unless there are more processes
-// than requests: then rendezvous hashing selects those that get a quota of one. The
-// quota is 0 while the number of processes is unknown.
+// quota returns how many of total requests per coldWindow this process may send to the
+// upstream. All processes get the same quota, and rendezvous hashing selects those that get
+// one of the rest in addition. The quota is 0 while the number of processes is unknown.
 func (s *State) quota(total int, upstream string) int {
-	switch {
-	case s.fleet.LimitDivisor == 0:
+	processes := s.fleet.LimitDivisor
+	if processes == 0 {
 		return 0
-	case s.fleet.LimitDivisor <= total:
-		return total / s.fleet.LimitDivisor
 	}
-	selected := rendezvous.KeyOf(upstream).Top(int(selectedFraction*float64(total)), s.fleet.Names)
-	if slices.Contains(selected, s.fleet.Self) {
-		return 1
+	quota, rest, fraction := total/processes, total%processes, selectedFraction
+	names := slices.Clone(s.fleet.Names)
+	if len(names) < processes {
+		fraction = partlyKnownFraction
+	}
+	for n := len(names); n < processes; n++ {
+		names = append(names, unknownProcess+strconv.Itoa(n))
+	}
+	if slices.Contains(rendezvous.KeyOf(upstream).Top(int(fraction*float64(rest)), names), s.fleet.Self) {
+		quota++
 	}
-	return 0
+	return quota
 }
 
 func (s *State) recordColdAttempt(now time.Duration, u *upstream) {
--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -18,6 +18,10 @@
 	// divided by the slots, so that a request waits for at most that fraction of the
 	// time of a request.
 	queuedFraction = 1.0 / 6
+	// maxUnread is the time since the first request of a service for which the load of a group
+	// is awaited. A process that has started finds the groups within two searches and a round
+	// trip between zones; until then it would send to groups that are broken.
+	maxUnread = 300 * time.Millisecond
 	// sentWindow is how long the times of own attempts are kept. It exceeds
 	// maxGroupLoadAge.
 	sentWindow = 2 * time.Second
@@ -48,6 +52,10 @@
 	rateAt time.Duration
 	// meanDuration is the moving average of the duration of a request, 0 if unknown.
 	meanDuration time.Duration
+	// unreadSince is the time of the first request, 0 if there was none. loadsRead is set once
+	// the load of a group was read.
+	unreadSince time.Duration
+	loadsRead   bool
 	// meanBytes is the moving average of the bytes of a request and its response.
 	meanBytes float64
 }
@@ -61,6 +69,16 @@
 	return t
 }
 
+// unread reports whether the load of the first group of the service is awaited. read is set if
+// one is known now, grouped if the upstreams of the service form groups.
+func (t *traffic) unread(now time.Duration, read, grouped bool) bool {
+	if t.unreadSince == 0 {
+		t.unreadSince = now
+	}
+	t.loadsRead = t.loadsRead || read
+	return grouped && !t.loadsRead && now-t.unreadSince < maxUnread
+}
+
 func (t *traffic) recordArrival(now time.Duration) {
 	t.rate = t.rateNow(now) + math.Ln2/trafficHalfLife.Seconds()
 	t.rateAt = now
--- a/decide/balance/room.go
+++ b/decide/balance/room.go
@@ -17,6 +17,8 @@
 	Known bool
 	// Forming is set if no upstream qualifies and groups are being formed.
 	Forming bool
+	// Unread is set while the process has just started and has not read the load of any group.
+	Unread bool
 	// Opening is the number of places that open once the groups are formed.
 	Opening float64
 	// Places is the number of requests that can run, less those that wait at upstreams. Total
@@ -60,18 +62,23 @@
 			room.Opening += float64(min(load.limit, u.instance.Slots))
 			continue
 		}
-		if u.effectiveHealth(now) > outlier.Probing || s.statements.HeldUntil(now, u.incarnation()) > 0 || !s.withinColdQuota(now, u) {
+		if u.effectiveHealth(now) > outlier.Probing || s.statements.HeldUntil(now, u.incarnation()) > 0 {
 			continue
 		}
-		room.ranks = append(room.ranks, u)
-		e := s.estimateUnknown(now, u)
 		if recent {
-			e = s.estimateRank(now, u, load, t.meanDuration)
 			known++
 			age += now - load.readAt
 			room.Sent += float64(u.sentSince(load.readAt))
 			running += min(float64(load.requests), float64(u.instance.Slots))
 		}
+		if !s.withinColdQuota(now, u) {
+			continue
+		}
+		room.ranks = append(room.ranks, u)
+		e := s.estimateUnknown(now, u)
+		if recent {
+			e = s.estimateRank(now, u, load, t.meanDuration)
+		}
 		c := s.candidate(now, u, e)
 		room.candidates = append(room.candidates, c)
 		room.Total += max(c.Capacity-c.Load, 0)
@@ -81,7 +88,8 @@
 		room.Known, room.ReadAt = true, now-age/time.Duration(known)
 	}
 	room.Places = max(room.Places, 0)
-	room.Forming = len(room.ranks) == 0 && forming > 0
+	room.Unread = t.unread(now, known > 0 || forming > 0, s.FormTime(service) > 0)
+	room.Forming = known == 0 && len(room.ranks) == 0 && forming > 0
 	if t.meanDuration > 0 {
 		room.EndRate = running / t.meanDuration.Seconds()
 	}
@@ -112,9 +120,12 @@
 }
 
 // LoadsValidUntil returns the time at which the load of the last known group of a service gets
-// too old, unless it is read again.
+// too old, unless it is read again, or until which the first one is awaited.
 func (s *State) LoadsValidUntil(service string) time.Duration {
 	until := time.Duration(0)
+	if t := s.trafficOf(service); !t.loadsRead {
+		until = t.unreadSince + maxUnread
+	}
 	for _, u := range s.services[service] {
 		if u.groupLoad != nil {
 			until = max(until, u.groupLoad.readAt+maxGroupLoadAge)
--- a/decide/groupwatch/groupwatch.go
+++ b/decide/groupwatch/groupwatch.go
@@ -24,7 +24,9 @@
 	askInterval = 120 * time.Millisecond
 	// searchInterval is the time between two requests to upstreams of unknown groups. It
 	// doubles with each request without a load, up to maxSearchInterval: a group whose
-	// load is not known is in trouble, and all edges search it.
+	// load is not known is in trouble, and all edges search it. The request after a load, and
+	// the first one, are sent at once: requests wait while an edge that has started does not
+	// know the groups.
 	searchInterval    = 100 * time.Millisecond
 	maxSearchInterval = 1600 * time.Millisecond
 	// maxLoadAge is the age above which a load does not count as an answer.
@@ -48,6 +50,8 @@
 	searchedAt time.Duration
 	// fruitless counts the searches since the last load.
 	fruitless int
+	// searchNow is set after the start and when a group is found.
+	searchNow bool
 }
 
 type group struct {
@@ -61,7 +65,7 @@
 // New returns the state of an edge.
 func New(self string, seed uint64) *State {
 	return &State{
-		self: self, random: rand.New(rand.NewPCG(seed, 2)),
+		self: self, random: rand.New(rand.NewPCG(seed, 2)), searchNow: true,
 		addresses: make(map[uint64]string), groups: make(map[string]*group), asked: make(map[string]bool),
 	}
 }
@@ -104,11 +108,11 @@
 		s.referral = ""
 		return due
 	}
-	if now-s.searchedAt < min(searchInterval<<min(s.fruitless, 8), maxSearchInterval) {
+	if !s.searchNow && now-s.searchedAt < min(searchInterval<<min(s.fruitless, 8), maxSearchInterval) {
 		return due
 	}
 	if unknown := s.unknown(); len(unknown) > 0 {
-		s.searchedAt = now
+		s.searchedAt, s.searchNow = now, false
 		s.fruitless++
 		ask(s.randomOf(unknown))
 	}
@@ -162,7 +166,7 @@
 	s.fruitless = 0
 	g := s.groups[a.Load.Group]
 	if g == nil {
-		g = &group{}
+		g, s.searchNow = &group{}, true
 		s.groups[a.Load.Group] = g
 	}
 	g.loadAt = now
--- a/service/balance/waiting.go
+++ b/service/balance/waiting.go
@@ -93,7 +93,7 @@
 	room := s.state.Survey(now, q.Service, q.Exclude)
 	l, request := s.queueOf(q.Service), requestOf(q)
 	l.ObserveForming(now, room.Forming)
-	if !room.Known && !l.MayAwaitForming(now, request) {
+	if !room.Known && !room.Unread && !l.MayAwaitForming(now, request) {
 		choice, failure := s.chooseWithoutLoads(now, q, l)
 		s.answer(now, c, choice, failure)
 		return
@@ -157,6 +157,9 @@
 			s.refuseUnserved(now, service, l)
 			return
 		}
+		if room.Unread {
+			return
+		}
 		if !room.Known {
 			s.dispatchAll(now, l)
 			return
