Bound the reads of ranks by the leader's link

The interval of regular reads depended on the processor share alone. A leader with a whole core and 6 Mbit/s used 64% of its link to read 64 ranks and 107% to read 256, so that orders and counts waited behind reads. Twice that interval, which holds while orders are in flight, did not help either.

Reads now use at most the same fraction, 0.4, of the processor share and of the link. At the present sizes (12 to 256 ranks, 0.24 cores, 6 to 200 Mbit/s) the processor still decides and no interval changes.

TestReadsLeaveRoomOnLink fails on the code before.

--- a/decide/rankpacing/rankpacing.go
+++ b/decide/rankpacing/rankpacing.go
@@ -24,9 +24,11 @@
 	orderingReadIntervals = 2
 	// callTime is the processor time of a call at the leader, on a whole core.
 	callTime = 150 * time.Microsecond
-	// maxReadProcessorFraction is the fraction of the process's processor share that
-	// regular reads may use.
-	maxReadProcessorFraction = 0.4
+	// maxReadFraction is the fraction of the process's processor share, and of its link,
+	// that regular reads may use. Without the bound on the link, a leader with a whole core
+	// and 6 Mbit/s would use 64% of its link to read 64 ranks, and more than all of it to
+	// read 256.
+	maxReadFraction = 0.4
 	// callOverheadBytes is the size of a small call or of its reply, with the headers
 	// of all protocols.
 	callOverheadBytes = 300
@@ -113,7 +115,8 @@
 
 // ReadInterval returns the time between regular reads of all ranks.
 func (g Group) ReadInterval() time.Duration {
-	return max(minReadInterval, time.Duration(float64(g.processing(g.Ranks))/maxReadProcessorFraction))
+	needed := max(g.processing(g.Ranks), g.transfer(float64(g.Ranks)*callOverheadBytes))
+	return max(minReadInterval, time.Duration(float64(needed)/maxReadFraction))
 }
 
 // Reads describes what a change of the map needs from the next read of all ranks.
--- a/decide/rankpacing/rankpacing_test.go
+++ b/decide/rankpacing/rankpacing_test.go
@@ -14,6 +14,8 @@
 	{Ranks: 64, Layers: 12, Experts: 256, LinkMbps: 6, CPUShare: 0.24},
 	{Ranks: 72, Layers: 12, Experts: 144, LinkMbps: 8, CPUShare: 0.24},
 	{Ranks: 256, Layers: 12, Experts: 256, LinkMbps: 200, CPUShare: 0.24},
+	{Ranks: 64, Layers: 12, Experts: 256, LinkMbps: 6, CPUShare: 1},
+	{Ranks: 256, Layers: 12, Experts: 256, LinkMbps: 6, CPUShare: 1},
 }
 
 // Guards against a change that waits for the end of a regular read which started right
@@ -38,6 +40,27 @@
 	}
 }
 
+// Guards against reads that take so much of a slow link that counts, orders and requests wait
+// behind them, and against fewer reads at the sizes where reads left them room before.
+func TestReadsLeaveRoomOnLink(t *testing.T) {
+	for _, ranks := range []int{12, 24, 64, 72, 256} {
+		for _, cpu := range []float64{0.24, 1} {
+			for _, mbps := range []float64{6, 8, 20, 200} {
+				g := rankpacing.Group{Ranks: ranks, Layers: 12, Experts: 256, LinkMbps: mbps, CPUShare: cpu}
+				reads := time.Duration(float64(ranks*300*8) / mbps * float64(time.Microsecond))
+				if part := float64(reads) / float64(g.ReadInterval()); part > 0.401 {
+					t.Errorf("%d ranks, %v Mbit/s, %v cores: reads take %.2f of the link", ranks, mbps, cpu, part)
+				}
+				unlimited := g
+				unlimited.LinkMbps = 0
+				if cpu < 1 && g.ReadInterval() != unlimited.ReadInterval() {
+					t.Errorf("%d ranks, %v Mbit/s, %v cores: read interval %v, want that of the processor", ranks, mbps, cpu, g.ReadInterval())
+				}
+			}
+		}
+	}
+}
+
 // Guards against a rank that takes the lead while the leader reads less often because it
 // sends orders.
 func TestOrdersDoNotCostTheLead(t *testing.T) {
