Keep shifts of demand out of the usual distance of samples

A shift that is spread over two samples raised the usual distance of samples, from which the bound for a shift is derived, by up to a quarter. It falls again by a tenth per sample. A group of 256 ranks on 0.24 cores takes a sample every 400 ms, 8 or 9 between two shifts, so that the next shift was not seen and raised it again.

Up to two samples in a row beyond 1.7 times the usual distance (the largest ratio measured without a shift) do not count. A distance that has risen for good is learned from the third on.

TestShiftsAreSeenAtAllSizes fails on the code before, and TestRisenNoiseIsLearned fails if unusual samples never count.

--- a/decide/expertplan/demand.go
+++ b/decide/expertplan/demand.go
@@ -27,6 +27,13 @@
 	// noiseWeight is the weight of a sample in the noise, once there have been
 	// 1/noiseWeight samples.
 	noiseWeight = 0.1
+	// unchangedFactor is the largest ratio of a sample's distance to the usual one while
+	// demand is unchanged. Up to maxUnusualSamples in a row that exceed it, as many as a
+	// shift within a sample affects, do not count as noise. With 9 samples between two
+	// shifts, as in a group of 256 ranks, the noise would otherwise stay a quarter too
+	// high, and shifts that are spread over two samples would not be seen.
+	unchangedFactor   = 1.7
+	maxUnusualSamples = 2
 	// shiftSizeWeight is the weight of a shift in the usual size of shifts.
 	shiftSizeWeight = 0.3
 	// minNewPart is the least part of the choices of a sample that is taken to come
@@ -67,6 +74,8 @@
 	// of the number of requests.
 	noise        float64
 	noiseSamples int
+	// unusual counts the last samples in a row that exceed unchangedFactor.
+	unusual int
 	// shiftSize is the moving average of the distances between the demands before and
 	// after a shift, 0 before the first shift.
 	shiftSize float64
@@ -181,9 +190,15 @@
 }
 
 func (d *demand) observeNoise(distance float64, running int) {
+	sample := distance * math.Sqrt(float64(running))
+	if sample <= unchangedFactor*d.noise {
+		d.unusual = 0
+	} else if d.unusual++; d.unusual <= maxUnusualSamples {
+		return
+	}
 	d.noiseSamples++
 	weight := max(noiseWeight, 1/float64(d.noiseSamples+1))
-	d.noise += weight * (distance*math.Sqrt(float64(running)) - d.noise)
+	d.noise += weight * (sample - d.noise)
 }
 
 // newPart returns the part of the choices of a sample that were made after the shift,
--- a/decide/expertplan/simulation_test.go
+++ b/decide/expertplan/simulation_test.go
@@ -129,8 +129,10 @@
 func (s *simulation) running() int { return requestsOnRank * s.pacing.CountedRanks() }
 
 // sample adds the choices since the last sample, with their noise, to the counts.
-func (s *simulation) sample() {
-	deviation := simulatedNoise / math.Sqrt(float64(s.running()))
+func (s *simulation) sample() { s.sampleWithNoise(simulatedNoise) }
+
+func (s *simulation) sampleWithNoise(noise float64) {
+	deviation := noise / math.Sqrt(float64(s.running()))
 	for i, x := range s.pending {
 		s.counts[i] += uint64(1e5 * x * max(0, 1+deviation*s.random.NormFloat64()))
 		s.pending[i] = 0
