Derive the time of a short pass from the expected shift

A map with an imbalance of up to 1.5 is kept while passes take less than half of the accepted pause, since a shift was taken to double them at most. Shifts raise the imbalance to 1.5 in a group of 12 ranks, 2.3 at 64, 3.0 at 72 and 3.8 at 256 (model without a network, mean of 6 shifts). Where steps take little of a pass, passes of 60 ms took 169 ms right after a shift at 256 ranks and 124 ms at 72, at an accepted pause of 120 ms.

The limit is now also the pass time that stays within the pause at the published imbalance after the next shift, by the step time and the expert share of the engine's profile: 32 ms at 256 ranks without step time, 48 ms at 72. With the step times of deployments A and B it stays at half of the pause at 24 and 72 ranks, and at 12 ranks in any case; at 256 it is 57 ms.

--- a/decide/expertplan/costs.go
+++ b/decide/expertplan/costs.go
@@ -32,6 +32,10 @@
 	// short. The first change after a shift usually gets below it, with a fifth of the copies
 	// of a refinement.
 	tolerableImbalance = 1.5
+	// maxShortPassFraction is the part of the accepted pause below which passes are short
+	// where no shift is expected to more than double them. A shift raises the imbalance to
+	// 1.5 in groups of 12 ranks, but to 3.8 and more in those of 256.
+	maxShortPassFraction = 0.5
 	// defaultPrepareTime and defaultSwitchTime apply until SetTimes is called.
 	defaultPrepareTime = 100 * time.Millisecond
 	defaultSwitchTime  = 150 * time.Millisecond
--- a/decide/expertplan/expertplan.go
+++ b/decide/expertplan/expertplan.go
@@ -32,6 +32,7 @@
 // loop uses it.
 type State struct {
 	shape  placement.Shape
+	engine api.EngineProfile
 	costs  changeCosts
 	demand demand
 	shifts shifts
@@ -64,6 +65,7 @@
 			Slots:      p.SlotsPerRank,
 			RanksPerVM: 1,
 		},
+		engine: p,
 		costs:  newChangeCosts(ranks, p),
 		demand: demand{noise: initialNoise},
 	}
@@ -144,6 +146,17 @@
 	}
 }
 
+// ShortPass returns the longest pass time at which callers gain nothing from shorter passes,
+// if they accept a pause between events: the passes right after the next shift take no longer
+// than the pause. The present load is taken as even, which overestimates how much they grow.
+func (s *State) ShortPass(now, pause time.Duration) time.Duration {
+	short := time.Duration(maxShortPassFraction * float64(pause))
+	growth := 1 + s.engine.ExpertShare*max(s.ShiftImbalance(now)-1, 0)
+	// The steps themselves take as long as before.
+	fixed := min(time.Duration(s.engine.StepsPerPass)*s.engine.StepTime, pause)
+	return min(short, fixed+time.Duration(float64(pause-fixed)/growth))
+}
+
 // Shape returns the numbers of ranks, experts, layers and slots of the group.
 func (s *State) Shape() placement.Shape { return s.shape }
 
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -50,10 +50,6 @@
 	// rank. One line counts all since the last.
 	localFailureLogInterval = 10 * time.Second
 
-	// sparePassFraction is the part of the accepted pause below which passes count as short:
-	// their events are in time even if the next shift doubles the time of a pass.
-	sparePassFraction = 0.5
-
 	pollMailboxSize        = 4
 	orderResultMailboxSize = 1024
 	leaderReadMailboxSize  = 64
--- a/service/experts/leader.go
+++ b/service/experts/leader.go
@@ -189,7 +189,7 @@
 	}
 	s.planner.SetTimes(s.pacing.PrepareTime(), s.pacing.SwitchTime(s.passTime))
 	s.updatePaces()
-	s.planner.SetSpare(s.passTime > 0 && s.passTime < time.Duration(sparePassFraction*float64(s.shortestPause())))
+	s.planner.SetSpare(s.passTime > 0 && s.passTime < s.planner.ShortPass(now, s.shortestPause()))
 	if r.counts {
 		s.observeCounts(now, r)
 	}
