Let requests wait for the first loads, and see the end of an outage

Cause: an edge that had not read the load of a group still placed requests by guess where its ranks looked free, and the end of an outage was seen only by the next request, so that its length was learned too long.

--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -52,9 +52,9 @@
 	rateAt time.Duration
 	// meanDuration is the moving average of the duration of a request, 0 if unknown.
 	meanDuration time.Duration
-	// unreadSince is the time of the first request, 0 if there was none. loadsRead is set once
-	// the load of a group was read.
-	unreadSince time.Duration
+	// unreadUntil is the time until which the load of the first group is awaited, 0 before the
+	// first request. loadsRead is set once one was read.
+	unreadUntil time.Duration
 	loadsRead   bool
 	// meanBytes is the moving average of the bytes of a request and its response.
 	meanBytes float64
@@ -72,11 +72,11 @@
 // unread reports whether the load of the first group of the service is awaited. read is set if
 // one is known now, grouped if the upstreams of the service form groups.
 func (t *traffic) unread(now time.Duration, read, grouped bool) bool {
-	if t.unreadSince == 0 {
-		t.unreadSince = now
+	if t.unreadUntil == 0 {
+		t.unreadUntil = now + maxUnread
 	}
 	t.loadsRead = t.loadsRead || read
-	return grouped && !t.loadsRead && now-t.unreadSince < maxUnread
+	return grouped && !t.loadsRead && now < t.unreadUntil
 }
 
 func (t *traffic) recordArrival(now time.Duration) {
--- a/decide/balance/room.go
+++ b/decide/balance/room.go
@@ -124,7 +124,7 @@
 func (s *State) LoadsValidUntil(service string) time.Duration {
 	until := time.Duration(0)
 	if t := s.trafficOf(service); !t.loadsRead {
-		until = t.unreadSince + maxUnread
+		until = t.unreadUntil
 	}
 	for _, u := range s.services[service] {
 		if u.groupLoad != nil {
--- a/decide/rankpacing/rankpacing.go
+++ b/decide/rankpacing/rankpacing.go
@@ -61,8 +61,10 @@
 	serialOrders = 4
 	orderTime    = 10 * time.Millisecond
 	// leaderTimeoutReads is the number of missed reads after which a process takes the
-	// lead, but not before minLeaderTimeout.
-	leaderTimeoutReads = 6
+	// lead, but not before minLeaderTimeout. A group of 72 ranks, which reads nine times a
+	// second, then has a new leader and its load at the edges before the last one is too
+	// old to be used; with 6 it had not, and edges filled the ranks by guess.
+	leaderTimeoutReads = 5
 	minLeaderTimeout   = 500 * time.Millisecond
 )
 
--- a/service/balance/waiting.go
+++ b/service/balance/waiting.go
@@ -99,7 +99,7 @@
 		return
 	}
 	l.Arrive(now, request, capacityOf(room))
-	if l.Len() == 0 && l.Fits(now, q.Priority, capacityOf(room)) {
+	if l.Len() == 0 && !room.Unread && l.Fits(now, q.Priority, capacityOf(room)) {
 		if choice, placed := s.state.PlaceUrgent(now, &room); placed {
 			l.Admitted(now, request)
 			s.answer(now, c, choice, nil)
@@ -143,7 +143,13 @@
 // those that can't be served anymore.
 func (s *service) dispatch(now time.Duration, service string) {
 	l := s.queues[service]
-	if l == nil || l.Len() == 0 {
+	if l == nil {
+		return
+	}
+	if l.Len() == 0 {
+		if l.Forming() {
+			l.ObserveForming(now, s.state.Survey(now, service, nil).Forming)
+		}
 		return
 	}
 	for _, w := range l.Expired(now) {
--- a/service/balance/waiting_test.go
+++ b/service/balance/waiting_test.go
@@ -135,7 +135,7 @@
 		t.Fatal(err)
 	}
 	services := []string{"test.fakes", api.ServiceDiscovery, api.ServiceGroupLoads, api.ServiceFleet, api.ServiceLog, api.ServiceMetrics, api.ServiceRouting}
-	host := kernel.NewHost(r, services, kernel.Options{Clock: clock, Values: []any{&api.Settings{Zone: zoneOf(i), Node: names[i]}}})
+	host := kernel.NewHost(r, services, kernel.Options{Clock: clock, Values: []any{&api.Settings{Zone: zoneOf(i), Node: names[i], Edge: api.EdgeSettings{ColdOvershoot: 1}}}})
 	if err := host.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
--- a/service/experts/experts.go
+++ b/service/experts/experts.go
@@ -27,8 +27,8 @@
 	// tickInterval is how often the service checks whether a poll is due or an order
 	// must be resent.
 	tickInterval = 20 * time.Millisecond
-	// leaderTimeoutPerRank is added to the leader timeout for each rank, so that lower
-	// ranks take over first.
+	// leaderTimeoutPerRank is added to the leader timeout for each rank above the first
+	// successor, so that lower ranks take over first.
 	leaderTimeoutPerRank = 200 * time.Millisecond
 	// dialTimeout bounds the dial of another process.
 	dialTimeout = 75 * time.Millisecond
--- a/service/experts/leader.go
+++ b/service/experts/leader.go
@@ -85,7 +85,7 @@
 // isLeader reports whether this process is the leader: no lower rank has polled it
 // within the leader timeout.
 func (s *service) isLeader(now time.Duration) bool {
-	return s.rank == 0 || now-s.leaderReadAt > s.pacing.LeaderTimeout()+time.Duration(s.rank)*leaderTimeoutPerRank
+	return s.rank == 0 || now-s.leaderReadAt > s.pacing.LeaderTimeout()+time.Duration(s.rank-1)*leaderTimeoutPerRank
 }
 
 // handleLeaderRead handles a poll by another process.
@@ -171,6 +171,7 @@
 		s.log.Change("leading", api.Fields{"group": s.group, "rank": s.rank, "epoch": r.local.Report.Epoch})
 	}
 	s.state.SetOrderTime(s.pacing.ArmTime())
+	s.state.SetAcceptedPause(s.shortestPause())
 	s.state.ObserveToken(r.local.Token)
 	s.lastReports = snapshot.Reports
 	if epoch := r.local.Report.Epoch; epoch != s.epoch {
