Configuration check: shares, limits of members, unreachable limits

Cause: a configuration passes the check although members are promised more of a service than the upstreams they are restricted to can run, a member's limits exceed its part of the ledgers, or a limit is never reached because of another one.

Change: warnings exceeds_share, exceeds_capacity and unreachable in decide/configcheck/capacity.go. The part of one member in a ledger moves from service/work to decide/ledger, so that the check uses the same number. Errors, and so what processes refuse, are unchanged.

Both example folders stay without warnings.

--- a/decide/config/config_test.go
+++ b/decide/config/config_test.go
@@ -67,7 +67,7 @@
 	base := readFile(t, "testdata/base.toml")
 	process := &configcheck.Process{StopDeadline: 45 * time.Second}
 	golden := goldie.New(t, goldie.WithFixtureDir("testdata/warn"))
-	for _, name := range []string{"none", "members", "services", "patterns"} {
+	for _, name := range []string{"none", "members", "services", "patterns", "shares", "capacity", "unreachable"} {
 		r, errs := config.Merge(map[string][]byte{"10-base.toml": base, "20-warn.toml": readFile(t, "testdata/warn/"+name+".toml")})
 		if errs != nil {
 			t.Fatal(errs)
--- a/decide/config/model.go
+++ b/decide/config/model.go
@@ -9,6 +9,7 @@
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/configcheck"
+	"github.com/mulberryfork/mulberryfork/decide/ledger"
 	"github.com/mulberryfork/mulberryfork/decide/tomltree"
 )
 
@@ -20,12 +21,16 @@
 	c := r.Config
 	m := &configcheck.Model{Fields: fieldNames, Locate: r.locate}
 	m.Limits.Entry = r.entry("pool", "", c.Pool)
+	if recordsOutcomes(c) {
+		m.Limits.MemberEntries, m.Limits.Retention = ledger.MemberEntries(c.Pool.LedgerEntries), time.Duration(c.Pool.OutcomeRetention)
+	}
 	for _, n := range sortedNames(c.Members) {
 		member := c.Members[n]
 		e := r.entry("members", n, member)
 		delete(e.Attributes, fieldNames[configcheck.FieldKeys])
 		m.Members = append(m.Members, configcheck.Member{
 			Entry: e, Keys: keyDigests(member.TokenHashes), Zones: member.Zones, Upstreams: member.Upstreams,
+			Share: member.Share, QueueRequests: member.QueueRequests, RequestsPerSecond: member.RequestsPerSecond,
 		})
 	}
 	for _, n := range sortedNames(c.Zones) {
@@ -35,6 +40,7 @@
 		u := c.Upstreams[n]
 		m.Upstreams = append(m.Upstreams, configcheck.Upstream{
 			Entry: r.entry("upstreams", n, u), Zone: u.Zone, Service: u.Service, Models: u.Models, Leaving: u.Leaving,
+			MaxRequests: u.MaxRequests, MaxTokens: u.MaxTokens,
 		})
 	}
 	for _, n := range sortedNames(c.Services) {
@@ -51,6 +57,17 @@
 	return m
 }
 
+// recordsOutcomes reports whether a pool has requests whose outcome agents keep: those to
+// plain services and to models whose requests may not be repeated.
+func recordsOutcomes(c *api.Config) bool {
+	for _, m := range c.Models {
+		if !m.Idempotent {
+			return true
+		}
+	}
+	return len(c.Services) > 0
+}
+
 func others[T any](r *Result, table string, items map[string]T) []configcheck.Entry {
 	var all []configcheck.Entry
 	for _, n := range sortedNames(items) {
--- a/decide/configcheck/check.go
+++ b/decide/configcheck/check.go
@@ -55,6 +55,7 @@
 	c.keys()
 	c.memberPlaces()
 	c.limits(p)
+	c.capacity()
 	Sort(c.found)
 }
 
--- a/decide/configcheck/model.go
+++ b/decide/configcheck/model.go
@@ -56,6 +56,9 @@
 	ExceedsBudget   Kind = "exceeds_budget"
 	WindowTooShort  Kind = "window_too_short"
 	NothingAccepted Kind = "nothing_accepted"
+	ExceedsShare    Kind = "exceeds_share"
+	ExceedsCapacity Kind = "exceeds_capacity"
+	Unreachable     Kind = "unreachable"
 	OldVersion      Kind = "old_version"
 )
 
@@ -175,6 +178,11 @@
 	FieldMaxBodyBytes  = "max_body_bytes"
 	FieldResendWindow  = "resend_window"
 	FieldVersion       = "version"
+	FieldShare         = "share"
+	FieldMaxRequests   = "max_requests"
+	FieldQueueRequests = "queue_requests"
+
+	FieldRequestsPerSecond = "requests_per_second"
 )
 
 // Route maps requests with a host and a path prefix to services. The longest prefix wins,
@@ -210,6 +218,15 @@
 	Entry
 	ColdRate              float64
 	Timeout, ResendWindow time.Duration
+	// Engine is nil if the format does not describe the engines of the service.
+	Engine *Engine
+}
+
+// Engine holds the times that an engine takes for one request alone on a rank.
+type Engine struct {
+	// Pass is the time of a pass, and FirstEvent and Answer those from the start of a
+	// request with a prompt of the usual size to its first event and its usual end.
+	Pass, FirstEvent, Answer time.Duration
 }
 
 // KeyDigest identifies an API key without containing it.
@@ -225,6 +242,11 @@
 	Priority *float64
 	// Zones and Upstreams restrict where the member's requests run; empty allows all.
 	Zones, Upstreams []string
+	// Share is the member's weight, QueueRequests its waiting requests at each agent, and
+	// RequestsPerSecond its rate at each router, 0 if it is not limited.
+	Share             float64
+	QueueRequests     int
+	RequestsPerSecond float64
 }
 
 // Upstream is an upstream that the configuration lists.
@@ -233,6 +255,8 @@
 	Zone, Service string
 	Models        []string
 	Leaving       bool
+	// MaxRequests and MaxTokens bound what it runs at the same time.
+	MaxRequests, MaxTokens int
 }
 
 // Zone is an availability zone.
@@ -246,6 +270,10 @@
 	Entry
 	// MaxBodyBytes is nil if the format has no such limit.
 	MaxBodyBytes *int64
+	// MemberEntries is the number of outcomes of non-idempotent requests that an agent keeps
+	// for one member during Retention, 0 if the format has no such limit.
+	MemberEntries int
+	Retention     time.Duration
 }
 
 // Process holds the settings of the processes that are to use the configuration.
--- a/decide/ledger/types.go
+++ b/decide/ledger/types.go
@@ -41,6 +41,12 @@
 	Deduplicates bool
 }
 
+// memberEntryDivisor limits one member to a quarter of the keys.
+const memberEntryDivisor = 4
+
+// MemberEntries returns the limit for one member in a ledger with the given limit of keys.
+func MemberEntries(entries int) int { return max(entries/memberEntryDivisor, 1) }
+
 // retentionOf returns how long the outcome of a key is kept. A caller-made key
 // carries no timestamp, so its entry must also outlast the resend window and
 // the delay of the last attempt within it.
--- a/service/work/control.go
+++ b/service/work/control.go
@@ -35,9 +35,7 @@
 	headroom     = 0.5
 	usageHorizon = 30 * time.Second
 	borrowFactor = 1.5
-	// memberEntryDivisor and maxMemberTombstones limit one member's use of the
-	// ledger: it may have a quarter of the entries and this many tombstones.
-	memberEntryDivisor  = 4
+	// maxMemberTombstones limits the tombstones of one member in the ledger.
 	maxMemberTombstones = 4096
 	maxJoinedAttempts   = 64
 	// ledgerFullResponses limits the total size of the recorded responses: the ledger
@@ -239,7 +237,7 @@
 	pool, plain := snap.Config.Pool, snap.Config.Services[c.upstream.Service]
 	c.ledger.SetLimits(ledger.Limits{
 		Entries:          pool.LedgerEntries,
-		MemberEntries:    max(pool.LedgerEntries/memberEntryDivisor, 1),
+		MemberEntries:    ledger.MemberEntries(pool.LedgerEntries),
 		MemberTombstones: maxMemberTombstones,
 		JoinedAttempts:   maxJoinedAttempts,
 		Bytes:            pool.LedgerAnswerBytes * ledgerFullResponses,
