Give the tests of edges a transport of their own

Each httptest.Server closes the idle connections of http.DefaultTransport at its end, which the requests of parallel tests were about to use. TestEndlessBytesAreBounded, whose single failure was not traced, used the same transport.

--- a/cmd/mulberryfork-platform/crash_test.go
+++ b/cmd/mulberryfork-platform/crash_test.go
@@ -119,7 +119,7 @@
 	r.Header.Set("X-Mulberryfork-Deadline-Remaining", "3000")
 	r.Header.Set("X-Api-Key", "key1")
 	r.Header.Set("X-Mulberryfork-Prompt-Prefix-Hash", parts)
-	response, err := http.DefaultTransport.RoundTrip(r)
+	response, err := transport.RoundTrip(r)
 	if err != nil {
 		return 0, ""
 	}
--- a/cmd/mulberryfork-platform/edge_test.go
+++ b/cmd/mulberryfork-platform/edge_test.go
@@ -115,7 +115,7 @@
 	r.Host = "h.example"
 	r.Header.Set("X-Api-Key", "key1")
 	r.Header.Set("X-Mulberryfork-Attempt-Id", "leaver")
-	if response, err := http.DefaultTransport.RoundTrip(r); err == nil {
+	if response, err := transport.RoundTrip(r); err == nil {
 		response.Body.Close()
 		t.Fatal("answered")
 	}
--- a/cmd/mulberryfork-platform/endless_test.go
+++ b/cmd/mulberryfork-platform/endless_test.go
@@ -171,7 +171,7 @@
 	r.Header.Set("X-Mulberryfork-Deadline-Remaining", "1000")
 	r.Header.Set("X-Api-Key", "key1")
 	startedAt := time.Now()
-	response, err := http.DefaultTransport.RoundTrip(r)
+	response, err := transport.RoundTrip(r)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/mulberryfork-platform/fixture_test.go
+++ b/cmd/mulberryfork-platform/fixture_test.go
@@ -26,6 +26,13 @@
 "services":[{"name":"svc","connectionLimit":100}],
 "limits":{"maxBodyBytes":100000},"tenants":[{"name":"m","apiKeys":["key%d"]}]}`
 
+// transport is not http.DefaultTransport: each httptest.Server closes the idle connections of
+// that one at its end, also those that requests of parallel tests are about to use.
+var (
+	transport = &http.Transport{}
+	client    = &http.Client{Transport: transport}
+)
+
 // fixture is an edge process with a store and two upstreams.
 type fixture struct {
 	t     *testing.T
@@ -134,7 +141,7 @@
 func (f *fixture) awaitReady() {
 	f.t.Helper()
 	ready := func() bool {
-		response, err := http.Get("http://" + f.ready + "/-/readiness")
+		response, err := client.Get("http://" + f.ready + "/-/readiness")
 		if err != nil {
 			f.t.Fatal(err)
 		}
@@ -175,7 +182,7 @@
 	r.Header.Set("X-Mulberryfork-Deadline-Remaining", "3000")
 	r.Header.Set("X-Api-Key", key)
 	r.Header.Set("X-Mulberryfork-Tenant-Name", "forged")
-	response, err := http.DefaultTransport.RoundTrip(r)
+	response, err := transport.RoundTrip(r)
 	if err != nil {
 		return nil, "", err
 	}
--- a/cmd/mulberryfork-platform/priority_test.go
+++ b/cmd/mulberryfork-platform/priority_test.go
@@ -36,7 +36,7 @@
 	r.Header.Set("X-Api-Key", "key1")
 	r.Header.Set("X-Mulberryfork-Attempt-Id", "level"+path)
 	r.Header.Set("X-Mulberryfork-Request-Priority", "0")
-	response, err := http.DefaultClient.Do(r)
+	response, err := client.Do(r)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/cmd/mulberryfork-platform/store_test.go
+++ b/cmd/mulberryfork-platform/store_test.go
@@ -99,7 +99,7 @@
 }
 
 func (f *fixture) readiness() int {
-	response, err := http.Get("http://" + f.ready + "/-/readiness")
+	response, err := client.Get("http://" + f.ready + "/-/readiness")
 	if err != nil {
 		f.t.Fatal(err)
 	}
