--- a/decide/mapswitch/mapswitch.go
+++ b/decide/mapswitch/mapswitch.go
@@ -131,8 +131,6 @@
 	peakAttempts int
 	// orderTime is how long orders to all ranks are expected to take.
 	orderTime time.Duration
-	// acceptedPause is the longest pause between events that callers accept.
-	acceptedPause time.Duration
 	passes    passClock
 	// allDisarmed is set once every rank has executed or refused a disarm order. The
 	// token of that order prevents leaders with a lower token from arming the rank
@@ -171,10 +169,6 @@
 // Token returns the fencing token of this leader's orders.
 func (s *State) Token() uint64 { return s.token }
 
-// SetAcceptedPause sets the longest pause between events that callers accept, 0 if it is
-// unknown.
-func (s *State) SetAcceptedPause(d time.Duration) { s.acceptedPause = d }
-
 // SetOrderTime sets how long orders to all ranks are expected to take.
 func (s *State) SetOrderTime(d time.Duration) { s.orderTime = d }
 
@@ -366,18 +360,13 @@
 // takes the time of orders to all ranks. If prepare orders had to be resent, arm orders
 // are expected to need as many attempts. If passes are shorter than that, the leader
 // holds a later pass, so that the passes before it run with the old map instead of
-// waiting. It holds a later one too if only the wait would make the pause between two events
-// too long: that makes every running response of the group late.
+// waiting.
 func (s *State) passesAhead() uint64 {
 	if s.passes.passTime <= 0 {
 		return minPassesAhead
 	}
 	armTime := s.orderTime + time.Duration(max(0, s.peakAttempts-1))*resendInterval
-	ahead := minPassesAhead + uint64(armTime/s.passes.passTime)
-	if s.passes.passTime <= s.acceptedPause && s.passes.passTime+armTime%s.passes.passTime > s.acceptedPause {
-		ahead++
-	}
-	return min(ahead, maxPassesAhead)
+	return min(minPassesAhead+uint64(armTime/s.passes.passTime), maxPassesAhead)
 }
 
 func (s *State) beginHold(now time.Duration) []OutgoingOrder {
