Hold a later pass where a hold makes the pause too long

These were passes of 85 to 110 ms right after a shift of demand, which the group was held in addition for the rest of the time that arming takes (a trial that logged the longest pause of each response). Where results of orders get lost for seconds, arming took 130 to 200 ms in each change, and the next change expected 22 to 67 ms again.

The leader holds the pass after the next one if a pass and the rest of arming exceed the accepted pause while a pass alone does not, and expects arming to take as long as in the last changes.

--- a/decide/mapswitch/hold_test.go
+++ b/decide/mapswitch/hold_test.go
@@ -95,6 +95,100 @@
 	}
 }
 
+// Guards against a hold that makes every running response late although passes are in time,
+// and against a later change where that gains nothing.
+func TestHoldDoesNotExceedAcceptedPause(t *testing.T) {
+	const pause, orderTime = 120 * time.Millisecond, 67 * time.Millisecond
+	for _, c := range []struct {
+		pass  time.Duration
+		ahead uint64
+	}{{40 * time.Millisecond, 2}, {50 * time.Millisecond, 2}, {90 * time.Millisecond, 2}, {119 * time.Millisecond, 2}, {150 * time.Millisecond, 1}} {
+		s := New(0)
+		s.SetOrderTime(orderTime)
+		s.SetAcceptedPause(pause)
+		now, step := time.Duration(0), uint64(100)
+		var prepared *uint64
+		observe := func() []OutgoingOrder {
+			ranks := make([]api.RankReport, 3)
+			for i := range ranks {
+				ranks[i] = api.RankReport{Rank: i, Size: 3, Formed: true, Epoch: 1, Step: step, PreparedMapVersion: prepared}
+			}
+			now, step = now+c.pass, step+1
+			return s.Observe(now, now, 1, ranks)
+		}
+		observe()
+		observe()
+		for _, prepare := range s.Begin(now, 1, nil) {
+			s.HandleResult(now, 1, prepare, api.RankDone)
+		}
+		version := s.Version()
+		prepared = &version
+		lastStep := step
+		hold := observe()
+		if len(hold) != 1 || hold[0].Order.Step-lastStep != c.ahead {
+			t.Errorf("pass of %v: %+v, want a hold %d passes ahead", c.pass, hold, c.ahead)
+		}
+	}
+}
+
+// Guards against a hold that stalls the group again in each change while orders are lost, and
+// against changes that stay slow after that.
+func TestHoldFollowsDurationOfLastChanges(t *testing.T) {
+	const pass = 50 * time.Millisecond
+	s := New(0)
+	now, step := time.Duration(0), uint64(100)
+	var current uint64
+	var prepared *uint64
+	observe := func() []OutgoingOrder {
+		ranks := make([]api.RankReport, 3)
+		for i := range ranks {
+			ranks[i] = api.RankReport{Rank: i, Size: 3, Formed: true, Epoch: 1, Step: step, MapVersion: current, PreparedMapVersion: prepared}
+		}
+		now, step = now+pass, step+1
+		return s.Observe(now, now, 1, ranks)
+	}
+	// change makes a change whose orders take a time each, and returns how far ahead the held
+	// pass was.
+	change := func(orderTime time.Duration) uint64 {
+		observe()
+		observe()
+		orders := s.Begin(now, 1, nil)
+		for _, prepare := range orders {
+			s.HandleResult(now, 1, prepare, api.RankDone)
+		}
+		version := s.Version()
+		prepared = &version
+		lastStep := step
+		orders = observe()
+		ahead := orders[0].Order.Step - lastStep
+		for s.Phase() != Settling {
+			now += orderTime
+			next := []OutgoingOrder{}
+			for _, o := range orders {
+				next = append(next, s.HandleResult(now, 1, o, api.RankDone)...)
+			}
+			orders = next
+		}
+		current, prepared = version, nil
+		step += ahead
+		observe()
+		return ahead
+	}
+	if ahead := change(time.Millisecond); ahead != 1 {
+		t.Errorf("first change holds %d passes ahead, want 1", ahead)
+	}
+	change(40 * time.Millisecond)
+	if ahead := change(time.Millisecond); ahead < 4 {
+		t.Errorf("after a change of 200 ms: %d passes ahead, want 4 at least", ahead)
+	}
+	for range 6 {
+		change(time.Millisecond)
+	}
+	if ahead := change(time.Millisecond); ahead != 1 {
+		t.Errorf("after fast changes: %d passes ahead, want 1", ahead)
+	}
+}
+
 // Guards against a change that waits for a read longer than necessary: one that started
 // before the experts were copied shows nothing new, and is in the way of the next one.
 func TestReadIsDueWhenExpertsAreCopied(t *testing.T) {
--- a/decide/mapswitch/mapswitch.go
+++ b/decide/mapswitch/mapswitch.go
@@ -46,6 +46,8 @@
 	// order was lost. If the pass has begun when the order arrives, the leader
 	// tries to hold the next one.
 	minPassesAhead = 1
+	// switchTimeWeight is the weight of a change that took less time than the ones before.
+	switchTimeWeight = 0.3
 	// maxPassesAhead limits the distance when orders are lost.
 	maxPassesAhead = 6
 	// maxHoldAttempts is the number of successive passes that the leader tries to hold
@@ -131,7 +133,14 @@
 	peakAttempts int
 	// orderTime is how long orders to all ranks are expected to take.
 	orderTime time.Duration
-	passes    passClock
+	// switchTime is how long the last changes took from the order to hold to the release. It
+	// rises at once and falls slowly: orders are lost for seconds.
+	switchTime time.Duration
+	// holdAt is when the order to hold of this change was sent.
+	holdAt time.Duration
+	// acceptedPause is the longest pause between events that callers accept.
+	acceptedPause time.Duration
+	passes        passClock
 	// allDisarmed is set once every rank has executed or refused a disarm order. The
 	// token of that order prevents leaders with a lower token from arming the rank
 	// again.
@@ -169,6 +178,10 @@
 // Token returns the fencing token of this leader's orders.
 func (s *State) Token() uint64 { return s.token }
 
+// SetAcceptedPause sets the longest pause between events that callers accept, 0 if it is
+// unknown.
+func (s *State) SetAcceptedPause(d time.Duration) { s.acceptedPause = d }
+
 // SetOrderTime sets how long orders to all ranks are expected to take.
 func (s *State) SetOrderTime(d time.Duration) { s.orderTime = d }
 
@@ -357,24 +370,36 @@
 }
 
 // passesAhead returns the distance from the last known pass to the one to hold. Arming
-// takes the time of orders to all ranks. If prepare orders had to be resent, arm orders
-// are expected to need as many attempts. If passes are shorter than that, the leader
+// takes the time of orders to all ranks, and as long as in the last changes. If prepare orders
+// had to be resent, arm orders are expected to need as many attempts. If passes are shorter than that, the leader
 // holds a later pass, so that the passes before it run with the old map instead of
-// waiting.
+// waiting. It holds a later one too if only the wait would make the pause between two events
+// too long: that makes every running response of the group late.
 func (s *State) passesAhead() uint64 {
 	if s.passes.passTime <= 0 {
 		return minPassesAhead
 	}
-	armTime := s.orderTime + time.Duration(max(0, s.peakAttempts-1))*resendInterval
-	return min(minPassesAhead+uint64(armTime/s.passes.passTime), maxPassesAhead)
+	armTime := max(s.orderTime+time.Duration(max(0, s.peakAttempts-1))*resendInterval, s.switchTime)
+	ahead := minPassesAhead + uint64(armTime/s.passes.passTime)
+	if s.passes.passTime <= s.acceptedPause && s.passes.passTime+armTime%s.passes.passTime > s.acceptedPause {
+		ahead++
+	}
+	return min(ahead, maxPassesAhead)
 }
 
 func (s *State) beginHold(now time.Duration) []OutgoingOrder {
 	s.enterPhase(now, Holding)
+	s.holdAt = now
 	s.heldStep, s.holdAttempts = s.lastStep()+s.passesAhead(), 1
 	return s.sendHold(now)
 }
 
+// observeSwitch records how long the change took from the order to hold to the release.
+func (s *State) observeSwitch(now time.Duration) {
+	took := now - s.holdAt
+	s.switchTime = max(took, s.switchTime+time.Duration(switchTimeWeight*float64(took-s.switchTime)))
+}
+
 func (s *State) sendHold(now time.Duration) []OutgoingOrder {
 	s.addPending(s.holderRank(s.leaderRank), api.RankOrder{Op: api.RankHold, Step: s.heldStep})
 	return s.dueOrders(now)
--- a/decide/mapswitch/result.go
+++ b/decide/mapswitch/result.go
@@ -88,6 +88,7 @@
 		s.addPending(s.holderRank(s.leaderRank), api.RankOrder{Op: api.RankRelease, Step: s.heldStep})
 		return s.dueOrders(now)
 	case Releasing:
+		s.observeSwitch(now)
 		s.heldStep = 0
 		s.enterPhase(now, Settling)
 	case Fencing:
--- a/service/experts/leader.go
+++ b/service/experts/leader.go
@@ -171,6 +171,7 @@
 		s.log.Change("leading", api.Fields{"group": s.group, "rank": s.rank, "epoch": r.local.Report.Epoch})
 	}
 	s.state.SetOrderTime(s.pacing.ArmTime())
+	s.state.SetAcceptedPause(s.shortestPause())
 	s.state.ObserveToken(r.local.Token)
 	s.lastReports = snapshot.Reports
 	if epoch := r.local.Report.Epoch; epoch != s.epoch {
