Size batches for passes during which experts are copied

Ranks copy experts then, and passes take 15% longer meanwhile, which the model of the pass left out.

--- a/decide/batchlimit/batchlimit.go
+++ b/decide/batchlimit/batchlimit.go
@@ -22,6 +22,9 @@
 	// minLimit is the smallest limit. Below it, a batch serves less worth in time than a
 	// full batch serves late.
 	minLimit = 2
+	// copySlowdown is how much longer passes take while ranks copy experts, as they do right
+	// after a shift.
+	copySlowdown = 1.15
 	// minCapacity is the least part of the capacity of full batches that batches sized for
 	// the next shift may have. A late response is worth about half of one in time.
 	minCapacity = 0.5
@@ -105,7 +108,7 @@
 		return slots
 	}
 	n := slots
-	for n > 0 && m.imbalancedPassTime(n, imbalance) > longest {
+	for n > 0 && time.Duration(copySlowdown*float64(m.imbalancedPassTime(n, imbalance))) > longest {
 		n--
 	}
 	if m.capacity(n) < minCapacity*m.capacity(slots) {
