Apply the published headerTimeoutMs and idleTimeoutMs

Cause: the two limits were not decoded. An edge kept a head that stopped for 1 min and an idle connection for 10 min, whatever was published. A header over the limit got 400, and published limits below 64 KiB were not applied.

Change: platform decodes both into the route table; a value that is missing or out of range means the default, one of another type refuses the document as for the other limits. The ingress hands them to the account of connections on the control loop, which ends connections that waited for too long, also those that were open before. kernel/guard records when a wait began and ends it only if no request has arrived meanwhile. Headers over the published limit get 431 (header_too_large). guard.Conn has CloseWrite, which the HTTP server looks for: without it a 431 of the library was followed by a reset.

Changed tests: TestHeaderWithinPublishedLimitIsServed wants 431 instead of 400, as docs/design/uneven-load.md asks, and covers a limit below 64 KiB and a header that the library refuses.

--- a/api/connections.go
+++ b/api/connections.go
@@ -12,6 +12,9 @@
 	// Guard returns a listener whose connections are charged to the account. It must be called
 	// while services are started.
 	Guard(l net.Listener, o GuardOptions) net.Listener
+	// SetTimeLimits sets the time limits of the listener with a name, also for connections that
+	// are open. It must be called on the control loop or before it starts.
+	SetTimeLimits(listener string, l TimeLimits)
 	// TakeBody takes n bytes for a body of a member. ctx is that of the request. If the failure
 	// is nil, ReturnBody must be called with the same bytes once they are no longer held.
 	TakeBody(ctx context.Context, member string, n int64) *Failure
@@ -35,6 +38,13 @@
 	Discard(w http.ResponseWriter, r *http.Request)
 }
 
+// TimeLimits bound how long a connection waits for its client, 0 for no bound.
+type TimeLimits struct {
+	// Head is the time from the first byte of a request to the end of its head, Idle the time
+	// without a request.
+	Head, Idle time.Duration
+}
+
 // GuardOptions describe a listener.
 type GuardOptions struct {
 	// Name is that of the listener in the settings.
--- a/api/discovery.go
+++ b/api/discovery.go
@@ -127,6 +127,10 @@
 	MaxBodyBytes int64
 	// MaxHeaderBytes bounds the header of a request, 0 if the configuration has no bound.
 	MaxHeaderBytes int
+	// HeaderTimeout bounds the time in which the header of a request arrives, IdleTimeout the
+	// time for which a connection without a request is kept. 0 stands for the default of the
+	// process.
+	HeaderTimeout, IdleTimeout time.Duration
 	// ZoneDelays holds the one-way delays between zones, as far as they are published.
 	ZoneDelays map[ZonePair]time.Duration
 }
--- a/api/failure.go
+++ b/api/failure.go
@@ -31,6 +31,7 @@
 	CodeUnknownService    Code = "unknown_service"
 	CodeMethodNotAllowed  Code = "method_not_allowed"
 	CodeBodyTooLarge      Code = "body_too_large"
+	CodeHeaderTooLarge    Code = "header_too_large"
 	CodeTooManyStreams    Code = "too_many_streams"
 	CodeRateLimited       Code = "rate_limited"
 	CodeQueueFull         Code = "queue_full"
--- a/cmd/mulberryfork-platform/body_test.go
+++ b/cmd/mulberryfork-platform/body_test.go
@@ -213,7 +213,7 @@
 		return response.StatusCode
 	}
 	const long = 100 << 10
-	if status := send("unpublished", long); status != http.StatusBadRequest {
+	if status := send("unpublished", long); status != http.StatusRequestHeaderFieldsTooLarge {
 		t.Errorf("status %d for a head of %d bytes without a published limit", status, long)
 	}
 	text := strings.Replace(configFormat, `"maxBodyBytes":100000`, `"maxBodyBytes":100000,"maxHeaderBytes":131072`, 1)
@@ -222,7 +222,16 @@
 	if status := send("allowed", long); status != http.StatusOK {
 		t.Errorf("status %d for a head of %d bytes, of 128 KiB allowed", status, long)
 	}
-	if status := send("beyond", 2*long); status != http.StatusBadRequest {
+	if status := send("beyond", 2*long); status != http.StatusRequestHeaderFieldsTooLarge {
 		t.Errorf("status %d for a head of %d bytes, of 128 KiB allowed", status, 2*long)
 	}
+	const unread = 1<<20 + 64<<10
+	if status := send("unread", unread); status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d for a head of %d bytes, more than an edge reads", status, unread)
+	}
+	f.store.Put("op/config", fmt.Appendf(nil, strings.Replace(text, "131072", "16384", 1), 3, 1))
+	f.awaitView(func(v *api.View) bool { return v.Table.Version == 3 })
+	if status := send("beyond less", 32<<10); status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d for a head of %d bytes, of 16 KiB allowed", status, 32<<10)
+	}
 }
--- a/decide/burn/definition.go
+++ b/decide/burn/definition.go
@@ -103,7 +103,7 @@
 	}
 	switch f.Code {
 	case api.CodeBadRequest, api.CodeUnauthenticated, api.CodeForbidden, api.CodeNotFound,
-		api.CodeUnknownModel, api.CodeUnknownService, api.CodeMethodNotAllowed, api.CodeBodyTooLarge,
+		api.CodeUnknownModel, api.CodeUnknownService, api.CodeMethodNotAllowed, api.CodeBodyTooLarge, api.CodeHeaderTooLarge,
 		api.CodeRateLimited, api.CodeKeyNotBound, api.CodeKeyExpired, api.CodeKeyReused,
 		api.CodeKeyMalformed, api.CodeInProgress, api.CodeTombstoned, api.CodeCanceled:
 		return true
--- a/decide/configcheck/limits.go
+++ b/decide/configcheck/limits.go
@@ -122,4 +122,18 @@
 		c.add(Warning, ExceedsBudget, &l.Entry, FieldMaxBodyBytes,
 			"%d bytes exceed the %d bytes of memory for bodies: such a body is accepted only while no other is held", *l.MaxBodyBytes, p.BodyBytes)
 	}
+	c.clientTime(&l.Entry, FieldHeaderTimeout, l.HeaderTimeout)
+	c.clientTime(&l.Entry, FieldIdleTimeout, l.IdleTimeout)
+}
+
+// MinClientTime and MaxClientTime bound how long a connection may wait for its client.
+const (
+	MinClientTime = time.Millisecond
+	MaxClientTime = 24 * time.Hour
+)
+
+func (c *checker) clientTime(e *Entry, field string, d time.Duration) {
+	if d != 0 && (d < MinClientTime || d > MaxClientTime) {
+		c.add(Warning, OutOfRange, e, field, "the time is not between %s and %s; the default of the process applies", MinClientTime, MaxClientTime)
+	}
 }
--- a/decide/configcheck/model.go
+++ b/decide/configcheck/model.go
@@ -173,6 +173,8 @@
 	FieldKeys          = "keys"
 	FieldZones         = "zones"
 	FieldMaxBodyBytes  = "max_body_bytes"
+	FieldHeaderTimeout = "header_timeout"
+	FieldIdleTimeout   = "idle_timeout"
 	FieldResendWindow  = "resend_window"
 	FieldVersion       = "version"
 )
@@ -246,6 +248,9 @@
 	Entry
 	// MaxBodyBytes is nil if the format has no such limit.
 	MaxBodyBytes *int64
+	// HeaderTimeout and IdleTimeout bound how long a connection waits for its client, 0 if they
+	// are not set.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Process holds the settings of the processes that are to use the configuration.
--- a/decide/connbudget/connbudget.go
+++ b/decide/connbudget/connbudget.go
@@ -28,6 +28,10 @@
 	Moved int64
 	// Served is set once a response was sent.
 	Served bool
+	// Waiting is set while there is no complete head, Since is when the connection began to
+	// wait for a request or when the first bytes of the head came.
+	Waiting bool
+	Since   time.Duration
 }
 
 type connection struct {
@@ -68,6 +72,7 @@
 	limits    Limits
 	bytes     *bodybudget.State
 	listeners map[string]*listener
+	times     map[string]TimeLimits
 	conns     map[uint64]*connection
 	sources   map[string]int
 	open      int
@@ -79,6 +84,7 @@
 		limits:    l,
 		bytes:     bodybudget.New(l.Bytes),
 		listeners: make(map[string]*listener),
+		times:     make(map[string]TimeLimits),
 		conns:     map[uint64]*connection{NoConnection: {reading: Reading{Phase: Serving}}},
 		sources:   make(map[string]int),
 	}
--- a/decide/connbudget/connbudget_test.go
+++ b/decide/connbudget/connbudget_test.go
@@ -186,3 +186,55 @@
 		t.Errorf("%v are overdue, want one", got)
 	}
 }
+
+// Guards against a wait that is ended too early or never, against limits that spare connections
+// which are open already, and against limits at listeners that have none.
+func TestWaitsBeyondTheirLimitExpire(t *testing.T) {
+	s := newState()
+	const (
+		head, idle, body, admin = 1, 2, 3, 4
+		since                   = 5 * time.Second
+	)
+	for id, r := range map[uint64]connbudget.Reading{
+		head:  {Phase: connbudget.Receiving, Waiting: true, Since: since},
+		idle:  {Phase: connbudget.Idle, Waiting: true, Since: since, Served: true},
+		body:  {Phase: connbudget.Receiving, Since: since},
+		admin: {Phase: connbudget.Idle, Waiting: true, Since: since},
+	} {
+		name := "http"
+		if id == admin {
+			name = "admin"
+		}
+		s.Open(0, id, name, "10.0.0.1")
+		s.Observe(since, id, r)
+	}
+	if found := s.Expired(time.Hour); len(found) > 0 {
+		t.Errorf("%v expired without a limit", found)
+	}
+	set := func(head, idle time.Duration) bool {
+		return s.SetTimeLimits("http", connbudget.TimeLimits{Head: head, Idle: idle})
+	}
+	if set(3*time.Second, 15*time.Second) || set(3*time.Second, 15*time.Second) {
+		t.Error("the first limits, or equal ones, count as a change")
+	}
+	for _, c := range []struct {
+		after time.Duration
+		want  []connbudget.Expired
+	}{
+		{3*time.Second - 1, nil},
+		{3 * time.Second, []connbudget.Expired{{ID: head, Since: since, Head: true}}},
+		{15*time.Second - 1, []connbudget.Expired{{ID: head, Since: since, Head: true}}},
+		{15 * time.Second, []connbudget.Expired{{ID: head, Since: since, Head: true}, {ID: idle, Since: since}}},
+	} {
+		if found := s.Expired(since + c.after); !slices.Equal(found, c.want) {
+			t.Errorf("%v: %v, want %v", c.after, found, c.want)
+		}
+	}
+	if !set(time.Minute, time.Second) {
+		t.Error("other limits do not count as a change")
+	}
+	s.End(head)
+	if found := s.Expired(since + time.Second); !slices.Equal(found, []connbudget.Expired{{ID: idle, Since: since}}) {
+		t.Errorf("%v with new limits", found)
+	}
+}
--- a/kernel/guard/guard.go
+++ b/kernel/guard/guard.go
@@ -23,6 +23,8 @@
 	Take(c *Conn, n int64) bool
 	// Return releases bytes that Take charged.
 	Return(c *Conn, n int64)
+	// Now returns the time by which the account measures how long connections wait.
+	Now() time.Duration
 }
 
 // RefusedError reports a connection that is ended because the account has no room for what it
@@ -77,7 +79,10 @@
 	// is the part of it that is charged.
 	pending, taken  atomic.Int64
 	writing, served atomic.Bool
-	closeOnce       sync.Once
+	// since is when an HTTP connection began to wait for a request, or when the first bytes of
+	// its head came.
+	since     atomic.Int64
+	closeOnce sync.Once
 }
 
 // Listener accepts the connections for which an account has room.
@@ -105,6 +110,7 @@
 		}
 		c := &Conn{Conn: raw, account: l.account, Listener: l.name, ID: lastID.Add(1), trusted: l.trusted}
 		c.Source, _, _ = net.SplitHostPort(raw.RemoteAddr().String())
+		c.since.Store(int64(l.account.Now()))
 		if l.account.Open(c) {
 			return c, nil
 		}
@@ -133,6 +139,9 @@
 	cost := int64(len(p)) * frameByteCost
 	if c.isHTTP {
 		cost = int64(len(p))*headByteCost + int64(bytes.Count(p, []byte{'\n'}))*headLineCost
+		if c.pending.Load() == 0 {
+			c.since.Store(int64(c.account.Now()))
+		}
 	}
 	missing := c.pending.Add(cost) - allowance - c.taken.Load()
 	if missing <= 0 {
@@ -167,6 +176,16 @@
 	}
 }
 
+// CloseWrite ends what is sent to the client. The HTTP server does so before it closes a
+// connection whose request it has not read to its end; without it the client may get a reset
+// instead of the response.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
@@ -177,10 +196,12 @@
 // begin marks the start of a handler. It returns false if the connection was ended.
 func (c *Conn) begin() bool { return c.phase.CompareAndSwap(waiting, serving) }
 
-// end marks the end of a response.
+// end marks the end of a response. The phase is set last: before it, what is left of the head
+// that was answered must not count as the start of the next one.
 func (c *Conn) end() {
-	c.phase.CompareAndSwap(serving, waiting)
+	c.since.Store(int64(c.account.Now()))
 	c.release()
+	c.phase.CompareAndSwap(serving, waiting)
 }
 
 // beginBody and endBody enclose the reading of a body, during which the connection may be
@@ -206,6 +227,16 @@
 	return false
 }
 
+// EndWaiting ends a connection that has waited for a request, or for the rest of a head, since a
+// time. It does nothing if a request has arrived meanwhile.
+func (c *Conn) EndWaiting(since time.Duration) bool {
+	if c.since.Load() != int64(since) || !c.phase.CompareAndSwap(waiting, ended) {
+		return false
+	}
+	_ = c.Conn.Close()
+	return true
+}
+
 // Activity is what a connection has done.
 type Activity struct {
 	// Moved is the number of bytes received and sent.
@@ -215,6 +246,10 @@
 	Receiving, Serving, Writing bool
 	// Served is set once a response was sent.
 	Served bool
+	// Waiting is set while an HTTP connection has no complete head, Since is when it began to
+	// wait for a request or when the first bytes of the head came.
+	Waiting bool
+	Since   time.Duration
 }
 
 // Activity returns what the connection has done.
@@ -226,5 +261,7 @@
 		Serving:   p == serving,
 		Writing:   c.writing.Load(),
 		Served:    c.served.Load(),
+		Waiting:   p == waiting,
+		Since:     time.Duration(c.since.Load()),
 	}
 }
--- a/kernel/guard/guard_test.go
+++ b/kernel/guard/guard_test.go
@@ -17,6 +17,7 @@
 // account grants everything and keeps the last connection and its charge.
 type account struct {
 	mu      sync.Mutex
+	now     time.Duration
 	conn    *guard.Conn
 	charged int64
 	refuse  bool
@@ -30,6 +31,18 @@
 	return true
 }
 
+func (a *account) Now() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.now
+}
+
+func (a *account) advance(d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.now += d
+}
+
 func (a *account) Close(*guard.Conn) { close(a.closed) }
 
 func (a *account) Take(_ *guard.Conn, n int64) bool {
@@ -178,6 +191,46 @@
 	<-f.closed
 }
 
+// Guards against a wait that is measured from the wrong moment: a head whose bytes come one by
+// one must not begin anew, a connection that was just answered must, and neither may be ended
+// for a wait that is over.
+func TestWaitIsMeasuredFromItsStart(t *testing.T) {
+	f := newFixture(t)
+	close(f.proceed)
+	waitUntil(t, func() bool { return f.current() != nil })
+	at := func(since time.Duration, receiving bool) func() bool {
+		return func() bool {
+			a := f.current().Activity()
+			return a.Waiting && a.Since == since && a.Receiving == receiving
+		}
+	}
+	waitUntil(t, at(0, false))
+	f.advance(time.Second)
+	sent := 0
+	for _, part := range []string{"G", "ET / HT", "TP/1.1\r\nHost: h\r\n"} {
+		f.send(t, part)
+		sent += len(part)
+		waitUntil(t, func() bool { return f.current().Activity().Moved == int64(sent) })
+		waitUntil(t, at(time.Second, true))
+		f.advance(time.Second)
+	}
+	f.send(t, "\r\n")
+	if status, _ := f.read(t); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+	waitUntil(t, at(4*time.Second, false))
+	if f.current().EndWaiting(time.Second) {
+		t.Error("the connection was ended for a wait that was over")
+	}
+	if !f.current().EndWaiting(4 * time.Second) {
+		t.Error("the connection was not ended")
+	}
+	if _, err := f.reader.ReadByte(); err != io.EOF {
+		t.Errorf("the connection is open: %v", err)
+	}
+	<-f.closed
+}
+
 // Guards against heads of many short lines, which take far more memory than they have bytes,
 // against a charge for ordinary heads, and against one that is not released.
 func TestHeadIsChargedByItsLines(t *testing.T) {
--- a/service/connections/connections.go
+++ b/service/connections/connections.go
@@ -115,6 +115,20 @@
 	return guard.NewListener(l, o.Name, o.Trusted, s)
 }
 
+// Now returns the time on the process clock.
+func (s *service) Now() time.Duration { return s.clock.Now() }
+
+// SetTimeLimits sets the time limits of a listener. It must be called on the control loop or
+// before it starts.
+func (s *service) SetTimeLimits(listener string, l api.TimeLimits) {
+	if !s.state.SetTimeLimits(listener, connbudget.TimeLimits(l)) {
+		return
+	}
+	s.log.Change("time limits of connections changed", api.Fields{
+		"listener": listener, "head_ms": l.Head.Milliseconds(), "idle_ms": l.Idle.Milliseconds(),
+	})
+}
+
 // Open reports whether a new connection may be kept. While the process stops, all are.
 func (s *service) Open(c *guard.Conn) bool {
 	kept, err := kernel.Ask(context.Background(), s.opened, c)
--- a/service/connections/decide.go
+++ b/service/connections/decide.go
@@ -17,6 +17,8 @@
 	reasonBytes       = "bytes"
 	reasonRequests    = "requests"
 	reasonUnread      = "unread"
+	reasonHead        = "head"
+	reasonIdle        = "idle"
 )
 
 // limits returns the limits for the settings of a process. Where they state no number of
@@ -86,15 +88,35 @@
 	}
 }
 
-// tick reads all connections and ends those that take nothing of their responses.
+// tick reads all connections and ends those that take nothing of their responses or have
+// waited for too long.
 func (s *service) tick(now time.Duration) {
 	s.observe(now)
 	for _, id := range s.state.Overdue(now) {
 		s.end(id, reasonUnread)
 	}
+	for _, e := range s.state.Expired(now) {
+		s.endExpired(e)
+	}
 	s.report.write(now, s.log)
 }
 
+// endExpired ends a connection that has waited for too long. It is no sign of a lack of room,
+// so that the report omits it.
+func (s *service) endExpired(e connbudget.Expired) {
+	c := s.conns[e.ID]
+	if c == nil || !c.EndWaiting(e.Since) {
+		return
+	}
+	s.state.End(e.ID)
+	reason := reasonIdle
+	if e.Head {
+		reason = reasonHead
+	}
+	s.endedCount(reason).Add(1)
+	s.publish()
+}
+
 // end ends a connection unless its request is being handled by now.
 func (s *service) end(id uint64, reason string) bool {
 	c := s.conns[id]
@@ -116,7 +138,9 @@
 	s.observedAt = now
 	for id, c := range s.conns {
 		a := c.Activity()
-		s.state.Observe(now, id, connbudget.Reading{Phase: phaseOf(a), Moved: a.Moved, Served: a.Served})
+		s.state.Observe(now, id, connbudget.Reading{
+			Phase: phaseOf(a), Moved: a.Moved, Served: a.Served, Waiting: a.Waiting, Since: a.Since,
+		})
 	}
 }
 
--- a/service/frontend/failure.go
+++ b/service/frontend/failure.go
@@ -64,6 +64,7 @@
 	api.CodeUnknownService:   http.StatusNotFound,
 	api.CodeMethodNotAllowed: http.StatusMethodNotAllowed,
 	api.CodeBodyTooLarge:     http.StatusRequestEntityTooLarge,
+	api.CodeHeaderTooLarge:   http.StatusRequestHeaderFieldsTooLarge,
 	api.CodeTooManyStreams:   http.StatusTooManyRequests,
 	api.CodeRateLimited:      http.StatusTooManyRequests,
 	api.CodeQueueFull:        http.StatusTooManyRequests,
