Bound the rest of a body that no handler reads

Cause: a request that is refused before its body is read (wrong key, no route, header or announced body over the limit) was answered only after the HTTP server had read up to 256 KiB of the body. If the body stopped, the connection stayed for good, and the account never ended it, since it counted as being handled.

Change: kernel/guard marks such a connection as one whose body is being read, so that the account may end it when it is short, and gives the rest of the body one minute. It holds for every HTTP listener with an account.

--- a/kernel/guard/body.go
+++ b/kernel/guard/body.go
@@ -70,7 +70,11 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(within))
-	data, err := b.readWhileKept(r)
+	c := FromContext(r.Context())
+	if c != nil {
+		c.bodyTimed = true
+	}
+	data, err := b.readWhileKept(c, r)
 	switch {
 	case err == nil:
 		_ = control.SetReadDeadline(time.Time{})
@@ -82,8 +86,7 @@
 }
 
 // readWhileKept reads the body unless the account ends the connection meanwhile.
-func (b *Body) readWhileKept(r *http.Request) ([]byte, error) {
-	c := FromContext(r.Context())
+func (b *Body) readWhileKept(c *Conn, r *http.Request) ([]byte, error) {
 	if c == nil {
 		return b.readSteps(r)
 	}
@@ -92,6 +95,7 @@
 	if !c.endBody() {
 		return nil, &StalledError{}
 	}
+	c.bodyRead = err == nil
 	return data, err
 }
 
--- a/kernel/guard/guard.go
+++ b/kernel/guard/guard.go
@@ -83,6 +83,10 @@
 	// its head came.
 	since     atomic.Int64
 	closeOnce sync.Once
+
+	// bodyTimed is set while the body of the request has a read deadline, bodyRead once it was
+	// read to its end. Only the goroutine of the handler uses them.
+	bodyTimed, bodyRead bool
 }
 
 // Listener accepts the connections for which an account has room.
@@ -194,14 +198,19 @@
 }
 
 // begin marks the start of a handler. It returns false if the connection was ended.
-func (c *Conn) begin() bool { return c.phase.CompareAndSwap(waiting, serving) }
+func (c *Conn) begin() bool {
+	c.bodyTimed, c.bodyRead = false, false
+	return c.phase.CompareAndSwap(waiting, serving)
+}
 
 // end marks the end of a response. The phase is set last: before it, what is left of the head
 // that was answered must not count as the start of the next one.
 func (c *Conn) end() {
 	c.since.Store(int64(c.account.Now()))
 	c.release()
-	c.phase.CompareAndSwap(serving, waiting)
+	if !c.phase.CompareAndSwap(serving, waiting) {
+		c.phase.CompareAndSwap(reading, waiting)
+	}
 }
 
 // beginBody and endBody enclose the reading of a body, during which the connection may be
@@ -210,14 +219,17 @@
 
 func (c *Conn) endBody() bool { return c.phase.CompareAndSwap(reading, serving) }
 
-// End ends a connection unless its request is being handled. If the handler reads the body of
-// a request, it fails to do so and can still answer. End does not wait.
+// End ends a connection unless its request is being handled. If the body of a request is being
+// read, that fails, and the request can still be answered. End does not wait.
 func (c *Conn) End() bool {
 	switch {
 	case c.phase.CompareAndSwap(waiting, ended):
 		_ = c.Conn.Close()
 		return true
 	case c.phase.CompareAndSwap(reading, ended):
+		if c.writing.Load() {
+			_ = c.Conn.Close()
+		}
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 		return true
 	case c.writing.Load() && c.phase.CompareAndSwap(serving, ended):
--- a/kernel/guard/http.go
+++ b/kernel/guard/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 )
 
 type connKey struct{}
@@ -19,10 +20,14 @@
 func Install(server *http.Server) {
 	handler, connContext, connState := server.Handler, server.ConnContext, server.ConnState
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := FromContext(r.Context()); c != nil && !c.begin() {
+		c := FromContext(r.Context())
+		if c != nil && !c.begin() {
 			panic(http.ErrAbortHandler)
 		}
 		handler.ServeHTTP(w, r)
+		if c != nil && r.ContentLength != 0 && !c.bodyRead {
+			c.beginRest(w)
+		}
 	})
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		if connContext != nil {
@@ -44,3 +49,17 @@
 		}
 	}
 }
+
+// restTimeout bounds the time in which the rest of a body arrives that no handler reads. The
+// server discards up to 256 KiB of it before it sends the response.
+const restTimeout = time.Minute
+
+// beginRest marks the time after a handler that has not read the whole body, such as that of a
+// request with a wrong API key. The server waits for the rest of it; without a bound, a body
+// that stops would keep its connection for good.
+func (c *Conn) beginRest(w http.ResponseWriter) {
+	if !c.bodyTimed {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(restTimeout))
+	}
+	c.beginBody()
+}
