Soak edges whose listeners are open to anyone

Cause: no run had clients that nobody controls among ordinary callers, while processes end, restart and get other limits.

Three checkers: no exit that nothing asked for, memory and descriptors within the settings, ordinary callers answered within 10 s. It is not among the deployments of a plain soak, since it needs many connections.

--- a/bench/soak.go
+++ b/bench/soak.go
@@ -40,7 +40,7 @@
 func soakDeployments(p Params, edgeProgram string) ([]string, error) {
 	_, err := os.Stat(edgeProgram)
 	switch {
-	case p.Only == edgepool.Deployment && err != nil:
+	case (p.Only == edgepool.Deployment || p.Only == edgepool.OpenDeployment) && err != nil:
 		return nil, eris.Wrap(err, "build both programs with go build -o DIR/ ./cmd/...")
 	case p.Only != "":
 		return []string{p.Only}, nil
@@ -70,9 +70,12 @@
 	for i, d := range deployments {
 		seed := p.Seed + uint64(i)
 		var s schedule.SoakResult
-		if d == edgepool.Deployment {
+		switch d {
+		case edgepool.Deployment:
 			s, err = edgepool.Soak(ctx, edgeProgram, seed, duration, p.Progress)
-		} else {
+		case edgepool.OpenDeployment:
+			s, err = edgepool.SoakOpen(ctx, edgeProgram, seed, duration, p.Progress)
+		default:
 			s, err = pool.Soak(ctx, pool.SoakOptions{Binary: binary, Deployment: d, Seed: seed, Length: duration, Progress: p.Progress})
 		}
 		if err != nil {
--- a/proof/checker_test.go
+++ b/proof/checker_test.go
@@ -1,6 +1,7 @@
 package proof_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -47,6 +48,7 @@
 		ColdStarts:   []proof.ColdStart{{Upstream: "u1", Rate: 2, From: s, Until: 9 * s}},
 		RouteChanges: []proof.RouteChange{{Path: "/p/", Service: "s1"}, {Path: "/p/", Service: "s2", At: 2500 * time.Millisecond}},
 		Revoked:      []proof.Exclusion{{Name: "k1", From: s}},
+		Usages:       []proof.Usage{{Node: "r1", Memory: 64, MemoryLimit: 64, Descriptors: 600, DescriptorLimit: 600}},
 		End:          21 * s,
 	}
 }
@@ -116,6 +118,14 @@
 		r.Attempts[0].Canceled, r.Attempts[0].End = true, 3*s
 	}},
 	{"edge_graceful_stop", "request interrupted", func(r *proof.Record) { r.Attempts[0].Complete = false }},
+	{"open_alive", "exited", func(r *proof.Record) { r.Exits = append(r.Exits, proof.Exit{Node: "r1", At: s, Code: 2}) }},
+	{"open_within_limits", "memory", func(r *proof.Record) { r.Usages[0].Memory++ }},
+	{"open_within_limits", "descriptors", func(r *proof.Record) { r.Usages[0].Descriptors++ }},
+	{"open_answered", "no answer for too long", func(r *proof.Record) {
+		for at := 20 * s; at < 32*s; at += s {
+			r.Attempts = append(r.Attempts, proof.Attempt{ID: "x", Router: "r9", Begin: at, End: at + s/2})
+		}
+	}},
 	{"config_in_force", "late", func(r *proof.Record) { r.Observations[1].At = 6500 * time.Millisecond }},
 	{"config_in_force", "late after an outage", func(r *proof.Record) { r.Observations[3].At = 15500 * time.Millisecond }},
 	{"config_in_force", "reverted", func(r *proof.Record) { r.Observations[3].Revision = 1 }},
@@ -145,7 +155,7 @@
 	}
 }
 
-func allCheckers() []proof.Checker { return append(proof.Checkers(), proof.EdgeCheckers()...) }
+func allCheckers() []proof.Checker { return slices.Concat(proof.Checkers(), proof.EdgeCheckers(), proof.OpenEdgeCheckers()) }
 
 func checkerNamed(t *testing.T, name string) func(proof.Record) []proof.Violation {
 	t.Helper()
--- a/proof/edgepool/edge.go
+++ b/proof/edgepool/edge.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -43,6 +44,10 @@
 	mu        sync.Mutex
 	process   *process.Process
 	readyAddr string
+	// httpAddr is where callers reach the process without the proxy.
+	httpAddr string
+	// stopping is set while the run ends the process.
+	stopping atomic.Bool
 }
 
 // table is a table of a settings file.
@@ -72,18 +77,24 @@
 			seedAddresses = append(seedAddresses, other.linkProxy.Address())
 		}
 	}
+	edge := table{
+		"store": e.storeAddress, "ready": anyPort, "seeds": seedAddresses,
+		"revocation":  proof.EdgeRevocationLimit.String(),
+		"retry_ratio": proof.EdgeRetryRatio, "retry_extra": proof.EdgeRetryExtra,
+		"retry_window":   proof.EdgeRetryWindow.String(),
+		"cold_overshoot": proof.EdgeColdOvershoot, "cold_tolerance": proof.EdgeColdTolerance,
+	}
+	limits := table{}
+	if e.pool.options.Open {
+		edge["memory_mb"], edge["descriptors"] = openMemoryMB, openDescriptors
+		limits["stall_time"] = openStallTime.String()
+	}
 	text, err := toml.Marshal(table{
 		"node": e.Name, "zone": e.Zone,
 		"stop_deadline": stopDeadline.String(), "drain_delay": drainDelay.String(),
 		"listen": table{"http": anyPort, "link": anyPort, "admin": anyPort},
 		"log":    table{"level": "info", "format": "json"},
-		"edge": table{
-			"store": e.storeAddress, "ready": anyPort, "seeds": seedAddresses,
-			"revocation":  proof.EdgeRevocationLimit.String(),
-			"retry_ratio": proof.EdgeRetryRatio, "retry_extra": proof.EdgeRetryExtra,
-			"retry_window":   proof.EdgeRetryWindow.String(),
-			"cold_overshoot": proof.EdgeColdOvershoot, "cold_tolerance": proof.EdgeColdTolerance,
-		},
+		"edge":   edge, "limits": limits,
 	})
 	if err != nil {
 		return &process.Error{Name: e.Name, Err: err}
@@ -102,7 +113,8 @@
 		LogFile: e.settingsFile + ".log",
 	})
 	e.mu.Lock()
-	e.process, e.readyAddr = started, addresses["ready"]
+	e.process, e.readyAddr, e.httpAddr = started, addresses["ready"], addresses["http"]
+	e.stopping.Store(false)
 	e.mu.Unlock()
 	if err != nil {
 		return err
@@ -118,6 +130,12 @@
 	return e.process
 }
 
+func (e *Edge) callerAddress() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.httpAddr
+}
+
 func (e *Edge) readyAddress() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -137,6 +155,7 @@
 
 // Kill sends SIGKILL to the process and waits for its exit.
 func (e *Edge) Kill() error {
+	e.stopping.Store(true)
 	if err := e.Signal(syscall.SIGKILL); err != nil {
 		return err
 	}
@@ -147,6 +166,7 @@
 // Restart shuts the process down gracefully, records the shutdown and starts the
 // process again.
 func (e *Edge) Restart(ctx context.Context) error {
+	e.stopping.Store(true)
 	stop := proof.Shutdown{Node: e.Name, Begin: e.pool.Now()}
 	if err := e.Signal(syscall.SIGTERM); err != nil {
 		return err
--- a/proof/edgepool/load.go
+++ b/proof/edgepool/load.go
@@ -182,5 +182,5 @@
 			kind = platformworker.BreakStream
 		}
 	}
-	return kind + " " + id, expected
+	return l.pool.padded(kind, kind+" "+id, expected, random)
 }
--- a/proof/edgepool/operate.go
+++ b/proof/edgepool/operate.go
@@ -42,6 +42,8 @@
 	issuedKeys   int
 	// revoked holds the revoked keys that callers still use.
 	revoked []credential
+	// headerTimeout and idleTimeout are the published time limits of connections.
+	headerTimeout, idleTimeout time.Duration
 }
 
 // credential is an API key of a member.
@@ -72,6 +74,7 @@
 func (o *operator) writeConfig() {
 	c := platformstore.Config{
 		Version: o.version, Host: host, Keys: make(map[string][]string), ColdRate: make(map[string]float64),
+		HeaderTimeout: o.headerTimeout, IdleTimeout: o.idleTimeout,
 	}
 	for path, kind := range map[string]string{
 		pathNonIdempotent: "non_idempotent", pathIdempotent: "idempotent", pathStream: "streaming", pathMoved: "idempotent",
@@ -105,6 +108,15 @@
 	o.writeConfig()
 }
 
+// setTimes publishes other time limits for connections.
+func (o *operator) setTimes(header, idle time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.version++
+	o.headerTimeout, o.idleTimeout = header, idle
+	o.writeConfig()
+}
+
 // revokeKey replaces the key of a member and records the revocation of the old one.
 func (o *operator) revokeKey(member string) {
 	o.mu.Lock()
--- a/proof/edgepool/pool.go
+++ b/proof/edgepool/pool.go
@@ -52,6 +52,9 @@
 	// Dir is the directory for settings and logs.
 	Dir  string
 	Seed uint64
+	// Open gives the edges the limits of small VMs, and their callers longer bodies, for runs
+	// with crowds.
+	Open bool
 }
 
 // Pool is a running deployment.
--- a/proof/edgepool/upstream.go
+++ b/proof/edgepool/upstream.go
@@ -108,12 +108,18 @@
 	return &platformworker.Worker{
 		InstanceID: id, Once: &p.once, EventInterval: eventInterval, KeepAlive: true,
 		OnArrival: func(attempt string) {
+			if isCrowd(attempt) {
+				return
+			}
 			at := p.Now()
 			p.UpdateRecord(func(r *proof.Record) {
 				r.Arrivals = append(r.Arrivals, proof.Arrival{Attempt: attempt, Upstream: id, At: at})
 			})
 		},
 		OnRun: func(q platformworker.Run) func(bool) {
+			if isCrowd(q.RequestID) {
+				return func(bool) {}
+			}
 			run := proof.Run{
 				Attempt: q.RequestID, Request: q.RequestID, Member: q.Member, Upstream: id, Zone: u.zone, Service: service,
 				Idempotent: !strings.HasPrefix(q.RequestID, pathNonIdempotent), Begin: p.Now(),
--- a/proof/process/process.go
+++ b/proof/process/process.go
@@ -141,6 +141,9 @@
 	return append([]string(nil), p.log...)
 }
 
+// PID returns the ID of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
 
--- a/proof/record.go
+++ b/proof/record.go
@@ -129,6 +129,8 @@
 	ColdStarts   []ColdStart
 	RouteChanges []RouteChange
 	Revoked      []Exclusion
+	Exits        []Exit
+	Usages       []Usage
 	// End is the time at which the record was copied.
 	End time.Duration
 }
@@ -158,6 +160,7 @@
 	c.Shutdowns, c.Faults = slices.Clone(c.Shutdowns), slices.Clone(c.Faults)
 	c.Arrivals, c.ColdStarts = slices.Clone(c.Arrivals), slices.Clone(c.ColdStarts)
 	c.RouteChanges, c.Revoked = slices.Clone(c.RouteChanges), slices.Clone(c.Revoked)
+	c.Exits, c.Usages = slices.Clone(c.Exits), slices.Clone(c.Usages)
 	c.End = now
 	return c
 }
--- a/standin/crowd/process.go
+++ b/standin/crowd/process.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -167,10 +166,7 @@
 	}
 }
 
-func (p *Process) openDescriptors() int64 {
-	names, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.command.Process.Pid))
-	return int64(len(names))
-}
+func (p *Process) openDescriptors() int64 { return OpenDescriptors(p.command.Process.Pid) }
 
 // Alive reports whether the process is running.
 func (p *Process) Alive() bool {
@@ -186,17 +182,7 @@
 func (p *Process) PeakDescriptors() int64 { return max(p.descriptors.Load(), p.openDescriptors()) }
 
 // PeakMemory returns the largest resident memory of the process in bytes, 0 if it has exited.
-func (p *Process) PeakMemory() int64 {
-	const field, kilobyte = "VmHWM:", 1 << 10
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
-	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, field); ok {
-			n, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
-			return n * kilobyte
-		}
-	}
-	return 0
-}
+func (p *Process) PeakMemory() int64 { return PeakMemory(p.command.Process.Pid) }
 
 // Kill ends the process at once.
 func (p *Process) Kill() {
--- a/standin/platformstore/entries.go
+++ b/standin/platformstore/entries.go
@@ -37,6 +37,9 @@
 	ColdRate map[string]float64
 	// Keys holds the API keys of each member.
 	Keys map[string][]string
+	// HeaderTimeout and IdleTimeout are time limits of callers' connections, which are not
+	// written if they are 0.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 const (
@@ -84,9 +87,16 @@
 	for name, keys := range c.Keys {
 		members = append(members, map[string]any{"name": name, "apiKeys": keys})
 	}
+	limits := map[string]any{"maxBodyBytes": maxBodyBytes}
+	if c.HeaderTimeout > 0 {
+		limits["headerTimeoutMs"] = c.HeaderTimeout.Milliseconds()
+	}
+	if c.IdleTimeout > 0 {
+		limits["idleTimeoutMs"] = c.IdleTimeout.Milliseconds()
+	}
 	s.putJSON("op/config", map[string]any{
 		"version": c.Version, "routes": routes, "services": services, "tenants": members,
-		"limits": map[string]any{"maxBodyBytes": maxBodyBytes},
+		"limits": limits,
 	})
 }
 
