--- a/proof/edgepool/open.go
+++ b/proof/edgepool/open.go
@@ -47,7 +47,7 @@
 )
 
 // openTimes are the time limits between which operators change.
-var openTimes = [][2]time.Duration{{3 * time.Second, 15 * time.Second}, {time.Second, 4 * time.Second}, {0, 0}}
+var openTimes = [][2]time.Duration{{3 * time.Second, 15 * time.Second}, {10 * time.Second, time.Minute}, {0, 0}}
 
 // OpenKinds lists the faults and operations that go on beside crowds. Others keep callers from
 // all edges for so long that nothing would show whether a crowd does.
