--- a/decide/configcheck/model.go
+++ b/decide/configcheck/model.go
@@ -176,6 +176,8 @@
 	FieldKeys          = "keys"
 	FieldZones         = "zones"
 	FieldMaxBodyBytes  = "max_body_bytes"
+	FieldHeaderTimeout = "header_timeout"
+	FieldIdleTimeout   = "idle_timeout"
 	FieldResendWindow  = "resend_window"
 	FieldVersion       = "version"
 	FieldShare         = "share"
@@ -274,6 +276,9 @@
 	// for one member during Retention, 0 if the format has no such limit.
 	MemberEntries int
 	Retention     time.Duration
+	// HeaderTimeout and IdleTimeout bound how long a connection waits for its client, 0 if they
+	// are not set.
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Process holds the settings of the processes that are to use the configuration.
--- a/kernel/guard/guard.go
+++ b/kernel/guard/guard.go
@@ -23,6 +23,8 @@
 	Take(c *Conn, n int64) bool
 	// Return releases bytes that Take charged.
 	Return(c *Conn, n int64)
+	// Now returns the time by which the account measures how long connections wait.
+	Now() time.Duration
 }
 
 // RefusedError reports a connection that is ended because the account has no room for what it
@@ -77,7 +79,14 @@
 	// is the part of it that is charged.
 	pending, taken  atomic.Int64
 	writing, served atomic.Bool
-	closeOnce       sync.Once
+	// since is when an HTTP connection began to wait for a request, or when the first bytes of
+	// its head came.
+	since     atomic.Int64
+	closeOnce sync.Once
+
+	// bodyTimed is set while the body of the request has a read deadline, bodyRead once it was
+	// read to its end. Only the goroutine of the handler uses them.
+	bodyTimed, bodyRead bool
 }
 
 // Listener accepts the connections for which an account has room.
@@ -105,6 +114,7 @@
 		}
 		c := &Conn{Conn: raw, account: l.account, Listener: l.name, ID: lastID.Add(1), trusted: l.trusted}
 		c.Source, _, _ = net.SplitHostPort(raw.RemoteAddr().String())
+		c.since.Store(int64(l.account.Now()))
 		if l.account.Open(c) {
 			return c, nil
 		}
@@ -133,6 +143,9 @@
 	cost := int64(len(p)) * frameByteCost
 	if c.isHTTP {
 		cost = int64(len(p))*headByteCost + int64(bytes.Count(p, []byte{'\n'}))*headLineCost
+		if c.pending.Load() == 0 {
+			c.since.Store(int64(c.account.Now()))
+		}
 	}
 	missing := c.pending.Add(cost) - allowance - c.taken.Load()
 	if missing <= 0 {
@@ -167,6 +180,16 @@
 	}
 }
 
+// CloseWrite ends what is sent to the client. The HTTP server does so before it closes a
+// connection whose request it has not read to its end; without it the client may get a reset
+// instead of the response.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
@@ -175,12 +198,19 @@
 }
 
 // begin marks the start of a handler. It returns false if the connection was ended.
-func (c *Conn) begin() bool { return c.phase.CompareAndSwap(waiting, serving) }
+func (c *Conn) begin() bool {
+	c.bodyTimed, c.bodyRead = false, false
+	return c.phase.CompareAndSwap(waiting, serving)
+}
 
-// end marks the end of a response.
+// end marks the end of a response. The phase is set last: before it, what is left of the head
+// that was answered must not count as the start of the next one.
 func (c *Conn) end() {
-	c.phase.CompareAndSwap(serving, waiting)
+	c.since.Store(int64(c.account.Now()))
 	c.release()
+	if !c.phase.CompareAndSwap(serving, waiting) {
+		c.phase.CompareAndSwap(reading, waiting)
+	}
 }
 
 // beginBody and endBody enclose the reading of a body, during which the connection may be
@@ -189,14 +219,17 @@
 
 func (c *Conn) endBody() bool { return c.phase.CompareAndSwap(reading, serving) }
 
-// End ends a connection unless its request is being handled. If the handler reads the body of
-// a request, it fails to do so and can still answer. End does not wait.
+// End ends a connection unless its request is being handled. If the body of a request is being
+// read, that fails, and the request can still be answered. End does not wait.
 func (c *Conn) End() bool {
 	switch {
 	case c.phase.CompareAndSwap(waiting, ended):
 		_ = c.Conn.Close()
 		return true
 	case c.phase.CompareAndSwap(reading, ended):
+		if c.writing.Load() {
+			_ = c.Conn.Close()
+		}
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 		return true
 	case c.writing.Load() && c.phase.CompareAndSwap(serving, ended):
@@ -206,6 +239,16 @@
 	return false
 }
 
+// EndWaiting ends a connection that has waited for a request, or for the rest of a head, since a
+// time. It does nothing if a request has arrived meanwhile.
+func (c *Conn) EndWaiting(since time.Duration) bool {
+	if c.since.Load() != int64(since) || !c.phase.CompareAndSwap(waiting, ended) {
+		return false
+	}
+	_ = c.Conn.Close()
+	return true
+}
+
 // Activity is what a connection has done.
 type Activity struct {
 	// Moved is the number of bytes received and sent.
@@ -215,6 +258,10 @@
 	Receiving, Serving, Writing bool
 	// Served is set once a response was sent.
 	Served bool
+	// Waiting is set while an HTTP connection has no complete head, Since is when it began to
+	// wait for a request or when the first bytes of the head came.
+	Waiting bool
+	Since   time.Duration
 }
 
 // Activity returns what the connection has done.
@@ -226,5 +273,7 @@
 		Serving:   p == serving,
 		Writing:   c.writing.Load(),
 		Served:    c.served.Load(),
+		Waiting:   p == waiting,
+		Since:     time.Duration(c.since.Load()),
 	}
 }
--- a/proof/record.go
+++ b/proof/record.go
@@ -21,7 +21,9 @@
 	Idempotent bool
 	// Key is the API key and Path the path of the request. Both are set only by
 	// package edgepool.
-	Key, Path  string
+	Key, Path string
+	// Fresh is set if the attempt was made on a connection of its own.
+	Fresh      bool
 	Begin, End time.Duration
 	// Canceled reports whether the caller disconnected before it got a response.
 	Canceled bool
@@ -129,6 +131,8 @@
 	ColdStarts   []ColdStart
 	RouteChanges []RouteChange
 	Revoked      []Exclusion
+	Exits        []Exit
+	Usages       []Usage
 	// End is the time at which the record was copied.
 	End time.Duration
 }
@@ -158,6 +162,7 @@
 	c.Shutdowns, c.Faults = slices.Clone(c.Shutdowns), slices.Clone(c.Faults)
 	c.Arrivals, c.ColdStarts = slices.Clone(c.Arrivals), slices.Clone(c.ColdStarts)
 	c.RouteChanges, c.Revoked = slices.Clone(c.RouteChanges), slices.Clone(c.Revoked)
+	c.Exits, c.Usages = slices.Clone(c.Exits), slices.Clone(c.Usages)
 	c.End = now
 	return c
 }
