--- a/service/balance/edges_test.go
+++ b/service/balance/edges_test.go
@@ -50,13 +50,17 @@
 	firstEvent                          = 60 * time.Millisecond
 )
 
-// loadKinds are the kinds of deployment A of the work plan, the most urgent one first.
-var loadKinds = [3]struct {
+// loadKind is a kind of request. worth is that of a response in time, late the part of it that
+// a late one is worth.
+type loadKind struct {
 	priority    int32
 	rate        float64
 	target      time.Duration
 	worth, late float64
-}{
+}
+
+// loadKinds are the kinds of deployment A of the work plan, the most urgent one first.
+var loadKinds = [3]loadKind{
 	{5, 123, 400 * time.Millisecond, 2.9, 0.28},
 	{4, 94, 400 * time.Millisecond, 1.5, 0.39},
 	{3, 54, 800 * time.Millisecond, 0.76, 0.29},
--- a/service/balance/waiting_test.go
+++ b/service/balance/waiting_test.go
@@ -102,6 +102,7 @@
 	api.Routing
 	host  *kernel.Host
 	clock kernel.Clock
+	view  *api.View
 }
 
 // startEdge starts the only edge.
@@ -112,6 +113,12 @@
 
 // startEdgeOf starts an edge of several in front of ranks in three zones.
 func startEdgeOf(t testing.TB, i, edges, ranks, slots int) *edge {
+	t.Helper()
+	return startEdgeWith(t, i, edges, ranks, slots, &api.RouteTable{Services: map[string]api.ServiceProfile{"s": {Name: "s"}}})
+}
+
+// startEdgeWith starts an edge with a table that has service "s".
+func startEdgeWith(t testing.TB, i, edges, ranks, slots int, table *api.RouteTable) *edge {
 	t.Helper()
 	var names []string
 	for n := range edges {
@@ -146,13 +153,13 @@
 	}
 	e := &edge{fakes: f, Routing: routing, host: host, clock: clock}
 	v := &api.View{
-		Table:     &api.RouteTable{Services: map[string]api.ServiceProfile{"s": {Name: "s"}}},
-		Instances: make(map[string]api.Instance), ZonesOut: make(map[string]bool),
+		Table: table, Instances: make(map[string]api.Instance), ZonesOut: make(map[string]bool),
 	}
 	for i := range ranks {
 		id := fmt.Sprint("r", i)
 		v.Instances[id] = api.Instance{ID: id, Service: "s", Zone: zoneOf(i), Slots: slots, Address: addressOf(i)}
 	}
+	e.view = v
 	_ = f.views.Post(t.Context(), v)
 	return e
 }
