Depths of water filling, prompts that fit beside a pass

Cause: water filling sends as many requests to a rank just below the level as to an idle one, and nothing states how many prompts a rank may begin to read in a pass. Change: waterfill.Depths for a choice in proportion to the depth; batchlimit.Reads and Slowdown from the engine's profile and measured passes. PassTime is exported. Result: at 12, 24, 64, 72 and 256 ranks the prompts make fewer than one in fifty passes too long (TestPromptsReadTogetherFitThePause).

--- a/decide/batchlimit/batchlimit.go
+++ b/decide/batchlimit/batchlimit.go
@@ -13,7 +13,10 @@
 // batches leave room for the passes right after the next shift.
 package batchlimit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// passTimeFraction is the fraction of the longest accepted pause that a pass may
@@ -25,6 +28,11 @@
 	// minCapacity is the least part of the capacity of full batches that batches sized for
 	// the next shift may have. A late response is worth about half of one in time.
 	minCapacity = 0.5
+	// longPassOdds is the number of passes of which one may become too long because prompts
+	// are read together. A stream has some tens of passes.
+	longPassOdds = 100
+	// maxReads bounds the prompts that are read together in the computation.
+	maxReads = 64
 )
 
 // Model describes how the time of a pass grows with the requests on a rank.
@@ -53,9 +61,9 @@
 	ShiftImbalance float64
 }
 
-// passTime returns the time of a pass with n requests on the fullest rank, on a group
+// PassTime returns the time of a pass with n requests on the fullest rank, on a group
 // without slow ranks and with an even load on its experts.
-func (m Model) passTime(n int) time.Duration {
+func (m Model) PassTime(n int) time.Duration {
 	return time.Duration(m.StepsPerPass) * (m.StepTime + time.Duration(n)*m.RequestTime)
 }
 
@@ -74,7 +82,7 @@
 // longest pause between events that callers accept, 0 if it is unknown.
 func (m Model) Limit(slots int, g Group, maxPause time.Duration) int {
 	longest := time.Duration(passTimeFraction * float64(maxPause))
-	if longest <= 0 || m.passTime(1) <= 0 {
+	if longest <= 0 || m.PassTime(1) <= 0 {
 		return slots
 	}
 	present := m.presentLimit(slots, g, longest)
@@ -90,9 +98,9 @@
 	if g.PassTime <= 0 {
 		return slots
 	}
-	slowdown := float64(g.PassTime) / float64(m.passTime(max(1, min(g.Fullest, slots))))
+	slowdown := float64(g.PassTime) / float64(m.PassTime(max(1, min(g.Fullest, slots))))
 	n := slots
-	for n >= minLimit && slowdown*float64(m.passTime(n)) > float64(longest) {
+	for n >= minLimit && slowdown*float64(m.PassTime(n)) > float64(longest) {
 		n--
 	}
 	return n
@@ -129,3 +137,27 @@
 	part := time.Duration(float64(m.StepTime+time.Duration(n)*m.RequestTime) / pace)
 	return min(n, max(0, int((part-m.StepTime)/m.RequestTime)))
 }
+
+// Slowdown returns the ratio of the measured time of a pass to that without slow ranks and
+// imbalance, 0 if it is unknown.
+func (m Model) Slowdown(g Group) float64 {
+	usual := m.PassTime(max(1, g.Fullest))
+	if g.PassTime <= 0 || usual <= 0 {
+		return 0
+	}
+	return float64(g.PassTime) / float64(usual)
+}
+
+// Reads returns the mean number of prompts that each of the given ranks may begin to read in
+// the same pass if processes choose ranks independently. The fullest rank then makes a pass
+// longer than the accepted pause in one of longPassOdds passes. It is without bound if the
+// time of a pass or of reading is unknown.
+func (m Model) Reads(passTime time.Duration, ranks int, maxPause time.Duration) float64 {
+	if maxPause <= 0 || m.ReadTime <= 0 || passTime <= 0 {
+		return math.Inf(1)
+	}
+	fit := float64((time.Duration(passTimeFraction*float64(maxPause)) - passTime) / m.ReadTime)
+	fit = min(max(fit, 1), maxReads)
+	// The odds that a rank gets more than fit are mean^(fit+1)/(fit+1)! for a small mean.
+	return math.Pow(math.Gamma(fit+2)/float64(longPassOdds*max(ranks, 1)), 1/(fit+1))
+}
--- a/decide/batchlimit/batchlimit_test.go
+++ b/decide/batchlimit/batchlimit_test.go
@@ -1,6 +1,7 @@
 package batchlimit_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -228,3 +229,36 @@
 		})
 	}
 }
+
+// Guards against prompts that are read together and make a pass longer than the accepted pause
+// more often than once in fifty passes, and against groups that take less than two in five passes. Plays
+// ranks that get the mean number of prompts at random.
+func TestPromptsReadTogetherFitThePause(t *testing.T) {
+	m := batchlimit.Model{StepTime: 5850 * time.Microsecond, RequestTime: 600 * time.Microsecond, StepsPerPass: 6, ReadTime: 10 * time.Millisecond}
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, ranks := range []int{12, 24, 64, 72, 256} {
+		for _, pass := range []time.Duration{50 * time.Millisecond, 71 * time.Millisecond, 90 * time.Millisecond} {
+			mean := m.Reads(pass, ranks, 120*time.Millisecond)
+			long, passes := 0, 200_000/ranks
+			for range passes {
+				fullest := 0
+				for range ranks {
+					n := 0
+					for left := random.ExpFloat64(); left < mean; left += random.ExpFloat64() {
+						n++
+					}
+					fullest = max(fullest, n)
+				}
+				if pass+time.Duration(fullest)*m.ReadTime > 120*time.Millisecond {
+					long++
+				}
+			}
+			if float64(long) > 0.02*float64(passes) || mean*float64(ranks) < 0.4 {
+				t.Errorf("%d ranks, passes of %v: %.3f prompts on a rank make %d of %d passes too long", ranks, pass, mean, long, passes)
+			}
+		}
+	}
+	if mean := m.Reads(0, 24, 120*time.Millisecond); !math.IsInf(mean, 1) {
+		t.Errorf("%v prompts for an unknown pass time, want no bound", mean)
+	}
+}
--- a/decide/waterfill/waterfill.go
+++ b/decide/waterfill/waterfill.go
@@ -39,12 +39,8 @@
 // expected number of requests of all processes, including this one, that the loads do
 // not contain yet. random is a uniform random number in [0, 1).
 func Choose(candidates []Candidate, arrivals, random float64) int {
-	room := 0.0
-	for _, c := range candidates {
-		room += c.room()
-	}
 	arrivals = max(arrivals, 1)
-	if room < arrivals-tolerance {
+	if roomOf(candidates) < arrivals-tolerance {
 		return Refused
 	}
 	level := fillLevel(candidates, arrivals)
@@ -57,6 +53,31 @@
 	return below[int(random*float64(len(below)))]
 }
 
+// Depths returns by how much the arrivals are expected to raise the load of each upstream, nil
+// if they have no room. A process that chooses upstreams with these weights raises all low
+// loads to the same level, where Choose sends as many to those just below it as to the lowest.
+// The result uses the storage of buffer if that is large enough.
+func Depths(buffer []float64, candidates []Candidate, arrivals float64) []float64 {
+	arrivals = max(arrivals, 1)
+	if roomOf(candidates) < arrivals-tolerance {
+		return nil
+	}
+	level := fillLevel(candidates, arrivals)
+	depths := slices.Grow(buffer[:0], len(candidates))
+	for _, c := range candidates {
+		depths = append(depths, max(min(c.Capacity, level)-c.Load, 0))
+	}
+	return depths
+}
+
+func roomOf(candidates []Candidate) float64 {
+	room := 0.0
+	for _, c := range candidates {
+		room += c.room()
+	}
+	return room
+}
+
 // fillLevel returns the level to which the loads below it rise if arrivals are added to
 // them, each at most up to its capacity.
 func fillLevel(candidates []Candidate, arrivals float64) float64 {
--- a/decide/waterfill/waterfill_test.go
+++ b/decide/waterfill/waterfill_test.go
@@ -1,6 +1,7 @@
 package waterfill_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -123,3 +124,37 @@
 		}
 	}
 }
+
+// Guards against depths that do not add up to the arrivals, or that exceed the room of an
+// upstream: requests drawn with them would overfill it.
+func TestDepthsAddUpToArrivals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 20).Draw(t, "n")
+		candidates := make([]waterfill.Candidate, n)
+		room := 0.0
+		for i := range candidates {
+			c := waterfill.Candidate{
+				Load: rapid.Float64Range(0, 10).Draw(t, "load"), Capacity: rapid.Float64Range(0, 10).Draw(t, "capacity"),
+			}
+			candidates[i] = c
+			room += max(c.Capacity-c.Load, 0)
+		}
+		arrivals := rapid.Float64Range(1, 60).Draw(t, "arrivals")
+		depths := waterfill.Depths(nil, candidates, arrivals)
+		if depths == nil {
+			if room >= arrivals {
+				t.Fatalf("refused with room for %v of %v", room, arrivals)
+			}
+			return
+		}
+		sum := 0.0
+		for i, d := range depths {
+			if sum += d; d > max(candidates[i].Capacity-candidates[i].Load, 0)+1e-6 {
+				t.Fatalf("depth %v of %+v", d, candidates[i])
+			}
+		}
+		if math.Abs(sum-arrivals) > 1e-3 {
+			t.Fatalf("depths add up to %v of %v", sum, arrivals)
+		}
+	})
+}
