Urgency: late requests can be held back

Cause: responses that a broken group interrupted go before requests that can still be in time, and a late request below its floor holds up those in time. Change: Room.InTimeOnly and State.InTime. While some groups run, as many requests may wait as end in 2 s even if fewer places open in a group that is being formed. Signatures are unchanged. Result: TestLateRequestsLeavePlacesToThoseInTime.

--- a/decide/urgency/bounds.go
+++ b/decide/urgency/bounds.go
@@ -33,7 +33,7 @@
 func (s *State) maxWaiting(room Room) int {
 	n := room.ownEndRate() * Patience.Seconds()
 	if room.Opening > 0 {
-		n = room.Opening / float64(max(room.Processes, 1))
+		n = max(n, room.Opening/float64(max(room.Processes, 1)))
 	}
 	return min(max(int(math.Ceil(n)), minWaiting), maxWaiting)
 }
--- a/decide/urgency/share.go
+++ b/decide/urgency/share.go
@@ -18,6 +18,8 @@
 	EndRate float64
 	// Opening is the number of places that open together soon: the groups are being formed.
 	Opening float64
+	// InTimeOnly is set while no request may be sent that can't be in time anymore.
+	InTimeOnly bool
 }
 
 // ownEndRate returns the part of EndRate that this process may expect.
--- a/decide/urgency/turns.go
+++ b/decide/urgency/turns.go
@@ -57,6 +57,11 @@
 	return w.FirstEventBy - firstEvent
 }
 
+// InTime reports whether a request can be in time if it is sent now.
+func (s *State) InTime(now time.Duration, r Request) bool {
+	return r.FirstEventBy == 0 || r.FirstEventBy-s.firstEvent >= now
+}
+
 // sortOutLate moves the requests that can't be in time anymore to the late ones.
 func (l *level) sortOutLate(now, firstEvent time.Duration) {
 	if l.waiting == 0 {
--- a/decide/urgency/urgency.go
+++ b/decide/urgency/urgency.go
@@ -183,9 +183,14 @@
 		l.sortOutLate(now, s.firstEvent)
 	}
 	if l := s.onFloor(now, room); l != nil {
-		return cmp.Or(l.next(now, true), l.next(now, false))
+		if w := l.next(now, true); w != nil || !room.InTimeOnly {
+			return cmp.Or(w, l.next(now, false))
+		}
 	}
 	for _, inTime := range []bool{true, false} {
+		if !inTime && room.InTimeOnly {
+			return nil
+		}
 		for _, l := range s.levels {
 			if l.waiting == 0 || s.share(now, l.priority, room) < onePlace+s.reserve(now, l.priority, room) && !s.Fits(now, l.priority, room) {
 				continue
--- a/decide/urgency/urgency_test.go
+++ b/decide/urgency/urgency_test.go
@@ -196,3 +196,33 @@
 		t.Errorf("comes back after %v to a group that forms in 10s", after)
 	}
 }
+
+// Guards against a late request that is sent while only those in time may be, and against one
+// that holds up requests in time because its priority is below its floor.
+func TestLateRequestsLeavePlacesToThoseInTime(t *testing.T) {
+	s := urgency.New(1)
+	s.ObserveFirstEvent(60 * ms)
+	room := urgency.Room{Places: 100, Processes: 1, InTimeOnly: true}
+	for range 20 {
+		s.Refused(0, urgency.Request{Member: "m", Priority: 1})
+		s.Admitted(0, urgency.Request{Member: "m", Priority: 5})
+	}
+	late := urgency.Request{Member: "m", Priority: 1, FirstEventBy: 50 * ms, Deadline: 8 * time.Second}
+	inTime := urgency.Request{Member: "m", Priority: 5, FirstEventBy: 400 * ms, Deadline: 8 * time.Second}
+	first, _ := s.Add(10*ms, late, room)
+	second, _ := s.Add(10*ms, inTime, room)
+	if w := s.Next(20*ms, room); w != second {
+		t.Fatalf("%+v goes first, want the one in time", w)
+	}
+	s.Admit(20*ms, second)
+	if w := s.Next(20*ms, room); w != nil {
+		t.Errorf("%+v is sent", w)
+	}
+	room.InTimeOnly = false
+	if w := s.Next(20*ms, room); w != first {
+		t.Errorf("%+v is sent, want the late one", w)
+	}
+	if s.InTime(20*ms, late) || !s.InTime(20*ms, inTime) {
+		t.Error("wrong request in time")
+	}
+}
