--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -37,12 +37,14 @@
 
 // rankLoad is the load of an upstream as the leader of its group read it.
 type rankLoad struct {
-	group    string
 	formed   bool
 	requests int
 	// limit is the number of requests that the upstream may run at the same time.
-	limit  int
-	readAt time.Duration
+	limit int
+	// steadyLimit is limit for the mean slowdown of the group, if that is lower. It is used
+	// where groups differ.
+	steadyLimit int
+	readAt      time.Duration
 }
 
 // traffic estimates the requests of one service at this process.
@@ -58,6 +60,7 @@
 	loadsRead   bool
 	// meanBytes is the moving average of the bytes of a request and its response.
 	meanBytes float64
+	entries   entries
 }
 
 func (s *State) trafficOf(service string) *traffic {
@@ -111,25 +114,38 @@
 		paces = append(paces, max(rank.Pace, 1))
 	}
 	usual := median(paces)
-	group := batchlimit.Group{PassTime: l.PassTime, Fullest: fullest, ShiftImbalance: l.ShiftImbalance}
+	measured := batchlimit.Group{PassTime: l.PassTime, Fullest: fullest, ShiftImbalance: l.ShiftImbalance}
+	var g *group
+	steady := measured
 	for _, rank := range l.Ranks {
-		if u := s.byAddress[rank.AddressHash]; u != nil && (u.groupLoad == nil || l.ReadAt >= u.groupLoad.readAt) {
-			u.groupLoad = &rankLoad{
-				group: l.Group, formed: l.Formed, requests: rank.Requests, limit: s.batchLimit(u.instance, group, max(rank.Pace, 1)/usual), readAt: l.ReadAt,
-			}
+		u := s.byAddress[rank.AddressHash]
+		if u == nil || u.groupLoad != nil && l.ReadAt < u.groupLoad.readAt {
+			continue
 		}
+		if g == nil {
+			g = s.groupOf(l.Group)
+			model := s.passModel(u.instance.Service)
+			g.observe(l, measured, model, u.instance.Slots, s.maxPauses[u.instance.Service])
+			steady.PassTime = time.Duration(g.slowdown * float64(model.PassTime(max(1, fullest))))
+		}
+		pace := max(rank.Pace, 1) / usual
+		limit := s.batchLimit(u.instance, measured, pace)
+		u.groupLoad = &rankLoad{
+			formed: l.Formed, requests: rank.Requests, limit: limit, steadyLimit: min(limit, s.batchLimit(u.instance, steady, pace)), readAt: l.ReadAt,
+		}
+		u.group = g
 	}
-	if !l.Formed {
-		s.closeGroup(l)
+	if !l.Formed && g != nil {
+		s.closeGroup(g, l.ReadAt)
 	}
 }
 
 // closeGroup records that a group is not formed for its ranks that are not in its load. One
 // that is lost has stalled the others and must get no requests either.
-func (s *State) closeGroup(l api.GroupLoad) {
+func (s *State) closeGroup(g *group, readAt time.Duration) {
 	for _, u := range s.byAddress {
-		if u.groupLoad != nil && u.groupLoad.group == l.Group && u.groupLoad.formed && u.groupLoad.readAt < l.ReadAt {
-			u.groupLoad.formed, u.groupLoad.readAt = false, l.ReadAt
+		if u.group == g && u.groupLoad != nil && u.groupLoad.formed && u.groupLoad.readAt < readAt {
+			u.groupLoad.formed, u.groupLoad.readAt = false, readAt
 		}
 	}
 }
@@ -139,15 +155,20 @@
 // the time of a full batch on the others, possibly none: a pass lasts as long as that of its
 // slowest rank.
 func (s *State) batchLimit(in api.Instance, group batchlimit.Group, pace float64) int {
-	p := s.engineProfile(in.Service)
+	model := s.passModel(in.Service)
+	return model.AtPace(model.Limit(in.Slots, group, s.maxPauses[in.Service]), pace)
+}
+
+// passModel returns the model of the passes of a service's groups, zero if it is not known.
+func (s *State) passModel(service string) batchlimit.Model {
+	p := s.engineProfile(service)
 	if p == nil {
-		return in.Slots
+		return batchlimit.Model{}
 	}
-	model := batchlimit.Model{
+	return batchlimit.Model{
 		StepTime: p.StepTime, RequestTime: p.RequestTime, StepsPerPass: p.StepsPerPass,
 		ExpertShare: p.ExpertShare, ReadTime: p.ReadTime, AnswerTokens: p.AnswerTokens,
 	}
-	return model.AtPace(model.Limit(in.Slots, group, s.maxPauses[in.Service]), pace)
 }
 
 // engineProfile returns the engine profile of a service, nil if it has none.
