Refuse at the agent by the order of its queue, and queue at full upstreams

Cause: an agent estimated the wait of every arrival from its whole queue. A member within its share, or an urgent request, was refused because of requests that it would have overtaken. A full queue of a member refused an urgent request while less urgent ones waited, without a Retry-After. An order started even if its deadline was nearer than its expected run time. Routers refused all requests above the bound of upstreams in cold start, or held by their step time, in order of arrival, although the agents' queues know members and priorities.

Change: fairqueue.Ahead estimates what is served before an arrival, Displace removes the least urgent request of a full queue; service/work uses both, checks the deadline again at the start and bounds the estimate by the cold limit. The refusal of a full queue has a Retry-After; the router still tries another upstream at once. A request that may wait goes to a full upstream if no other has room.

The fake engine of service/work reports how long a run took, as real ones do.

--- a/api/metrics.go
+++ b/api/metrics.go
@@ -123,6 +123,7 @@
 	{"work_cold", MetricGauge, "flag", "", "agent", "1 while the upstream is in cold start"},
 	{"work_cold_falls", MetricCounter, "events", "reason", "agent", "resets to the cold-start limit, by reason"},
 	{"work_crashes", MetricCounter, "events", "", "agent", "detected crashes of the upstream"},
+	{"work_displaced", MetricCounter, "requests", "", "agent", "waiting requests that were refused because a more urgent one of the same member needed their place in its queue"},
 	{"work_isolated", MetricCounter, "requests", "", "agent", "suspect requests run in isolation"},
 	{"work_recalled", MetricCounter, "requests", "", "agent", "running idempotent requests canceled because they crashed another upstream"},
 	{"ledger_entries", MetricGauge, "keys", "", "agent", "idempotency keys in the ledger"},
--- a/api/routing.go
+++ b/api/routing.go
@@ -18,8 +18,9 @@
 	CostTokens   uint32
 	// Priority is that of the Request.
 	Priority int32
-	// MayWait allows the request to wait for room until one of the times below. Without it,
-	// a request that finds no room is refused at once.
+	// MayWait allows the request to wait for room until one of the times below: at an edge
+	// before it is sent, otherwise in the queue of the upstream's agent. Without it, a request
+	// that finds no room is refused at once.
 	MayWait bool
 	// FirstEventBy is the elapsed time until which the first event of the response is in
 	// time, 0 if there is no such time.
--- a/decide/fairqueue/doc.go
+++ b/decide/fairqueue/doc.go
@@ -12,5 +12,6 @@
 // Members may borrow idle capacity. Running requests are not preempted, so a
 // member within its share would have to wait for the next completion if the
 // others had borrowed all of it. Members above their share therefore leave some
-// headroom while others run. All operations take O(log n).
+// headroom while others run. All operations take O(log n), except Ahead and Displace, which
+// take O(n) in the requests of the member and in the members.
 package fairqueue
--- a/decide/fairqueue/queue.go
+++ b/decide/fairqueue/queue.go
@@ -174,8 +174,7 @@
 	}
 	e.Cost = max(e.Cost, 1)
 	q.lastSequence++
-	i := &item[T]{entry: e, member: m, sequence: q.lastSequence}
-	i.effectiveArrival = now - time.Duration(q.level(e.Priority))*q.config.AgeStep
+	i := &item[T]{entry: e, member: m, sequence: q.lastSequence, effectiveArrival: q.effectiveArrival(now, e.Priority)}
 	if m.queue.Len() == 0 {
 		m.startTag = max(m.startTag, q.virtualTime)
 	}
--- a/decide/limit/early.go
+++ b/decide/limit/early.go
@@ -64,7 +64,10 @@
 	// QueuedRequests and QueuedTokens are the work queued ahead of this request.
 	QueuedRequests int
 	QueuedTokens   uint64
-	DeadlineLeft   time.Duration
+	// RunLimit bounds the requests that run at once if that is less than the bounds of the
+	// State, as in a cold start. Zero means no other limit.
+	RunLimit     int
+	DeadlineLeft time.Duration
 }
 
 // EstimateWait estimates how long an arrival waits before it starts. It assumes
@@ -75,6 +78,9 @@
 		return 0
 	}
 	b := s.Bounds()
+	if a.RunLimit > 0 {
+		b.Requests = min(b.Requests, a.RunLimit)
+	}
 	requests := float64(s.requests+a.QueuedRequests+1) - float64(b.Requests)
 	tokens := float64(s.tokens+a.QueuedTokens) + float64(a.Cost) - float64(b.Tokens)
 	rounds := max(requests/float64(b.Requests), tokens/float64(b.Tokens), 0)
--- a/decide/route/candidates.go
+++ b/decide/route/candidates.go
@@ -21,7 +21,7 @@
 		if v == notServing || v == notAllowed {
 			continue
 		}
-		all = append(all, Candidate{Name: u.name, Usable: v >= heldByGate})
+		all = append(all, Candidate{Name: u.name, Usable: v >= queueing})
 	}
 	return all
 }
--- a/decide/route/choose.go
+++ b/decide/route/choose.go
@@ -63,15 +63,15 @@
 }
 
 // candidates returns the upstreams to compare, or the highest eligibility if
-// there are none. Upstreams that are avoided or held by the gate are returned
-// only if no others are eligible.
+// there are none. Upstreams that are avoided, held by the gate or already run as many
+// requests as they may are returned only if no others are eligible.
 func (s *State) candidates(now time.Duration, q *api.RouteQuery) ([]candidate, eligibility) {
 	best := notServing
 	candidates := s.scratch[:0]
 	var largest float64
 	for _, u := range s.ordered {
 		v := s.checkEligibility(now, u, q)
-		if v < best || v < heldByGate {
+		if v < best || v < queueing {
 			best = max(best, v)
 			continue
 		}
--- a/decide/route/eligible.go
+++ b/decide/route/eligible.go
@@ -32,9 +32,11 @@
 	alreadyTried
 	notAccepting
 	coldFull
-	// heldByGate and the values after it can take requests, but only upstreams with
-	// the highest eligibility found do. avoided upstreams are ejected, or probing
+	// queueing and the values after it can take requests, but only upstreams with the
+	// highest eligibility found do. queueing upstreams run as many requests as they may in
+	// cold start; further ones wait at the agent. avoided upstreams are ejected, or probing
 	// with a request in flight.
+	queueing
 	heldByGate
 	avoided
 	usable
@@ -83,7 +85,7 @@
 		return notAccepting
 	}
 	if bound, cold := u.coldBound(); cold && u.work().requests >= bound {
-		return coldFull
+		return s.fullEligibility(now, u, q)
 	}
 	if q.OnlyUpstream == "" && !s.gateAllows(now, u, q) {
 		return heldByGate
@@ -94,6 +96,20 @@
 	return usable
 }
 
+// fullEligibility returns the eligibility of an upstream that runs as many requests as it
+// may in cold start. The agent's queue holds the requests of all routers, so it decides
+// better than a router which one goes first and which one is refused. An agent that has not
+// reported yet may still lack its configuration.
+func (s *State) fullEligibility(now time.Duration, u *upstream, q *api.RouteQuery) eligibility {
+	if !q.MayWait || !u.reported {
+		return coldFull
+	}
+	if q.OnlyUpstream == "" && (u.health != Healthy || !s.gateAllows(now, u, q)) {
+		return coldFull
+	}
+	return queueing
+}
+
 func serves(c *api.Upstream, q *api.RouteQuery) bool {
 	if q.Service != "" {
 		return c.Kind == api.UpstreamPlain && c.Service == q.Service
--- a/decide/route/route_test.go
+++ b/decide/route/route_test.go
@@ -88,6 +88,27 @@
 			_, _ = s.Choose(0, api.RouteQuery{Member: "a", Model: testModel, OnlyUpstream: "u0"})
 			q.OnlyUpstream = "u0"
 		}, "", api.CodeColdUpstream},
+		{"cold, at request limit, request that may wait", func(s *State, _ *api.Config, q *api.RouteQuery) {
+			fillColdUpstreams(s, "u0", "u1")
+			q.MayWait = true
+		}, "u0", ""},
+		{"cold, at request limit, another one with room", func(s *State, _ *api.Config, q *api.RouteQuery) {
+			fillColdUpstreams(s, "u0")
+			q.MayWait = true
+		}, "u1", ""},
+		{"cold, at request limit and ejected, request that may wait", func(s *State, _ *api.Config, q *api.RouteQuery) {
+			fillColdUpstreams(s, "u0", "u1")
+			s.SetHealth("u0", Ejected)
+			s.SetHealth("u1", Ejected)
+			q.MayWait = true
+		}, "", api.CodeColdUpstream},
+		{"cold, full before first report, request that may wait", func(s *State, _ *api.Config, q *api.RouteQuery) {
+			for _, u := range []string{"u0", "u1"} {
+				s.LinkUp(u, api.LinkState{Incarnation: 2})
+				_, _ = s.Choose(0, api.RouteQuery{Member: "a", Model: testModel, OnlyUpstream: u})
+			}
+			q.MayWait = true
+		}, "", api.CodeColdUpstream},
 	}
 	for _, c := range cases {
 		conf, q := testConfig(2), modelQuery
@@ -101,6 +122,13 @@
 	}
 }
 
+// fillColdUpstreams reports that cold upstreams run as many requests as they may.
+func fillColdUpstreams(s *State, names ...string) {
+	for _, name := range names {
+		s.Load(0, api.Load{Upstream: name, Incarnation: 1, Accepting: true, Cold: true, LimitRequests: 1, Running: 1})
+	}
+}
+
 // TestReasons guards against a choice reported with the wrong reason, for example
 // cache affinity although only one upstream could take the request.
 func TestReasons(t *testing.T) {
--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -190,8 +190,9 @@
 		}
 		return crashRetryDelay
 	}
-	if f.Run == api.NotRun && f.RetryAfter == 0 {
-		// The retry goes to another upstream at once.
+	if f.Run == api.NotRun && (f.RetryAfter == 0 || f.Code == api.CodeQueueFull) {
+		// The retry goes to another upstream at once. The Retry-After of a full queue is that
+		// of one agent.
 		return 0
 	}
 	return retrybudget.Backoff(int(d.attempts), min(f.RetryAfter, maxRetryAfter), rand.Float64())
--- a/service/dispatch/dispatch.go
+++ b/service/dispatch/dispatch.go
@@ -120,7 +120,8 @@
 
 // IssueKey issues a new idempotency key that is bound to an upstream.
 func (s *service) IssueKey(ctx context.Context, member, model, service string) (string, *api.Failure) {
-	choice, failure := s.routing.Route(ctx, api.RouteQuery{Member: member, Model: model, Service: service})
+	// A request with the key may wait at the upstream, so its key may be that of a full one.
+	choice, failure := s.routing.Route(ctx, api.RouteQuery{Member: member, Model: model, Service: service, MayWait: true})
 	if failure != nil {
 		return "", failure
 	}
--- a/service/work/arrival.go
+++ b/service/work/arrival.go
@@ -86,19 +86,42 @@
 		c.pending[o.AttemptID] = p
 		return c.isolation.Add(poison.IsolatedRun{Fingerprint: o.Fingerprint, AttemptID: o.AttemptID})
 	}
-	if f := c.limit.CheckDeadline(c.limitArrival(o), random()); f != nil {
+	c.setMemberShare(o)
+	if f := c.limit.CheckDeadline(c.limitArrival(now, o), random()); f != nil {
 		return f
 	}
-	c.setMemberShare(o)
-	f = c.queue.Push(now, fairqueue.Entry[*pendingOrder]{
+	return c.push(now, p)
+}
+
+// push adds an order to the fair queue. If the queue of its member is full, a less urgent
+// order of the member is refused instead.
+func (c *control) push(now time.Duration, p *pendingOrder) *api.Failure {
+	o := p.order
+	if late, ok := c.queue.Displace(now, o.Member, o.Priority); ok {
+		f := api.NewFailure(api.CodeQueueFull, api.NotRun, "a more urgent request of the member needed the place in its queue")
+		f.RetryAfter = c.retryAfter(now, late.Value.order)
+		c.counts.displaced.Add(1)
+		c.refuse(now, late.Value, f)
+	}
+	f := c.queue.Push(now, fairqueue.Entry[*pendingOrder]{
 		ID: o.AttemptID, Member: o.Member, Cost: o.CostTokens, Priority: o.Priority, Deadline: p.deadline, Value: p,
 	})
 	if f == nil {
 		c.pending[o.AttemptID] = p
+		return nil
+	}
+	if f.Code == api.CodeQueueFull {
+		f.RetryAfter = c.retryAfter(now, o)
 	}
 	return f
 }
 
+// retryAfter returns the Retry-After of an order for which the queue of its member has no
+// place: the time until what is ahead of it has started.
+func (c *control) retryAfter(now time.Duration, o api.Order) time.Duration {
+	return limit.RetryAfter(c.limit.EstimateWait(c.limitArrival(now, o)), random())
+}
+
 // setMemberShare applies the order's share factor, the router's correction, to the
 // member's share at this agent. A missing factor means 1.
 func (c *control) setMemberShare(o api.Order) {
@@ -110,11 +133,13 @@
 	c.queue.SetMember(o.Member, m.Share*factor, m.QueueRequests)
 }
 
-func (c *control) limitArrival(o api.Order) limit.Arrival {
+func (c *control) limitArrival(now time.Duration, o api.Order) limit.Arrival {
+	ahead := c.queue.Ahead(now, o.Member, o.Priority)
 	return limit.Arrival{
 		Cost:           o.CostTokens,
-		QueuedRequests: c.queue.Len(),
-		QueuedTokens:   c.queue.WaitingCost(),
+		QueuedRequests: ahead.Requests,
+		QueuedTokens:   ahead.Tokens,
+		RunLimit:       c.coldStart.Limit(),
 		DeadlineLeft:   o.DeadlineLeft,
 	}
 }
--- a/service/work/control.go
+++ b/service/work/control.go
@@ -116,7 +116,7 @@
 }
 
 type counters struct {
-	crashes, isolatedRuns, recalledRuns, replays, tombstones api.Counter
+	crashes, displaced, isolatedRuns, recalledRuns, replays, tombstones api.Counter
 }
 
 func newControl(s *service) *control {
@@ -138,6 +138,7 @@
 		lastCrashAt: -1,
 		counts: counters{
 			crashes:      s.metrics.Counter("work_crashes", ""),
+			displaced:    s.metrics.Counter("work_displaced", ""),
 			isolatedRuns: s.metrics.Counter("work_isolated", ""),
 			recalledRuns: s.metrics.Counter("work_recalled", ""),
 			replays:      s.metrics.Counter("ledger_repeats", ""),
--- a/service/work/fixture_test.go
+++ b/service/work/fixture_test.go
@@ -87,6 +87,7 @@
 }
 
 func (u *fakeEngine) Run(ctx context.Context, o api.Order, s api.Sink) (api.Usage, *api.Failure) {
+	begin := time.Now()
 	u.started <- o
 	select {
 	case f := <-u.release:
@@ -98,7 +99,7 @@
 	}
 	_ = s.Head(api.Head{Status: 201})
 	_ = s.Chunk(api.Chunk{Seq: 1, Payload: []byte("booked " + o.Key)})
-	return api.Usage{Chunks: 1}, nil
+	return api.Usage{Chunks: 1, Total: time.Since(begin)}, nil
 }
 
 // recordingSink records a response.
--- a/service/work/schedule.go
+++ b/service/work/schedule.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// recheck checks again whether a dequeued order may start. If its request became a
+// recheck checks again whether a dequeued order may start and can meet its deadline. If its request became a
 // suspect while it was queued, the order is added to the isolation queue and isolate
 // is true.
 func (c *control) recheck(now time.Duration, p *pendingOrder) (isolate bool, f *api.Failure) {
@@ -66,9 +66,14 @@
 		return false, f
 	}
 	isolate, f = c.suspects.Check(now, o.Fingerprint, o.Upstream, o.Isolate)
-	if f != nil || !isolate {
+	if f != nil {
 		return false, f
 	}
+	if !isolate {
+		// An order that was overtaken while it waited may have too little time left, and would
+		// take the place of one that has enough.
+		return false, c.limit.CheckDeadline(limit.Arrival{Cost: o.CostTokens, DeadlineLeft: p.deadline - now}, random())
+	}
 	return true, c.isolation.Add(poison.IsolatedRun{Fingerprint: o.Fingerprint, AttemptID: o.AttemptID})
 }
 
--- a/service/work/work_test.go
+++ b/service/work/work_test.go
@@ -253,3 +253,98 @@
 		fx.finish(nil)
 	})
 }
+
+// Guards against a full queue that refuses an urgent order while a less urgent one of the
+// same member waits, and against a refusal that names no time for another attempt. The order
+// that gives way must not run.
+func TestUrgentOrderDisplacesLessUrgentOne(t *testing.T) {
+	runWithAgent(t, func(t *testing.T, fx *fixture) {
+		fx.store.set(t, 1, func(c *api.Config) { c.Members["desk"] = api.Member{Share: 1, QueueRequests: 2} })
+		var running, waiting []*recordingSink
+		for range 2 {
+			running = append(running, fx.send(t.Context(), fx.order("")))
+		}
+		waiting = append(waiting, fx.send(t.Context(), fx.order("")), fx.send(t.Context(), fx.order(fx.key())))
+		wantRefusal := func(a *recordingSink) {
+			t.Helper()
+			wantFailure(t, a, api.CodeQueueFull, api.NotRun)
+			if a.end != nil && a.end.Failure.RetryAfter <= 0 {
+				t.Error("refused without a time for another attempt")
+			}
+		}
+		wantRefusal(fx.send(t.Context(), fx.order("")))
+		urgent := fx.order("")
+		urgent.Priority = 1
+		served := fx.send(t.Context(), urgent)
+		wantRefusal(waiting[1])
+		for range 4 {
+			fx.finish(nil)
+		}
+		for i, a := range append(running, waiting[0], served) {
+			if a.end == nil || a.end.Failure != nil {
+				t.Errorf("order %d ended %+v", i, a.end)
+			}
+		}
+		if n := len(fx.engine.started); n != 4 {
+			t.Errorf("%d orders ran, want all but the refused ones", n)
+		}
+	})
+}
+
+// Guards against a member within its share that is refused because of the queue of another
+// one, and against an order that starts although its deadline passes before it can end.
+func TestRefusalsFollowTheOrderOfTheQueue(t *testing.T) {
+	runWithAgent(t, func(t *testing.T, fx *fixture) {
+		send := func(member string, left time.Duration) *recordingSink {
+			o := fx.order("")
+			o.Member, o.DeadlineLeft = member, left
+			return fx.send(t.Context(), o)
+		}
+		send("desk", time.Minute)
+		time.Sleep(time.Second)
+		fx.finish(nil)
+		for range 12 {
+			send("desk", time.Minute)
+		}
+		// A run takes 1 s, and 2 run at once.
+		wantFailure(t, send("desk", 3*time.Second), api.CodeOverloaded, api.NotRun)
+		crews := []*recordingSink{send("crews", 3*time.Second), send("crews", 3*time.Second)}
+		time.Sleep(2500 * time.Millisecond)
+		started := len(fx.engine.started)
+		fx.finish(nil)
+		for _, a := range crews {
+			wantFailure(t, a, api.CodeDeadlineExceeded, api.NotRun)
+		}
+		if n := len(fx.engine.started) - started; n != 1 {
+			t.Errorf("%d orders with enough time left started, want 1", n)
+		}
+	})
+}
+
+// Guards against a run of an order that still waited when its router was lost. An order with
+// a key stays: its router asks for it again after a lost link, and it runs once.
+func TestWaitingOrdersOfLostRouterDoNotRun(t *testing.T) {
+	runWithAgent(t, func(t *testing.T, fx *fixture) {
+		ctx, cancel := context.WithCancel(t.Context())
+		for range 2 {
+			fx.send(t.Context(), fx.order(""))
+		}
+		key := fx.key()
+		for range 3 {
+			fx.send(ctx, fx.order(""))
+		}
+		fx.send(ctx, fx.order(key))
+		cancel()
+		synctest.Wait()
+		again := fx.send(t.Context(), fx.order(key))
+		for range 3 {
+			fx.finish(nil)
+		}
+		if n := len(fx.engine.started); n != 3 {
+			t.Errorf("%d orders ran, want the 2 running ones and the one with a key", n)
+		}
+		if again.end == nil || again.end.Failure != nil {
+			t.Errorf("the order with a key ended %+v", again.end)
+		}
+	})
+}
