Name the time of the next token to a member over its rate

Cause: the Retry-After of rate_limited was 1 s at any rate. A member with 0.2 requests/s was refused four times more before its next token.

Change: it is the time until the member's limiter has a token. TestRateLimitNamesTimeOfNextToken: 4 s instead of 1 s at 0.2 requests/s, and the next request is admitted.

--- a/service/admission/admission.go
+++ b/service/admission/admission.go
@@ -149,7 +149,7 @@
 			Code:       api.CodeRateLimited,
 			Run:        api.NotRun,
 			Detail:     "guild member " + member + " exceeds its request rate",
-			RetryAfter: busyRetryAfter,
+			RetryAfter: nextToken(limiter),
 		}
 	}
 	if s.inFlight.Add(1) > s.maxInFlight {
@@ -166,6 +166,12 @@
 	return func() { s.inFlight.Add(-1) }, nil
 }
 
+// nextToken returns the time until a limiter without a token has one.
+func nextToken(limiter *rate.Limiter) time.Duration {
+	missing := max(1-limiter.Tokens(), 0)
+	return time.Duration(missing/float64(limiter.Limit())*float64(time.Second)) + time.Millisecond
+}
+
 // SpendRetry takes one retry from the retry budgets of the member and the process. It
 // returns false if one of them is exhausted.
 func (s *service) SpendRetry(ctx context.Context, member, _ string) bool {
--- a/service/admission/admission_test.go
+++ b/service/admission/admission_test.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
 )
@@ -31,3 +33,25 @@
 		t.Errorf("unknown token: %v", f)
 	}
 }
+
+// Guards against a Retry-After at which a member with a low rate is refused again.
+func TestRateLimitNamesTimeOfNextToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perSecond = 0.2
+		s := &service{maxInFlight: 10}
+		s.memberTable.Store(newMemberTable(&memberTable{}, &api.Config{Members: map[string]api.Member{"desk": {RequestsPerSecond: perSecond}}}))
+		limiter := s.memberTable.Load().limiters["desk"]
+		if !limiter.Allow() {
+			t.Fatal("no first token")
+		}
+		time.Sleep(time.Second)
+		_, f := s.Admit(t.Context(), "desk", "", 0)
+		if f == nil || f.Code != api.CodeRateLimited || f.RetryAfter < 4*time.Second || f.RetryAfter > 4100*time.Millisecond {
+			t.Fatalf("got %v, want %s with about 4 s", f, api.CodeRateLimited)
+		}
+		time.Sleep(f.RetryAfter)
+		if !limiter.Allow() {
+			t.Error("refused again after the Retry-After")
+		}
+	})
+}
