Soak routers with more requests than capacity

Cause: the soak had less load than capacity, so that neither the order of refusals nor shares at insufficient capacity were checked on real processes.

--- a/proof/pool/exchange.go
+++ b/proof/pool/exchange.go
@@ -37,6 +37,12 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
+	if q.priority != 0 {
+		req.Header.Set("X-Priority", strconv.Itoa(int(q.priority)))
+	}
+	if q.timeout > 0 {
+		req.Header.Set("X-Request-Timeout", q.timeout.String())
+	}
 	if q.idempotencyHeader != "" {
 		req.Header.Set("X-Idempotent", q.idempotencyHeader)
 	}
--- a/proof/pool/node.go
+++ b/proof/pool/node.go
@@ -135,9 +135,20 @@
 		return err
 	}
 	n.setAddresses(addresses)
+	go n.watchExit(n.snapshot())
 	return nil
 }
 
+// watchExit records the end of a process that was neither stopped nor killed.
+func (n *Node) watchExit(started nodeSnapshot) {
+	<-started.process.Exited()
+	if now := n.snapshot(); now.incarnation != started.incarnation {
+		return
+	}
+	exit := proof.Exit{Node: n.Name, At: n.pool.Now(), Code: started.process.ExitCode()}
+	n.pool.Recorder.Update(func(r *proof.Record) { r.Exits = append(r.Exits, exit) })
+}
+
 func (n *Node) setAddresses(addresses map[string]string) {
 	for name, proxy := range n.inbound {
 		if address, ok := addresses[name]; ok {
@@ -224,6 +235,7 @@
 
 // terminate kills the process if it is still running, and waits for its exit.
 func (n *Node) terminate() {
+	n.markStopping()
 	if s := n.snapshot(); s.process != nil {
 		s.process.Kill()
 	}
--- a/proof/pool/pool.go
+++ b/proof/pool/pool.go
@@ -48,6 +48,9 @@
 	// ModelsPerZone limits the number of model upstreams in each zone.
 	ModelsPerZone int
 	Seed          uint64
+	// Overload prepares the pool for StartCompetition and OverloadKinds: short queues, and
+	// memory limits.
+	Overload bool
 }
 
 // Pool is a running deployment.
@@ -81,7 +84,7 @@
 // Start starts stand-ins and processes, and waits until all processes have settled.
 // The caller must close the pool.
 func Start(ctx context.Context, o Options) (*Pool, error) {
-	l, err := loadScaled(o.Deployment, o.ModelsPerZone)
+	l, err := loadScaled(o)
 	if err != nil {
 		return nil, err
 	}
@@ -158,6 +161,9 @@
 func (p *Pool) configureNode(n *Node, a *devcert.Authority, i int) error {
 	s := api.Settings{Node: n.Name, Zone: n.Zone, Upstream: n.Upstream, StopDeadline: api.Duration(stopDeadline)}
 	s.Listen = api.Listen{Link: anyPort, Admin: anyPort}
+	if p.options.Overload {
+		s.Limits.MemoryMB = overloadMemoryMB
+	}
 	n.inbound = make(map[string]*faultproxy.Proxy)
 	var err error
 	if n.inbound["link"], err = p.proxy(faultproxy.Link{Source: p.sourceNode, To: n.Name}); err != nil {
--- a/proof/pool/request.go
+++ b/proof/pool/request.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/mulberryfork/mulberryfork/standin/modelengine"
 	"github.com/mulberryfork/mulberryfork/standin/plainservice"
@@ -36,6 +37,11 @@
 	usesKey  bool
 	service  string
 	expected string
+	// priority is the X-Priority header. timeout is the X-Request-Timeout header,
+	// requestTimeout if 0. competing is that of proof.Attempt.
+	priority  int32
+	timeout   time.Duration
+	competing bool
 	// decode returns the content of a response, to be compared with expected.
 	decode func(status int, body []byte) string
 }
@@ -92,6 +98,11 @@
 	if r.IntN(longCompletionEvery) == 0 {
 		tokens = longTokens
 	}
+	c.fillCompletionOf(q, model, tokens, stream)
+}
+
+// fillCompletionOf fills in a completion request to a model.
+func (c catalog) fillCompletionOf(q *request, model string, tokens int, stream bool) {
 	q.method, q.path, q.stream, q.idempotent = http.MethodPost, "/v1/chat/completions", stream, c.idempotent[model]
 	q.body = fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, model, stream, tokens, q.id)
 	q.expected = strings.Join(modelengine.GenerateTokens(model, modelengine.ChatPrompt("user", q.id), tokens), "")
--- a/proof/record.go
+++ b/proof/record.go
@@ -19,10 +19,16 @@
 	// Router is the router or edge that received the attempt.
 	Router     string
 	Idempotent bool
+	// Priority is higher for more urgent requests. Competing is set for the attempts of callers
+	// whose demand is the same for all members and priorities and exceeds the capacity.
+	Priority  int32
+	Competing bool
 	// Key is the API key and Path the path of the request. Both are set only by
 	// package edgepool.
 	Key, Path  string
 	Begin, End time.Duration
+	// Timeout is the time limit that the caller sent with the attempt, 0 for none.
+	Timeout time.Duration
 	// Canceled reports whether the caller disconnected before it got a response.
 	Canceled bool
 	// Complete reports whether the response appeared complete to the caller.
@@ -35,6 +41,11 @@
 	Run  api.RunState
 }
 
+// reachedDeadline reports whether the caller's own time limit had passed at a time.
+func (a Attempt) reachedDeadline(at time.Duration) bool {
+	return a.Timeout > 0 && at-a.Begin >= a.Timeout
+}
+
 // Outcome is the result of a query for the outcome of a request.
 type Outcome struct {
 	Request string
@@ -124,6 +135,7 @@
 	Observations []Observation
 	Shutdowns    []Shutdown
 	Faults       []Fault
+	Exits        []Exit
 	// The following fields are set only by package edgepool.
 	Arrivals     []Arrival
 	ColdStarts   []ColdStart
@@ -156,6 +168,7 @@
 	c.Zones, c.Leaving = slices.Clone(c.Zones), slices.Clone(c.Leaving)
 	c.Publications, c.Observations = slices.Clone(c.Publications), slices.Clone(c.Observations)
 	c.Shutdowns, c.Faults = slices.Clone(c.Shutdowns), slices.Clone(c.Faults)
+	c.Exits = slices.Clone(c.Exits)
 	c.Arrivals, c.ColdStarts = slices.Clone(c.Arrivals), slices.Clone(c.ColdStarts)
 	c.RouteChanges, c.Revoked = slices.Clone(c.RouteChanges), slices.Clone(c.Revoked)
 	c.End = now
