--- a/proof/checker_test.go
+++ b/proof/checker_test.go
@@ -133,6 +133,9 @@
 		compete(r, "m1", 0, 12, 50)
 		compete(r, "m2", 0, 60, 50)
 	}},
+	{"edge_processes_alive", "process ended", func(r *proof.Record) {
+		r.Exits = append(r.Exits, proof.Exit{Node: "edge-0", At: s, Code: 2})
+	}},
 	{"processes_alive", "process ended", func(r *proof.Record) {
 		r.Exits = append(r.Exits, proof.Exit{Node: "r1", At: s, Code: 2})
 	}},
--- a/proof/edgepool/edge.go
+++ b/proof/edgepool/edge.go
@@ -26,6 +26,8 @@
 	// exitTimeout bounds the wait for the exit of a process after SIGTERM.
 	exitTimeout = stopDeadline + 5*time.Second
 	filePerms   = 0o600
+	// memoryMB is the memory limit from which an edge derives what connections may hold.
+	memoryMB = 192
 	// settingsEnv is the environment variable with the path of the settings file.
 	settingsEnv = "MULBERRYFORK_BOOT"
 )
@@ -43,6 +45,8 @@
 	mu        sync.Mutex
 	process   *process.Process
 	readyAddr string
+	// ending is set while the process is being ended deliberately.
+	ending bool
 }
 
 // table is a table of a settings file.
@@ -83,6 +87,7 @@
 			"retry_ratio": proof.EdgeRetryRatio, "retry_extra": proof.EdgeRetryExtra,
 			"retry_window":   proof.EdgeRetryWindow.String(),
 			"cold_overshoot": proof.EdgeColdOvershoot, "cold_tolerance": proof.EdgeColdTolerance,
+			"memory_mb": memoryMB,
 		},
 	})
 	if err != nil {
@@ -102,16 +107,31 @@
 		LogFile: e.settingsFile + ".log",
 	})
 	e.mu.Lock()
-	e.process, e.readyAddr = started, addresses["ready"]
+	e.process, e.readyAddr, e.ending = started, addresses["ready"], false
 	e.mu.Unlock()
 	if err != nil {
 		return err
 	}
 	e.callerProxy.SetTarget(addresses["http"])
 	e.linkProxy.SetTarget(addresses["link"])
+	go schedule.WatchExit(e.pool.Now, e.pool.UpdateRecord, e.Name, started, func() bool { return e.replaces(started) })
 	return nil
 }
 
+// markEnding marks that the process is being ended deliberately.
+func (e *Edge) markEnding() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ending = true
+}
+
+// replaces reports whether a process was ended deliberately or replaced since.
+func (e *Edge) replaces(p *process.Process) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ending || e.process != p
+}
+
 func (e *Edge) currentProcess() *process.Process {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -137,6 +157,7 @@
 
 // Kill sends SIGKILL to the process and waits for its exit.
 func (e *Edge) Kill() error {
+	e.markEnding()
 	if err := e.Signal(syscall.SIGKILL); err != nil {
 		return err
 	}
@@ -148,6 +169,7 @@
 // process again.
 func (e *Edge) Restart(ctx context.Context) error {
 	stop := proof.Shutdown{Node: e.Name, Begin: e.pool.Now()}
+	e.markEnding()
 	if err := e.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
--- a/proof/edgepool/faults.go
+++ b/proof/edgepool/faults.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/proof/schedule"
+	"github.com/mulberryfork/mulberryfork/standin/crowd"
 	"github.com/mulberryfork/mulberryfork/standin/faultproxy"
 )
 
@@ -49,6 +50,7 @@
 	{Name: "zone_out", Make: zoneOut},
 	{Name: "move_route", Make: moveRoute},
 	{Name: "revoke", Make: revokeKey},
+	{Name: "crowd", Make: gatherCrowd},
 }
 
 // withoutError adapts a function that returns no error to the type of Step.Begin and
@@ -67,6 +69,16 @@
 	return from, to
 }
 
+// crowdBodyBytes is the body size of uncontrolled clients that send large bodies.
+const crowdBodyBytes = 1 << 20
+
+func gatherCrowd(p *Pool, r *rand.Rand) schedule.Step {
+	edge := schedule.Pick(p.Edges, r)
+	const head = "Host: " + host + "\r\n"
+	target := crowd.Target{Path: pathIdempotent + "crowd", Head: head + "X-Api-Key: key-0\r\n", BodyBytes: crowdBodyBytes}
+	return schedule.Crowd(edge.Name, edge.callerProxy.Address(), target, head)
+}
+
 func delay(p *Pool, r *rand.Rand) schedule.Step {
 	from, to := p.drawLink(r)
 	return schedule.NetworkFault(p.Network, "delay", from, to, schedule.Delay)
--- a/proof/edgepool/pool.go
+++ b/proof/edgepool/pool.go
@@ -212,6 +212,7 @@
 // Close kills all processes and closes proxies and stand-ins.
 func (p *Pool) Close() {
 	for _, e := range p.Edges {
+		e.markEnding()
 		if current := e.currentProcess(); current != nil {
 			current.Kill()
 		}
--- a/proof/platform.go
+++ b/proof/platform.go
@@ -69,6 +69,7 @@
 		Checker{"edge_config_in_force", "P9", RoutesApplied},
 		Checker{"edge_cold_rate", "P2", ColdStartRate},
 		Checker{"edge_caller_left", "P4", CanceledWorkStops},
+		Checker{"edge_processes_alive", "", ProcessesAlive},
 	)
 }
 
--- a/proof/pool/exchange.go
+++ b/proof/pool/exchange.go
@@ -98,10 +98,13 @@
 	return r
 }
 
+// tokenPrefix and the name of a member are the member's token in the examples.
+const tokenPrefix = "example-token-"
+
 func (l *Load) newRequest(router *Node, member, method, path, body string) *http.Request {
 	// The method and the URL are always valid, so there is no error.
 	req, _ := http.NewRequestWithContext(context.Background(), method, "http://"+router.inbound["http"].Address()+path, strings.NewReader(body))
-	req.Header.Set("Authorization", "Bearer example-token-"+member)
+	req.Header.Set("Authorization", "Bearer "+tokenPrefix+member)
 	req.Header.Set("X-Request-Timeout", requestTimeout.String())
 	return req
 }
--- a/proof/pool/node.go
+++ b/proof/pool/node.go
@@ -14,6 +14,7 @@
 	"github.com/mulberryfork/mulberryfork/devcert"
 	"github.com/mulberryfork/mulberryfork/proof"
 	"github.com/mulberryfork/mulberryfork/proof/process"
+	"github.com/mulberryfork/mulberryfork/proof/schedule"
 	"github.com/mulberryfork/mulberryfork/standin/faultproxy"
 )
 
@@ -135,20 +136,13 @@
 		return err
 	}
 	n.setAddresses(addresses)
-	go n.watchExit(n.snapshot())
+	current := n.snapshot()
+	go schedule.WatchExit(n.pool.Now, n.pool.UpdateRecord, n.Name, started, func() bool {
+		return n.snapshot().incarnation != current.incarnation
+	})
 	return nil
 }
 
-// watchExit records the end of a process that was neither stopped nor killed.
-func (n *Node) watchExit(started nodeSnapshot) {
-	<-started.process.Exited()
-	if now := n.snapshot(); now.incarnation != started.incarnation {
-		return
-	}
-	exit := proof.Exit{Node: n.Name, At: n.pool.Now(), Code: started.process.ExitCode()}
-	n.pool.Recorder.Update(func(r *proof.Record) { r.Exits = append(r.Exits, exit) })
-}
-
 func (n *Node) setAddresses(addresses map[string]string) {
 	for name, proxy := range n.inbound {
 		if address, ok := addresses[name]; ok {
--- a/proof/pool/crowd.go
+++ b/proof/pool/overloadfaults.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// crowdPart selects one in crowdPart clients of each pattern, several hundred in all.
-	crowdPart = 40
 	// crowdBodyBytes is the body size of clients that send large bodies.
 	crowdBodyBytes = 1 << 20
 	// overloadMemoryMB is the memory limit of each process, from which it derives what
@@ -25,21 +23,12 @@
 	{Name: "reform_groups", Make: reformGroups},
 }
 
-// gatherCrowd lets clients that nobody controls open connections to a router and send
-// bodies and headers that stop, never end or exceed the limits.
 func gatherCrowd(p *Pool, r *rand.Rand) schedule.Step {
 	router := schedule.Pick(p.Routers, r)
-	const path, head = "/v1/chat/completions", "Host: h\r\nAuthorization: Bearer crowd\r\n"
-	patterns := append(crowd.Bodies(crowd.Target{Path: path, Head: head, BodyBytes: crowdBodyBytes}), crowd.Connections(path, head)...)
-	var gathered *crowd.Crowd
-	return schedule.Step{
-		Name: "crowd " + router.Name, Targets: []string{"crowd"},
-		Begin: func(context.Context) error {
-			gathered = crowd.Gather(router.inbound["http"].Address(), crowd.Part(patterns, crowdPart)...)
-			return nil
-		},
-		End: func(context.Context) error { gathered.Leave(); return nil },
-	}
+	const host = "Host: h\r\n"
+	token := "Authorization: Bearer " + tokenPrefix + newCatalog(p.layout).members[0] + "\r\n"
+	return schedule.Crowd(router.Name, router.inbound["http"].Address(),
+		crowd.Target{Path: "/v1/chat/completions", Head: host + token, BodyBytes: crowdBodyBytes}, host)
 }
 
 // reformGroups crashes the engines of all groups at the same time, so that all start cold
--- a/proof/schedule/process.go
+++ b/proof/schedule/process.go
@@ -5,6 +5,10 @@
 	"os"
 	"strings"
 	"syscall"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/proof"
+	"github.com/mulberryfork/mulberryfork/proof/process"
 )
 
 // Process is a child process that steps kill, pause and restart.
@@ -19,6 +23,17 @@
 	Restart(ctx context.Context) error
 }
 
+// WatchExit waits for the exit of a process and records it, unless the process was ended
+// deliberately.
+func WatchExit(now func() time.Duration, update func(func(*proof.Record)), node string, p *process.Process, deliberate func() bool) {
+	<-p.Exited()
+	if deliberate() {
+		return
+	}
+	exit := proof.Exit{Node: node, At: now(), Code: p.ExitCode()}
+	update(func(r *proof.Record) { r.Exits = append(r.Exits, exit) })
+}
+
 // Pause returns a step that suspends a process with SIGSTOP and resumes it with
 // SIGCONT.
 func Pause(p Process) Step {
--- a/service/dispatch/retrydelay_test.go
+++ b/service/dispatch/retrydelay_test.go
@@ -37,3 +37,22 @@
 		})
 	}
 }
+
+// Guards against a request that waits for the queue of one agent although another upstream
+// may have a place for it at once.
+func TestFullQueueSendsRequestElsewhereAtOnce(t *testing.T) {
+	for code, delayed := range map[api.Code]bool{api.CodeQueueFull: false, api.CodeOverloaded: true} {
+		synctest.Test(t, func(t *testing.T) {
+			refusal := api.NewFailure(code, api.NotRun, "")
+			refusal.RetryAfter = time.Second
+			services := &fakeServices{attemptFailures: []*api.Failure{refusal, nil}}
+			begin := time.Now()
+			if f := services.dispatch(t, api.Request{Idempotent: true}); f != nil {
+				t.Fatal(f)
+			}
+			if took := time.Since(begin); (took >= time.Second) != delayed {
+				t.Errorf("%s: retry after %v", code, took)
+			}
+		})
+	}
+}
