Test the estimate of what is ahead and the displacement against the queue itself

Injected faults showed that a displacement of more urgent requests and an estimate without the limit of a cold start were not seen by a test. The former can't occur: a request that would be served later although it arrived earlier is less urgent, so its check is removed. The latter has a case in TestCheckDeadline.

--- a/decide/fairqueue/ahead.go
+++ b/decide/fairqueue/ahead.go
@@ -44,8 +44,9 @@
 }
 
 // Displace makes room for a request that arrives now if the queue of its member is full:
-// it removes and returns the member's request that would be served last, if that is less
-// urgent and would be served after the new one. Otherwise the result is false.
+// it removes and returns the member's request that would be served last, if that would be
+// served after the new one. Since it arrived earlier, it is then less urgent. Otherwise the
+// result is false.
 func (q *Queue[T]) Displace(now time.Duration, name string, priority int32) (Entry[T], bool) {
 	m, ok := q.members[name]
 	if !ok || m.removed || m.queue.Len() == 0 || m.queue.Len() < m.maxQueued {
@@ -57,7 +58,7 @@
 			last = i
 		}
 	}
-	if q.level(last.entry.Priority) >= q.level(priority) || last.effectiveArrival <= q.effectiveArrival(now, priority) {
+	if last.effectiveArrival <= q.effectiveArrival(now, priority) {
 		return Entry[T]{}, false
 	}
 	q.removeItem(last)
--- a/decide/limit/limit_test.go
+++ b/decide/limit/limit_test.go
@@ -109,6 +109,7 @@
 		{"deadline shorter than run time", 4, Arrival{Cost: 100, OutputTokens: 10, DeadlineLeft: 100 * time.Millisecond}, api.CodeDeadlineExceeded, 0},
 		{"queue and run time within deadline", 10, Arrival{Cost: 100, OutputTokens: 10, QueuedRequests: 9, QueuedTokens: 900, DeadlineLeft: 500 * time.Millisecond}, "", 0},
 		{"queue and run time exceed deadline", 10, Arrival{Cost: 100, OutputTokens: 10, QueuedRequests: 99, QueuedTokens: 9900, DeadlineLeft: 500 * time.Millisecond}, api.CodeOverloaded, time.Second},
+		{"limit of a cold start", 2, Arrival{Cost: 100, OutputTokens: 10, QueuedRequests: 9, RunLimit: 2, DeadlineLeft: 500 * time.Millisecond}, api.CodeOverloaded, time.Second},
 		{"few large requests ahead", 10, Arrival{Cost: 100, OutputTokens: 10, QueuedRequests: 2, QueuedTokens: 99000, DeadlineLeft: 500 * time.Millisecond}, api.CodeOverloaded, 10 * time.Second},
 	}
 	for _, c := range cases {
