--- a/service/work/work_test.go
+++ b/service/work/work_test.go
@@ -306,8 +306,8 @@
 		for range 12 {
 			send("desk", time.Minute)
 		}
-		// A run takes 1 s, and 2 run at once.
-		wantFailure(t, send("desk", 3*time.Second), api.CodeOverloaded, api.NotRun)
+		// A run takes 1 s, and 2 run at once in the cold start: 10 others take 5 s.
+		wantFailure(t, send("desk", 5*time.Second), api.CodeOverloaded, api.NotRun)
 		crews := []*recordingSink{send("crews", 3*time.Second), send("crews", 3*time.Second)}
 		time.Sleep(2500 * time.Millisecond)
 		started := len(fx.engine.started)
