--- a/decide/fairqueue/ahead_test.go
+++ b/decide/fairqueue/ahead_test.go
@@ -89,3 +89,34 @@
 		}
 	}
 }
+
+// BenchmarkArrival measures the decisions for one arrival and one start at a queue of ten
+// members with full queues, and at an empty one.
+func BenchmarkArrival(b *testing.B) {
+	for name, queued := range map[string]int{"empty": 0, "full": 63} {
+		b.Run(name, func(b *testing.B) {
+			q := fairqueue.New[int](config)
+			e := entry{Cost: 100, Deadline: time.Hour}
+			for m := range 10 {
+				e.Member = fmt.Sprint(m)
+				q.SetMember(e.Member, 1, 64)
+				for n := range queued {
+					e.ID = api.AttemptID{RequestID: fmt.Sprint(m, "-", n)}
+					q.Push(0, e)
+				}
+			}
+			e.Member, e.ID = "0", api.AttemptID{RequestID: "next"}
+			b.ReportAllocs()
+			for b.Loop() {
+				e.ID.Number++
+				q.Ahead(0, e.Member, 1)
+				q.Displace(0, e.Member, 1)
+				if f := q.Push(0, e); f != nil {
+					b.Fatal(f)
+				}
+				popped, _ := q.Pop(0, 1)
+				q.Finish(0, popped.Member, 100, 100)
+			}
+		})
+	}
+}
