Send requests on from a stopping agent without retry budget

Cause: a planned stop refuses the requests that wait at the agent as not run, with shutting_down.

Change: such a refusal counts as one that reached no upstream, as leaving and zone_out do, at most four times for a request.

--- a/service/dispatch/delivery.go
+++ b/service/dispatch/delivery.go
@@ -165,7 +165,7 @@
 // neverSent reports whether a failure proves that the request reached no upstream.
 func neverSent(f *api.Failure) bool {
 	switch f.Code {
-	case api.CodeUpstreamUnreached, api.CodeLeaving, api.CodeZoneOut:
+	case api.CodeUpstreamUnreached, api.CodeLeaving, api.CodeZoneOut, api.CodeShuttingDown:
 		return f.Run == api.NotRun
 	}
 	return false
--- a/service/dispatch/retrydelay_test.go
+++ b/service/dispatch/retrydelay_test.go
@@ -56,3 +56,21 @@
 		})
 	}
 }
+
+// Guards against a planned stop of an agent that costs the requests which waited there their
+// retry budget, so that callers get its refusals at insufficient capacity.
+func TestPlannedStopOfAgentCostsNoRetryBudget(t *testing.T) {
+	for code, spent := range map[api.Code]int{api.CodeShuttingDown: 0, api.CodeOverloaded: 1} {
+		for _, idempotent := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				services := &fakeServices{attemptFailures: []*api.Failure{api.NewFailure(code, api.NotRun, ""), nil}}
+				if f := services.dispatch(t, api.Request{Idempotent: idempotent}); f != nil {
+					t.Fatal(f)
+				}
+				if services.retriesSpent != spent || len(services.routeExclusions[1]) != 1 {
+					t.Errorf("%s: %d retries spent, excluded %v", code, services.retriesSpent, services.routeExclusions)
+				}
+			})
+		}
+	}
+}
