Keep the place of a canceled run until its engine has noticed

Cause: a canceled run (caller gone, deadline, recall) freed its place when the agent closed the request. At insufficient capacity the next order started at the same moment, and reached the engine before the cancellation.

Change: the result of a canceled run reaches the control loop after the mean time of a step, at least 10 ms. Its caller gets the end at once, as before. TestCrashReportsRecallRunningCopies waits that long before it reads the load; what it checks is unchanged.

--- a/service/work/work.go
+++ b/service/work/work.go
@@ -251,6 +251,10 @@
 		recallCtx, release := g.withRecall(ctx)
 		defer release()
 		res.usage, res.failure = s.runOnEngine(recallCtx, o, g, sink)
+		if recallCtx.Err() != nil {
+			s.postCanceled(res)
+			return api.End{Chunks: res.usage.Chunks, Failure: g.failureCause(res.failure)}
+		}
 	} else {
 		limited, cancel := context.WithTimeout(ctx, maxRunTime)
 		defer cancel()
@@ -263,6 +267,17 @@
 	return api.End{Chunks: res.usage.Chunks, Failure: g.failureCause(res.failure)}
 }
 
+// minCancelTime is the least time until an engine has noticed that a request was canceled.
+const minCancelTime = 10 * time.Millisecond
+
+// postCanceled posts the result of a canceled run once the engine has had a pass to notice
+// it. Until then the run takes up capacity: an order that started in its place at once was
+// one more than a cold engine bears.
+func (s *service) postCanceled(res runResult) {
+	wait := max(s.published.Load().load.StepTime, minCancelTime)
+	time.AfterFunc(wait, func() { _ = s.runResults.Post(context.Background(), res) })
+}
+
 // runOnEngine runs the order unless the grant has expired. It checks because this
 // goroutine may have been paused since the grant was made.
 func (s *service) runOnEngine(ctx context.Context, o api.Order, g grant, sink api.Sink) (api.Usage, *api.Failure) {
--- a/service/work/work_test.go
+++ b/service/work/work_test.go
@@ -206,6 +206,7 @@
 			synctest.Wait()
 		}
 		wantFailure(t, recalled, api.CodeSuspect, api.RunUnknown)
+		time.Sleep(cancelNoticed)
 		load, _ := fx.work.Load()
 		if other.end != nil || load.Running != 1 || len(load.Suspicions) != 1 {
 			t.Errorf("the other copy ended %+v, load %+v", other.end, load)
@@ -348,3 +349,30 @@
 		}
 	})
 }
+
+// cancelNoticed is longer than the time for which a canceled run takes up capacity.
+const cancelNoticed = 20 * time.Millisecond
+
+// Guards against an order that starts in the place of a canceled one before the engine has
+// noticed the cancellation. A cold engine then had one request more than it bears.
+func TestCanceledRunKeepsItsPlaceUntilEngineHasNoticed(t *testing.T) {
+	runWithAgent(t, func(t *testing.T, fx *fixture) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fx.send(ctx, fx.order(""))
+		for range 2 {
+			fx.send(t.Context(), fx.order(""))
+		}
+		cancel()
+		synctest.Wait()
+		if n := len(fx.engine.started); n != 2 {
+			t.Errorf("%d orders started at once after a cancellation, want the 2 within the limit", n)
+		}
+		time.Sleep(cancelNoticed)
+		if n := len(fx.engine.started); n != 3 {
+			t.Errorf("%d orders started, want the one that waited as well", n)
+		}
+		for range 2 {
+			fx.finish(nil)
+		}
+	})
+}
