--- a/proof/edgepool/edge.go
+++ b/proof/edgepool/edge.go
@@ -6,7 +6,6 @@
 	"os"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,6 +26,8 @@
 	// exitTimeout bounds the wait for the exit of a process after SIGTERM.
 	exitTimeout = stopDeadline + 5*time.Second
 	filePerms   = 0o600
+	// memoryMB is the memory limit from which an edge derives what connections may hold.
+	memoryMB = 192
 	// settingsEnv is the environment variable with the path of the settings file.
 	settingsEnv = "MULBERRYFORK_BOOT"
 )
@@ -46,8 +47,8 @@
 	readyAddr string
 	// httpAddr is where callers reach the process without the proxy.
 	httpAddr string
-	// stopping is set while the run ends the process.
-	stopping atomic.Bool
+	// ending is set while the process is being ended deliberately.
+	ending bool
 }
 
 // table is a table of a settings file.
@@ -83,6 +84,7 @@
 		"retry_ratio": proof.EdgeRetryRatio, "retry_extra": proof.EdgeRetryExtra,
 		"retry_window":   proof.EdgeRetryWindow.String(),
 		"cold_overshoot": proof.EdgeColdOvershoot, "cold_tolerance": proof.EdgeColdTolerance,
+		"memory_mb": memoryMB,
 	}
 	limits := table{}
 	if e.pool.options.Open {
@@ -113,17 +115,31 @@
 		LogFile: e.settingsFile + ".log",
 	})
 	e.mu.Lock()
-	e.process, e.readyAddr, e.httpAddr = started, addresses["ready"], addresses["http"]
-	e.stopping.Store(false)
+	e.process, e.readyAddr, e.httpAddr, e.ending = started, addresses["ready"], addresses["http"], false
 	e.mu.Unlock()
 	if err != nil {
 		return err
 	}
 	e.callerProxy.SetTarget(addresses["http"])
 	e.linkProxy.SetTarget(addresses["link"])
+	go schedule.WatchExit(e.pool.Now, e.pool.UpdateRecord, e.Name, started, func() bool { return e.replaces(started) })
 	return nil
 }
 
+// markEnding marks that the process is being ended deliberately.
+func (e *Edge) markEnding() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ending = true
+}
+
+// replaces reports whether a process was ended deliberately or replaced since.
+func (e *Edge) replaces(p *process.Process) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ending || e.process != p
+}
+
 func (e *Edge) currentProcess() *process.Process {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -155,7 +171,7 @@
 
 // Kill sends SIGKILL to the process and waits for its exit.
 func (e *Edge) Kill() error {
-	e.stopping.Store(true)
+	e.markEnding()
 	if err := e.Signal(syscall.SIGKILL); err != nil {
 		return err
 	}
@@ -166,8 +182,8 @@
 // Restart shuts the process down gracefully, records the shutdown and starts the
 // process again.
 func (e *Edge) Restart(ctx context.Context) error {
-	e.stopping.Store(true)
 	stop := proof.Shutdown{Node: e.Name, Begin: e.pool.Now()}
+	e.markEnding()
 	if err := e.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
--- a/proof/edgepool/open.go
+++ b/proof/edgepool/open.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/proof"
-	"github.com/mulberryfork/mulberryfork/proof/process"
 	"github.com/mulberryfork/mulberryfork/proof/schedule"
 	"github.com/mulberryfork/mulberryfork/standin/crowd"
 	"github.com/mulberryfork/mulberryfork/standin/platformworker"
@@ -127,10 +126,9 @@
 	}
 }
 
-// watch records what the edges hold, and exits that nothing asked for, until the context ends.
+// watch records what the edges hold until the context ends.
 func (p *Pool) watch(ctx context.Context) {
 	largest := make([]proof.Usage, len(p.Edges))
-	reported := make(map[*process.Process]bool)
 	for schedule.Sleep(ctx, usageInterval) == nil {
 		for i, e := range p.Edges {
 			current := e.currentProcess()
@@ -139,11 +137,6 @@
 			}
 			select {
 			case <-current.Exited():
-				if !e.stopping.Load() && !reported[current] {
-					reported[current] = true
-					exit := proof.Exit{Node: e.Name, At: p.Now(), Code: current.ExitCode()}
-					p.UpdateRecord(func(r *proof.Record) { r.Exits = append(r.Exits, exit) })
-				}
 				continue
 			default:
 			}
--- a/proof/open.go
+++ b/proof/open.go
@@ -12,13 +12,6 @@
 // and the 5 s that a caller in these runs waits for one answer.
 const answerLimit = 6 * time.Second
 
-// Exit is an exit of a process that nothing in the run asked for.
-type Exit struct {
-	Node string
-	At   time.Duration
-	Code int
-}
-
 // Usage is the most that a process held at a time, with its limits.
 type Usage struct {
 	Node string
@@ -32,21 +25,11 @@
 // nobody controls, beside those of EdgeCheckers.
 func OpenEdgeCheckers() []Checker {
 	return []Checker{
-		{"open_alive", "P4", ProcessesAlive},
 		{"open_within_limits", "P4", WithinLimits},
 		{"open_answered", "P4", OrdinaryAnswered},
 	}
 }
 
-// ProcessesAlive finds processes that exited although nothing in the run asked for it.
-func ProcessesAlive(r Record) []Violation {
-	var found []Violation
-	for _, e := range r.Exits {
-		found = append(found, violation(e.At, "%s exited with code %d", e.Node, e.Code))
-	}
-	return found
-}
-
 // WithinLimits finds processes that held more than their settings allow.
 func WithinLimits(r Record) []Violation {
 	var found []Violation
--- a/proof/platform.go
+++ b/proof/platform.go
@@ -84,6 +84,7 @@
 		{"edge_revoked_keys", "P9", RevokedKeys},
 		{"edge_retry_budget", "P2", RetryBudget},
 		{"edge_graceful_stop", "P8", GracefulShutdown},
+		{"edge_processes_alive", "", ProcessesAlive},
 	}
 }
 
--- a/proof/pool/exchange.go
+++ b/proof/pool/exchange.go
@@ -37,6 +37,12 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
+	if q.priority != 0 {
+		req.Header.Set("X-Priority", strconv.Itoa(int(q.priority)))
+	}
+	if q.timeout > 0 {
+		req.Header.Set("X-Request-Timeout", q.timeout.String())
+	}
 	if q.idempotencyHeader != "" {
 		req.Header.Set("X-Idempotent", q.idempotencyHeader)
 	}
@@ -92,10 +98,13 @@
 	return r
 }
 
+// tokenPrefix and the name of a member are the member's token in the examples.
+const tokenPrefix = "example-token-"
+
 func (l *Load) newRequest(router *Node, member, method, path, body string) *http.Request {
 	// The method and the URL are always valid, so there is no error.
 	req, _ := http.NewRequestWithContext(context.Background(), method, "http://"+router.inbound["http"].Address()+path, strings.NewReader(body))
-	req.Header.Set("Authorization", "Bearer example-token-"+member)
+	req.Header.Set("Authorization", "Bearer "+tokenPrefix+member)
 	req.Header.Set("X-Request-Timeout", requestTimeout.String())
 	return req
 }
--- a/proof/pool/node.go
+++ b/proof/pool/node.go
@@ -14,6 +14,7 @@
 	"github.com/mulberryfork/mulberryfork/devcert"
 	"github.com/mulberryfork/mulberryfork/proof"
 	"github.com/mulberryfork/mulberryfork/proof/process"
+	"github.com/mulberryfork/mulberryfork/proof/schedule"
 	"github.com/mulberryfork/mulberryfork/standin/faultproxy"
 )
 
@@ -135,6 +136,10 @@
 		return err
 	}
 	n.setAddresses(addresses)
+	current := n.snapshot()
+	go schedule.WatchExit(n.pool.Now, n.pool.UpdateRecord, n.Name, started, func() bool {
+		return n.snapshot().incarnation != current.incarnation
+	})
 	return nil
 }
 
@@ -224,6 +229,7 @@
 
 // terminate kills the process if it is still running, and waits for its exit.
 func (n *Node) terminate() {
+	n.markStopping()
 	if s := n.snapshot(); s.process != nil {
 		s.process.Kill()
 	}
--- a/proof/record.go
+++ b/proof/record.go
@@ -19,12 +19,18 @@
 	// Router is the router or edge that received the attempt.
 	Router     string
 	Idempotent bool
+	// Priority is higher for more urgent requests. Competing is set for the attempts of callers
+	// whose demand is the same for all members and priorities and exceeds the capacity.
+	Priority  int32
+	Competing bool
 	// Key is the API key and Path the path of the request. Both are set only by
 	// package edgepool.
 	Key, Path string
 	// Fresh is set if the attempt was made on a connection of its own.
 	Fresh      bool
 	Begin, End time.Duration
+	// Timeout is the time limit that the caller sent with the attempt, 0 for none.
+	Timeout time.Duration
 	// Canceled reports whether the caller disconnected before it got a response.
 	Canceled bool
 	// Complete reports whether the response appeared complete to the caller.
@@ -37,6 +43,11 @@
 	Run  api.RunState
 }
 
+// reachedDeadline reports whether the caller's own time limit had passed at a time.
+func (a Attempt) reachedDeadline(at time.Duration) bool {
+	return a.Timeout > 0 && at-a.Begin >= a.Timeout
+}
+
 // Outcome is the result of a query for the outcome of a request.
 type Outcome struct {
 	Request string
@@ -126,12 +137,12 @@
 	Observations []Observation
 	Shutdowns    []Shutdown
 	Faults       []Fault
+	Exits        []Exit
 	// The following fields are set only by package edgepool.
 	Arrivals     []Arrival
 	ColdStarts   []ColdStart
 	RouteChanges []RouteChange
 	Revoked      []Exclusion
-	Exits        []Exit
 	Usages       []Usage
 	// End is the time at which the record was copied.
 	End time.Duration
@@ -160,9 +171,10 @@
 	c.Zones, c.Leaving = slices.Clone(c.Zones), slices.Clone(c.Leaving)
 	c.Publications, c.Observations = slices.Clone(c.Publications), slices.Clone(c.Observations)
 	c.Shutdowns, c.Faults = slices.Clone(c.Shutdowns), slices.Clone(c.Faults)
+	c.Exits = slices.Clone(c.Exits)
 	c.Arrivals, c.ColdStarts = slices.Clone(c.Arrivals), slices.Clone(c.ColdStarts)
 	c.RouteChanges, c.Revoked = slices.Clone(c.RouteChanges), slices.Clone(c.Revoked)
-	c.Exits, c.Usages = slices.Clone(c.Exits), slices.Clone(c.Usages)
+	c.Usages = slices.Clone(c.Usages)
 	c.End = now
 	return c
 }
