Keep the limits of a group while its new leader knows nothing

For five seconds, the last slowdown and the last imbalance after a shift count where a load has none.

--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -126,6 +126,7 @@
 			g = s.groupOf(l.Group)
 			model := s.passModel(u.instance.Service)
 			g.observe(l, measured, model, u.instance.Slots, s.maxPauses[u.instance.Service])
+			g.complete(l.ReadAt, &measured, model)
 			steady.PassTime = time.Duration(g.slowdown * float64(model.PassTime(max(1, fullest))))
 		}
 		pace := max(rank.Pace, 1) / usual
--- a/decide/balance/group_test.go
+++ b/decide/balance/group_test.go
@@ -24,7 +24,7 @@
 	}
 	v := newView(instances...)
 	v.Table.Services["s"] = api.ServiceProfile{Name: "s", Engine: &api.EngineProfile{
-		StepTime: 4550 * time.Microsecond, RequestTime: 1990 * time.Microsecond, StepsPerPass: 4, FormTime: 600 * time.Millisecond,
+		StepTime: 4550 * time.Microsecond, RequestTime: 1990 * time.Microsecond, StepsPerPass: 4, ExpertShare: 0.85, FormTime: 600 * time.Millisecond,
 	}}
 	v.Table.Routes = []api.Route{{Splits: []api.Split{{Service: "s", Weight: 1}}, MaxPause: 200 * time.Millisecond}}
 	return newState(v)
--- a/decide/balance/uneven.go
+++ b/decide/balance/uneven.go
@@ -21,6 +21,9 @@
 	// slowdownWeight is the weight of one load in the mean slowdown. Leaders count the passes
 	// of 0.6 s, so that a single load is off by a fifth where passes take 120 ms.
 	slowdownWeight = 0.1
+	// leaderMemory is how long the passes and shifts that a leader measured count while its
+	// successor does not know them. Demand shifts every few seconds.
+	leaderMemory = 5 * time.Second
 	// fillFactor is the time in which the batches of a group that was formed fill, as a multiple
 	// of the duration of a request: requests that start together end together. unknownFill is
 	// that time while the duration is not known.
@@ -69,6 +72,11 @@
 	// reads is the number of prompts that a rank should get in a pass from all processes.
 	reads float64
 
+	// shiftImbalance is the last known one, at shiftAt, and passAt is when the time of a pass was
+	// last known.
+	shiftImbalance  float64
+	shiftAt, passAt time.Duration
+
 	// survey is the last survey that saw the group, and difference what it found.
 	survey     uint64
 	difference Difference
@@ -105,6 +113,24 @@
 	g.reads = model.Reads(g.passTime, len(l.Ranks), maxPause)
 }
 
+// complete adds what was known of the group lately to a load of a leader that does not know it.
+// One that has just taken over measures no pass for 0.6 s and knows of no shift until it has
+// seen two; with full batches in that time, the passes of the group are too long for seconds.
+func (g *group) complete(readAt time.Duration, measured *batchlimit.Group, model batchlimit.Model) {
+	switch {
+	case measured.ShiftImbalance > 0:
+		g.shiftImbalance, g.shiftAt = measured.ShiftImbalance, readAt
+	case g.shiftImbalance > 0 && readAt-g.shiftAt < leaderMemory:
+		measured.ShiftImbalance = g.shiftImbalance
+	}
+	switch {
+	case measured.PassTime > 0:
+		g.passAt = readAt
+	case g.slowdown > 0 && readAt-g.passAt < leaderMemory:
+		measured.PassTime = time.Duration(g.slowdown * float64(model.PassTime(max(1, measured.Fullest))))
+	}
+}
+
 // suspect records the failure of an attempt at a rank of the group.
 func (g *group) suspect(now time.Duration, f *api.Failure) {
 	if f.Code == api.CodeUpstreamUnreached || f.Code == api.CodeUpstreamFailed {
--- a/decide/balance/uneven_test.go
+++ b/decide/balance/uneven_test.go
@@ -264,3 +264,35 @@
 		})
 	}
 }
+
+// Guards against full batches, and passes that are too long for seconds, after a leader was
+// replaced by one that knows neither the time of a pass nor the last shift of demand, and
+// against limits that outlast what they were learned from.
+func TestLimitsOutlastLeader(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		passTime         time.Duration
+		shift            float64
+		silent           time.Duration
+		wantLessThanFull bool
+	}{
+		{"long passes", 190 * time.Millisecond, 0, time.Second, true},
+		{"shifts", 60 * time.Millisecond, 4, time.Second, true},
+		{"long ago", 190 * time.Millisecond, 4, 6 * time.Second, false},
+	} {
+		places := func(s *balance.State, l api.GroupLoad) float64 {
+			s.ObserveGroupLoad(l)
+			return s.Survey(l.ReadAt+10*time.Millisecond, "s", nil).Places
+		}
+		s := newGroupState()
+		full := places(s, newGroupLoad(time.Second, 6))
+		for at := 2 * time.Second; at < 3*time.Second; at += 100 * time.Millisecond {
+			known := newGroupLoad(at, 6)
+			known.PassTime, known.ShiftImbalance = c.passTime, c.shift
+			places(s, known)
+		}
+		if got := places(s, newGroupLoad(3*time.Second+c.silent, 6)); (got < full) != c.wantLessThanFull {
+			t.Errorf("%s: %.1f places, %.1f with full batches", c.name, got, full)
+		}
+	}
+}
