Keep shares between zones steady in large zones

Cause: in zones of 30 slots and more, one of 40 parts of the work decides between waiting and not waiting.

Above 18 slots, a part is smaller than a request and shares move more slowly with the size. Nothing changes up to 18 slots in a zone.

--- a/decide/zoneshare/converge_test.go
+++ b/decide/zoneshare/converge_test.go
@@ -13,13 +13,16 @@
 type flow struct {
 	demand [3]float64
 	// age is the age of the reports of a process.
-	age     func(process int) time.Duration
-	starts  func(process int) time.Duration
+	age    func(process int) time.Duration
+	starts func(process int) time.Duration
+	// slots are those of each zone.
+	slots   float64
 	states  []*zoneshare.State
 	history [][3]float64
 }
 
 const (
+	usualSlots    = 6
 	flowProcesses = 22
 	flowStep      = 10 * time.Millisecond
 )
@@ -28,6 +31,7 @@
 	f := &flow{
 		demand: demand, age: func(p int) time.Duration { return time.Duration(120+10*p) * time.Millisecond },
 		starts: func(int) time.Duration { return 0 },
+		slots:  usualSlots,
 	}
 	for p := range flowProcesses {
 		f.states = append(f.states, zoneshare.New(zoneshare.Options{Zone: zoneNames[p%3]}))
@@ -76,7 +80,9 @@
 			seen := f.history[max(len(f.history)-1-int(f.age(p)/flowStep), 0)]
 			zones := make(map[string]zoneshare.Zone)
 			for z, load := range seen {
-				zones[zoneNames[z]] = reported(load, now)
+				zone := reported(load, now)
+				zone.Slots = f.slots
+				zones[zoneNames[z]] = zone
 			}
 			s.Update(now, "s", usualWork, zones)
 		}
@@ -108,6 +114,24 @@
 	}
 }
 
+// Guards against shares that swing in large zones, where a request more or less in a part of the
+// work decides between waiting and not waiting.
+func TestSharesConvergeAtAllSizes(t *testing.T) {
+	for _, slots := range []float64{6, 12, 18, 30, 60, 120} {
+		f := newFlow([3]float64{7 * slots / usualSlots, 2 * slots / usualSlots, 3 * slots / usualSlots})
+		f.slots = slots
+		f.run(60 * time.Second)
+		low, high := math.Inf(1), 0.0
+		for _, share := range f.run(10 * time.Second) {
+			low, high = min(low, share), max(high, share)
+		}
+		t.Logf("%v slots: share %.3f to %.3f, loads %.2f", slots, low, high, f.history[len(f.history)-1])
+		if low < 0.1 || high > 0.6 || high-low > 0.03 {
+			t.Errorf("%v slots: share between %.3f and %.3f, want one value that relieves the zone", slots, low, high)
+		}
+	}
+}
+
 // Guards against an exchange of work in both directions at the same time.
 func TestNoExchangeInBothDirections(t *testing.T) {
 	f := newFlow([3]float64{7, 2, 3})
--- a/decide/zoneshare/share.go
+++ b/decide/zoneshare/share.go
@@ -32,8 +32,14 @@
 	// requests leave while the peaks of zones alternate: the load of the other zone is known
 	// later than that of the own one, and its peak is over by then.
 	othersWeight = 0.4
-	// fillSteps is the number of parts in which work is distributed between zones.
-	fillSteps = 40
+	// fillSteps is the least number of parts in which work is distributed between zones. In
+	// zones of more than steadySlots, the wait rises so steeply that one of 40 parts decides
+	// between waiting and not waiting, and shares swing: the parts are then smaller than a
+	// request, and shares move as much more slowly as the zone is larger.
+	fillSteps       = 40
+	steadySlots     = 18
+	stepsASlot      = 13
+	slowdownPerSize = 4
 	// assumedLoad is the load of a zone without a recent report, as a fraction of its slots.
 	assumedLoad = 0.5
 	// A response is late after keepFactor times the mean duration of a request, and missing
@@ -128,7 +134,7 @@
 		z.share.room = loadOfWait(lossThere(z.meanLoad, z.Slots)+s.cost(to, w), home.Slots/float64(max(home.Upstreams, 1)))
 		switch {
 		case expectedWait(home.meanLoad, home.Slots) <= z.startFactor()*s.cost(to, w):
-			z.approach(now, 0, ReasonRoom)
+			z.approach(now, 0, shareHalfLife, ReasonRoom)
 		case z.unansweredFor(now) > max(MaxReportAge, missingFactor*w.Duration):
 			z.open(ReasonNoReport)
 		case z.unansweredFor(now) > keepFactor*w.Duration && !z.share.Unlimited():
@@ -189,7 +195,11 @@
 			staying -= z.share.limited() * demand
 		}
 	}
-	part := demand / fillSteps
+	part, halfLife := demand/fillSteps, shareHalfLife
+	if home.Slots > steadySlots {
+		part = demand / (stepsASlot * home.Slots)
+		halfLife = time.Duration(slowdownPerSize * home.Slots / steadySlots * float64(shareHalfLife))
+	}
 	for staying > (1-maxShare)*demand+part/2 {
 		best, least := -1, expectedWait(staying, home.Slots)
 		for i, name := range to {
@@ -209,14 +219,14 @@
 		if flows[i] == 0 {
 			reason = ReasonCost
 		}
-		v.zones[name].approach(now, flows[i]/demand, reason)
+		v.zones[name].approach(now, flows[i]/demand, halfLife, reason)
 	}
 }
 
-// approach moves the share towards a target. It starts from 0 if the share was not limited.
-func (z *zoneState) approach(now time.Duration, target float64, r Reason) {
+// approach moves the share towards a target with a half-life. It starts from 0 if the share was not limited.
+func (z *zoneState) approach(now time.Duration, target float64, halfLife time.Duration, r Reason) {
 	fraction := z.share.limited()
-	fraction += (target - fraction) * covered(now-z.movedAt, shareHalfLife)
+	fraction += (target - fraction) * covered(now-z.movedAt, halfLife)
 	if target < minShare && fraction < minShare {
 		fraction = 0
 	}
