Never serve metrics that are older than the request

The document of the metrics was reused for 0.1 s, so that one built before the process was ready was read after it.

Documents are built one at a time, and a request gets one that was begun after it arrived. Many requests at once still share a build.

--- a/service/adminhttp/adminhttp.go
+++ b/service/adminhttp/adminhttp.go
@@ -23,10 +23,6 @@
 	// idleTimeout is longer than the interval at which metrics are usually read.
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 16 << 10
-	// metricsAge is the time for which the document of the metrics is reused. Built for each
-	// request, it made the memory of a process that clients flood with requests exceed its
-	// limit, since garbage was made faster than it was collected.
-	metricsAge = 100 * time.Millisecond
 )
 
 type exporter interface{ JSON() string }
@@ -43,19 +39,23 @@
 	documents   documents
 }
 
-// documents reuses the document of the metrics for metricsAge.
+// documents builds the document of the metrics, one at a time and once for all requests that
+// wait for it. Built for each request at once, it made the memory of a process that clients
+// flood with requests exceed its limit, since garbage was made faster than it was collected.
 type documents struct {
-	mu      sync.Mutex
-	last    []byte
-	builtAt time.Time
+	mu   sync.Mutex
+	last []byte
+	// startedAt is when the last one began to be built.
+	startedAt time.Time
 }
 
-// get returns the document, which build makes. It must not be changed.
-func (d *documents) get(now time.Time, build func() string) []byte {
+// get returns a document that was begun after a request arrived. It must not be changed.
+func (d *documents) get(arrivedAt time.Time, build func() string) []byte {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.last == nil || now.Sub(d.builtAt) >= metricsAge {
-		d.last, d.builtAt = []byte(build()), now
+	if d.last == nil || d.startedAt.Before(arrivedAt) {
+		d.startedAt = time.Now()
+		d.last = []byte(build())
 	}
 	return d.last
 }
