--- a/service/adminhttp/adminhttp.go
+++ b/service/adminhttp/adminhttp.go
@@ -23,6 +23,8 @@
 	// idleTimeout is longer than the interval at which metrics are usually read.
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 16 << 10
+	// buildInterval is the least time between two builds of the document of the metrics.
+	buildInterval = 20 * time.Millisecond
 )
 
 type exporter interface{ JSON() string }
@@ -39,8 +41,8 @@
 	documents   documents
 }
 
-// documents builds the document of the metrics, one at a time and once for all requests that
-// wait for it. Built for each request at once, it made the memory of a process that clients
+// documents builds the document of the metrics, one in buildInterval and once for all requests
+// that wait for it. Built for each request at once, it made the memory of a process that clients
 // flood with requests exceed its limit, since garbage was made faster than it was collected.
 type documents struct {
 	mu   sync.Mutex
@@ -54,6 +56,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.last == nil || d.startedAt.Before(arrivedAt) {
+		time.Sleep(time.Until(d.startedAt.Add(buildInterval)))
 		d.startedAt = time.Now()
 		d.last = []byte(build())
 	}
