--- a/decide/balance/group.go
+++ b/decide/balance/group.go
@@ -127,7 +127,7 @@
 			model := s.passModel(u.instance.Service)
 			g.observe(l, measured, model, u.instance.Slots, s.maxPauses[u.instance.Service])
 			g.complete(l.ReadAt, &measured, model)
-			steady.PassTime = time.Duration(g.slowdown * float64(model.PassTime(max(1, fullest))))
+			steady.PassTime = g.meanPassTime(model, fullest)
 		}
 		pace := max(rank.Pace, 1) / usual
 		limit := s.batchLimit(u.instance, measured, pace)
--- a/decide/balance/uneven.go
+++ b/decide/balance/uneven.go
@@ -29,7 +29,7 @@
 	// that time while the duration is not known.
 	fillFactor  = 2
 	unknownFill = 2 * time.Second
-	// onePlace is a place, less the rounding errors of a sum of places.
+	// roundingError bounds those of a sum of places, and onePlace is a place less these.
 	roundingError = 1e-6
 	onePlace      = 1 - roundingError
 )
@@ -127,10 +127,16 @@
 	case measured.PassTime > 0:
 		g.passAt = readAt
 	case g.slowdown > 0 && readAt-g.passAt < leaderMemory:
-		measured.PassTime = time.Duration(g.slowdown * float64(model.PassTime(max(1, measured.Fullest))))
+		measured.PassTime = g.meanPassTime(model, measured.Fullest)
 	}
 }
 
+// meanPassTime returns the time of a pass with a number of requests on the fullest rank, by the
+// mean slowdown, 0 if that is unknown.
+func (g *group) meanPassTime(model batchlimit.Model, fullest int) time.Duration {
+	return time.Duration(g.slowdown * float64(model.PassTime(max(1, fullest))))
+}
+
 // suspect records the failure of an attempt at a rank of the group.
 func (g *group) suspect(now time.Duration, f *api.Failure) {
 	if f.Code == api.CodeUpstreamUnreached || f.Code == api.CodeUpstreamFailed {
--- a/decide/balance/zones.go
+++ b/decide/balance/zones.go
@@ -127,7 +127,7 @@
 	if s.staysInGroup(now, room.ranks[below[0]]) {
 		list, random = s.preferHome(room, below, level, random)
 	}
-	return list[min(int(random*float64(len(list))), len(list)-1)]
+	return waterfill.Draw(list, random)
 }
 
 // preferHome returns those of the candidates below the level that a request goes to, and
--- a/decide/rankview/passes.go
+++ b/decide/rankview/passes.go
@@ -21,12 +21,8 @@
 // Observe adds a snapshot and returns the mean time of the passes in passWindow, 0 if it
 // is unknown. An idle group makes no passes.
 func (m *PassMeter) Observe(now time.Duration, s Snapshot) time.Duration {
-	step, requests := uint64(0), 0
-	for _, r := range s.Reports {
-		step = max(step, r.Step)
-		requests += r.Running
-	}
-	if requests == 0 {
+	step, running, _ := s.progress()
+	if running == 0 {
 		m.samples = nil
 		return 0
 	}
--- a/decide/rankview/rankview.go
+++ b/decide/rankview/rankview.go
@@ -96,6 +96,17 @@
 	Complete bool
 }
 
+// progress returns the last pass that a rank has begun, and the numbers of requests that run
+// and wait.
+func (s Snapshot) progress() (step uint64, running, waiting int) {
+	for _, r := range s.Reports {
+		step = max(step, r.Step)
+		running += r.Running
+		waiting += r.Waiting
+	}
+	return step, running, waiting
+}
+
 // Snapshot returns the reports that are at most maxAge old.
 func (s *State) Snapshot(now, maxAge time.Duration) Snapshot {
 	snapshot := Snapshot{Reports: make([]api.RankReport, len(s.members)), StartedAt: now, AsOf: now, Complete: true}
--- a/decide/rankview/stallmeter.go
+++ b/decide/rankview/stallmeter.go
@@ -28,12 +28,8 @@
 // Observe adds a snapshot and reports whether the group has stalled. passTime is the time of a
 // pass, 0 if it is unknown.
 func (m *StallMeter) Observe(now time.Duration, s Snapshot, passTime time.Duration) bool {
-	step, requests := uint64(0), 0
-	for _, r := range s.Reports {
-		step = max(step, r.Step)
-		requests += r.Running + r.Waiting
-	}
-	if requests == 0 || step > m.step || m.advancedAt == 0 {
+	step, running, waiting := s.progress()
+	if running+waiting == 0 || step > m.step || m.advancedAt == 0 {
 		m.step, m.advancedAt, m.passTime = step, now, passTime
 		return false
 	}
--- a/decide/waterfill/waterfill.go
+++ b/decide/waterfill/waterfill.go
@@ -40,21 +40,26 @@
 // not contain yet. random is a uniform random number in [0, 1).
 func Choose(candidates []Candidate, arrivals, random float64) int {
 	below, _ := Below(candidates, arrivals)
-	if len(below) == 0 {
+	return Draw(below, random)
+}
+
+// Draw returns one of the indices with equal odds, or Refused if there is none. random is a
+// uniform random number in [0, 1), up to a rounding error.
+func Draw(indices []int, random float64) int {
+	if len(indices) == 0 {
 		return Refused
 	}
-	return below[int(random*float64(len(below)))]
+	return indices[min(int(random*float64(len(indices))), len(indices)-1)]
 }
 
 // Below returns the indices of the candidates among which Choose chooses, and the level to
 // which the expected requests raise the lowest loads. It returns none if some of the requests
 // have no room.
 func Below(candidates []Candidate, arrivals float64) (below []int, level float64) {
-	arrivals = max(arrivals, 1)
-	if roomOf(candidates) < arrivals-tolerance {
+	level, ok := levelOf(candidates, arrivals)
+	if !ok {
 		return nil, 0
 	}
-	level = fillLevel(candidates, arrivals)
 	for i, c := range candidates {
 		if c.Load < min(c.Capacity, level) {
 			below = append(below, i)
@@ -68,11 +73,10 @@
 // loads to the same level, where Choose sends as many to those just below it as to the lowest.
 // The result uses the storage of buffer if that is large enough.
 func Depths(buffer []float64, candidates []Candidate, arrivals float64) []float64 {
-	arrivals = max(arrivals, 1)
-	if roomOf(candidates) < arrivals-tolerance {
+	level, ok := levelOf(candidates, arrivals)
+	if !ok {
 		return nil
 	}
-	level := fillLevel(candidates, arrivals)
 	depths := slices.Grow(buffer[:0], len(candidates))
 	for _, c := range candidates {
 		depths = append(depths, max(min(c.Capacity, level)-c.Load, 0))
@@ -80,12 +84,18 @@
 	return depths
 }
 
-func roomOf(candidates []Candidate) float64 {
+// levelOf returns the level to which the arrivals, at least one, raise the lowest loads. ok is
+// false if some of them have no room.
+func levelOf(candidates []Candidate, arrivals float64) (level float64, ok bool) {
+	arrivals = max(arrivals, 1)
 	room := 0.0
 	for _, c := range candidates {
 		room += c.room()
 	}
-	return room
+	if room < arrivals-tolerance {
+		return 0, false
+	}
+	return fillLevel(candidates, arrivals), true
 }
 
 // fillLevel returns the level to which the loads below it rise if arrivals are added to
