--- a/decide/connbudget/connbudget.go
+++ b/decide/connbudget/connbudget.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/bodybudget"
 )
 
@@ -72,7 +73,7 @@
 	limits    Limits
 	bytes     *bodybudget.State
 	listeners map[string]*listener
-	times     map[string]TimeLimits
+	times     map[string]api.TimeLimits
 	conns     map[uint64]*connection
 	sources   map[string]int
 	open      int
@@ -84,7 +85,7 @@
 		limits:    l,
 		bytes:     bodybudget.New(l.Bytes),
 		listeners: make(map[string]*listener),
-		times:     make(map[string]TimeLimits),
+		times:     make(map[string]api.TimeLimits),
 		conns:     map[uint64]*connection{NoConnection: {reading: Reading{Phase: Serving}}},
 		sources:   make(map[string]int),
 	}
--- a/decide/connbudget/connbudget_test.go
+++ b/decide/connbudget/connbudget_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/connbudget"
 )
 
@@ -212,7 +213,7 @@
 		t.Errorf("%v expired without a limit", found)
 	}
 	set := func(head, idle time.Duration) bool {
-		return s.SetTimeLimits("http", connbudget.TimeLimits{Head: head, Idle: idle})
+		return s.SetTimeLimits("http", api.TimeLimits{Head: head, Idle: idle})
 	}
 	for range 2 {
 		if set(3*time.Second, 15*time.Second) {
--- a/decide/connbudget/times.go
+++ b/decide/connbudget/times.go
@@ -4,19 +4,13 @@
 	"cmp"
 	"slices"
 	"time"
-)
 
-// TimeLimits bound how long a connection of a listener waits for its client, also while there
-// is room. 0 stands for no bound.
-type TimeLimits struct {
-	// Head is the time from the first byte of a request to the end of its head, Idle the time
-	// without a request.
-	Head, Idle time.Duration
-}
+	"github.com/mulberryfork/mulberryfork/api"
+)
 
-// SetTimeLimits sets the limits of a listener, also for connections that are open. It reports
-// whether they differ from the previous ones.
-func (s *State) SetTimeLimits(name string, l TimeLimits) (changed bool) {
+// SetTimeLimits sets the limits of a listener, also for connections that are open and while
+// there is room. It reports whether they differ from the previous ones.
+func (s *State) SetTimeLimits(name string, l api.TimeLimits) (changed bool) {
 	before, known := s.times[name]
 	s.times[name] = l
 	return known && before != l
--- a/service/connections/connections.go
+++ b/service/connections/connections.go
@@ -121,7 +121,7 @@
 // SetTimeLimits sets the time limits of a listener. It must be called on the control loop or
 // before it starts.
 func (s *service) SetTimeLimits(listener string, l api.TimeLimits) {
-	if !s.state.SetTimeLimits(listener, connbudget.TimeLimits(l)) {
+	if !s.state.SetTimeLimits(listener, l) {
 		return
 	}
 	s.log.Change("time limits of connections changed", api.Fields{
