Do less for each waiting request

The next expiry, which is looked up whenever a request begins to wait and with each load, collected all waiting requests in a list first; the requests of a member were counted twice for each one added; and a call was described twice on its way into the queue. No change of behaviour.

--- a/decide/urgency/bounds.go
+++ b/decide/urgency/bounds.go
@@ -1,6 +1,7 @@
 package urgency
 
 import (
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -17,8 +18,9 @@
 	l.forget(now)
 	t := l.turnOf(r.Member)
 	bound := s.maxWaiting(room)
-	if s.waiting >= bound || s.waitingOf(r.Member) >= (bound+1)/2 {
-		if displaced = s.last(r, s.waitingOf(r.Member) >= (bound+1)/2); displaced == nil {
+	memberFull := s.waitingOf(r.Member) >= (bound+1)/2
+	if s.waiting >= bound || memberFull {
+		if displaced = s.last(r, memberFull); displaced == nil {
 			return nil, nil
 		}
 	}
@@ -115,39 +117,45 @@
 
 // Expired returns the requests that can't be served anymore. They must be refused.
 func (s *State) Expired(now time.Duration) []*Waiter {
-	return s.collect(func(w *Waiter) bool { return w.leaveAt <= now })
+	var list []*Waiter
+	for w := range s.waiters() {
+		if w.leaveAt <= now {
+			list = append(list, w)
+		}
+	}
+	return list
 }
 
 // All returns all waiting requests, the most urgent ones first.
-func (s *State) All() []*Waiter {
-	return s.collect(func(*Waiter) bool { return true })
-}
+func (s *State) All() []*Waiter { return slices.Collect(s.waiters()) }
 
 // NextExpiry returns the time at which the next waiting request expires. It is only
 // meaningful if there is one.
 func (s *State) NextExpiry() time.Duration {
 	next := time.Duration(math.MaxInt64)
-	for _, w := range s.All() {
+	for w := range s.waiters() {
 		next = min(next, w.leaveAt)
 	}
 	return next
 }
 
-func (s *State) collect(want func(*Waiter) bool) []*Waiter {
-	var list []*Waiter
-	if s.waiting == 0 {
-		return nil
-	}
-	for _, l := range s.levels {
-		for _, t := range l.turns {
-			for _, queue := range [][]*Waiter{t.inTime, t.late} {
-				for _, w := range queue {
-					if want(w) {
-						list = append(list, w)
+// waiters yields all waiting requests, the most urgent ones first. None may be added or removed
+// meanwhile.
+func (s *State) waiters() iter.Seq[*Waiter] {
+	return func(yield func(*Waiter) bool) {
+		if s.waiting == 0 {
+			return
+		}
+		for _, l := range s.levels {
+			for _, t := range l.turns {
+				for _, queue := range [][]*Waiter{t.inTime, t.late} {
+					for _, w := range queue {
+						if !yield(w) {
+							return
+						}
 					}
 				}
 			}
 		}
 	}
-	return list
 }
--- a/service/balance/waiting.go
+++ b/service/balance/waiting.go
@@ -120,13 +120,12 @@
 		s.answer(now, c, balance.Choice{}, stoppingFailure())
 		return
 	}
-	s.enqueue(now, c, l, room)
+	s.enqueue(now, c, l, request, room)
 }
 
 // enqueue lets a call wait. It is refused at once if it can't be served while waiting serves
 // its caller.
-func (s *service) enqueue(now time.Duration, c call, l *waitQueue, room balance.Room) {
-	request := s.requestOf(c.Query, room)
+func (s *service) enqueue(now time.Duration, c call, l *waitQueue, request urgency.Request, room balance.Room) {
 	w, displaced := l.Add(now, request, capacityOf(room))
 	if displaced != nil {
 		s.waits.displaced.Add(1)
