--- a/service/work/schedule.go
+++ b/service/work/schedule.go
@@ -57,9 +57,9 @@
 	}
 }
 
-// recheck checks again whether a dequeued order may start and can meet its deadline. If its request became a
-// suspect while it was queued, the order is added to the isolation queue and isolate
-// is true.
+// recheck checks again whether a dequeued order may start and can meet its deadline. If its
+// request became a suspect while it was queued, the order is added to the isolation queue and
+// isolate is true.
 func (c *control) recheck(now time.Duration, p *pendingOrder) (isolate bool, f *api.Failure) {
 	o := p.order
 	if f := c.checkOrder(o); f != nil {
