Start the processes of tests in one place

Four tests read settings, changed the registry and started an edge or a side process by the same lines, three wrote the settings of a side process, and both commands' crowds took the lock and built the program alike. The crowds, the bounds and all assertions are as before. Servers of the side tests are closed after the process, as they were.

--- a/cmd/mulberryfork-platform/crowd_test.go
+++ b/cmd/mulberryfork-platform/crowd_test.go
@@ -57,15 +57,11 @@
 
 func newCrowdFixture(t *testing.T) *crowdFixture {
 	t.Helper()
-	done, err := crowd.Alone()
+	program, done, err := crowd.BuildAlone(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(done)
-	program, err := crowd.Build(t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
 	store := platformstore.New()
 	storeServer := httptest.NewServer(store)
 	t.Cleanup(storeServer.Close)
@@ -125,7 +121,7 @@
 
 func (f *crowdFixture) startEdge(descriptors int) *crowd.Process {
 	f.t.Helper()
-	text := edgeSettings("crowd", f.store, "", 200) + fmt.Sprintf("memory_mb = %d\n[limits]\nstall_time = %q\n[log]\nformat = \"json\"\n", crowdMemoryMB, crowdStallTime)
+	text := edgeSettings("crowd", f.store, "", 200) + crowdSettings()
 	p := f.start("edge", text, descriptors)
 	if !waitFor(func() bool { return status("http://"+p.Addresses["ready"]+"/-/readiness") == http.StatusOK }) {
 		f.t.Fatalf("the edge is not ready: %s", p.Output())
@@ -135,22 +131,13 @@
 
 func (f *crowdFixture) startSide(descriptors int) *crowd.Process {
 	f.t.Helper()
-	return f.start("side", fmt.Sprintf(`node = "side"
-zone = "z"
-[listen]
-link = "127.0.0.1:0"
-admin = "127.0.0.1:0"
-[edge]
-store = %q
-worker = "127.0.0.1:1"
-service = "svc"
-poll = "1s"
-memory_mb = %d
-[limits]
-stall_time = %q
-[log]
-format = "json"
-`, f.store, crowdMemoryMB, crowdStallTime), descriptors)
+	text := sideSettings(f.store, "127.0.0.1:1", "1s") + crowdSettings()
+	return f.start("side", text, descriptors)
+}
+
+// crowdSettings returns the settings of both roles that follow those of their last table.
+func crowdSettings() string {
+	return fmt.Sprintf("memory_mb = %d\n[limits]\nstall_time = %q\n[log]\nformat = \"json\"\n", crowdMemoryMB, crowdStallTime)
 }
 
 // status returns the status of a GET request on a connection of its own, 0 without a response.
--- a/cmd/mulberryfork-platform/fixture_test.go
+++ b/cmd/mulberryfork-platform/fixture_test.go
@@ -100,7 +100,14 @@
 // startEdge starts an edge process with the text of a settings file.
 func startEdge(t *testing.T, text string) *daemon.Process {
 	t.Helper()
-	loaded, problems := settings.Read("test", []byte(text), settings.Edge)
+	return startProcess(t, settings.Edge, text, edgeServices, func(*kernel.Registry) error { return nil })
+}
+
+// startProcess starts some services of a role with the text of a settings file. change changes
+// the registry before. The process is stopped at the end of the test.
+func startProcess(t testing.TB, role settings.Role, text string, services []string, change func(*kernel.Registry) error) *daemon.Process {
+	t.Helper()
+	loaded, problems := settings.Read("test", []byte(text), role)
 	if problems != nil {
 		t.Fatal(problems)
 	}
@@ -108,7 +115,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	process, err := daemon.StartWith(t.Context(), r, edgeServices, loaded, &log.Output{Writer: io.Discard})
+	if err := change(r); err != nil {
+		t.Fatal(err)
+	}
+	process, err := daemon.StartWith(t.Context(), r, services, loaded, &log.Output{Writer: io.Discard})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -116,6 +126,22 @@
 	return process
 }
 
+// sideSettings returns the settings of a side process. The text of further keys of its last
+// table can be appended.
+func sideSettings(store, worker, poll string) string {
+	return fmt.Sprintf(`node = "side"
+zone = "z"
+[listen]
+link = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+[edge]
+store = %q
+worker = %q
+service = "svc"
+poll = %q
+`, store, worker, poll)
+}
+
 func (f *fixture) address(id string) string { return f.addresses[id] }
 
 func (f *fixture) register(id, address, state string) {
--- a/cmd/mulberryfork-platform/relay_test.go
+++ b/cmd/mulberryfork-platform/relay_test.go
@@ -14,11 +14,9 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
-	"github.com/mulberryfork/mulberryfork/daemon"
 	"github.com/mulberryfork/mulberryfork/decide/settings"
 	"github.com/mulberryfork/mulberryfork/kernel"
 	"github.com/mulberryfork/mulberryfork/kernel/guard"
-	"github.com/mulberryfork/mulberryfork/service/log"
 	"github.com/mulberryfork/mulberryfork/standin/platformstore"
 	"github.com/mulberryfork/mulberryfork/standin/platformworker"
 )
@@ -120,24 +118,13 @@
 	store.Put("servers/w1", fmt.Appendf(nil, `{"service":"svc","address":%q,"availabilityZone":"z","version":"v1",
 "capacitySlots":10000,"lifecycleState":"available","coldRemainingMs":0,"sequenceNumber":1}`, worker.Listener.Addr()))
 	store.Put("op/config", fmt.Appendf(nil, configFormat, 1, 1))
-	loaded, problems := settings.Read("test", []byte(edgeSettings("n", storeServer.Listener.Addr().String(), "", 200)), settings.Edge)
-	if problems != nil {
-		b.Fatal(problems)
-	}
-	r, err := registry()
-	if err != nil {
-		b.Fatal(err)
-	}
-	if !accounted {
-		if err := r.Replace(api.ServiceConnections, func() any { return unaccounted{} }); err != nil {
-			b.Fatal(err)
+	text := edgeSettings("n", storeServer.Listener.Addr().String(), "", 200)
+	process := startProcess(b, settings.Edge, text, edgeServices, func(r *kernel.Registry) error {
+		if accounted {
+			return nil
 		}
-	}
-	process, err := daemon.StartWith(b.Context(), r, edgeServices, loaded, &log.Output{Writer: io.Discard})
-	if err != nil {
-		b.Fatal(err)
-	}
-	b.Cleanup(func() { _ = process.Stop(context.Background()) })
+		return r.Replace(api.ServiceConnections, func() any { return unaccounted{} })
+	})
 	ready, err := kernel.Find[interface{ ProcessReady() error }](process.Host, api.ServiceAdminHTTP)
 	if err != nil {
 		b.Fatal(err)
--- a/cmd/mulberryfork-platform/side_test.go
+++ b/cmd/mulberryfork-platform/side_test.go
@@ -1,19 +1,15 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
 	"github.com/mulberryfork/mulberryfork/api"
-	"github.com/mulberryfork/mulberryfork/daemon"
 	"github.com/mulberryfork/mulberryfork/decide/settings"
 	"github.com/mulberryfork/mulberryfork/kernel"
-	"github.com/mulberryfork/mulberryfork/service/log"
 	"github.com/mulberryfork/mulberryfork/standin/platformstore"
 )
 
@@ -25,33 +21,10 @@
 func TestPollingSkipsConfiguration(t *testing.T) {
 	store := platformstore.New()
 	server := httptest.NewServer(store)
-	defer server.Close()
-	text := fmt.Sprintf(`node = "n"
-zone = "z"
-[listen]
-link = "127.0.0.1:0"
-admin = "127.0.0.1:0"
-[edge]
-store = %q
-worker = "127.0.0.1:1"
-service = "svc"
-poll = "10ms"
-config_poll = "1h"
-`, server.Listener.Addr())
-	loaded, problems := settings.Read("test", []byte(text), settings.Side)
-	if problems != nil {
-		t.Fatal(problems)
-	}
-	r, err := registry()
-	if err != nil {
-		t.Fatal(err)
-	}
+	t.Cleanup(server.Close)
+	text := sideSettings(server.Listener.Addr().String(), "127.0.0.1:1", "10ms") + "config_poll = \"1h\"\n"
 	services := []string{api.ServiceLog, api.ServiceMetrics, api.ServiceDiscovery, api.ServicePlatformStore}
-	process, err := daemon.StartWith(t.Context(), r, services, loaded, &log.Output{Writer: io.Discard})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = process.Stop(context.Background()) }()
+	process := startProcess(t, settings.Side, text, services, func(*kernel.Registry) error { return nil })
 	awaitListReads := func(n int) {
 		before := store.ListCalls("servers/")
 		if !waitFor(func() bool { return store.ListCalls("servers/") >= before+n }) {
@@ -79,7 +52,7 @@
 func TestRankOutsideOfGroupDoesNotEndSideProcess(t *testing.T) {
 	store := platformstore.New()
 	storeServer := httptest.NewServer(store)
-	defer storeServer.Close()
+	t.Cleanup(storeServer.Close)
 	store.Put("op/config", fmt.Appendf(nil, configFormat, 1, 1))
 	// The rank equals the size of the group in the first reports.
 	const size, outsideReports = 3, 10
@@ -91,31 +64,9 @@
 		}
 		fmt.Fprintf(w, `{"group":{"name":"g","epoch":1,"rank":%d,"lifecycleState":"open"},"size":%d,"step":1,"pace":1}`, rank, size)
 	}))
-	defer engine.Close()
-	loaded, problems := settings.Read("test", fmt.Appendf(nil, `node = "n"
-zone = "z"
-[listen]
-link = "127.0.0.1:0"
-admin = "127.0.0.1:0"
-[edge]
-store = %q
-worker = %q
-service = "svc"
-poll = "10ms"
-config_poll = "10ms"
-`, storeServer.Listener.Addr(), engine.Listener.Addr()), settings.Side)
-	if problems != nil {
-		t.Fatal(problems)
-	}
-	r, err := registry()
-	if err != nil {
-		t.Fatal(err)
-	}
-	process, err := daemon.StartWith(t.Context(), r, sideServices, loaded, &log.Output{Writer: io.Discard})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = process.Stop(context.Background()) }()
+	t.Cleanup(engine.Close)
+	text := sideSettings(storeServer.Listener.Addr().String(), engine.Listener.Addr().String(), "10ms") + "config_poll = \"10ms\"\n"
+	startProcess(t, settings.Side, text, sideServices, func(*kernel.Registry) error { return nil })
 	if !waitFor(func() bool { return reports.Load() >= 2*outsideReports }) {
 		t.Errorf("%d reports were read, want the sound ones after the first %d", reports.Load(), outsideReports)
 	}
--- a/cmd/mulberryfork/crowd_test.go
+++ b/cmd/mulberryfork/crowd_test.go
@@ -153,15 +153,11 @@
 // Guards against connections that make a router or an agent exceed its memory or use up its
 // descriptors, or that keep ordinary callers out.
 func TestCrowdAtRouterAndAgent(t *testing.T) {
-	done, err := crowd.Alone()
+	program, done, err := crowd.BuildAlone(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(done)
-	program, err := crowd.Build(t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
 	const callerHead = "Host: h\r\nAuthorization: Bearer " + crowdToken + "\r\n"
 	target := crowd.Target{Path: "/services/booking/visits", Head: callerHead, BodyBytes: crowdBodyBytes}
 	admin := crowd.Part(crowd.Connections("/debug/vars", "Host: h\r\n"), 2)
--- a/standin/crowd/process.go
+++ b/standin/crowd/process.go
@@ -65,9 +65,22 @@
 // lockName is the file by which the tests of several packages wait for each other.
 const lockName = "mulberryfork-crowd.lock"
 
-// Alone waits until no other test with a crowd runs on the machine. The returned function lets
+// BuildAlone waits until no other test with a crowd runs on the machine, and builds the main
+// package in the current folder. done lets the next one run.
+func BuildAlone(folder string) (program string, done func(), err error) {
+	if done, err = alone(); err != nil {
+		return "", nil, err
+	}
+	if program, err = build(folder); err != nil {
+		done()
+		return "", nil, err
+	}
+	return program, done, nil
+}
+
+// alone waits until no other test with a crowd runs on the machine. The returned function lets
 // the next one run. Two crowds at a time take the processor from each other's processes.
-func Alone() (done func(), err error) {
+func alone() (done func(), err error) {
 	file, err := os.OpenFile(filepath.Join(os.TempDir(), lockName), os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
 		return nil, err
@@ -79,8 +92,8 @@
 	return func() { _ = file.Close() }, nil
 }
 
-// Build builds the main package in the current folder.
-func Build(folder string) (program string, err error) {
+// build builds the main package in the current folder.
+func build(folder string) (program string, err error) {
 	program = filepath.Join(folder, "program")
 	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
 		return "", &StartError{Output: string(out), Err: err}
