review: case 6 checks the rule with its own figures

The rule on processes that end by themselves counts three ends on two machines at least. The case now runs two edges, which are started again as the platform does, and shares its parts with the other cases in review/stage.

--- a/review/stage/process.go
+++ b/review/stage/process.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -12,6 +13,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -34,16 +36,29 @@
 	Name, Zone, Store string
 	// MemoryMB is the limit above which the platform kills the process.
 	MemoryMB, Descriptors int
-	// Seeds are the addresses of other edges, Link that of this one. Link is chosen if it
-	// is empty.
-	Seeds []string
-	Link  string
+	// Addresses are those of the edge, free ones if they are empty. Seeds are the
+	// `seedNodes`, the edge alone if there are none.
+	Addresses Addresses
+	Seeds     []string
+}
+
+// Addresses are those of an edge: the frontend, the readiness check, that for other edges, and
+// the ends of the internal range of ports.
+type Addresses struct{ Front, Ready, Link, FirstPort, LastPort string }
+
+// FreeAddresses returns free addresses for an edge.
+func FreeAddresses() (a Addresses, err error) {
+	for _, address := range []*string{&a.Front, &a.Ready, &a.Link, &a.FirstPort, &a.LastPort} {
+		if *address, err = FreeAddress(); err != nil {
+			return a, err
+		}
+	}
+	return a, nil
 }
 
 // Edge is a running edge process.
 type Edge struct {
-	// Front, Ready and Link are its addresses.
-	Front, Ready, Link string
+	Addresses
 
 	command *exec.Cmd
 	exited  chan struct{}
@@ -53,14 +68,33 @@
 	killed atomic.Bool
 }
 
-// FreeAddress returns a loopback address with a free port.
+// firstPort and ports are a range below that from which the system takes the ports of outgoing
+// connections: those could take a port before the edge listens there.
+const firstPort, ports = 20_000, 12_000
+
+// chosen holds the ports that FreeAddress has returned.
+var chosen sync.Map
+
+// NoPortError reports that no port was free.
+type NoPortError struct{}
+
+func (*NoPortError) Error() string { return "no port is free" }
+
+// FreeAddress returns a loopback address with a free port, another one each time.
 func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range ports {
+		port := firstPort + rand.IntN(ports)
+		if _, taken := chosen.LoadOrStore(port, true); taken {
+			continue
+		}
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err != nil {
+			continue
+		}
+		defer func() { _ = l.Close() }()
+		return l.Addr().String(), nil
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", &NoPortError{}
 }
 
 // role returns the command and the settings template of a role in the deploy file.
@@ -92,14 +126,15 @@
 	if err != nil {
 		return nil, err
 	}
-	var addresses [5]string
-	for i := range addresses {
-		if addresses[i], err = FreeAddress(); err != nil {
+	addresses := o.Addresses
+	if addresses == (Addresses{}) {
+		if addresses, err = FreeAddresses(); err != nil {
 			return nil, err
 		}
 	}
-	if o.Link != "" {
-		addresses[2] = o.Link
+	seeds := o.Seeds
+	if len(seeds) == 0 {
+		seeds = []string{addresses.Link}
 	}
 	port := func(address string) any {
 		_, text, _ := net.SplitHostPort(address)
@@ -108,9 +143,9 @@
 	}
 	text, err := render(template, map[string]any{
 		"nodeName": o.Name, "availabilityZone": o.Zone, "ipAddress": "127.0.0.1",
-		"listenAddresses":   map[string]any{"frontendAddress": addresses[0], "ready": addresses[1], "controlPlane": addresses[2]},
-		"internalPortRange": map[string]any{"0": port(addresses[3]), "1": port(addresses[4])},
-		"seedNodes":         append([]string{addresses[2]}, o.Seeds...),
+		"listenAddresses":   map[string]any{"frontendAddress": addresses.Front, "ready": addresses.Ready, "controlPlane": addresses.Link},
+		"internalPortRange": map[string]any{"0": port(addresses.FirstPort), "1": port(addresses.LastPort)},
+		"seedNodes":         seeds,
 		"platform":          map[string]any{"address": o.Store},
 		"limits":            map[string]any{"memoryLimitMb": o.MemoryMB, "fileDescriptors": o.Descriptors},
 		"protocolBounds": map[string]any{
@@ -130,7 +165,7 @@
 		return nil, err
 	}
 	defer func() { _ = log.Close() }()
-	e := &Edge{Front: addresses[0], Ready: addresses[1], Link: addresses[2], exited: make(chan struct{})}
+	e := &Edge{Addresses: addresses, exited: make(chan struct{})}
 	e.command = exec.Command(run[0], run[1:]...)
 	e.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + folder, "MULBERRYFORK_BOOT=" + settings}
 	e.command.Stdout, e.command.Stderr = log, log
--- a/review/stage/worker.go
+++ b/review/stage/worker.go
@@ -27,6 +27,8 @@
 	Respond func(w http.ResponseWriter, r *http.Request) bool
 	// OnRun is called when a request begins to run.
 	OnRun func(id string)
+	// OnArrival is called when a request for this worker has arrived.
+	OnArrival func(id string)
 
 	address string
 	server  *http.Server
@@ -42,10 +44,14 @@
 	if err != nil {
 		return err
 	}
+	w.serve(listener)
+	return nil
+}
+
+func (w *Worker) serve(listener net.Listener) {
 	w.address, w.slots, w.runs = listener.Addr().String(), make(chan struct{}, w.Slots), make(map[string]int)
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
 	go func() { _ = w.server.Serve(listener) }()
-	return nil
 }
 
 // Stop ends the worker.
@@ -86,6 +92,9 @@
 	if err != nil {
 		return
 	}
+	if w.OnArrival != nil {
+		w.OnArrival(id)
+	}
 	deadline := time.Minute
 	if ms, err := strconv.Atoi(r.Header.Get("X-Mulberryfork-Deadline-Remaining")); err == nil {
 		deadline = time.Duration(ms) * time.Millisecond
@@ -163,3 +172,63 @@
 	p.Put(key, data)
 	return nil
 }
+
+// Host runs a worker that a request may crash. Another incarnation with a new identifier
+// follows at the same address.
+type Host struct {
+	// New returns the worker of an incarnation, which isn't started.
+	New func(incarnation int) *Worker
+	// RestartDelay is the time from a crash to the next incarnation.
+	RestartDelay time.Duration
+	Platform     *Platform
+
+	mu          sync.Mutex
+	worker      *Worker
+	incarnation int
+	stopped     bool
+}
+
+// Start starts the first incarnation on a free port.
+func (h *Host) Start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.start("127.0.0.1:0")
+}
+
+func (h *Host) start(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	h.incarnation++
+	h.worker = h.New(h.incarnation)
+	h.worker.serve(listener)
+	h.worker.Register(h.Platform.Store)
+	return nil
+}
+
+// Crash ends the incarnation with all its connections. The entry stays until the next one
+// starts.
+func (h *Host) Crash() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	crashed := h.worker
+	crashed.Stop()
+	time.AfterFunc(h.RestartDelay, func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.stopped {
+			return
+		}
+		h.Platform.DeleteUpstream(crashed.ID)
+		_ = h.start(crashed.address)
+	})
+}
+
+// Stop ends the worker for good.
+func (h *Host) Stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopped = true
+	h.worker.Stop()
+}
