--- a/review/10/main.go
+++ b/review/found-2/main.go
@@ -1,4 +1,4 @@
-// Command 10 sends a request that crashes the workers that run it to edges whose seeds are down,
+// Command found-2 sends a request that crashes the workers that run it to edges whose seeds are down,
 // and counts how often it reaches workers.
 package main
 
@@ -30,7 +30,7 @@
 	calm = 5 * time.Second
 )
 
-func main() { os.Exit(stage.Run("review/10", run)) }
+func main() { os.Exit(stage.Run("review/found-2", run)) }
 
 func run(d *stage.Deployment) (int, error) {
 	harm := &stage.Harm{}
