platform: a response that ends with a reset is not complete

Callers saw: a 200 with a part of the body, or with none, as a complete response.

Cause: the operating system reports a reset once, to the first call on the connection. When the write got it, the read saw the same end as after an orderly close, and a body without a length ends with its connection.

Change: kernel/httpclient wraps the connection below net/http. An end of reads counts as an orderly close only if no write has failed; a write that waits for room is ended first, so that its error is known. A write that fails because the connection has ended is not reported to net/http, which would drop a whole response that has a length. "Not run" is still said only if there was no connection, now as a *ConnectError.

An orderly close before the upload has ended, and a body with a length followed by a reset, stay complete.

--- /dev/null
+++ b/kernel/httpclient/client.go
@@ -0,0 +1,144 @@
+// Package httpclient sends HTTP requests and turns what comes back into a response or a typed
+// error. net/http parses and frames; this package tells an orderly end of a connection from a
+// lost one.
+//
+// A response is whole if its body ends by its length, by its last chunk or, without either, by
+// an orderly close of the server. Its body returns io.EOF only then.
+package httpclient
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+)
+
+// Options configure a client.
+type Options struct {
+	// Dial opens a connection.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// MaxIdle is the number of idle connections that are kept for each server, up to
+	// IdleTimeout. With 0, each request has a connection of its own.
+	MaxIdle     int
+	IdleTimeout time.Duration
+	// Transport replaces the connections, in tests.
+	Transport http.RoundTripper
+}
+
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 64 << 10
+
+// Client sends requests. It follows no redirects and uses no proxy.
+type Client struct {
+	options   Options
+	transport http.RoundTripper
+}
+
+// New returns a client.
+func New(o Options) *Client {
+	c := &Client{options: o, transport: o.Transport}
+	if c.transport != nil {
+		return c
+	}
+	c.transport = &http.Transport{
+		DialContext:            c.dial,
+		DialTLSContext:         c.dialTLS,
+		DisableCompression:     true,
+		DisableKeepAlives:      o.MaxIdle == 0,
+		MaxIdleConnsPerHost:    o.MaxIdle,
+		IdleConnTimeout:        o.IdleTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}
+	return c
+}
+
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	raw, err := c.options.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: raw}, nil
+}
+
+func (c *Client) dialTLS(ctx context.Context, network, address string) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := c.options.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	secure := tls.Client(raw, &tls.Config{ServerName: host})
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return &conn{Conn: secure}, nil
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (c *Client) CloseIdleConnections() {
+	if t, ok := c.transport.(*http.Transport); ok {
+		t.CloseIdleConnections()
+	}
+}
+
+// Framing is how the end of a body is known.
+type Framing uint8
+
+// Framings of a body.
+const (
+	// ByLength is a body whose length is known, 0 for none.
+	ByLength Framing = iota
+	// ByChunks is one that ends with its last chunk.
+	ByChunks
+	// ByClose is one that ends with an orderly close of the connection.
+	ByClose
+)
+
+// Response is the response to a request, whose body is not read yet.
+type Response struct {
+	Status  int
+	Header  http.Header
+	Framing Framing
+	// Length is that of the body, -1 if it is not known.
+	Length int64
+	// Body returns io.EOF only once it is whole. It must be closed.
+	Body io.ReadCloser
+}
+
+// Do sends a request and reads the head of the response. The body must be closed. The error is
+// a *ConnectError if the server has received nothing of the request.
+func (c *Client) Do(r *http.Request) (*Response, error) {
+	x := &exchange{connected: c.options.Transport != nil}
+	if user := r.URL.User; user != nil && r.Header.Get("Authorization") == "" {
+		password, _ := user.Password()
+		r.SetBasicAuth(user.Username(), password)
+	}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { x.connect(info.Conn) }}
+	response, err := c.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, x.failure(err)
+	}
+	return &Response{
+		Status:  response.StatusCode,
+		Header:  response.Header,
+		Framing: framingOf(response),
+		Length:  response.ContentLength,
+		Body:    response.Body,
+	}, nil
+}
+
+func framingOf(r *http.Response) Framing {
+	switch {
+	case r.ContentLength >= 0:
+		return ByLength
+	case len(r.TransferEncoding) > 0:
+		return ByChunks
+	}
+	return ByClose
+}
