platform, dispatch: a head that HTTP does not allow is no response

Callers saw: answers of workers whose head had a blank in the name of a field or before its colon, control bytes, NUL or a CR alone in the reason, two blanks before the status or another version of the protocol; with "Content-Length : 3", or chunks in HTTP/1.0, a body that was not the worker's.

Cause: net/http accepts these. What it drops or merges (the length beside a transfer coding, the transfer coding of HTTP/1.0) can't be found in the parsed response either.

Change: the connection of kernel/httpclient checks the head as its bytes come, line by line, on each exchange of a connection; net/http still parses and frames. Trailers are checked once they are read. Bytes that come before a request is sent are no response to it. The dispatcher checks the fields of heads that came by a link, as it does their status.

TestAllowedHeadIsForwarded guards the other side.

--- a/kernel/httpclient/client.go
+++ b/kernel/httpclient/client.go
@@ -1,6 +1,6 @@
 // Package httpclient sends HTTP requests and turns what comes back into a response or a typed
-// error. net/http parses and frames; this package tells an orderly end of a connection from a
-// lost one.
+// error. net/http parses and frames; this package refuses what HTTP does not allow but net/http
+// accepts, and tells an orderly end of a connection from a lost one.
 //
 // A response is whole if its body ends by its length, by its last chunk or, without either, by
 // an orderly close of the server. Its body returns io.EOF only then.
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -24,13 +25,10 @@
 	// IdleTimeout. With 0, each request has a connection of its own.
 	MaxIdle     int
 	IdleTimeout time.Duration
-	// Transport replaces the connections, in tests.
+	// Transport replaces the connections, in tests. The heads that it returns are not checked.
 	Transport http.RoundTripper
 }
 
-// maxHeadBytes bounds the head of a response.
-const maxHeadBytes = 64 << 10
-
 // Client sends requests. It follows no redirects and uses no proxy.
 type Client struct {
 	options   Options
@@ -50,7 +48,7 @@
 		DisableKeepAlives:      o.MaxIdle == 0,
 		MaxIdleConnsPerHost:    o.MaxIdle,
 		IdleConnTimeout:        o.IdleTimeout,
-		MaxResponseHeaderBytes: maxHeadBytes,
+		MaxResponseHeaderBytes: MaxHeadBytes,
 	}
 	return c
 }
@@ -100,36 +98,38 @@
 	ByClose
 )
 
-// Response is the response to a request, whose body is not read yet.
+// Response is the response to a request. Its head is valid, its body not read yet.
 type Response struct {
 	Status  int
 	Header  http.Header
 	Framing Framing
 	// Length is that of the body, -1 if it is not known.
 	Length int64
-	// Body returns io.EOF only once it is whole. It must be closed.
-	Body io.ReadCloser
+	Body   *Body
 }
 
 // Do sends a request and reads the head of the response. The body must be closed. The error is
 // a *ConnectError if the server has received nothing of the request.
 func (c *Client) Do(r *http.Request) (*Response, error) {
-	x := &exchange{connected: c.options.Transport != nil}
+	x := &exchange{connected: c.options.Transport != nil, responded: c.options.Transport != nil}
 	if user := r.URL.User; user != nil && r.Header.Get("Authorization") == "" {
 		password, _ := user.Password()
 		r.SetBasicAuth(user.Username(), password)
 	}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { x.connect(info.Conn) }}
 	response, err := c.transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
-	if err != nil {
-		return nil, x.failure(err)
+	if failed := x.failure(err); failed != nil {
+		if response != nil {
+			_ = response.Body.Close()
+		}
+		return nil, failed
 	}
 	return &Response{
 		Status:  response.StatusCode,
 		Header:  response.Header,
 		Framing: framingOf(response),
 		Length:  response.ContentLength,
-		Body:    response.Body,
+		Body:    &Body{response: response},
 	}, nil
 }
 
@@ -142,3 +142,27 @@
 	}
 	return ByClose
 }
+
+// Body is the body of a response.
+type Body struct {
+	response *http.Response
+}
+
+// Read reads from the body. It returns io.EOF once the body is whole.
+func (b *Body) Read(p []byte) (int, error) {
+	n, err := b.response.Body.Read(p)
+	if err == io.EOF {
+		if err := checkTrailer(b.response.Trailer); err != nil {
+			return n, err
+		}
+	}
+	return n, err
+}
+
+// Close ends the response. It must be called.
+func (b *Body) Close() error { return b.response.Body.Close() }
+
+// isContextError reports whether a request ended with its context.
+func isContextError(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+}
--- a/kernel/httpclient/client_test.go
+++ b/kernel/httpclient/client_test.go
@@ -167,8 +167,10 @@
 	return listener.Addr().String()
 }
 
-func newClient() *httpclient.Client {
-	return httpclient.New(httpclient.Options{Dial: (&net.Dialer{}).DialContext})
+func newClient(maxIdle int) *httpclient.Client {
+	return httpclient.New(httpclient.Options{
+		Dial: (&net.Dialer{}).DialContext, MaxIdle: maxIdle, IdleTimeout: time.Minute,
+	})
 }
 
 func get(t *testing.T, c *httpclient.Client, address string) (*httpclient.Response, error) {
@@ -180,12 +182,41 @@
 	return c.Do(r)
 }
 
+// Guards against a head that is checked on the first request of a connection only, and against
+// a head that was sent before the request and is taken for its response.
+func TestHeadsOnKeptConnection(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer"
+	for _, c := range []struct{ name, first, second string }{
+		{"malformed name", sound, "HTTP/1.1 200 OK\r\nX Field: 1\r\nContent-Length: 6\r\n\r\nanswer"},
+		{"malformed status", sound, "HTTP/1.1 +20 OK\r\nContent-Length: 6\r\n\r\nanswer"},
+		{"two responses at once", sound + strings.Replace(sound, "answer", "second", 1), ""},
+		{"bytes that are none", sound + "\x00\x01", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address := rawServer(t, c.first, c.second)
+			client := newClient(1)
+			defer client.CloseIdleConnections()
+			for i := range 20 {
+				response, err := get(t, client, address)
+				if err != nil {
+					continue
+				}
+				body, err := io.ReadAll(response.Body)
+				_ = response.Body.Close()
+				if response.Status != http.StatusOK || response.Header["X Field"] != nil || err == nil && string(body) != "answer" {
+					t.Fatalf("request %d: %d %v %q, %v", i, response.Status, response.Header, body, err)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a failure to connect that looks as if the server had received the request, and
 // the other way round.
 func TestOnlyConnectErrorIsNotSent(t *testing.T) {
 	address := rawServer(t, "")
 	var unreached *httpclient.ConnectError
-	if _, err := get(t, newClient(), address); err == nil || errors.As(err, &unreached) {
+	if _, err := get(t, newClient(0), address); err == nil || errors.As(err, &unreached) {
 		t.Errorf("error %v after the request was read", err)
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -193,7 +224,7 @@
 		t.Fatal(err)
 	}
 	_ = listener.Close()
-	if _, err := get(t, newClient(), listener.Addr().String()); !errors.As(err, &unreached) || !errors.Is(err, syscall.ECONNREFUSED) {
+	if _, err := get(t, newClient(0), listener.Addr().String()); !errors.As(err, &unreached) || !errors.Is(err, syscall.ECONNREFUSED) {
 		t.Errorf("error %v without a connection", err)
 	}
 }
--- a/kernel/httpclient/conn.go
+++ b/kernel/httpclient/conn.go
@@ -10,13 +10,17 @@
 	"time"
 )
 
-// conn is a connection to a server. It tells an orderly end of the connection from another one.
+// conn is a connection to a server. It checks the heads of responses, and tells an orderly end
+// of the connection from another one.
 type conn struct {
 	net.Conn
 
 	mu sync.Mutex
 	// exchange is the current one, nil before the first.
 	exchange *exchange
+	head     headParser
+	// sent is set once the request began to be written.
+	sent bool
 
 	// writing is held during a write. The fields below it are guarded by it.
 	writing sync.Mutex
@@ -30,12 +34,14 @@
 func (c *conn) begin(x *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.exchange = x
+	c.exchange, c.head, c.sent = x, headParser{}, false
 }
 
-func (c *conn) current() *exchange {
+// current returns the exchange, and marks its request as sent if bytes of it are about to be.
+func (c *conn) current(sends bool) *exchange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sent = c.sent || sends
 	return c.exchange
 }
 
@@ -43,7 +49,7 @@
 // without an error: the server may have sent a whole response before, which net/http does not
 // read after a failed write. The reader gets the error instead.
 func (c *conn) Write(p []byte) (int, error) {
-	x := c.current()
+	x := c.current(true)
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	if c.writeErr == nil {
@@ -73,15 +79,43 @@
 	return false
 }
 
-// Read reads from the connection.
+// Read reads from the connection and checks what belongs to a head.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		if err := c.check(p[:n]); err != nil {
+			return 0, err
+		}
+	}
 	if err == io.EOF {
 		err = c.endOfReads()
 	}
 	return n, err
 }
 
+// check checks the bytes of a head. Others, and those that come while there is no exchange, are
+// left to net/http.
+func (c *conn) check(p []byte) error {
+	c.mu.Lock()
+	x, sent := c.exchange, c.sent
+	if x == nil || c.head.state == afterHead {
+		c.mu.Unlock()
+		return nil
+	}
+	if !sent {
+		c.mu.Unlock()
+		return x.fail(&UnsolicitedError{})
+	}
+	err := c.head.feed(p)
+	isWhole := c.head.state == afterHead
+	c.mu.Unlock()
+	if err != nil {
+		return x.fail(err)
+	}
+	x.received(isWhole)
+	return nil
+}
+
 // endOfReads returns io.EOF if the server closed the connection in order, else a
 // *ConnectionLostError. The operating system reports a reset once, to the first call on the
 // connection: if a write got the error, reads see the same end as after an orderly close. A
--- a/kernel/httpclient/errors.go
+++ b/kernel/httpclient/errors.go
@@ -1,5 +1,52 @@
 package httpclient
 
+import (
+	"fmt"
+	"strconv"
+)
+
+// Part is a part of a response.
+type Part string
+
+// Parts of a response that can be malformed.
+const (
+	StatusLine  Part = "status line"
+	FieldLine   Part = "field line"
+	FramingPart Part = "framing"
+	TrailerPart Part = "trailer"
+)
+
+// maxQuoted bounds how much of a malformed part an error quotes.
+const maxQuoted = 80
+
+// MalformedError reports bytes that are no HTTP response (RFC 9112).
+type MalformedError struct {
+	Part Part
+	// Text is the start of the malformed part.
+	Text string
+}
+
+func malformed(part Part, text []byte) *MalformedError {
+	return &MalformedError{Part: part, Text: string(text[:min(len(text), maxQuoted)])}
+}
+
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("malformed HTTP response: %s %q", e.Part, e.Text)
+}
+
+// HeadTooLongError reports a head of more than MaxHeadBytes, with the interim heads before it.
+type HeadTooLongError struct{}
+
+func (*HeadTooLongError) Error() string {
+	return "the head of the response exceeds " + strconv.Itoa(MaxHeadBytes) + " bytes"
+}
+
+// UnsolicitedError reports bytes on a connection that came before the request was sent. They
+// are no response to it.
+type UnsolicitedError struct{}
+
+func (*UnsolicitedError) Error() string { return "the server sent bytes before the request" }
+
 // ConnectError reports that there was no connection. The server has received nothing of the
 // request.
 type ConnectError struct{ Err error }
--- a/service/dispatch/attempt.go
+++ b/service/dispatch/attempt.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel/httpclient"
 )
 
 // attemptSink receives the response to one attempt. Its mutex prevents a detached
@@ -43,14 +44,14 @@
 // Head forwards the response head to the caller, unless the caller already has the
 // head of an earlier attempt. It returns a DetachedError if the attempt was
 // abandoned or another attempt produced output first, and a failure if the head has an
-// invalid status or the response can't continue the earlier one.
+// invalid status or field or the response can't continue the earlier one.
 func (a *attemptSink) Head(h api.Head) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.detached {
 		return &DetachedError{}
 	}
-	if err := api.CheckStatus(h.Status); err != nil {
+	if err := checkHead(h); err != nil {
 		a.rejected = &api.Failure{Code: api.CodeUpstreamFailed, Run: api.RunUnknown, Err: err}
 		return a.rejected
 	}
@@ -72,6 +73,19 @@
 	return d.sink.Head(h)
 }
 
+// checkHead returns an error for a head that no response can have.
+func checkHead(h api.Head) error {
+	if err := api.CheckStatus(h.Status); err != nil {
+		return err
+	}
+	for _, field := range h.Headers {
+		if err := httpclient.CheckField(field.Name, field.Value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // continuesStream reports whether a response can follow the first part of a stream. The
 // body of an error can't.
 func continuesStream(h api.Head) bool {
--- a/service/dispatch/head_test.go
+++ b/service/dispatch/head_test.go
@@ -14,11 +14,17 @@
 type statusPool struct {
 	fakeServices
 	statuses map[string]int
+	// fields are those in the heads of u1.
+	fields []api.Header
 }
 
 func (p *statusPool) Send(_ context.Context, o api.Order, s api.Sink) (api.Exchange, error) {
 	go func() {
-		if s.Head(api.Head{AttemptID: o.AttemptID, Status: p.statuses[o.Upstream]}) == nil {
+		head := api.Head{AttemptID: o.AttemptID, Status: p.statuses[o.Upstream]}
+		if o.Upstream == "u1" {
+			head.Headers = p.fields
+		}
+		if s.Head(head) == nil {
 			_ = s.Chunk(api.Chunk{AttemptID: o.AttemptID, Seq: 1, Payload: []byte(o.Upstream)})
 		}
 		s.End(api.End{AttemptID: o.AttemptID, Chunks: 1})
@@ -67,3 +73,22 @@
 		})
 	}
 }
+
+// Guards against a field that no head can have, from an agent that does not check its upstream's
+// responses.
+func TestHeadWithMalformedFieldFailsAttempt(t *testing.T) {
+	for _, field := range []api.Header{
+		{Name: "X Field", Value: "1"}, {Name: "X-Field ", Value: "1"}, {Name: "X-\x01", Value: "1"}, {Name: "X:", Value: "1"}, {Value: "1"},
+		{Name: "X-Field", Value: "a\r\nContent-Length: 0"}, {Name: "X-Field", Value: "a\x00"},
+	} {
+		p := &statusPool{statuses: map[string]int{"u1": 200, "u2": 200}, fields: []api.Header{field}}
+		p.Clock = kernel.NewRuntimeClock()
+		got := &recordingSink{}
+		r := request(true)
+		r.Unbound, r.MaxAttempts, r.Timeout = true, 2, time.Minute
+		startDispatcher(t, p, p.Clock).Dispatch(t.Context(), r, got)
+		if got.end.Failure != nil || len(got.chunks) != 1 || got.chunks[0] != "u2" {
+			t.Errorf("%q: chunks %v, end %+v", field, got.chunks, got.end)
+		}
+	}
+}
