--- a/service/balance/groups_model_test.go
+++ b/service/balance/groups_model_test.go
@@ -122,8 +122,8 @@
 	random *rand.Rand
 	// requests counts the requests.
 	requests int
-	groups []*passGroup
-	out    groupOutcome
+	groups   []*passGroup
+	out      groupOutcome
 
 	readings   [groupCount]api.GroupLoad
 	readAt     [groupCount]time.Duration
