platform: charge what is held of upstreams' responses

Callers saw: an edge whose memory was used up by workers that sent bytes without end: events, comments before the first event, and heads of short lines. Each response was bounded (1 MiB, 64 KiB), all together were not, and a line of a head takes up to 40 times its bytes. The requests of all other callers ended with the process.

Change: what is held of a response beyond a small part is charged to the account of connections: heads by bytes and lines, the room of the event that is being read, the comments before the first one, the start of a body. A response without room fails as no_room (502, not "not run"), which counts neither as a crash nor against the upstream. Responses are charged apart from the member's request bodies, and the start of a body is released once it was forwarded, so that a member's ordinary requests are still taken.

Evidence: TestEndlessResponsesOfUpstreams, 90 callers at an edge of 64 MB. Held before: long lines, bytes without a line, interim heads, unsigned bodies.

--- a/api/connections.go
+++ b/api/connections.go
@@ -26,6 +26,32 @@
 	ReportShortage()
 }
 
+// ResponseAccount charges responses to an account (see kernel/httpclient). Without one, nothing
+// is charged. Responses to a member's requests are charged apart from the member's bodies: those of
+// a faulty upstream must not keep the member's requests to others out.
+type ResponseAccount struct{ Connections Connections }
+
+// responseHolder precedes the name of a holder of responses. No member has such a name.
+const responseHolder = "\x00response:"
+
+// Take takes n bytes for a response to a holder.
+func (a ResponseAccount) Take(ctx context.Context, holder string, n int64) error {
+	if a.Connections == nil {
+		return nil
+	}
+	if failure := a.Connections.TakeBody(ctx, responseHolder+holder, n); failure != nil {
+		return failure
+	}
+	return nil
+}
+
+// Return gives back n bytes.
+func (a ResponseAccount) Return(ctx context.Context, holder string, n int64) {
+	if a.Connections != nil {
+		a.Connections.ReturnBody(ctx, responseHolder+holder, n)
+	}
+}
+
 // RequestBody reads the body of one request, within what its member may hold and as long as
 // the account does not end it.
 type RequestBody interface {
--- a/cmd/mulberryfork-platform/crowd_test.go
+++ b/cmd/mulberryfork-platform/crowd_test.go
@@ -52,6 +52,8 @@
 type crowdFixture struct {
 	t       *testing.T
 	program string
+	// content is that of the store, at the address store.
+	content *platformstore.Store
 	store   string
 }
 
@@ -71,7 +73,7 @@
 	store.Put("servers/w1", fmt.Appendf(nil, `{"service":"svc","address":%q,"availabilityZone":"z","version":"v1",
 "capacitySlots":10000,"lifecycleState":"available","coldRemainingMs":0,"sequenceNumber":1}`, worker.Listener.Addr()))
 	store.Put("op/config", fmt.Appendf(nil, crowdConfigFormat, crowdBodyBytes))
-	return &crowdFixture{t: t, program: program, store: storeServer.Listener.Addr().String()}
+	return &crowdFixture{t: t, program: program, content: store, store: storeServer.Listener.Addr().String()}
 }
 
 // longWorker is an upstream with long responses.
--- a/kernel/httpclient/client.go
+++ b/kernel/httpclient/client.go
@@ -1,6 +1,7 @@
 // Package httpclient sends HTTP requests and turns what comes back into a response or a typed
 // error. net/http parses and frames; this package refuses what HTTP does not allow but net/http
-// accepts, and tells an orderly end of a connection from a lost one.
+// accepts, tells an orderly end of a connection from a lost one, and charges what responses take
+// to an account. All readers of responses use it.
 //
 // A response is whole if its body ends by its length, by its last chunk or, without either, by
 // an orderly close of the server. Its body returns io.EOF only then.
@@ -17,8 +18,21 @@
 	"time"
 )
 
+// Account bounds what the process holds of responses. Its methods may wait for the control loop
+// and must not be called on it.
+type Account interface {
+	// Take charges n bytes to a holder. ctx is that of the request.
+	Take(ctx context.Context, holder string, n int64) error
+	// Return releases bytes that Take charged.
+	Return(ctx context.Context, holder string, n int64)
+}
+
 // Options configure a client.
 type Options struct {
+	// Account is charged for responses, nil for none.
+	Account Account
+	// Holder is charged for responses to requests of no member.
+	Holder string
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// MaxIdle is the number of idle connections that are kept for each server, up to
@@ -108,10 +122,15 @@
 	Body   *Body
 }
 
-// Do sends a request and reads the head of the response. The body must be closed. The error is
-// a *ConnectError if the server has received nothing of the request.
-func (c *Client) Do(r *http.Request) (*Response, error) {
-	x := &exchange{connected: c.options.Transport != nil, responded: c.options.Transport != nil}
+// Do sends a request and reads the head of the response. What the response takes is charged to
+// a holder, with "" to that of the client. The body must be closed. The error is a
+// *ConnectError if the server has received nothing of the request.
+func (c *Client) Do(r *http.Request, holder string) (*Response, error) {
+	if holder == "" {
+		holder = c.options.Holder
+	}
+	x := &exchange{account: c.options.Account, ctx: r.Context(), holder: holder}
+	x.connected, x.responded = c.options.Transport != nil, c.options.Transport != nil
 	if user := r.URL.User; user != nil && r.Header.Get("Authorization") == "" {
 		password, _ := user.Password()
 		r.SetBasicAuth(user.Username(), password)
@@ -122,6 +141,7 @@
 		if response != nil {
 			_ = response.Body.Close()
 		}
+		x.finish()
 		return nil, failed
 	}
 	return &Response{
@@ -129,7 +149,7 @@
 		Header:  response.Header,
 		Framing: framingOf(response),
 		Length:  response.ContentLength,
-		Body:    &Body{response: response},
+		Body:    &Body{exchange: x, response: response, free: freeBody},
 	}, nil
 }
 
@@ -145,7 +165,10 @@
 
 // Body is the body of a response.
 type Body struct {
+	*exchange
 	response *http.Response
+	// free is what ReadJSON may still read without a charge.
+	free int64
 }
 
 // Read reads from the body. It returns io.EOF once the body is whole.
@@ -159,8 +182,12 @@
 	return n, err
 }
 
-// Close ends the response. It must be called.
-func (b *Body) Close() error { return b.response.Body.Close() }
+// Close ends the response and releases what it takes. It must be called.
+func (b *Body) Close() error {
+	err := b.response.Body.Close()
+	b.finish()
+	return err
+}
 
 // isContextError reports whether a request ended with its context.
 func isContextError(err error) bool {
--- a/kernel/httpclient/client_test.go
+++ b/kernel/httpclient/client_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -86,7 +88,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	response, err := c.Do(r)
+	response, err := c.Do(r, "")
 	if err != nil {
 		return "", err
 	}
@@ -167,9 +169,9 @@
 	return listener.Addr().String()
 }
 
-func newClient(maxIdle int) *httpclient.Client {
+func newClient(maxIdle int, account httpclient.Account) *httpclient.Client {
 	return httpclient.New(httpclient.Options{
-		Dial: (&net.Dialer{}).DialContext, MaxIdle: maxIdle, IdleTimeout: time.Minute,
+		Account: account, Holder: "test", Dial: (&net.Dialer{}).DialContext, MaxIdle: maxIdle, IdleTimeout: time.Minute,
 	})
 }
 
@@ -179,7 +181,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return c.Do(r)
+	return c.Do(r, "")
 }
 
 // Guards against a head that is checked on the first request of a connection only, and against
@@ -194,7 +196,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			address := rawServer(t, c.first, c.second)
-			client := newClient(1)
+			client := newClient(1, nil)
 			defer client.CloseIdleConnections()
 			for i := range 20 {
 				response, err := get(t, client, address)
@@ -211,12 +213,129 @@
 	}
 }
 
+// countingAccount grants bytes up to a limit.
+type countingAccount struct {
+	limit      int64
+	used, peak atomic.Int64
+	refused    atomic.Int64
+}
+
+func (a *countingAccount) Take(_ context.Context, holder string, n int64) error {
+	if holder != "test" {
+		return fmt.Errorf("charged to %q", holder)
+	}
+	if a.used.Add(n) > a.limit {
+		a.used.Add(-n)
+		a.refused.Add(1)
+		return errors.New("no room")
+	}
+	for {
+		peak := a.peak.Load()
+		if used := a.used.Load(); used <= peak || a.peak.CompareAndSwap(peak, used) {
+			return nil
+		}
+	}
+}
+
+func (a *countingAccount) Return(_ context.Context, _ string, n int64) { a.used.Add(-n) }
+
+// Guards against responses that are held without a charge, are charged after they have ended, or
+// exceed the account together.
+func TestResponsesAreCharged(t *testing.T) {
+	const parallel = 8
+	shortLines := "HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", 10_000) + "Content-Length: 2\r\n\r\n{}"
+	page := func(text string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	}
+	for _, c := range []struct {
+		name, response string
+		limit          int64
+		// refused is true if the account has no room for parallel responses of the kind.
+		refused bool
+	}{
+		{"small", page(`{"a":1}`), 0, false},
+		{"head of short lines", shortLines, 4 << 20, true},
+		{"long text", page(`"` + strings.Repeat("x", 1<<20) + `"`), 8 << 20, true},
+		{"long text with room", page(`"` + strings.Repeat("x", 1<<20) + `"`), 64 << 20, false},
+		{"many values", page(`[` + strings.Repeat("{},", 100_000) + `{}]`), 24 << 20, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			account := &countingAccount{limit: c.limit}
+			address := rawServer(t, c.response)
+			client := newClient(0, account)
+			var open, failed atomic.Int64
+			var group sync.WaitGroup
+			held := make(chan struct{})
+			for range parallel {
+				group.Go(func() {
+					response, err := get(t, client, address)
+					if err == nil {
+						defer response.Body.Close()
+						var value any
+						err = response.Body.ReadJSON(2<<20, &value)
+					}
+					var noRoom *httpclient.NoRoomError
+					if err != nil && !errors.As(err, &noRoom) {
+						t.Errorf("error %v", err)
+					}
+					if err != nil {
+						failed.Add(1)
+					}
+					if open.Add(1) == parallel {
+						close(held)
+					}
+					<-held
+				})
+			}
+			group.Wait()
+			if c.refused != (failed.Load() > 0) {
+				t.Errorf("%d of %d responses were refused, peak %d bytes", failed.Load(), parallel, account.peak.Load())
+			}
+			if account.used.Load() != 0 {
+				t.Errorf("%d bytes are still charged", account.used.Load())
+			}
+		})
+	}
+}
+
+// Guards against a body without end, or one that stops, whose start is decoded.
+func TestOnlyWholeBodyIsDecoded(t *testing.T) {
+	for _, c := range []struct {
+		name, response string
+		whole          bool
+	}{
+		{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", true},
+		{"whole, until the end of the connection", "HTTP/1.1 200 OK\r\n\r\n{}", true},
+		{"blanks after it", "HTTP/1.1 200 OK\r\n\r\n{} \r\n", true},
+		{"shorter than its length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}", false},
+		{"no last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n", false},
+		{"two values", "HTTP/1.1 200 OK\r\n\r\n{}{}", false},
+		{"longer than the limit", "HTTP/1.1 200 OK\r\n\r\n{}" + strings.Repeat(" ", 1<<20), false},
+		{"length over the limit", "HTTP/1.1 200 OK\r\nContent-Length: 1000001\r\n\r\n{}", false},
+		{"head over its limit", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", httpclient.MaxHeadBytes) + "\r\n\r\n{}", false},
+		{"interim heads over the limit", strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 4000) + "HTTP/1.1 200 OK\r\n\r\n{}", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address := rawServer(t, c.response)
+			response, err := get(t, newClient(0, nil), address)
+			if err == nil {
+				defer response.Body.Close()
+				var value struct{}
+				err = response.Body.ReadJSON(1_000_000, &value)
+			}
+			if c.whole != (err == nil) {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
+
 // Guards against a failure to connect that looks as if the server had received the request, and
 // the other way round.
 func TestOnlyConnectErrorIsNotSent(t *testing.T) {
 	address := rawServer(t, "")
 	var unreached *httpclient.ConnectError
-	if _, err := get(t, newClient(0), address); err == nil || errors.As(err, &unreached) {
+	if _, err := get(t, newClient(0, nil), address); err == nil || errors.As(err, &unreached) {
 		t.Errorf("error %v after the request was read", err)
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -224,7 +343,7 @@
 		t.Fatal(err)
 	}
 	_ = listener.Close()
-	if _, err := get(t, newClient(0), listener.Addr().String()); !errors.As(err, &unreached) || !errors.Is(err, syscall.ECONNREFUSED) {
+	if _, err := get(t, newClient(0, nil), listener.Addr().String()); !errors.As(err, &unreached) || !errors.Is(err, syscall.ECONNREFUSED) {
 		t.Errorf("error %v without a connection", err)
 	}
 }
--- a/kernel/httpclient/conn.go
+++ b/kernel/httpclient/conn.go
@@ -107,13 +107,12 @@
 		return x.fail(&UnsolicitedError{})
 	}
 	err := c.head.feed(p)
-	isWhole := c.head.state == afterHead
+	isWhole, cost := c.head.state == afterHead, c.head.cost()
 	c.mu.Unlock()
 	if err != nil {
 		return x.fail(err)
 	}
-	x.received(isWhole)
-	return nil
+	return x.received(isWhole, cost)
 }
 
 // endOfReads returns io.EOF if the server closed the connection in order, else a
--- a/kernel/httpclient/errors.go
+++ b/kernel/httpclient/errors.go
@@ -1,6 +1,7 @@
 package httpclient
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 )
@@ -41,6 +42,27 @@
 	return "the head of the response exceeds " + strconv.Itoa(MaxHeadBytes) + " bytes"
 }
 
+// BodyTooLongError reports a body that exceeds the limit of its reader.
+type BodyTooLongError struct{ Limit int64 }
+
+func (e *BodyTooLongError) Error() string {
+	return "the body of the response exceeds " + strconv.FormatInt(e.Limit, 10) + " bytes"
+}
+
+// NoRoomError reports a response for which the account has no room.
+type NoRoomError struct{ Err error }
+
+func (e *NoRoomError) Error() string { return "no room for the response: " + e.Err.Error() }
+
+// Unwrap returns the error of the account.
+func (e *NoRoomError) Unwrap() error { return e.Err }
+
+// IsNoRoom reports whether an error is a *NoRoomError.
+func IsNoRoom(err error) bool {
+	var noRoom *NoRoomError
+	return errors.As(err, &noRoom)
+}
+
 // UnsolicitedError reports bytes on a connection that came before the request was sent. They
 // are no response to it.
 type UnsolicitedError struct{}
--- a/kernel/httpclient/head.go
+++ b/kernel/httpclient/head.go
@@ -5,8 +5,13 @@
 	"net/http"
 )
 
-// MaxHeadBytes bounds the head of a response, with the interim heads before it.
-const MaxHeadBytes = 64 << 10
+const (
+	// MaxHeadBytes bounds the head of a response, with the interim heads before it.
+	MaxHeadBytes = 64 << 10
+	// headByteCost and headLineCost are what a byte and a line of a head cost. net/textproto
+	// measures 200 bytes for an entry of a map of headers.
+	headByteCost, headLineCost = 2, 200
+)
 
 // headState is the part of a head that comes next.
 type headState uint8
@@ -25,8 +30,8 @@
 	state headState
 	// line holds the start of a line whose end has not come.
 	line []byte
-	// read counts bytes, those of interim heads too.
-	read int
+	// read and lines count bytes and field lines, those of interim heads too.
+	read, lines int
 	// interim is set in the head of an interim response, after which another head follows.
 	interim bool
 	// minor is the minor version of the protocol.
@@ -34,6 +39,11 @@
 	hasLength, hasCoding bool
 }
 
+// cost returns the memory that the head takes.
+func (p *headParser) cost() int64 {
+	return int64(p.read)*headByteCost + int64(p.lines)*headLineCost
+}
+
 // feed checks bytes up to the end of the head.
 func (p *headParser) feed(data []byte) error {
 	for len(data) > 0 && p.state != afterHead {
@@ -67,6 +77,7 @@
 	}
 	isFirst := p.state == atFirstField
 	p.state = atField
+	p.lines++
 	if line[0] == ' ' || line[0] == '\t' {
 		// A folded line continues the one before it.
 		if isFirst || !isText(line) {
--- a/service/frontend/failure.go
+++ b/service/frontend/failure.go
@@ -79,6 +79,7 @@
 	api.CodeUpstreamFailed:   http.StatusBadGateway,
 	api.CodeStreamBroken:     http.StatusBadGateway,
 	api.CodeLinkLost:         http.StatusBadGateway,
+	api.CodeNoRoom:           http.StatusBadGateway,
 	api.CodeWrongIncarnation: http.StatusBadGateway,
 	api.CodeInternal:         http.StatusInternalServerError,
 }
