engine: read the upstream's responses through kernel/httpclient

Callers of a router saw what those of an edge did: a part of a body as a complete response after a reset during the upload, and responses whose heads HTTP does not allow. The agent's adapter had the same causes, on kept connections too.

The account of connections, where the process has one, is charged for long heads.

--- a/service/engine/engine.go
+++ b/service/engine/engine.go
@@ -16,6 +16,7 @@
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/kernel/httpclient"
 )
 
 const (
@@ -38,7 +39,7 @@
 	settings *api.Settings
 	metrics  api.Metrics
 	clock    kernel.Clock
-	client   *http.Client
+	client   *httpclient.Client
 	runs     api.Counter
 }
 
@@ -51,16 +52,17 @@
 	}
 	s.clock = c.Clock()
 	s.runs = s.metrics.Counter("engine_runs", "")
-	s.client = &http.Client{
-		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConns:        maxIdleConns,
-			MaxIdleConnsPerHost: maxIdleConns,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	var account api.ResponseAccount
+	if account.Connections, _, err = kernel.LookupOptional[api.Connections](c, api.ServiceConnections); err != nil {
+		return err
 	}
+	s.client = httpclient.New(httpclient.Options{
+		Account:     account,
+		Holder:      api.ServiceEngine,
+		Dial:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdle:     maxIdleConns,
+		IdleTimeout: idleTimeout,
+	})
 	return nil
 }
 
@@ -89,15 +91,15 @@
 	if failure != nil {
 		return api.Usage{}, failure
 	}
-	resp, err := s.client.Do(req)
+	resp, err := s.client.Do(req, o.Member)
 	if err != nil {
 		return api.Usage{}, classifyError(ctx, err)
 	}
 	defer resp.Body.Close()
-	if err := api.CheckStatus(resp.StatusCode); err != nil {
+	if err := api.CheckStatus(resp.Status); err != nil {
 		return api.Usage{}, &api.Failure{Code: api.CodeUpstreamFailed, Run: api.RunUnknown, Err: err}
 	}
-	if err := sink.Head(api.Head{AttemptID: o.AttemptID, Status: resp.StatusCode, Headers: filterHeaders(resp.Header)}); err != nil {
+	if err := sink.Head(api.Head{AttemptID: o.AttemptID, Status: resp.Status, Headers: filterHeaders(resp.Header)}); err != nil {
 		return api.Usage{}, sinkFailure(err)
 	}
 	r := relay{clock: s.clock, startedAt: begin, sink: sink, attemptID: o.AttemptID, seq: o.ResumeFrom}
@@ -146,11 +148,15 @@
 	if ctx.Err() != nil {
 		return &api.Failure{Code: api.CodeCanceled, Run: api.RunUnknown, Detail: "the request was canceled", Err: context.Cause(ctx)}
 	}
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	var unreached *httpclient.ConnectError
+	if errors.As(err, &unreached) {
 		return &api.Failure{Code: api.CodeUpstreamUnreached, Run: api.NotRun, Detail: "connecting to the upstream failed", Err: err}
 	}
-	return &api.Failure{Code: api.CodeUpstreamFailed, Run: api.RunUnknown, Detail: "the upstream sent no response", Err: err}
+	f := &api.Failure{Code: api.CodeUpstreamFailed, Run: api.RunUnknown, Detail: "the upstream sent no response", Err: err}
+	if httpclient.IsNoRoom(err) {
+		f.Code, f.Detail = api.CodeNoRoom, "no room for the head of the upstream's response"
+	}
+	return f
 }
 
 // sinkFailure returns the failure of a run whose sink no longer accepts the response.
