engine: bound and charge an event of many lines

Callers saw: an agent that ran out of memory when its upstream sent lines of one event without end. A line was bounded to 1 MiB, the event was not.

Held before: long lines, bytes without a line, interim heads, comments, bodies. TestEventOfManyLinesIsBounded failed before; events of up to 710,000 bytes still arrive.

--- a/cmd/mulberryfork/crowd_test.go
+++ b/cmd/mulberryfork/crowd_test.go
@@ -41,6 +41,12 @@
 	t.Helper()
 	service := httptest.NewServer(plainservice.New(plainservice.Options{Clock: kernel.BootClock{}}))
 	t.Cleanup(service.Close)
+	return startCrowdPoolWith(t, program, service.URL)
+}
+
+// startCrowdPoolWith starts a router and an agent with the upstream at url.
+func startCrowdPoolWith(t *testing.T, program, url string) *crowdPool {
+	t.Helper()
 	agentAddress, folder := freeAddress(t), t.TempDir()
 	hash := sha256.Sum256([]byte(crowdToken))
 	write(t, filepath.Join(folder, "10-pool.toml"), fmt.Sprintf(`[zones.z]
@@ -88,7 +94,7 @@
 listen.link = %q
 listen.admin = "127.0.0.1:0"
 engine.url = %q
-`, agentAddress, service.URL))
+`, agentAddress, url))
 	pool.router = start("router", `node = "router"
 listen.http = "127.0.0.1:0"
 listen.link = "127.0.0.1:0"
--- a/service/engine/broken_test.go
+++ b/service/engine/broken_test.go
@@ -122,3 +122,26 @@
 		})
 	}
 }
+
+// Guards against an event whose lines have no end: it was held until the agent's memory was used
+// up. A long event within the limit still arrives.
+func TestEventOfManyLinesIsBounded(t *testing.T) {
+	const line = "data: 0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef\n"
+	for _, c := range []struct {
+		lines    int
+		complete bool
+	}{{1000, true}, {10_000, true}, {40_000, false}} {
+		url := listenRaw(t, func(conn *net.TCPConn, reader *bufio.Reader) {
+			if _, err := http.ReadRequest(reader); err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"+strings.Repeat(line, c.lines)+"\ndata: [DONE]\n\n")
+			}
+		})
+		var got recordingSink
+		small := order()
+		small.Method, small.Body, small.Idempotent = http.MethodGet, nil, true
+		_, failure := startEngine(t, url).Run(t.Context(), small, &got)
+		if c.complete != (failure == nil) || c.complete && len(got.chunks) != 2 {
+			t.Errorf("%d lines: failure %v, %d chunks", c.lines, failure, len(got.chunks))
+		}
+	}
+}
--- a/service/engine/relay.go
+++ b/service/engine/relay.go
@@ -9,20 +9,25 @@
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/kernel/httpclient"
 )
 
 const (
 	bodyChunkBytes    = 32 << 10
 	maxEventLineBytes = 1 << 20
-	readerBytes       = 4 << 10
-	streamDone        = "[DONE]"
-	eventDataPrefix   = "data:"
+	// maxEventBytes bounds the data of an event, which may have many lines.
+	maxEventBytes   = 1 << 20
+	readerBytes     = 4 << 10
+	streamDone      = "[DONE]"
+	eventDataPrefix = "data:"
 )
 
 var lineReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readerBytes) }}
 
 // relay reads one response and writes it to the sink in chunks.
 type relay struct {
+	// held charges the event that is being read.
+	held      httpclient.Hold
 	clock     kernel.Clock
 	startedAt time.Duration
 	sink      api.Sink
@@ -38,10 +43,11 @@
 	reader := lineReaders.Get().(*bufio.Reader)
 	reader.Reset(body)
 	defer lineReaders.Put(reader)
+	defer r.held.Release()
 	done := false
 	var data []byte
 	for {
-		line, err := readLine(reader)
+		line, err := r.readLine(reader, len(data))
 		if err != nil {
 			return r.eventsFailure(err, done)
 		}
@@ -54,12 +60,27 @@
 				return failure
 			}
 			data = nil
+			r.held.Release()
 			continue
 		}
-		if value, ok := bytes.CutPrefix(line, []byte(eventDataPrefix)); ok {
-			data = appendData(data, bytes.TrimPrefix(value, []byte(" ")))
+		value, isData := bytes.CutPrefix(line, []byte(eventDataPrefix))
+		if !isData {
+			continue
+		}
+		value = bytes.TrimPrefix(value, []byte(" "))
+		if err := r.hold(len(data) + len(value)); err != nil {
+			return r.eventsFailure(err, done)
 		}
+		data = appendData(data, value)
+	}
+}
+
+// hold charges the bytes of an event that are held, and bounds them.
+func (r *relay) hold(n int) error {
+	if n > maxEventBytes {
+		return &EventTooLongError{}
 	}
+	return r.held.Grow(n)
 }
 
 // eventsFailure returns the failure of a stream that ended with err, or nil if the final
@@ -71,7 +92,11 @@
 	if err == io.EOF {
 		return api.NewFailure(api.CodeStreamBroken, api.Ran, "the upstream's stream ended without its final event")
 	}
-	return &api.Failure{Code: api.CodeStreamBroken, Run: api.Ran, Detail: "reading the upstream's response failed", Err: err}
+	f := &api.Failure{Code: api.CodeStreamBroken, Run: api.Ran, Detail: "reading the upstream's response failed", Err: err}
+	if httpclient.IsNoRoom(err) {
+		f.Code = api.CodeNoRoom
+	}
+	return f
 }
 
 // appendData appends one data line to the data of an event.
@@ -82,15 +107,16 @@
 	return append(append(data, '\n'), value...)
 }
 
-// EventTooLongError reports an event line longer than maxEventLineBytes.
+// EventTooLongError reports an event longer than maxEventBytes, or one of its lines longer than
+// maxEventLineBytes.
 type EventTooLongError struct{}
 
-func (*EventTooLongError) Error() string { return "event line too long" }
+func (*EventTooLongError) Error() string { return "event too long" }
 
 // readLine returns the next line without its line break. The line is only valid until
-// the next read.
-func readLine(r *bufio.Reader) ([]byte, error) {
-	line, err := r.ReadSlice('\n')
+// the next read. held is the number of bytes of the event that are held already.
+func (r *relay) readLine(reader *bufio.Reader, held int) ([]byte, error) {
+	line, err := reader.ReadSlice('\n')
 	if err == nil {
 		return bytes.TrimRight(line, "\r\n"), nil
 	}
@@ -102,7 +128,10 @@
 		if len(long) > maxEventLineBytes {
 			return nil, &EventTooLongError{}
 		}
-		line, err = r.ReadSlice('\n')
+		if err := r.held.Grow(held + len(long)); err != nil {
+			return nil, err
+		}
+		line, err = reader.ReadSlice('\n')
 		long = append(long, line...)
 	}
 	return bytes.TrimRight(long, "\r\n"), err
