platform: read the store and the ranks through kernel/httpclient

What was seen: the store's and the ranks' responses that HTTP does not allow, or that were cut off or reset after their JSON text, counted as a page without entries, as counts, and as the result of an order to a rank. A store with bytes without end took the memory of the edge: in the head (10 MB were read), in one response of many short values, over pages without end.

Cause: net/http's default limits, a decoder that stops after the first value, and memory that follows from the values of a text and not from its bytes.

Change: a response is decoded once it is whole; an order has a result only if its response is whole. What a text and its values take is charged, with all pages of a read until it ends.

TestLargeResponsesArrive: a configuration of 0.9 MB, 1,200 entries, an event of 900 KB and a body of 6 MB arrive at an edge of 64 MB.

--- a/cmd/mulberryfork-platform/flood_test.go
+++ b/cmd/mulberryfork-platform/flood_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -101,3 +102,150 @@
 		})
 	}
 }
+
+// Guards against a store whose responses have no end, in one response or over many pages: they
+// took the memory of the edge.
+func TestEndlessResponsesOfStore(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	floods := append(flood.Heads(0),
+		flood.Response{Name: "many values", Start: ok + "\r\n{\"at\":1,\"entries\":[{}", Piece: flood.Repeat(",{}")},
+		flood.Response{Name: "one text", Start: ok + "\r\n{\"at\":1,\"entries\":[{\"payload\":\"", Piece: flood.Repeat(strings.Repeat("x", 1<<10))},
+		flood.Response{Name: "blanks", Start: ok + "\r\n", Piece: flood.Repeat(strings.Repeat(" ", 1<<10))},
+	)
+	for _, r := range floods {
+		t.Run(r.Name, func(t *testing.T) { playFaultyStore(t, &r, nil, 5) })
+	}
+	t.Run("many values with an end", func(t *testing.T) {
+		playFaultyStore(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = fmt.Fprintf(w, `{"at":1,"entries":[%s{}]}`, strings.Repeat("{},", 5_000_000))
+		}, 5)
+	})
+	t.Run("pages", func(t *testing.T) {
+		const entries = 3000
+		var page atomic.Int64
+		playFaultyStore(t, nil, func(w http.ResponseWriter, _ *http.Request) {
+			first := page.Add(1) * entries
+			_, _ = fmt.Fprint(w, `{"at":1,"hasMore":true,"entries":[`)
+			for i := range int64(entries) {
+				// The payload is no entry: all that is kept of it is an error.
+				_, _ = fmt.Fprintf(w, `{"key":"servers/%012d","revision":1,"payload":"e30="},`, first+i)
+			}
+			_, _ = fmt.Fprintf(w, `{"key":"servers/%012d","revision":1,"payload":"e30="}]}`, first+entries)
+		}, 100)
+	})
+}
+
+// playFaultyStore starts an edge, lets its store answer with a response without end or by a
+// handler until it was called often enough, and checks the edge with a sound store again.
+func playFaultyStore(t *testing.T, response *flood.Response, handler http.HandlerFunc, calls int64) {
+	t.Helper()
+	var faulty atomic.Bool
+	var faults atomic.Int64
+	f, _ := newFloodFixture(t, func(store http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			switch {
+			case !faulty.Load():
+				store.ServeHTTP(w, r)
+				return
+			case strings.HasSuffix(r.URL.Path, "watch"):
+				// Without its history, the store is read in full.
+				w.WriteHeader(http.StatusGone)
+				return
+			case handler != nil:
+				faults.Add(1)
+				handler(w, r)
+				return
+			}
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			faults.Add(1)
+			response.Send(conn)
+		})
+	})
+	p := f.startEdge(0)
+	faulty.Store(true)
+	called := func() bool { return faults.Load() >= calls || !p.Alive() }
+	// After a failed read the edge waits for up to 0.4 s.
+	if !waitFor(called) && !waitFor(called) {
+		t.Fatalf("the store was called %d times", faults.Load())
+	}
+	faulty.Store(false)
+	check(t, p, maxOpenFiles, func() bool { return ordinary(p) })
+}
+
+// Guards against an engine whose reports have no end: they took the memory of the process beside
+// it.
+func TestEndlessResponsesOfRank(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	f, response := newFloodFixture(t, unchanged)
+	floods := append(flood.Heads(0),
+		flood.Response{Name: "many values", Start: ok + "\r\n{\"preloaded\":[[]", Piece: flood.Repeat(",[]")},
+		flood.Response{Name: "one text", Start: ok + "\r\n{\"group\":{\"name\":\"", Piece: flood.Repeat(strings.Repeat("x", 1<<10))},
+	)
+	engine := startFlood(t, http.NotFoundHandler(), func(*http.Request) *flood.Response { return response.Load() })
+	for _, r := range floods {
+		t.Run(r.Name, func(t *testing.T) {
+			response.Store(&r)
+			g := &crowdFixture{t: t, program: f.program, store: f.store}
+			before := engine.Floods.Load()
+			p := g.start("side", sideSettings(f.store, engine.Address(), "10ms")+crowdSettings(), 0)
+			if !waitFor(func() bool { return engine.Floods.Load() >= before+20 || !p.Alive() }) {
+				t.Fatalf("the engine was asked %d times", engine.Floods.Load()-before)
+			}
+			check(t, p, maxOpenFiles, func() bool {
+				return status("http://"+p.Addresses["admin"]+"/debug/vars") == http.StatusOK && callRank(p)
+			})
+		})
+	}
+}
+
+// Guards against bounds that refuse what the platform allows: the largest configuration, pages
+// of 500 entries, and long events and bodies, at an edge with little memory.
+func TestLargeResponsesArrive(t *testing.T) {
+	const entries, keys, eventBytes, bodyBytes = 1200, 30_000, 900 << 10, 6 << 20
+	f, _ := newFloodFixture(t, unchanged)
+	event := "id: 1\ndata: " + strings.Repeat("e", eventBytes) + "\n\n"
+	body := strings.Repeat("b", bodyBytes)
+	upstream := startFlood(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Mulberryfork-Attempt-Id", r.Header.Get("X-Mulberryfork-Attempt-Id"))
+		w.Header().Set("X-Mulberryfork-Response-Signature", "sig")
+		if strings.HasPrefix(r.URL.Path, "/s/") {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, event)
+			return
+		}
+		_, _ = io.WriteString(w, body)
+	}), func(*http.Request) *flood.Response { return nil })
+	putUpstream(f.content, "flood", "flood", upstream.Address())
+	for i := range entries {
+		putUpstream(f.content, fmt.Sprintf("other%d", i), "other", fmt.Sprintf("127.0.1.%d:%d", i%250+1, i+1))
+	}
+	var more strings.Builder
+	for i := range keys {
+		fmt.Fprintf(&more, `"%028d",`, i)
+	}
+	f.content.Put("op/config", []byte(strings.Replace(floodConfig, `["key1"]`, `[`+more.String()+`"key1"]`, 1)))
+	p := f.startEdge(0)
+	for path, want := range map[string]string{"/s/x": event, "/n/x": body} {
+		r, err := http.NewRequest(http.MethodPost, "http://"+p.Addresses["http"]+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Host = "h.example"
+		r.Header.Set("X-Api-Key", "key1")
+		r.Header.Set("X-Mulberryfork-Attempt-Id", "large")
+		response, err := client.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil || response.StatusCode != http.StatusOK || string(got) != want {
+			t.Errorf("%s: status %d, %d of %d bytes, %v", path, response.StatusCode, len(got), len(want), err)
+		}
+	}
+	check(t, p, maxOpenFiles, func() bool { return ordinary(p) })
+}
--- a/kernel/httpclient/read.go
+++ b/kernel/httpclient/read.go
@@ -35,6 +35,16 @@
 	return nil
 }
 
+// Discard reads the rest of a body of at most limit bytes, which must be whole. The error is a
+// *BodyTooLongError or that of Read.
+func (b *Body) Discard(limit int64) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(b, limit+1))
+	if err == nil && n > limit {
+		return &BodyTooLongError{Limit: limit}
+	}
+	return err
+}
+
 // ChargeAll makes ReadJSON charge small bodies too. It is for a reader that keeps what it has
 // read of many responses.
 func (b *Body) ChargeAll() { b.free = 0 }
