config.source, membership, engine.feed, burnreport: read through kernel/httpclient

What was seen: routers and agents whose memory was used up by a configuration service or a list of VMs with bytes without end: 10 MB of head were read, and a list of short values took up to 30 times its bytes. Responses that HTTP does not allow, or that broke off after their JSON text, were used.

Change: the four readers use the client of the others. What responses take is charged to the account of connections where the process has one. These calls no longer follow redirects and no longer use a proxy of the environment, which the calls to upstreams never did.

The product's other tests of these services are unchanged but for the client that one sets.

--- a/burnreport/read.go
+++ b/burnreport/read.go
@@ -4,15 +4,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mulberryfork/mulberryfork/decide/burn"
+	"github.com/mulberryfork/mulberryfork/kernel/httpclient"
 )
 
 const (
@@ -56,7 +56,7 @@
 // Read reads the counts of all routers and adds them up. The summary lists each
 // router that could not be read, with the reason.
 func Read(ctx context.Context, addresses []string) burn.Summary {
-	client := &http.Client{Timeout: readTimeout}
+	client := httpclient.New(httpclient.Options{Dial: (&net.Dialer{}).DialContext, MaxIdle: 1, IdleTimeout: readTimeout})
 	defer client.CloseIdleConnections()
 	vars := make([]adminVars, len(addresses))
 	sources := make([]burn.Source, len(addresses))
@@ -94,20 +94,22 @@
 	return &NoRouterError{Routers: len(s.Routers)}
 }
 
-func read(ctx context.Context, client *http.Client, address string, into *adminVars) error {
+func read(ctx context.Context, client *httpclient.Client, address string, into *adminVars) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/debug/vars", nil)
 	if err != nil {
 		return err
 	}
-	resp, err := client.Do(req)
+	resp, err := client.Do(req, "")
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return &StatusError{Status: resp.StatusCode}
+	if resp.Status != http.StatusOK {
+		return &StatusError{Status: resp.Status}
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(into); err != nil {
+	if err := resp.Body.ReadJSON(maxResponseBytes, into); err != nil {
 		return err
 	}
 	if into.Burn == nil {
--- a/cmd/mulberryfork/flood_test.go
+++ b/cmd/mulberryfork/flood_test.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/mulberryfork/mulberryfork/kernel"
 	"github.com/mulberryfork/mulberryfork/standin/crowd"
@@ -74,3 +77,67 @@
 		})
 	}
 }
+
+// Guards against a configuration service or a list of VMs whose responses have no end: they took
+// the memory of each router and agent.
+func TestEndlessResponsesOfServices(t *testing.T) {
+	program, done, err := crowd.BuildAlone(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(done)
+	many := strings.Repeat("{},", 340_000)
+	files := func(n int) string { return fmt.Sprintf("\"%x\":\"\",", n) }
+	var allFiles strings.Builder
+	for allFiles.Len() < 4<<20-100 {
+		allFiles.WriteString(files(allFiles.Len()))
+	}
+	floods := append(flood.Heads(0),
+		flood.Response{Name: "many files", Start: floodOK + "\r\n{\"revision\":1,\"files\":{", Piece: files},
+		flood.Response{Name: "many files with an end", Start: fmt.Sprintf("%sContent-Length: %d\r\n\r\n{\"files\":{%s\"x\":\"\"}}", floodOK, allFiles.Len()+len(`{"files":{"x":""}}`), allFiles.String()), Piece: flood.Repeat("x"), Burst: 1},
+		flood.Response{Name: "many VMs", Start: floodOK + "\r\n{\"members\":[{}", Piece: flood.Repeat(",{}")},
+		flood.Response{Name: "many VMs with an end", Start: fmt.Sprintf("%sContent-Length: %d\r\n\r\n{\"members\":[%s{}]}", floodOK, len(many)+len(`{"members":[{}]}`), many), Piece: flood.Repeat("x"), Burst: 1},
+	)
+	for _, r := range floods {
+		t.Run(r.Name, func(t *testing.T) {
+			var calls atomic.Int64
+			service, err := flood.Start(http.NotFoundHandler(), func(*http.Request) *flood.Response { calls.Add(1); return &r })
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(service.Close)
+			path := t.TempDir() + "/router.toml"
+			write(t, path, fmt.Sprintf(`node = "router"
+zone = "z"
+listen.http = "127.0.0.1:0"
+listen.link = "127.0.0.1:0"
+listen.admin = "127.0.0.1:0"
+config.service = "http://%[1]s"
+membership.service = "http://%[1]s"
+tls.plain = true
+limits.memory_mb = %[2]d
+[log]
+format = "json"
+`, service.Address(), crowdMemoryMB))
+			p, err := crowd.Start(program, crowdDescriptors, "router", path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(p.Kill)
+			for deadline := time.Now().Add(crowdWait); calls.Load() < 6 && p.Alive() && time.Now().Before(deadline); {
+				time.Sleep(20 * time.Millisecond)
+			}
+			answers := get("http://" + p.Addresses["admin"] + "/debug/vars")
+			t.Logf("peak %d MB resident, %d calls", p.PeakMemory()>>20, calls.Load())
+			if !p.Alive() {
+				t.Fatalf("the router has exited: %s", p.Output())
+			}
+			if memory := p.PeakMemory(); memory > crowdMemoryMB<<20 {
+				t.Errorf("%d MB resident, want at most %d", memory>>20, crowdMemoryMB)
+			}
+			if !answers {
+				t.Error("the admin listener does not answer")
+			}
+		})
+	}
+}
--- a/service/configsource/configsource.go
+++ b/service/configsource/configsource.go
@@ -4,8 +4,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -17,12 +16,14 @@
 	"github.com/mulberryfork/mulberryfork/confdir"
 	"github.com/mulberryfork/mulberryfork/decide/spread"
 	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/kernel/httpclient"
 )
 
 const (
 	// watchTimeout bounds one request. It exceeds the time after which the
 	// configuration service ends a watch without a change.
 	watchTimeout = 40 * time.Second
+	dialTimeout  = 5 * time.Second
 	// maxResponseBytes bounds one response. The service stores values of up to 1 MB,
 	// which JSON escapes enlarge.
 	maxResponseBytes = 4 << 20
@@ -30,7 +31,7 @@
 
 type service struct {
 	settings *api.Settings
-	client   *http.Client
+	client   *httpclient.Client
 	calls    api.Counter
 }
 
@@ -43,7 +44,17 @@
 		return err
 	}
 	s.calls = metrics.Counter("config_source_calls", "")
-	s.client = &http.Client{Timeout: watchTimeout}
+	var account api.ResponseAccount
+	if account.Connections, _, err = kernel.LookupOptional[api.Connections](c, api.ServiceConnections); err != nil {
+		return err
+	}
+	s.client = httpclient.New(httpclient.Options{
+		Account:     account,
+		Holder:      api.ServiceConfigSource,
+		Dial:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdle:     1,
+		IdleTimeout: watchTimeout,
+	})
 	return nil
 }
 
@@ -146,24 +157,26 @@
 // configuration has not changed since the revision in the query.
 func (s *service) get(ctx context.Context, query string) (api.RawConfig, bool, error) {
 	s.calls.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
 	url := strings.TrimSuffix(s.settings.Config.Service, "/") + "/v1/config" + query
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return api.RawConfig{}, false, &CallError{Err: err}
 	}
-	resp, err := s.client.Do(req)
+	resp, err := s.client.Do(req, "")
 	if err != nil {
 		return api.RawConfig{}, false, &CallError{Err: err}
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusNotModified {
+	if resp.Status == http.StatusNotModified {
 		return api.RawConfig{}, false, nil
 	}
-	if resp.StatusCode != http.StatusOK {
-		return api.RawConfig{}, false, &CallError{Status: resp.StatusCode}
+	if resp.Status != http.StatusOK {
+		return api.RawConfig{}, false, &CallError{Status: resp.Status}
 	}
 	var body configResponse
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&body); err != nil {
+	if err := resp.Body.ReadJSON(maxResponseBytes, &body); err != nil {
 		return api.RawConfig{}, false, &CallError{Err: err}
 	}
 	raw := api.RawConfig{Revision: body.Revision, Files: make(map[string][]byte, len(body.Files))}
--- a/service/configsource/outage_test.go
+++ b/service/configsource/outage_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel/httpclient"
 )
 
 // propagationLimit is the time within which a published configuration must be
@@ -47,7 +48,7 @@
 			end := time.Now().Add(length)
 			s := &service{
 				settings: &api.Settings{Config: api.ConfigLocation{Service: "http://127.0.0.1:1"}},
-				client:   &http.Client{Transport: outage{until: end}}, calls: discardCounter{},
+				client:   httpclient.New(httpclient.Options{Transport: outage{until: end}}), calls: discardCounter{},
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			var delay time.Duration
--- a/service/enginefeed/enginefeed.go
+++ b/service/enginefeed/enginefeed.go
@@ -4,9 +4,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,6 +14,7 @@
 
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/kernel/httpclient"
 )
 
 const (
@@ -28,15 +28,17 @@
 	cacheTimeout  = 15 * time.Second
 	// cacheInterval is the time between two long polls. It bounds how often cache
 	// changes are passed to subscribers.
-	cacheInterval      = 100 * time.Millisecond
-	retryInterval      = time.Second
+	cacheInterval = 100 * time.Millisecond
+	retryInterval = time.Second
+	// maxIdleConns is one for each of the two polls.
+	maxIdleConns       = 2
 	maxResponseBytes   = 1 << 20
 	changesMailboxSize = 16
 )
 
 type service struct {
 	settings     *api.Settings
-	client       *http.Client
+	client       *httpclient.Client
 	failedReads  api.Counter
 	subscribers  []api.EngineObserver
 	reports      *kernel.Mailbox[api.EngineReport]
@@ -68,7 +70,17 @@
 		return err
 	}
 	s.failedReads = metrics.Counter("engine_feed_failures", "")
-	s.client = &http.Client{}
+	var account api.ResponseAccount
+	if account.Connections, _, err = kernel.LookupOptional[api.Connections](c, api.ServiceConnections); err != nil {
+		return err
+	}
+	s.client = httpclient.New(httpclient.Options{
+		Account:     account,
+		Holder:      api.ServiceEngineFeed,
+		Dial:        (&net.Dialer{Timeout: loadTimeout}).DialContext,
+		MaxIdle:     maxIdleConns,
+		IdleTimeout: cacheTimeout,
+	})
 	s.isModel = make(chan struct{})
 	s.reports = kernel.NewMailbox(c.Loop(), "engine.report", 1, kernel.Latest, s.handleReport)
 	s.cacheChanges = kernel.NewMailbox(c.Loop(), "engine.cache", changesMailboxSize, kernel.Drop, s.handleChanges)
@@ -157,15 +169,15 @@
 	if err != nil {
 		return &ReadError{Err: err}
 	}
-	resp, err := s.client.Do(req)
+	resp, err := s.client.Do(req, "")
 	if err != nil {
 		return &ReadError{Err: err}
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return &ReadError{Status: resp.StatusCode}
+	if resp.Status != http.StatusOK {
+		return &ReadError{Status: resp.Status}
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(out); err != nil {
+	if err := resp.Body.ReadJSON(maxResponseBytes, out); err != nil {
 		return &ReadError{Err: err}
 	}
 	return nil
--- a/service/membership/membership.go
+++ b/service/membership/membership.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/membership"
 	"github.com/mulberryfork/mulberryfork/kernel"
+	"github.com/mulberryfork/mulberryfork/kernel/httpclient"
 )
 
 const (
@@ -28,7 +30,7 @@
 
 type service struct {
 	settings *api.Settings
-	client   *http.Client
+	client   *httpclient.Client
 	log      api.Logger
 	clock    kernel.Clock
 
@@ -82,9 +84,8 @@
 		return err
 	}
 	s.clock = c.Clock()
-	s.client = &http.Client{Timeout: readTimeout}
-	if transport, err := kernel.Value[*Transport](c); err == nil {
-		s.client.Transport = transport.RoundTripper
+	if s.client, err = newClient(c); err != nil {
+		return err
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.control = control{service: s, state: membership.New(s.settings.Node)}
@@ -98,6 +99,24 @@
 	return nil
 }
 
+func newClient(c *kernel.Context) (*httpclient.Client, error) {
+	connections, _, err := kernel.LookupOptional[api.Connections](c, api.ServiceConnections)
+	if err != nil {
+		return nil, err
+	}
+	o := httpclient.Options{
+		Account:     api.ResponseAccount{Connections: connections},
+		Holder:      api.ServiceMembership,
+		Dial:        (&net.Dialer{Timeout: readTimeout}).DialContext,
+		MaxIdle:     1,
+		IdleTimeout: idleTimeout,
+	}
+	if transport, err := kernel.Value[*Transport](c); err == nil {
+		o.Transport = transport.RoundTripper
+	}
+	return httpclient.New(o), nil
+}
+
 func (s *service) createMailboxes(l *kernel.Loop) {
 	ctl := &s.control
 	s.lists = kernel.NewMailbox(l, "membership.list", listMailboxSize, kernel.Wait, ctl.applyList)
--- a/service/membership/read.go
+++ b/service/membership/read.go
@@ -1,7 +1,7 @@
 package membership
 
 import (
-	"encoding/json"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -20,6 +20,7 @@
 	// emptyPollInterval is the time between polls while the list is empty.
 	emptyPollInterval = 100 * time.Millisecond
 	readTimeout       = time.Second
+	idleTimeout       = 90 * time.Second
 	// maxResponseBytes bounds one response. It fits several thousand VMs.
 	maxResponseBytes = 1 << 20
 )
@@ -82,12 +83,14 @@
 
 func (s *service) readList() ([]api.VM, error) {
 	s.reads.Add(1)
+	ctx, cancel := context.WithTimeout(s.ctx, readTimeout)
+	defer cancel()
 	url := strings.TrimSuffix(s.settings.Membership.Service, "/") + "/v1/members"
-	req, err := http.NewRequestWithContext(s.ctx, http.MethodGet, url, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, &ReadError{Err: err}
 	}
-	resp, err := s.client.Do(req)
+	resp, err := s.client.Do(req, "")
 	if err != nil {
 		return nil, &ReadError{Err: err}
 	}
@@ -96,11 +99,11 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes))
 		_ = resp.Body.Close()
 	}()
-	if resp.StatusCode != http.StatusOK {
-		return nil, &ReadError{Status: resp.StatusCode}
+	if resp.Status != http.StatusOK {
+		return nil, &ReadError{Status: resp.Status}
 	}
 	var l listResponse
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&l); err != nil {
+	if err := resp.Body.ReadJSON(maxResponseBytes, &l); err != nil {
 		return nil, &ReadError{Err: err}
 	}
 	vms := make([]api.VM, 0, len(l.Members))
