platform: test replies of other edges and of side processes without an end

A frame is bounded, and an edge asks one side process of a group at a time. The sum over calls between processes is not in the account of connections.

--- a/cmd/mulberryfork-platform/flood_test.go
+++ b/cmd/mulberryfork-platform/flood_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -12,6 +14,7 @@
 	"github.com/mulberryfork/mulberryfork/standin/flood"
 	"github.com/mulberryfork/mulberryfork/standin/platformstore"
 	"github.com/mulberryfork/mulberryfork/standin/platformworker"
+	"github.com/mulberryfork/mulberryfork/wire"
 )
 
 const (
@@ -249,3 +252,66 @@
 	}
 	check(t, p, maxOpenFiles, func() bool { return ordinary(p) })
 }
+
+// floodFrames accepts connections and answers each call with frames that a crowd sends.
+func floodFrames(t *testing.T, address string, play func(*crowd.Client), calls *atomic.Int64) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := conn.Read(make([]byte, 1)); err != nil {
+					return
+				}
+				calls.Add(1)
+				play(&crowd.Client{Conn: conn})
+				_, _ = io.Copy(io.Discard, conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against replies of other edges and of side processes whose end does not come: each stays
+// within the bound of a message, all together must fit the memory of the edge.
+func TestEndlessRepliesOfProcesses(t *testing.T) {
+	const seeds, sides = 3, 24
+	frames := crowd.Frames(wire.MaxRankMessageBytes)
+	for _, pattern := range []crowd.Pattern{frames[1], frames[2], frames[3]} {
+		t.Run(pattern.Name, func(t *testing.T) {
+			f, _ := newFloodFixture(t, unchanged)
+			var fleetCalls, rankCalls atomic.Int64
+			var list []string
+			for range seeds {
+				list = append(list, strconv.Quote(floodFrames(t, "127.0.0.1:0", pattern.Play, &fleetCalls)))
+			}
+			_, port, err := net.SplitHostPort(floodFrames(t, "127.0.0.2:0", pattern.Play, &rankCalls))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for i := range sides {
+				host := fmt.Sprintf("127.0.0.%d", i+2)
+				if i > 0 {
+					floodFrames(t, host+":"+port, pattern.Play, &rankCalls)
+				}
+				putUpstream(f.content, host, "engine", host+":1")
+			}
+			f.content.Put("op/config", []byte(strings.Replace(floodConfig, `"services":[`, `"services":[{"name":"engine","connectionLimit":100,"engineProfile":{"experts":96,"expertSets":3}},`, 1)))
+			text := edgeSettings("crowd", f.store, "seeds = ["+strings.Join(list, ",")+"]\nside_port = "+port+"\n", 200) + crowdSettings()
+			p := f.start("edge", text, 0)
+			if !waitFor(func() bool { return fleetCalls.Load() >= 2*seeds && rankCalls.Load() >= seeds || !p.Alive() }) {
+				t.Errorf("%d calls of edges and %d of side processes", fleetCalls.Load(), rankCalls.Load())
+			}
+			check(t, p, maxOpenFiles, func() bool { return ordinary(p) })
+		})
+	}
+}
