Reset the connection of an aborted response to a caller of HTTP/1.0

Callers of HTTP/1.0 saw: a part of a response, or of a stream, as a complete one, after the upstream had broken off. They get no chunks; their body ends with the connection, which was closed in order.

Change: guard.Abort ends a response that was sent in part, at the edge and at the router; it resets the connection of such a caller before it is closed. Callers of HTTP/1.1 are treated as before.

--- a/cmd/mulberryfork-platform/reset_test.go
+++ b/cmd/mulberryfork-platform/reset_test.go
@@ -160,3 +160,31 @@
 		})
 	}
 }
+
+// Guards against a response in part that a caller of HTTP/1.0 takes for a whole one: it gets no
+// chunks, and a body without a length ends with its connection.
+func TestAbortedResponseToOldCallerIsNotComplete(t *testing.T) {
+	const chunkBytes = 64 << 10
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", chunkBytes, strings.Repeat("x", chunkBytes))
+	head := "HTTP/1.1 200 OK\r\nX-Mulberryfork-Attempt-Id: %s\r\nX-Mulberryfork-Response-Signature: sig\r\nTransfer-Encoding: chunked\r\n"
+	for _, c := range []struct {
+		name, path, response string
+		complete             bool
+	}{
+		{"body in part", "/u/x", head + "\r\n" + strings.Repeat(chunk, 16), false},
+		{"whole body", "/u/x", head + "\r\n" + strings.Repeat(chunk, 16) + "0\r\n\r\n", true},
+		{"stream in part", "/s/x", head + "Content-Type: text/event-stream\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n", false},
+		{"whole stream", "/s/x", head + "Content-Type: text/event-stream\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.useRaw(newRawUpstream(t, c.response))
+			caller := f.dial()
+			caller.write("POST " + c.path + " HTTP/1.0\r\nHost: h.example\r\nX-Api-Key: key1\r\nX-Mulberryfork-Attempt-Id: old\r\nX-Mulberryfork-Deadline-Remaining: 2000\r\nContent-Length: 0\r\n\r\n")
+			text, err := io.ReadAll(caller.conn)
+			if c.complete != (err == nil) {
+				t.Errorf("%d bytes, error %v", len(text), err)
+			}
+		})
+	}
+}
--- a/service/frontend/frontend_test.go
+++ b/service/frontend/frontend_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -227,6 +229,32 @@
 	}
 }
 
+// Guards against a truncated body that a caller of HTTP/1.0 takes for a complete one: it ends with
+// its connection, which must then not be closed in order.
+func TestTruncatedResponseToOldCallerEndsInReset(t *testing.T) {
+	for _, complete := range []bool{true, false} {
+		_, url := startFrontend(t, func(_ api.Request, s api.Sink) {
+			_ = s.Head(api.Head{Status: http.StatusOK, Headers: []api.Header{{Name: "Content-Type", Value: "application/json"}}})
+			_ = s.Chunk(api.Chunk{Seq: 1, Payload: []byte(strings.Repeat("x", 64<<10))})
+			end := api.End{Chunks: 1}
+			if !complete {
+				end.Failure = api.NewFailure(api.CodeStreamBroken, api.Ran, "the upstream closed the connection")
+			}
+			s.End(end)
+		})
+		conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		body := `{"model":"m"}`
+		_, _ = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.0\r\nHost: h\r\nAuthorization: Bearer secret\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		if text, err := io.ReadAll(conn); complete != (err == nil) {
+			t.Errorf("complete %t: %d bytes, error %v", complete, len(text), err)
+		}
+	}
+}
+
 // Guards against event IDs from which a caller can't resume the stream, for example
 // because the numbering restarts after a resume.
 func TestEventsCarryIDs(t *testing.T) {
--- a/service/frontend/response.go
+++ b/service/frontend/response.go
@@ -12,6 +12,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/kernel/guard"
 )
 
 // serve admits and dispatches a request and writes the response.
@@ -36,7 +37,7 @@
 	ctx, cancel := context.WithTimeoutCause(r.Context(), request.Timeout,
 		api.NewFailure(api.CodeDeadlineExceeded, api.RunUnknown, "the deadline passed before the response was complete"))
 	defer cancel()
-	out := &responseWriter{service: s, writer: w, request: request, startedAt: s.clock.Now()}
+	out := &responseWriter{service: s, writer: w, incoming: r, request: request, startedAt: s.clock.Now()}
 	out.lastChunkAt = out.startedAt
 	s.dispatcher.Dispatch(ctx, request, out)
 }
@@ -45,6 +46,7 @@
 type responseWriter struct {
 	service          *service
 	writer           http.ResponseWriter
+	incoming         *http.Request
 	request          api.Request
 	startedAt        time.Duration
 	lastChunkAt      time.Duration // startedAt before the first chunk
@@ -138,9 +140,8 @@
 }
 
 // End completes the response. If the request fails after the head was written, the
-// connection is closed without the final chunk of the body, so that the caller can't
-// mistake a truncated response for a complete one. An event stream gets an error event
-// before that.
+// response is aborted, so that the caller can't mistake a truncated response for a complete
+// one. An event stream gets an error event before that.
 func (w *responseWriter) End(e api.End) {
 	w.service.metrics.Observe("request_time", w.request.Member, w.service.clock.Now()-w.startedAt)
 	w.service.recordSLO(w.request, api.RequestSummary{
@@ -163,7 +164,7 @@
 		_, _ = w.writer.Write(appendEvent([]byte("event: error\n"), encodeFailure(e.Failure)))
 		_ = http.NewResponseController(w.writer).Flush()
 	}
-	panic(http.ErrAbortHandler)
+	guard.Abort(w.incoming)
 }
 
 type modelList struct {
