--- a/cmd/mulberryfork-platform/flood_test.go
+++ b/cmd/mulberryfork-platform/flood_test.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/mulberryfork/mulberryfork/internal/rawserver"
 	"github.com/mulberryfork/mulberryfork/standin/crowd"
 	"github.com/mulberryfork/mulberryfork/standin/flood"
 	"github.com/mulberryfork/mulberryfork/standin/platformstore"
@@ -170,9 +171,12 @@
 	})
 	p := f.startEdge(0)
 	faulty.Store(true)
-	called := func() bool { return faults.Load() >= calls || !p.Alive() }
-	// After a failed read the edge waits for up to 0.4 s.
-	if !waitFor(called) && !waitFor(called) {
+	called := false
+	for range 2 {
+		// After a failed read the edge waits for up to 0.4 s, so that one wait may be too short.
+		called = called || waitFor(func() bool { return faults.Load() >= calls || !p.Alive() })
+	}
+	if !called {
 		t.Fatalf("the store was called %d times", faults.Load())
 	}
 	faulty.Store(false)
@@ -253,32 +257,17 @@
 	check(t, p, maxOpenFiles, func() bool { return ordinary(p) })
 }
 
-// floodFrames accepts connections and answers each call with frames that a crowd sends.
+// floodFrames answers each call at an address with frames that a crowd sends.
 func floodFrames(t *testing.T, address string, play func(*crowd.Client), calls *atomic.Int64) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if _, err := conn.Read(make([]byte, 1)); err != nil {
-					return
-				}
-				calls.Add(1)
-				play(&crowd.Client{Conn: conn})
-				_, _ = io.Copy(io.Discard, conn)
-			}()
+	return rawserver.Listen(t, address, func(conn *net.TCPConn) {
+		if _, err := conn.Read(make([]byte, 1)); err != nil {
+			return
 		}
-	}()
-	return listener.Addr().String()
+		calls.Add(1)
+		play(&crowd.Client{Conn: conn})
+		_, _ = io.Copy(io.Discard, conn)
+	})
 }
 
 // Guards against replies of other edges and of side processes whose end does not come: each stays
@@ -292,7 +281,7 @@
 			var fleetCalls, rankCalls atomic.Int64
 			var list []string
 			for range seeds {
-				list = append(list, strconv.Quote(floodFrames(t, "127.0.0.1:0", pattern.Play, &fleetCalls)))
+				list = append(list, strconv.Quote(floodFrames(t, rawserver.AnyPort, pattern.Play, &fleetCalls)))
 			}
 			_, port, err := net.SplitHostPort(floodFrames(t, "127.0.0.2:0", pattern.Play, &rankCalls))
 			if err != nil {
--- a/cmd/mulberryfork-platform/reset_test.go
+++ b/cmd/mulberryfork-platform/reset_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/internal/rawserver"
 )
 
 const (
@@ -39,27 +40,7 @@
 	requests atomic.Int64
 }
 
-func (u *earlyUpstream) listen(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go u.serve(conn.(*net.TCPConn))
-		}
-	}()
-	return listener.Addr().String()
-}
-
 func (u *earlyUpstream) serve(conn *net.TCPConn) {
-	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	request, err := http.ReadRequest(reader)
 	if err != nil {
@@ -128,7 +109,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixtureWithRetryBudget(t, 1_000_000)
 			f.store.Put("op/config", []byte(strings.Replace(fmt.Sprintf(configFormat, 2, 1), `"maxBodyBytes":100000`, fmt.Sprintf(`"maxBodyBytes":%d`, 2*uploadBytes), 1)))
-			f.useRaw(&rawUpstream{address: c.upstream.listen(t)})
+			f.useRaw(&rawUpstream{address: rawserver.Listen(t, rawserver.AnyPort, c.upstream.serve)})
 			f.awaitView(func(v *api.View) bool { return v.Table != nil && v.Table.MaxBodyBytes > uploadBytes })
 			body := strings.Repeat("x", uploadBytes)
 			var whole, broken atomic.Int64
--- a/kernel/httpclient/client_test.go
+++ b/kernel/httpclient/client_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/mulberryfork/mulberryfork/internal/rawserver"
 	"github.com/mulberryfork/mulberryfork/kernel/httpclient"
 )
 
@@ -141,32 +142,17 @@
 // closes it.
 func rawServer(t *testing.T, responses ...string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
+	return rawserver.Listen(t, rawserver.AnyPort, func(conn *net.TCPConn) {
+		reader := bufio.NewReader(conn)
+		for _, text := range responses {
+			request, err := http.ReadRequest(reader)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for _, text := range responses {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, _ = io.WriteString(conn, text)
-				}
-			}()
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(conn, text)
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 func newClient(maxIdle int, account httpclient.Account) *httpclient.Client {
--- a/service/engine/broken_test.go
+++ b/service/engine/broken_test.go
@@ -12,29 +12,14 @@
 	"testing"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/internal/rawserver"
 )
 
-// listenRaw starts an upstream that hands each connection to a function and closes it.
+// listenRaw starts an upstream that hands each connection to a function and closes it. It returns
+// its URL.
 func listenRaw(t *testing.T, serve func(conn *net.TCPConn, reader *bufio.Reader)) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				serve(conn.(*net.TCPConn), bufio.NewReader(conn))
-			}()
-		}
-	}()
-	return "http://" + listener.Addr().String()
+	return "http://" + rawserver.Listen(t, rawserver.AnyPort, func(conn *net.TCPConn) { serve(conn, bufio.NewReader(conn)) })
 }
 
 // Guards against a part of a body that is reported as complete: the upstream resets the
