--- a/api/metrics.go
+++ b/api/metrics.go
@@ -78,7 +78,7 @@
 	{"connection_bytes", MetricGauge, "bytes", "", "all", "bytes of heads, bodies and frames that are charged to connections"},
 	{"connections_refused", MetricCounter, "connections", "listener", "all", "new connections closed because there was no room for another one"},
 	{"connections_ended", MetricCounter, "connections", "reason", "all", "connections ended because of the least progress: for lack of room for `connections`, `bytes` or `requests`, or because the response was `unread` for too long; or because a `head` was not complete, or a connection `idle`, for longer than the published time"},
-	{"bodies_refused", MetricCounter, "requests", "", "edge", "requests refused because too many bytes of request bodies are held"},
+	{"bodies_refused", MetricCounter, "requests", "", "edge", "request bodies and parts of responses refused because too many bytes of them are held"},
 	{"first_chunk", MetricHistogram, "us", "member", "router", "time from arrival to the first chunk"},
 	{"chunk_gap", MetricHistogram, "us", "member", "router", "time between two successive chunks"},
 	{"request_time", MetricHistogram, "us", "member", "router", "time from arrival to the end of the response"},
--- a/service/connections/connections.go
+++ b/service/connections/connections.go
@@ -169,7 +169,7 @@
 		return nil
 	}
 	s.refusedBodies.Add(1)
-	f := api.NewFailure(api.CodeOverloaded, api.NotRun, "this process holds too many bytes of request bodies")
+	f := api.NewFailure(api.CodeOverloaded, api.NotRun, "this process holds too many bytes of requests and responses")
 	f.RetryAfter = busyRetryAfter
 	return f
 }
