Grow the buffers of events by doubling

Cause: append grows long buffers by a quarter, so that building an event of 1 MiB left several times its length as garbage, faster than it was collected. That garbage was not charged.

Change: httpclient.Hold appends itself: the room doubles, and is charged with the room before it. The agent's adapter keeps the buffer of a long line.

--- a/kernel/httpclient/hold.go
+++ b/kernel/httpclient/hold.go
@@ -17,10 +17,25 @@
 	charged int64
 }
 
-// Grow charges the room of a buffer that grows by appending to n bytes: up to twice as much,
-// with what it held before. The error is that of the budget.
-func (h *Hold) Grow(n int) error {
-	missing := 2*int64(n) - freeRoom - h.charged
+// Append appends to a buffer. Its room doubles when it grows, and is charged with the room that it
+// had, which is garbage then. With the smaller steps of append, the garbage of long events was
+// several times their length, and came faster than it was collected. The error is that of the
+// budget.
+func (h *Hold) Append(buffer, p []byte) ([]byte, error) {
+	need := len(buffer) + len(p)
+	if need <= cap(buffer) {
+		return append(buffer, p...), nil
+	}
+	room := max(need, 2*cap(buffer))
+	if err := h.charge(int64(room + cap(buffer))); err != nil {
+		return buffer, err
+	}
+	return append(append(make([]byte, 0, room), buffer...), p...), nil
+}
+
+// charge makes sure that n bytes are charged, but for freeRoom.
+func (h *Hold) charge(n int64) error {
+	missing := n - freeRoom - h.charged
 	if h.Budget == nil || missing <= 0 {
 		return nil
 	}
--- a/service/engine/engine.go
+++ b/service/engine/engine.go
@@ -102,7 +102,7 @@
 	if err := sink.Head(api.Head{AttemptID: o.AttemptID, Status: resp.Status, Headers: filterHeaders(resp.Header)}); err != nil {
 		return api.Usage{}, sinkFailure(err)
 	}
-	r := relay{held: httpclient.Hold{Budget: resp.Body}, clock: s.clock, startedAt: begin, sink: sink, attemptID: o.AttemptID, seq: o.ResumeFrom}
+	r := relay{held: httpclient.Hold{Budget: resp.Body}, heldLine: httpclient.Hold{Budget: resp.Body}, clock: s.clock, startedAt: begin, sink: sink, attemptID: o.AttemptID, seq: o.ResumeFrom}
 	mediaType, _, _ := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 	if mediaType == "text/event-stream" {
 		failure = r.readEvents(resp.Body)
--- a/service/engine/relay.go
+++ b/service/engine/relay.go
@@ -26,8 +26,10 @@
 
 // relay reads one response and writes it to the sink in chunks.
 type relay struct {
-	// held charges the event that is being read.
-	held      httpclient.Hold
+	// held charges the data of the event that is being read, heldLine the line.
+	held, heldLine httpclient.Hold
+	// line holds a line that is longer than the reader's buffer.
+	line      []byte
 	clock     kernel.Clock
 	startedAt time.Duration
 	sink      api.Sink
@@ -44,10 +46,11 @@
 	reader.Reset(body)
 	defer lineReaders.Put(reader)
 	defer r.held.Release()
+	defer r.heldLine.Release()
 	done := false
 	var data []byte
 	for {
-		line, err := r.readLine(reader, len(data))
+		line, err := r.readLine(reader)
 		if err != nil {
 			return r.eventsFailure(err, done)
 		}
@@ -68,21 +71,12 @@
 			continue
 		}
 		value = bytes.TrimPrefix(value, []byte(" "))
-		if err := r.hold(len(data) + len(value)); err != nil {
+		if data, err = r.appendData(data, value); err != nil {
 			return r.eventsFailure(err, done)
 		}
-		data = appendData(data, value)
 	}
 }
 
-// hold charges the bytes of an event that are held, and bounds them.
-func (r *relay) hold(n int) error {
-	if n > maxEventBytes {
-		return &EventTooLongError{}
-	}
-	return r.held.Grow(n)
-}
-
 // eventsFailure returns the failure of a stream that ended with err, or nil if the final
 // event was read before.
 func (r *relay) eventsFailure(err error, done bool) *api.Failure {
@@ -100,11 +94,19 @@
 }
 
 // appendData appends one data line to the data of an event.
-func appendData(data, value []byte) []byte {
+func (r *relay) appendData(data, value []byte) ([]byte, error) {
+	if len(data)+len(value) > maxEventBytes {
+		return nil, &EventTooLongError{}
+	}
 	if data == nil {
-		return append(make([]byte, 0, len(value)), value...)
+		data = make([]byte, 0, len(value))
+	} else {
+		var err error
+		if data, err = r.held.Append(data, []byte{'\n'}); err != nil {
+			return nil, err
+		}
 	}
-	return append(append(data, '\n'), value...)
+	return r.held.Append(data, value)
 }
 
 // EventTooLongError reports an event longer than maxEventBytes, or one of its lines longer than
@@ -114,8 +116,8 @@
 func (*EventTooLongError) Error() string { return "event too long" }
 
 // readLine returns the next line without its line break. The line is only valid until
-// the next read. held is the number of bytes of the event that are held already.
-func (r *relay) readLine(reader *bufio.Reader, held int) ([]byte, error) {
+// the next read.
+func (r *relay) readLine(reader *bufio.Reader) ([]byte, error) {
 	line, err := reader.ReadSlice('\n')
 	if err == nil {
 		return bytes.TrimRight(line, "\r\n"), nil
@@ -123,18 +125,18 @@
 	if err != bufio.ErrBufferFull {
 		return nil, err
 	}
-	long := append([]byte(nil), line...)
+	r.line = append(r.line[:0], line...)
 	for err == bufio.ErrBufferFull {
-		if len(long) > maxEventLineBytes {
+		if len(r.line) > maxEventLineBytes {
 			return nil, &EventTooLongError{}
 		}
-		if err := r.held.Grow(held + len(long)); err != nil {
-			return nil, err
-		}
 		line, err = reader.ReadSlice('\n')
-		long = append(long, line...)
+		var noRoom error
+		if r.line, noRoom = r.heldLine.Append(r.line, line); noRoom != nil {
+			return nil, noRoom
+		}
 	}
-	return bytes.TrimRight(long, "\r\n"), err
+	return bytes.TrimRight(r.line, "\r\n"), err
 }
 
 var bodyBuffers = sync.Pool{New: func() any {
