httpclient: fail at once if nothing of a request was written

The reader got the error of a first write too, so that net/http could no longer send the request on another connection when a kept one had been closed by its server. Found by reading the change; TestRequestIsSentOnAnotherConnection plays it. A request of which bytes were written is treated as before.

--- a/kernel/httpclient/client_test.go
+++ b/kernel/httpclient/client_test.go
@@ -138,6 +138,69 @@
 	}
 }
 
+// closedConn is a connection on which one response comes. Any later write fails.
+type closedConn struct {
+	net.Conn
+	written, closed chan struct{}
+	writes          atomic.Int64
+	response        *strings.Reader
+	closeOnce       sync.Once
+}
+
+func (c *closedConn) Write(p []byte) (int, error) {
+	if c.writes.Add(1) > 1 {
+		return 0, syscall.EPIPE
+	}
+	close(c.written)
+	return len(p), nil
+}
+
+func (c *closedConn) Read(p []byte) (int, error) {
+	<-c.written
+	if n, err := c.response.Read(p); err == nil {
+		return n, nil
+	}
+	<-c.closed
+	return 0, io.EOF
+}
+
+func (c *closedConn) SetWriteDeadline(time.Time) error { return nil }
+
+func (c *closedConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return nil
+}
+
+// Guards against a request of which nothing was written and that is given up, although another
+// connection can take it.
+func TestRequestIsSentOnAnotherConnection(t *testing.T) {
+	address := rawServer(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
+	dials := 0
+	client := httpclient.New(httpclient.Options{MaxIdle: 1, IdleTimeout: time.Minute, Dial: func(ctx context.Context, network, _ string) (net.Conn, error) {
+		if dials++; dials == 1 {
+			return &closedConn{
+				written: make(chan struct{}), closed: make(chan struct{}),
+				response: strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\npart"),
+			}, nil
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}})
+	for _, want := range []string{"part", "other"} {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://upstream/x", strings.NewReader("x"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := client.Do(r, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(response.Body); err != nil || string(body) != want {
+			t.Errorf("body %q, error %v, want %q", body, err, want)
+		}
+		_ = response.Body.Close()
+	}
+}
+
 // rawServer answers the requests of each connection with one text after the other, and then
 // closes it.
 func rawServer(t *testing.T, responses ...string) string {
--- a/kernel/httpclient/conn.go
+++ b/kernel/httpclient/conn.go
@@ -25,9 +25,9 @@
 	// writing is held during a write. The fields below it are guarded by it.
 	writing sync.Mutex
 	// writeErr is the error of the first write that failed. failedIn is the exchange in which it
-	// did.
-	writeErr error
-	failedIn *exchange
+	// did, sentIn the last one of whose request bytes were written.
+	writeErr         error
+	failedIn, sentIn *exchange
 }
 
 // begin starts an exchange.
@@ -47,13 +47,17 @@
 
 // Write writes to the connection. If the connection has ended, the rest of the request is dropped
 // without an error: the server may have sent a whole response before, which net/http does not
-// read after a failed write. The reader gets the error instead.
+// read after a failed write. The reader gets the error instead. A request of which nothing was
+// written fails at once, so that net/http may send it on another connection.
 func (c *conn) Write(p []byte) (int, error) {
 	x := c.current(true)
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	if c.writeErr == nil {
 		n, err := c.Conn.Write(p)
+		if n > 0 {
+			c.sentIn = x
+		}
 		if err == nil {
 			return n, nil
 		}
@@ -62,7 +66,7 @@
 			return n, err
 		}
 	}
-	if c.failedIn != x {
+	if c.failedIn != x || c.sentIn != x {
 		return 0, c.writeErr
 	}
 	return len(p), nil
