--- a/review/kit3/leak.go
+++ b/review/kit3/leak.go
@@ -17,6 +17,8 @@
 	// socketLimit is what an edge of bodky-hq may open: 2,870 descriptors, of which 200 are
 	// reserved for files.
 	socketLimit = 2670
+	// ownSockets is what the stand-ins open beside the connections of the stoppers.
+	ownSockets = 500
 	// stoppers is the number of clients that stop short of the end of a body and stay,
 	// stopperGap the time between two of them, stopperBytes the size of their bodies.
 	stoppers     = 6000
@@ -31,6 +33,13 @@
 // playLeak lets clients that nobody controls send large bodies of legal size, most of which stop
 // just short of their end and stay open. Ordinary callers must still be let in.
 func playLeak(b *bench, trouble bool) ([]string, error) {
+	var own unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &own); err != nil {
+		return nil, err
+	}
+	if own.Cur < stoppers+ownSockets {
+		return nil, fmt.Errorf("the stand-ins need %d descriptors, the limit is %d", stoppers+ownSockets, own.Cur)
+	}
 	store, err := b.startStore()
 	if err != nil {
 		return nil, err
