--- a/review/kit3/era.go
+++ b/review/kit3/era.go
@@ -98,6 +98,7 @@
 		b.putJSON("servers/i-1", entries["i-1"])
 		b.putJSON("servers/i-2", entries["i-2"])
 	}
+	copiedAt := b.now()
 	b.store = drill.current
 	e, err := b.startEdge(store)
 	if err != nil {
@@ -125,11 +126,11 @@
 	time.Sleep(heartbeat)
 	if trouble {
 		drill.leave()
-		b.note("the store is away")
+		b.note("the store is away; the last copy is %.1f s old", (b.now() - copiedAt).Seconds())
 		time.Sleep(awayTime)
 		drill.comeBack(copied)
 		b.store = copied
-		b.note("the store is back from a copy that is %s old, in era 2", coldStart+2*heartbeat)
+		b.note("the store is back from that copy, in era 2")
 		time.Sleep(heartbeat / 2)
 		b.putJSON("servers/i-3", entries["i-3"])
 		b.putJSON("servers/i-4", entries["i-4"])
