--- a/api/discovery.go
+++ b/api/discovery.go
@@ -217,6 +217,18 @@
 	ZonesOut map[string]bool
 	// ChangeCount counts the changes of the view since the process started.
 	ChangeCount uint64
+	// TableSource is the read that Table comes from.
+	TableSource TableSource
+}
+
+// TableSource identifies the read of the platform's store that a route table comes from.
+type TableSource struct {
+	// Era and Revision are those of the entry. Era is 0 if the store states none.
+	Era, Revision uint64
+	// Full is set if the read listed all entries, and not set if it returned changes.
+	Full bool
+	// ReadAt is the elapsed time at which the read was applied.
+	ReadAt time.Duration
 }
 
 // Discovery maintains the routes, members and upstreams known to the process.
--- a/cmd/mulberryfork-platform/fixture_test.go
+++ b/cmd/mulberryfork-platform/fixture_test.go
@@ -106,6 +106,12 @@
 // startProcess starts some services of a role with the text of a settings file. change changes
 // the registry before. The process is stopped at the end of the test.
 func startProcess(t testing.TB, role settings.Role, text string, services []string, change func(*kernel.Registry) error) *daemon.Process {
+	t.Helper()
+	return startLoggingProcess(t, role, text, services, change, io.Discard)
+}
+
+// startLoggingProcess is startProcess with the log written to w.
+func startLoggingProcess(t testing.TB, role settings.Role, text string, services []string, change func(*kernel.Registry) error, w io.Writer) *daemon.Process {
 	t.Helper()
 	loaded, problems := settings.Read("test", []byte(text), role)
 	if problems != nil {
@@ -118,7 +124,7 @@
 	if err := change(r); err != nil {
 		t.Fatal(err)
 	}
-	process, err := daemon.StartWith(t.Context(), r, services, loaded, &log.Output{Writer: io.Discard})
+	process, err := daemon.StartWith(t.Context(), r, services, loaded, &log.Output{Writer: w})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -31,6 +31,7 @@
 	// upstream. It maps their IDs to the positions of their entries.
 	reassigned  map[string]storeera.Position
 	table       *api.RouteTable
+	tableSource api.TableSource
 	asOf        time.Duration
 	contact     contact
 	copies      copies
@@ -49,19 +50,27 @@
 	View *api.View
 	// Malformed lists the entries that could not be parsed.
 	Malformed []api.DiscoveryItem
-	// StaleConfigs counts configurations older than the active one.
-	StaleConfigs int
+	// IgnoredConfigs lists the configurations that were read and did not become active.
+	IgnoredConfigs []IgnoredConfig
 	// Dropped lists the upstreams that were removed.
 	Dropped []string
-	// NewEra is set if the update is the first of a new era of the store, and Withheld
+	// NewEra is set if the update is the first of a new era of the store, Era. Withheld
 	// lists the keys for which what was known before wins for now.
 	NewEra   bool
+	Era      uint64
 	Withheld []string
 	// NextTick is the time at which Tick must run next to drop missing upstreams, 0
 	// if none are missing.
 	NextTick time.Duration
 }
 
+// IgnoredConfig is a valid configuration that is older than the active one, by its version
+// or by its position.
+type IgnoredConfig struct {
+	Version uint64
+	Source  api.TableSource
+}
+
 // New returns an empty state.
 func New(b Bounds) *State {
 	return &State{
@@ -93,14 +102,15 @@
 	}
 	s.contact.answered(now, cmp.Or(u.FirstAnswerAt, now), newEra, s.bounds)
 	s.asOf = max(s.asOf, u.AsOf)
-	c := Change{NewEra: newEra}
+	c := Change{NewEra: newEra, Era: u.Era}
+	read := api.TableSource{Era: u.Era, Full: u.Full, ReadAt: now}
 	dirty := s.changeCount == 0
 	for _, item := range u.Items {
 		e := entry{item, storeera.Position{Era: u.Era, Revision: item.Revision}}
 		if newEra {
 			e = s.reconcile(e, &c)
 		}
-		dirty = s.applyEntry(now, e, &c) || dirty
+		dirty = s.applyEntry(now, e, read, &c) || dirty
 	}
 	if u.Full {
 		dirty = s.removeUnlisted(now, u, newEra, &c) || dirty
@@ -155,10 +165,14 @@
 	return c
 }
 
-// applyEntry applies one entry and reports whether the view changed.
-func (s *State) applyEntry(now time.Duration, e entry, c *Change) bool {
+// applyEntry applies one entry of a read and reports whether the view changed.
+func (s *State) applyEntry(now time.Duration, e entry, read api.TableSource, c *Change) bool {
+	read.Revision = e.Revision
 	known, ok := s.entries[e.Key]
 	if ok && e.position.Compare(known.position) < 0 || s.copies.holds(e) {
+		if e.Table != nil {
+			c.IgnoredConfigs = append(c.IgnoredConfigs, IgnoredConfig{e.Table.Version, read})
+		}
 		return false
 	}
 	s.copies.release(e.Key)
@@ -179,10 +193,10 @@
 	}
 	if e.Table != nil {
 		if s.table != nil && e.Table.Version < s.table.Version {
-			c.StaleConfigs++
+			c.IgnoredConfigs = append(c.IgnoredConfigs, IgnoredConfig{e.Table.Version, read})
 			return false
 		}
-		s.table = e.Table
+		s.table, s.tableSource = e.Table, read
 	}
 	s.entries[e.Key] = e
 	return true
@@ -265,6 +279,7 @@
 		Instances:   make(map[string]api.Instance),
 		ZonesOut:    make(map[string]bool),
 		ChangeCount: s.changeCount,
+		TableSource: s.tableSource,
 	}
 	latest := s.latestByAddress()
 	for _, e := range s.entries {
--- a/service/discovery/discovery.go
+++ b/service/discovery/discovery.go
@@ -62,6 +62,14 @@
 		readErrors:       metrics.Counter("discovery_lost", ""),
 	}
 	metrics.Gauge("discovery_age_ms", func() int64 { return (s.clock.Now() - s.AsOf()).Milliseconds() })
+	metrics.Gauge("discovery_config_version", func() int64 {
+		if t := s.View().Table; t != nil {
+			return int64(t.Version)
+		}
+		return 0
+	})
+	metrics.Gauge("discovery_config_era", func() int64 { return int64(s.View().TableSource.Era) })
+	metrics.Gauge("discovery_config_revision", func() int64 { return int64(s.View().TableSource.Revision) })
 	metrics.Gauge("discovery_upstreams", func() int64 { return int64(len(s.View().Instances)) })
 	s.updates = kernel.NewMailbox(s.loop, "discovery.learn", updateMailboxSize, kernel.Wait, s.handleUpdate)
 	s.addressReuses = kernel.NewMailbox(s.loop, "discovery.misplaced", addressReuseMailboxSize, kernel.Drop,
@@ -146,13 +154,18 @@
 // handleChange counts and logs a change, publishes its view and schedules the next
 // recheck of the state.
 func (s *service) handleChange(now time.Duration, c discovery.Change) {
-	s.counts.staleTables.Add(int64(c.StaleConfigs))
+	for _, ignored := range c.IgnoredConfigs {
+		s.counts.staleTables.Add(1)
+		s.log.Change("older configuration ignored", s.withActiveConfig(api.Fields{
+			"ignored": ignored.Version, "ignored_era": ignored.Source.Era, "ignored_revision": ignored.Source.Revision, "full": ignored.Source.Full,
+		}))
+	}
 	for _, item := range c.Malformed {
 		s.counts.malformedEntries.Add(1)
 		s.log.Change("malformed store entry ignored", api.Fields{"key": item.Key, "revision": item.Revision, "error": item.Malformed.Error()})
 	}
 	if c.NewEra {
-		s.log.Change("platform store began a new era", api.Fields{"withheld": c.Withheld})
+		s.log.Change("platform store began a new era", s.withActiveConfig(api.Fields{"withheld": c.Withheld, "era": c.Era}))
 	}
 	if c.NextTick > 0 {
 		s.loop.After(c.NextTick-now, func(now time.Duration) { s.handleChange(now, s.state.Tick(now)) })
@@ -168,6 +181,17 @@
 	}
 }
 
+// withActiveConfig adds the active configuration, and the read it comes from, to the fields of
+// a log line.
+func (s *service) withActiveConfig(fields api.Fields) api.Fields {
+	v := s.View()
+	if v.Table != nil {
+		fields["config"] = v.Table.Version
+	}
+	fields["config_era"], fields["config_revision"] = v.TableSource.Era, v.TableSource.Revision
+	return fields
+}
+
 func (s *service) logView(c discovery.Change) {
 	before := s.View()
 	fields := api.Fields{"changed": c.View.ChangeCount, "upstreams": len(c.View.Instances), "zones_out": len(c.View.ZonesOut)}
@@ -178,12 +202,18 @@
 		fields["config"] = t.Version
 		if before.Table == nil || before.Table.Version != t.Version {
 			fields["config_new"] = true
+			fields["config_era"], fields["config_revision"] = c.View.TableSource.Era, c.View.TableSource.Revision
+			fields["full"] = c.View.TableSource.Full
 		}
 	}
+	var leaving []string
 	for id, in := range c.View.Instances {
 		if old, ok := before.Instances[id]; in.Leaving && ok && !old.Leaving {
-			fields["leaving"] = id
+			leaving = append(leaving, id)
 		}
 	}
+	if len(leaving) > 0 {
+		fields["leaving"] = leaving
+	}
 	s.log.Change("view changed", fields)
 }
