config.source, config.store: report a service restored from a backup

Operators saw nothing: after a restore of the configuration service to revision 2, with 6 in force, two publications (3 and 4) were in force nowhere for 25 s, config_older and /readyz did not change, and no line was logged (4 processes: 2 routers, 2 agents, each with its own read). Revision 7 was in force within 3 s. A promised alarm, "source stale", could not fire.

Cause: revisions are compared beyond the life of the service that gives them out. A watch asks for what is above the last delivered revision, so that a service with lower ones never answers with a revision, and the end of that watch counted as a confirmation of the active version. The protocol states no era, and lower revisions are normal at stale replicas, so a lower one can't come into force.

Change: at most every 10 s the end of a watch without a change is followed by a read. What it returns is the start of the next watch, so that later publications are seen at once. A revision below the active one is logged once, counted as before, and while the source holds it the source confirms nothing. The stand-in can be restored.

Before: TestRevisionsAfterRestoreFromBackupAreDelivered (revision 3 not delivered in 1 min, in both kinds of process) and TestRevisionsBelowActiveAreReported (no line, confirmed 0 s ago) failed.

--- a/service/configsource/configsource.go
+++ b/service/configsource/configsource.go
@@ -24,6 +24,10 @@
 	// configuration service ends a watch without a change.
 	watchTimeout = 40 * time.Second
 	dialTimeout  = 5 * time.Second
+	// readInterval is the minimum time between two reads during a watch. readTimeout
+	// bounds one of them.
+	readInterval = 10 * time.Second
+	readTimeout  = 2 * time.Second
 	// maxResponseBytes bounds one response. The service stores values of up to 1 MB,
 	// which JSON escapes enlarge.
 	maxResponseBytes = 4 << 20
@@ -88,8 +92,9 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.Err }
 
-// Watch delivers each new revision until ctx ends. It calls health with the result
-// of each read and retries failed reads with backoff. A folder is read only once.
+// Watch delivers each new revision until ctx ends, and every readInterval the current
+// one. It calls health with the result of each read and retries failed reads with
+// backoff. A folder is read only once.
 func (s *service) Watch(ctx context.Context, deliver func(api.RawConfig), health func(error)) {
 	if s.settings.Config.Folder != "" {
 		raw, err := readFolder(s.settings.Config.Folder)
@@ -100,8 +105,13 @@
 		return
 	}
 	var after, failures uint64
+	readAt := time.Now()
 	for ctx.Err() == nil {
 		raw, changed, err := s.poll(ctx, after)
+		if err == nil && !changed && time.Since(readAt) >= readInterval {
+			readAt = time.Now()
+			raw, changed, err = s.readCurrent(ctx)
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -139,6 +149,14 @@
 	return raw, changed, err
 }
 
+// readCurrent reads the service without waiting. Unlike a watch, this also returns a
+// revision below the last one, which a service restored from a backup has.
+func (s *service) readCurrent(ctx context.Context) (api.RawConfig, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return s.get(ctx, "")
+}
+
 // Read reads the source once.
 func (s *service) Read(ctx context.Context) (api.RawConfig, error) {
 	if s.settings.Config.Folder != "" {
--- a/service/configstore/configstore_test.go
+++ b/service/configstore/configstore_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,14 +16,21 @@
 	"github.com/mulberryfork/mulberryfork/service/metrics"
 )
 
-// fakeSource is a fake configuration source that delivers the revisions sent to it.
-type fakeSource struct{ revisions chan api.RawConfig }
+// fakeSource is a fake configuration source that delivers the revisions sent to it. A
+// value in unchanged ends a watch without a change.
+type fakeSource struct {
+	revisions chan api.RawConfig
+	unchanged chan struct{}
+}
 
-func (p *fakeSource) Watch(ctx context.Context, deliver func(api.RawConfig), _ func(error)) {
+func (p *fakeSource) Watch(ctx context.Context, deliver func(api.RawConfig), health func(error)) {
 	for {
 		select {
 		case raw := <-p.revisions:
+			health(nil)
 			deliver(raw)
+		case <-p.unchanged:
+			health(nil)
 		case <-ctx.Done():
 			return
 		}
@@ -102,6 +108,7 @@
 	peers  *fakePeers
 	clock  *pausableClock
 	calls  *kernel.Mailbox[func(now time.Duration)]
+	log    logBuffer
 }
 
 // pausableClock can jump forward, like the clock of a process that was paused.
@@ -167,7 +174,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := &testbed{
 			t:      t,
-			source: &fakeSource{revisions: make(chan api.RawConfig)},
+			source: &fakeSource{revisions: make(chan api.RawConfig), unchanged: make(chan struct{})},
 			peers: &fakePeers{
 				versions: map[string]api.ConfigVersion{}, files: map[api.ConfigVersion]map[string][]byte{},
 			},
@@ -188,7 +195,7 @@
 			}
 		}
 		b.host = kernel.NewHost(r, r.Names(), kernel.Options{Clock: b.clock, Values: []any{
-			settings, &log.Output{Writer: io.Discard},
+			settings, &log.Output{Writer: &b.log},
 		}})
 		if err := b.host.Start(t.Context()); err != nil {
 			t.Fatal(err)
--- a/service/configstore/control.go
+++ b/service/configstore/control.go
@@ -24,8 +24,11 @@
 	// confirmedAt is when the platform or a peer last reported the version that is
 	// active here.
 	confirmedAt time.Duration
-	started     bool
-	stopping    bool
+	// ignored is the version of the source if it is below the active one, otherwise
+	// zero.
+	ignored  spread.Version
+	started  bool
+	stopping bool
 }
 
 // newState returns the initial state with the peers in the settings. Each is named
@@ -201,7 +204,7 @@
 }
 
 func (c *control) recordSourceHealth(now time.Duration, err error) {
-	if err == nil {
+	if err == nil && c.ignored.IsZero() {
 		// A watch that ends without a change confirms the active version.
 		c.confirmedAt = now
 	}
--- a/service/configstore/events.go
+++ b/service/configstore/events.go
@@ -44,10 +44,25 @@
 
 func (e sourceRead) apply(now time.Duration, c *control) []spread.Action {
 	c.candidate = e.candidate
-	c.confirmIfActive(now, e.candidate.version)
+	c.recordSourceVersion(now, e.candidate.version)
 	return c.state.Delivered(now, e.candidate.version)
 }
 
+// recordSourceVersion compares the version of the source with the active one. A lower
+// one comes from a stale replica, or from a service that was restored from a backup.
+func (c *control) recordSourceVersion(now time.Duration, v spread.Version) {
+	active := c.state.Accepted()
+	if !active.Above(v) {
+		c.ignored = spread.Version{}
+		c.confirmIfActive(now, v)
+		return
+	}
+	if v != c.ignored {
+		c.ignored = v
+		c.service.log.Change("older configuration ignored", api.Fields{"ignored": v.Revision, "revision": active.Revision})
+	}
+}
+
 // fetched is content from a peer and the version that the peer claims for it.
 type fetched struct {
 	peer      string
--- a/standin/confservice/service.go
+++ b/standin/confservice/service.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -82,6 +83,7 @@
 	history  []publishedRevision
 	replicas []*replica
 	calls    Calls
+	restores int
 	// changed is closed when the response of a replica may have changed.
 	changed chan struct{}
 }
@@ -161,6 +163,16 @@
 	s.notifyWatches()
 }
 
+// Restore returns the service to an earlier revision, as a backup of it would. Later
+// revisions are lost and their numbers are given out again. Pending watches end.
+func (s *Service) Restore(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = slices.Clone(s.history[:revision])
+	s.restores++
+	s.notifyWatches()
+}
+
 // Calls returns the counts so far.
 func (s *Service) Calls() Calls {
 	s.mu.Lock()
@@ -236,12 +248,15 @@
 func (r *replica) respond(w http.ResponseWriter, q *http.Request, after uint64, watch bool) {
 	timeout := time.NewTimer(r.service.options.WatchTimeout)
 	defer timeout.Stop()
+	s := r.service
+	s.mu.Lock()
+	restores := s.restores
+	s.mu.Unlock()
 	for {
-		s := r.service
 		s.mu.Lock()
 		now := s.options.Clock.Now()
 		newest, next := r.visibleRevision(now)
-		down, changed := r.down, s.changed
+		down, changed := r.down || s.restores != restores, s.changed
 		s.mu.Unlock()
 		switch {
 		case down:
