work: number cache changes for the life of the agent

Requests after an engine's restart were placed by a wrong picture of its prefix cache: routers skipped the changes of the new engine as already applied until its numbers passed those of the engine before, and kept the blocks of a cache that no longer existed as confirmed, without the weight of a gap. No promise depends on it; it costs prefix hits.

Cause: the engine's numbers begin again at 1 when it restarts, but routers compare them for the life of the agent's incarnation (decide/route: CacheSeq <= seq is a late report). The agent passed them on as they were. The link noticed a restart only if the last number was below the last reported one, and otherwise reported a part of the new changes without a gap.

Change: the agent numbers the changes itself. After a restart of the engine it goes on above the last number and leaves one out, which routers see as a gap and treat by their policy for gaps (entries unconfirmed, at most 60 s). The guess in the link is gone.

TestCacheChangesRiseOverEngineRestart failed before: batches of restarted engines followed number 12 with 1, 20 with 5 and 6 with 1. It passes, as do service/work, decide/route and deployment with -race.

--- a/api/request.go
+++ b/api/request.go
@@ -202,8 +202,9 @@
 	// evicted from the prefix cache since the last report.
 	PrefixAdded   []uint64
 	PrefixDropped []uint64
-	// CacheSeq is the number of cache events of the engine so far, including those
-	// of this report. A gap means that events were lost.
+	// CacheSeq numbers the cache events since the agent started. It is the number of the
+	// last one of this report. A gap means that events were lost, or that the engine
+	// restarted.
 	CacheSeq uint64
 	// Suspicions are new crash reports, which the router forwards.
 	Suspicions []Suspicion
--- a/service/linkserver/link.go
+++ b/service/linkserver/link.go
@@ -272,10 +272,6 @@
 // service discards before that cause a gap in CacheSeq.
 func (l *link) addCacheChanges(load *api.Load) {
 	changes, limit := l.server.work.CacheChanges(), l.server.reportSchedule().MaxChanges
-	if n := len(changes); n > 0 && changes[n-1].Seq < l.cacheSeq {
-		// The engine restarted and with it the sequence numbers.
-		l.cacheSeq = 0
-	}
 	for _, c := range changes {
 		if c.Seq <= l.cacheSeq {
 			continue
--- a/service/work/control.go
+++ b/service/work/control.go
@@ -106,11 +106,14 @@
 	// of the upstream.
 	engineIncarnation, previousEngineIncarnation uint64
 	// cacheIncarnation is the engine incarnation of the recorded cache changes.
-	cacheIncarnation     uint64
-	unreportedSuspicions []api.Suspicion
-	meanStepTime         time.Duration
-	meanFirstToken       time.Duration
-	counts               counters
+	cacheIncarnation uint64
+	// cacheSeqBase is added to the sequence numbers of the engine. lastCacheSeq is the
+	// highest sum so far.
+	cacheSeqBase, lastCacheSeq uint64
+	unreportedSuspicions       []api.Suspicion
+	meanStepTime               time.Duration
+	meanFirstToken             time.Duration
+	counts                     counters
 }
 
 type counters struct {
--- a/service/work/fixture_test.go
+++ b/service/work/fixture_test.go
@@ -119,6 +119,7 @@
 	store      *fakeStore
 	membership *fakeMembership
 	engine     *fakeEngine
+	feed       *fakeFeed
 	metrics    *metrics.Service
 	work       api.Executor
 	orderCount int
@@ -128,7 +129,7 @@
 // synctest.
 func runWithAgent(t *testing.T, test func(t *testing.T, fx *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
-		fx := &fixture{t: t, store: &fakeStore{}, membership: &fakeMembership{}, metrics: metrics.New(), engine: &fakeEngine{
+		fx := &fixture{t: t, store: &fakeStore{}, membership: &fakeMembership{}, feed: &fakeFeed{}, metrics: metrics.New(), engine: &fakeEngine{
 			started: make(chan api.Order, 100), release: make(chan *api.Failure, 100),
 		}}
 		r := kernel.NewRegistry()
@@ -136,6 +137,7 @@
 			api.ServiceConfigStore: func() any { return fx.store },
 			api.ServiceMembership:  func() any { return fx.membership },
 			api.ServiceEngine:      func() any { return fx.engine },
+			api.ServiceEngineFeed:  func() any { return fx.feed },
 			api.ServiceMetrics:     func() any { return fx.metrics },
 		} {
 			if err := r.Register(name, f); err != nil {
--- a/service/work/observe.go
+++ b/service/work/observe.go
@@ -59,14 +59,28 @@
 }
 
 // CacheChanges records prefix cache changes for the links, up to maxCacheChanges. It
-// discards the changes of an earlier engine incarnation.
+// discards the changes of an earlier engine incarnation. The numbers of an engine begin
+// again when it restarts, those of the links only when the agent does.
 func (c *control) CacheChanges(_ time.Duration, incarnation uint64, changes []api.CacheChange) {
+	if len(changes) == 0 {
+		return
+	}
 	var old []api.CacheChange
-	if incarnation == c.cacheIncarnation {
+	switch c.cacheIncarnation {
+	case incarnation:
 		old = c.service.CacheChanges()
+	case 0:
+	default:
+		// A number that is never given out shows routers that changes were lost.
+		c.cacheSeqBase = c.lastCacheSeq + 1
 	}
 	c.cacheIncarnation = incarnation
-	kept := append(append(make([]api.CacheChange, 0, len(old)+len(changes)), old...), changes...)
+	kept := append(make([]api.CacheChange, 0, len(old)+len(changes)), old...)
+	for _, change := range changes {
+		change.Seq += c.cacheSeqBase
+		c.lastCacheSeq = max(c.lastCacheSeq, change.Seq)
+		kept = append(kept, change)
+	}
 	kept = kept[max(len(kept)-maxCacheChanges, 0):]
 	c.service.cacheChanges.Store(&kept)
 	c.publish()
