fleet: read a listing again that expired while it was renewed

An edge could count too few edges and give itself too large a part of the fleet's limits, for as long as the callers of a seed did not change.

Cause: a call names the digest of the listing that the edge knows, and the seed leaves the edges out if it is unchanged. The digest outlived the listing: when that expired (60 s without an answer of the seed) while the call was under way, the edge recorded a listing without edges under the digest, which each later call renewed.

Change: an answer without edges whose listing is no longer known is ignored, so that the next call asks for all edges. A listing always holds the seed itself.

TestExpiredListingIsReadAgain failed before: 24 edges (the least number) shared the limits, 43 were listed. It passes, as do decide/fleet and service/fleet with -race.

--- a/decide/fleet/fleet.go
+++ b/decide/fleet/fleet.go
@@ -104,10 +104,16 @@
 func (s *State) KnownDigest(seed string) uint64 { return s.listings[seed].digest }
 
 // RecordListing records the listing received from a seed. A listing with an
-// unchanged digest carries no edges and renews those known.
+// unchanged digest carries no edges and renews those known. It is ignored if they are
+// no longer known, so that the next call asks for all edges.
 func (s *State) RecordListing(now time.Duration, seed string, edges []Edge, digest uint64) {
-	if known, ok := s.listings[seed]; ok && known.digest == digest {
+	known, ok := s.listings[seed]
+	switch {
+	case ok && known.digest == digest:
 		edges = known.edges
+	case len(edges) == 0:
+		delete(s.listings, seed)
+		return
 	}
 	s.listings[seed] = listing{digest: digest, edges: edges, receivedAt: now}
 }
--- a/decide/fleet/fleet_test.go
+++ b/decide/fleet/fleet_test.go
@@ -134,3 +134,31 @@
 		t.Errorf("a knows %v", v.Addresses)
 	}
 }
+
+// Guards against an edge that forgets the edges of a seed for good: the listing it knew
+// expires while the seed answers that it has not changed, so that the answer has no edges.
+func TestExpiredListingIsReadAgain(t *testing.T) {
+	e, seed, other := fleet.New("a", 2), fleet.New("s", 2), fleet.New("o", 2)
+	for i := range 40 {
+		seed.RecordCall(0, fleet.Edge{Name: fmt.Sprint(i)})
+	}
+	call(0, e, seed, "a", "s")
+	const late = time.Minute - time.Millisecond
+	call(late, e, other, "a", "o")
+	known := e.KnownDigest("s")
+	for i := range 40 {
+		seed.RecordCall(late, fleet.Edge{Name: fmt.Sprint(i)})
+	}
+	seed.RecordCall(late, fleet.Edge{Name: "a", Address: "at-a"})
+	edges, digest := seed.Listing(late)
+	if known == digest {
+		edges = nil
+	}
+	now := time.Minute + time.Millisecond
+	e.View(now)
+	e.RecordListing(now, "s", edges, digest)
+	call(now+2*time.Second, e, seed, "a", "s")
+	if v := e.View(now + 2*time.Second); v.LimitDivisor != 43 {
+		t.Errorf("%d edges share the limits, want 43", v.LimitDivisor)
+	}
+}
