mapswitch: keep the map version over epochs

After a group had formed again, its leader could propose maps that every rank refused: one proposal for each change of the epoch before, while the group ran on map 0 and the rank that had restarted copied experts for nothing.

Cause: the leader began versions again in each epoch, but ranks that did not restart compare them over epochs.

Change: the last version outlives the epoch.

--- a/decide/mapswitch/mapswitch.go
+++ b/decide/mapswitch/mapswitch.go
@@ -115,7 +115,8 @@
 	token uint64
 	// highestToken is the highest known fencing token of any leader.
 	highestToken uint64
-	// version is the map version of the last change.
+	// version is the map version of the last change. It is kept in a new epoch: ranks that
+	// did not restart refuse versions that are not above all they have had.
 	version uint64
 	// heldStep is the number of the pass that this change holds.
 	heldStep uint64
@@ -325,7 +326,7 @@
 	if epoch := ranks[s.leaderRank].Epoch; epoch != s.epoch || len(ranks) != len(s.ranks) {
 		s.epoch = epoch
 		s.enterPhase(now, Idle)
-		s.version, s.heldStep = 0, 0
+		s.heldStep = 0
 	}
 	if missing := missingRanks(ranks); len(missing) > 0 {
 		return s.observePartial(now, unixMillis, ranks, missing)
