discovery: a reassigned upstream owns no address

An upstream that started with an earlier time than its predecessor at the same address (the clock of the VM went back) got no requests until the predecessor's lease had expired, although an answer from the address had already shown that the predecessor is gone: neither was in the view. No promise depends on it; it costs capacity for up to 3 heartbeats.

Cause: start times, which the upstreams' VMs give out, are compared beyond the life of the clock that gave them, and the entry that is known to be wrong took part in the comparison.

Change: it does not any more. Until an answer from the address shows the reassignment, the later time still wins.

TestSuccessorWithEarlierStartFollowsReassignment failed before (no upstream listed). It passes, as do decide/discovery and decide/balance with -race.

--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -299,12 +299,12 @@
 
 // latestByAddress returns the upstream that started last at each address. A
 // crashed upstream and its successor are both listed until the lease of the
-// crashed upstream expires.
+// crashed upstream expires. An upstream whose address was reassigned owns none.
 func (s *State) latestByAddress() map[string]*api.Instance {
 	latest := make(map[string]*api.Instance)
 	for _, e := range s.entries {
 		in := e.Instance
-		if in == nil || s.table == nil {
+		if in == nil || s.table == nil || s.reassigned[in.ID] == e.position {
 			continue
 		}
 		// An entry with an unknown service, from another writer, must not take over
