config.store: name the digests of configurations in log lines

Of two contents under one revision the higher digest wins, silently; a restored service gives numbers out again, so this happens there without two operators.

TestContentsOfOneRevisionAreToldApart failed before (neither line named a digest). It passes, as does service/configstore with -race, twice.

--- a/service/configstore/control.go
+++ b/service/configstore/control.go
@@ -164,7 +164,7 @@
 	changed := make(chan struct{})
 	close(*s.changed.Swap(&changed))
 	s.counts.accepted.Add(1)
-	s.log.Change("configuration activated", api.Fields{"revision": snap.Revision})
+	s.log.Change("configuration activated", api.Fields{"revision": snap.Revision, "digest": digestText(v)})
 	for _, f := range c.subscribers {
 		f(now, snap)
 	}
--- a/service/configstore/events.go
+++ b/service/configstore/events.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"encoding/hex"
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
@@ -59,10 +61,17 @@
 	}
 	if v != c.ignored {
 		c.ignored = v
-		c.service.log.Change("older configuration ignored", api.Fields{"ignored": v.Revision, "revision": active.Revision})
+		c.service.log.Change("older configuration ignored", api.Fields{
+			"ignored": v.Revision, "ignored_digest": digestText(v), "revision": active.Revision, "digest": digestText(active),
+		})
 	}
 }
 
+// digestText returns the digest of a version as log lines show it.
+func digestText(v spread.Version) string {
+	return hex.EncodeToString(binary.BigEndian.AppendUint64(nil, v.Digest))
+}
+
 // fetched is content from a peer and the version that the peer claims for it.
 type fetched struct {
 	peer      string
--- a/service/configstore/restored_test.go
+++ b/service/configstore/restored_test.go
@@ -1,6 +1,7 @@
 package configstore_test
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"sync"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/spread"
 )
 
 // logBuffer is a log that the test reads while the process writes.
@@ -68,3 +70,27 @@
 		}
 	})
 }
+
+// Guards against content that loses to other content under the same revision without a log
+// line that tells the two apart, as when a restored service gives a number out again.
+func TestContentsOfOneRevisionAreToldApart(t *testing.T) {
+	higher, lower := revision(9), revision(8)
+	lower.Revision = higher.Revision
+	if spread.Files(higher.Files).Digest() < spread.Files(lower.Files).Digest() {
+		higher, lower = lower, higher
+	}
+	withTestbed(t, &api.Settings{Node: "self", Zone: "za"}, func(t *testing.T, b *testbed) {
+		b.source.revisions <- higher
+		synctest.Wait()
+		b.source.revisions <- lower
+		synctest.Wait()
+		ignored := fmt.Sprintf("ignored_digest=%016x", spread.Files(lower.Files).Digest())
+		active := fmt.Sprintf(" digest=%016x", spread.Files(higher.Files).Digest())
+		if b.log.count("older configuration ignored", "ignored=9", "revision=9", ignored, active) != 1 {
+			t.Errorf("no line with %s and%s", ignored, active)
+		}
+		if b.log.count("configuration activated", "revision=9", active) != 1 {
+			t.Errorf("no line on the activation with%s", active)
+		}
+	})
+}
