discovery: keep earlier knowledge while the store is away after a copy

What callers would see: the store comes back from a copy, is away again within 4.8 s, and an upstream that had left gets requests again, a zone that is out of service as well, although nobody has said so. The same after a pause of the process.

Cause: entries of the copy that contradict earlier knowledge were held back for a span of the clock. It passed while the store was away, when nothing could be written again and leases of the copy may have been suspended or renewed.

Change: the span begins anew with the first answer after a failed read or an outage, and it ends only with a read that was current at its end, not with a tick. That a zone is missing from the copy is held back in the same way.

Found by a drawn sequence of steps in a model of the store: zone written, store away for 0.3 s and back from a copy without it, away for 5 s: in service again 4.8 s after the first read.

--- a/decide/discovery/copy.go
+++ b/decide/discovery/copy.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/storeera"
 )
 
@@ -20,9 +21,11 @@
 //   - a cold start ends at the later of the two times;
 //   - the configuration with the higher version stays active, without a time limit.
 type copies struct {
-	// until is the end of the time for which the earlier knowledge wins.
+	// until is the end of the time for which the earlier knowledge wins. It begins anew each
+	// time the store is back, and has ended once a read that was current then is applied.
 	until time.Duration
-	// held maps keys to entries of the copy that have no effect until then.
+	// held maps keys to entries of the copy that have no effect until then. That of a zone that
+	// the copy lacks is deleted.
 	held map[string]entry
 	// removals holds, by key, the upstreams that were removed lately.
 	removals map[string]removal
@@ -38,15 +41,9 @@
 	return copies{held: make(map[string]entry), removals: make(map[string]removal)}
 }
 
-// begin starts an era, in which the earlier knowledge wins until a time. Entries held back
-// in the era before are dropped: the list with which this one begins replaces them.
-func (c *copies) begin(until time.Duration) {
-	c.until = until
-	clear(c.held)
-}
-
-// pending reports whether entries are held back.
-func (c *copies) pending() bool { return len(c.held) > 0 }
+// begin starts an era. Entries held back in the era before are dropped: the list with which
+// this one begins replaces them.
+func (c *copies) begin() { clear(c.held) }
 
 // holds reports whether an entry is one of the copy that is held back.
 func (c *copies) holds(e entry) bool {
@@ -57,9 +54,17 @@
 // release forgets what the copy said of a key.
 func (c *copies) release(key string) { delete(c.held, key) }
 
+// holdAbsence holds back that the copy, with which an era begins, lacks an entry.
+func (c *copies) holdAbsence(key string, era uint64) {
+	c.held[key] = entry{api.DiscoveryItem{Key: key, Deleted: true}, storeera.Position{Era: era}}
+}
+
+// lacks reports whether it is held back that the copy lacks an entry.
+func (c *copies) lacks(key string) bool { return c.held[key].Deleted }
+
 // releaseUnlisted forgets the entries of the copy that a later list lacks.
 func (c *copies) releaseUnlisted(listed map[string]bool) {
-	maps.DeleteFunc(c.held, func(key string, _ entry) bool { return !listed[key] })
+	maps.DeleteFunc(c.held, func(key string, e entry) bool { return !e.Deleted && !listed[key] })
 }
 
 func (c *copies) recordRemoval(now time.Duration, key string, startedAtMs int64) {
@@ -111,13 +116,19 @@
 	delete(s.dropAt, known.Key)
 }
 
-// settleCopies lets the held entries take effect once their time has come, and reports
-// whether the view changed.
-func (s *State) settleCopies(now time.Duration) bool {
-	if !s.copies.pending() || now < s.copies.until {
+// settleCopies lets the held entries take effect once the store is known not to have
+// contradicted them in time, and reports whether the view changed.
+func (s *State) settleCopies(now time.Duration, c *Change) bool {
+	if len(s.copies.held) == 0 || s.asOf < s.copies.until {
 		return false
 	}
-	maps.Copy(s.entries, s.copies.held)
+	for key, e := range s.copies.held {
+		if e.Deleted {
+			s.drop(now, key, c)
+			continue
+		}
+		s.entries[key] = e
+	}
 	clear(s.copies.held)
 	return true
 }
--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -97,10 +97,14 @@
 		return Change{}
 	}
 	s.era = u.Era
+	s.contact.answered(now, cmp.Or(u.FirstAnswerAt, now), newEra, s.bounds)
 	if newEra {
-		s.copies.begin(now + s.bounds.copyHold())
+		s.copies.begin()
+	}
+	if s.contact.reconnected {
+		// While the store was away nothing was written again, and leases may not have expired.
+		s.copies.until = now + s.bounds.copyHold()
 	}
-	s.contact.answered(now, cmp.Or(u.FirstAnswerAt, now), newEra, s.bounds)
 	s.asOf = max(s.asOf, u.AsOf)
 	c := Change{NewEra: newEra, Era: u.Era}
 	read := api.TableSource{Era: u.Era, Full: u.Full, ReadAt: now}
@@ -115,23 +119,18 @@
 	if u.Full {
 		dirty = s.removeUnlisted(now, u, newEra, &c) || dirty
 	}
-	dirty = s.applyOverdue(now, &c) || dirty
+	dirty = s.settleCopies(now, &c) || dirty
+	dirty = s.dropOverdue(now, &c) || dirty
 	return s.completeChange(c, dirty)
 }
 
-// Tick applies what has become due: it drops missing entries whose grace period has
-// ended, and lets what the store has said since it came back from a copy win.
+// Tick drops missing upstreams whose grace period has ended.
 func (s *State) Tick(now time.Duration) Change {
 	var c Change
-	dirty := s.applyOverdue(now, &c)
+	dirty := s.dropOverdue(now, &c)
 	return s.completeChange(c, dirty)
 }
 
-func (s *State) applyOverdue(now time.Duration, c *Change) bool {
-	dirty := s.settleCopies(now)
-	return s.dropOverdue(now, c) || dirty
-}
-
 // MarkAddressReassigned records that the address of an upstream was reassigned to another
 // upstream. The view excludes the upstream until its entry changes.
 func (s *State) MarkAddressReassigned(id string) Change {
@@ -159,9 +158,6 @@
 			c.NextTick = at
 		}
 	}
-	if s.copies.pending() && (c.NextTick == 0 || s.copies.until < c.NextTick) {
-		c.NextTick = s.copies.until
-	}
 	return c
 }
 
@@ -249,9 +245,9 @@
 		}
 		_, scheduled := s.dropAt[key]
 		switch {
-		case scheduled:
+		case scheduled, s.copies.lacks(key):
 		case fromCopy && e.OutOfServiceZone != "":
-			s.dropAt[key] = s.copies.until
+			s.copies.holdAbsence(key, u.Era)
 			c.Withheld = append(c.Withheld, key)
 		default:
 			dirty = s.removeOrDefer(now, key, c) || dirty
