discovery: let the grace period of upstreams wait for the store

What callers would see: the store is back for a moment and away again, and an upstream that runs is dropped 2.2 s after the first return. If it registers again before the first list of the next era, it stays out for another 4.8 s, since it counts as removed.

Cause: the grace period after an outage is the time in which upstreams register again, and it ran on while they could not.

Change: while reads fail no missing upstream is dropped, and the first answer after it begins the grace period anew. An overdue removal asks for no tick.

--- a/decide/discovery/copy_test.go
+++ b/decide/discovery/copy_test.go
@@ -182,7 +182,7 @@
 func TestReassignedAddressStaysExcludedInNewEra(t *testing.T) {
 	s := discovery.New(discovery.Bounds{})
 	s.Apply(time.Second, list(1, time.Second, configItem(1, 2), startedItem("a", 9, 10, false)))
-	s.MarkAddressReassigned("a")
+	s.MarkAddressReassigned(2*time.Second, "a")
 	view := s.Apply(2*time.Second, list(2, 2*time.Second, configItem(1, 2), startedItem("a", 3, 10, false))).View
 	if _, listed := view.Instances["a"]; listed {
 		t.Error("listed again")
--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -97,7 +97,11 @@
 		return Change{}
 	}
 	s.era = u.Era
+	failed := s.contact.failing
 	s.contact.answered(now, cmp.Or(u.FirstAnswerAt, now), newEra, s.bounds)
+	if failed {
+		s.restartGrace(now)
+	}
 	if newEra {
 		s.copies.begin()
 	}
@@ -121,19 +125,20 @@
 	}
 	dirty = s.settleCopies(now, &c) || dirty
 	dirty = s.dropOverdue(now, &c) || dirty
-	return s.completeChange(c, dirty)
+	return s.completeChange(now, c, dirty)
 }
 
-// Tick drops missing upstreams whose grace period has ended.
+// Tick drops missing upstreams whose grace period has ended, unless the store can't be read:
+// then they may not have been able to register again.
 func (s *State) Tick(now time.Duration) Change {
 	var c Change
-	dirty := s.dropOverdue(now, &c)
-	return s.completeChange(c, dirty)
+	dirty := !s.contact.failing && s.dropOverdue(now, &c)
+	return s.completeChange(now, c, dirty)
 }
 
 // MarkAddressReassigned records that the address of an upstream was reassigned to another
 // upstream. The view excludes the upstream until its entry changes.
-func (s *State) MarkAddressReassigned(id string) Change {
+func (s *State) MarkAddressReassigned(now time.Duration, id string) Change {
 	for _, e := range s.entries {
 		if e.Instance == nil || e.Instance.ID != id {
 			continue
@@ -142,19 +147,19 @@
 			return Change{}
 		}
 		s.reassigned[id] = e.position
-		return s.completeChange(Change{Dropped: []string{id}}, true)
+		return s.completeChange(now, Change{Dropped: []string{id}}, true)
 	}
 	return Change{}
 }
 
 // completeChange adds the new view and the next time for Tick to a change.
-func (s *State) completeChange(c Change, dirty bool) Change {
+func (s *State) completeChange(now time.Duration, c Change, dirty bool) Change {
 	if dirty {
 		s.changeCount++
 		c.View = s.view()
 	}
 	for _, at := range s.dropAt {
-		if c.NextTick == 0 || at < c.NextTick {
+		if at > now && (c.NextTick == 0 || at < c.NextTick) {
 			c.NextTick = at
 		}
 	}
--- a/decide/discovery/discovery_test.go
+++ b/decide/discovery/discovery_test.go
@@ -157,7 +157,7 @@
 func TestUpstreamWithReassignedAddressIsExcludedUntilItsEntryChanges(t *testing.T) {
 	s := discovery.New(discovery.Bounds{})
 	s.Apply(time.Second, api.DiscoveryUpdate{Full: true, AsOf: time.Second, Items: []api.DiscoveryItem{configItem(4, 1), upstreamItem("a", 2)}})
-	if view := s.MarkAddressReassigned("a").View; view == nil || len(view.Instances) != 0 {
+	if view := s.MarkAddressReassigned(2*time.Second, "a").View; view == nil || len(view.Instances) != 0 {
 		t.Fatalf("still listed: %v", view)
 	}
 	change := s.Apply(2*time.Second, api.DiscoveryUpdate{AsOf: 2 * time.Second, Items: []api.DiscoveryItem{upstreamItem("a", 5)}})
--- a/decide/discovery/outage.go
+++ b/decide/discovery/outage.go
@@ -74,6 +74,18 @@
 	return now
 }
 
+// restartGrace begins the grace periods of missing upstreams anew, with the first answer after
+// a failed read.
+func (s *State) restartGrace(now time.Duration) {
+	grace := s.bounds.removalGrace()
+	if s.contact.inGrace && s.contact.reconnectedAt == now {
+		grace = ReregistrationGrace
+	}
+	for key, at := range s.dropAt {
+		s.dropAt[key] = max(at, now+grace)
+	}
+}
+
 // Bounds are settings of the platform, 0 for the defaults.
 type Bounds struct {
 	// Heartbeat is the interval in which upstreams renew their leases.
--- /dev/null
+++ b/decide/discovery/outage_test.go
@@ -0,0 +1,68 @@
+package discovery_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/mulberryfork/mulberryfork/api"
+	"github.com/mulberryfork/mulberryfork/decide/discovery"
+)
+
+// Guards against upstreams that run and are dropped because their grace period passed while
+// the store was away again and could not be written to.
+func TestGracePeriodWaitsForStore(t *testing.T) {
+	const second = time.Second
+	all := []api.DiscoveryItem{configItem(1, 1), upstreamItem("a", 2), upstreamItem("b", 3)}
+	failed := api.DiscoveryUpdate{Err: errors.New("refused")}
+	for _, c := range []struct {
+		name   string
+		events []timedUpdate
+		tickAt time.Duration
+		listed bool
+	}{
+		{"store present", calm(1, 11*second, 12*second), 12500 * time.Millisecond, false},
+		{"away again", []timedUpdate{{11 * second, failed}}, 15 * second, true},
+		{"back again", []timedUpdate{{11 * second, failed}, {15 * second, list(1, 15*second, all[:2]...)}}, 17 * second, true},
+		{"missing after the second return", append([]timedUpdate{{11 * second, failed}, {15 * second, list(1, 15*second, all[:2]...)}}, calm(1, 16*second, 17*second)...), 17500 * time.Millisecond, false},
+		{"back after a moment", []timedUpdate{{11 * second, failed}, {12 * second, list(1, 12*second, all[:2]...)}}, 13 * second, true},
+		{"registered again", []timedUpdate{{11 * second, failed}, {15 * second, list(1, 15*second, all[:2]...)}, {16 * second, changes(1, 16*second, upstreamItem("b", 9))}}, 19 * second, true},
+		{"in the next era", []timedUpdate{{11 * second, failed}, {15 * second, list(2, 15*second, all...)}}, 19 * second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := discovery.New(discovery.Bounds{})
+			s.Apply(second, list(1, second, all...))
+			s.Apply(4*second, failed)
+			view := s.Apply(10*second, list(1, 10*second, all[:2]...)).View
+			if view == nil {
+				view = &api.View{Instances: map[string]api.Instance{"b": {}}}
+			}
+			see := func(change discovery.Change) {
+				if change.View != nil {
+					view = change.View
+				}
+			}
+			for _, e := range c.events {
+				see(s.Tick(e.at))
+				see(s.Apply(e.at, e.update))
+			}
+			see(s.Tick(c.tickAt))
+			if _, listed := view.Instances["b"]; listed != c.listed {
+				t.Errorf("listed %t, want %t", listed, c.listed)
+			}
+		})
+	}
+}
+
+// Guards against a control loop that spins on an upstream whose removal is overdue while the
+// store is away.
+func TestOverdueRemovalAsksForNoTickWhileStoreIsAway(t *testing.T) {
+	const second = time.Second
+	s := discovery.New(discovery.Bounds{})
+	s.Apply(second, list(1, second, configItem(1, 1), upstreamItem("a", 2)))
+	s.Apply(10*second, list(1, 10*second, configItem(1, 1)))
+	s.Apply(11*second, api.DiscoveryUpdate{Err: errors.New("refused")})
+	if c := s.Tick(13 * second); c.View != nil || c.NextTick != 0 {
+		t.Errorf("%+v", c)
+	}
+}
--- a/service/discovery/discovery.go
+++ b/service/discovery/discovery.go
@@ -73,7 +73,7 @@
 	metrics.Gauge("discovery_upstreams", func() int64 { return int64(len(s.View().Instances)) })
 	s.updates = kernel.NewMailbox(s.loop, "discovery.learn", updateMailboxSize, kernel.Wait, s.handleUpdate)
 	s.addressReuses = kernel.NewMailbox(s.loop, "discovery.misplaced", addressReuseMailboxSize, kernel.Drop,
-		func(now time.Duration, id string) { s.handleChange(now, s.state.MarkAddressReassigned(id)) })
+		func(now time.Duration, id string) { s.handleChange(now, s.state.MarkAddressReassigned(now, id)) })
 	return nil
 }
 
