discovery: remember the last start of an upstream past a malformed entry

What callers would see: an upstream says that it leaves, another writer then writes its key with bytes that can't be decoded, the store comes back from a copy older than both: the upstream gets requests until it writes again. The same with an earlier start of an upstream that has started again.

Cause: the malformed entry replaces the known one, and with it the knowledge against which the copy is compared.

Change: the earlier starts count as removed, and so does one that was leaving.

--- a/decide/discovery/copy.go
+++ b/decide/discovery/copy.go
@@ -72,6 +72,16 @@
 	c.removals[key] = removal{at: now, startedAtMs: startedAtMs}
 }
 
+// recordReplacement records that the entry of an upstream was replaced by one that can't be
+// decoded. Its earlier starts are over, and if it was leaving, so is this one.
+func (c *copies) recordReplacement(now time.Duration, key string, in *api.Instance) {
+	over := in.StartedAtMs
+	if !in.Leaving {
+		over--
+	}
+	c.recordRemoval(now, key, over)
+}
+
 // reconcile compares an entry of the first list of an era with what is known. It returns
 // the entry to apply; one that contradicts later knowledge is held back.
 func (s *State) reconcile(e entry, c *Change) entry {
--- a/decide/discovery/copy_test.go
+++ b/decide/discovery/copy_test.go
@@ -227,3 +227,31 @@
 		})
 	}
 }
+
+// Guards against an upstream that gets requests again after it had said that it leaves: its
+// entry could not be decoded for a moment, and the store came back from a copy older than both.
+func TestLeavingIsKnownAfterMalformedEntryAndCopy(t *testing.T) {
+	const second = time.Second
+	malformed := api.DiscoveryItem{Key: "servers/a", Revision: 5, Malformed: errors.New("bytes")}
+	for _, c := range []struct {
+		name    string
+		leaving bool
+		copied  int64
+		listed  bool
+	}{
+		{"leaving", true, 10, false},
+		{"leaving, started again", true, 20, true},
+		{"available", false, 10, true},
+		{"available, earlier start", false, 5, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := discovery.New(discovery.Bounds{})
+			s.Apply(second, list(1, second, configItem(1, 2), startedItem("a", 3, 10, false)))
+			s.Apply(2*second, changes(1, 2*second, startedItem("a", 4, 10, c.leaving), malformed))
+			view := s.Apply(3*second, list(2, 3*second, configItem(1, 2), startedItem("a", 3, c.copied, false))).View
+			if _, listed := view.Instances["a"]; listed != c.listed {
+				t.Errorf("listed %t, want %t", listed, c.listed)
+			}
+		})
+	}
+}
--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -191,6 +191,9 @@
 			// The last valid configuration stays active.
 			return false
 		}
+		if in := known.Instance; in != nil {
+			s.copies.recordReplacement(now, e.Key, in)
+		}
 	}
 	if e.Table != nil {
 		if s.table != nil && e.Table.Version < s.table.Version {
