storewatch: read all entries soon after the store states a new era

What callers would see: after a store that had refused connections came back from a copy, each process knew of the new era and then waited 0.4 s before it read what the store holds, as after one more failure.

Cause: the read that ends at a new era counted as a failure, so the wait after earlier failures went on doubling.

Change: Reader.Restart starts with the shortest wait; it doubles only with new eras that follow without a list between them.

--- a/decide/storewatch/storewatch.go
+++ b/decide/storewatch/storewatch.go
@@ -77,6 +77,9 @@
 	changeDelay time.Duration
 	// backoff is the wait before the next read, 0 unless the last one failed.
 	backoff time.Duration
+	// restartDelay is the wait after the last of several new eras of the store, 0 after a read
+	// that succeeded.
+	restartDelay time.Duration
 	// silent is set if the last watch was not answered in time.
 	silent bool
 	// listed is set once a list succeeded.
@@ -147,7 +150,7 @@
 	if r.backoff > 0 || r.silent {
 		r.settledAt = now + r.settings.SettleTime()
 	}
-	r.backoff, r.silent = 0, false
+	r.backoff, r.restartDelay, r.silent = 0, 0, false
 }
 
 // Failed records that a read failed. timedOut is set if the call was not answered in time.
@@ -159,5 +162,16 @@
 		return
 	}
 	r.silent, r.revision = false, 0
-	r.backoff = min(max(2*r.backoff, minBackoff), maxBackoff)
+	r.backoff = nextBackoff(r.backoff)
+}
+
+// Restart records that a read ended because the store has begun a new era. All entries are
+// read again, soon after the first such read: the store answers.
+func (r *Reader) Restart() {
+	r.restartDelay = nextBackoff(r.restartDelay)
+	r.silent, r.revision, r.backoff = false, 0, r.restartDelay
+}
+
+func nextBackoff(last time.Duration) time.Duration {
+	return min(max(2*last, minBackoff), maxBackoff)
 }
