discovery: list an upstream that registered again before a new era was read

What callers would see: the lease of an upstream that runs expires near a return of the store, and it registers again before a process has read the first list of the next era. That process holds the entry back as one of a removed upstream, for 4.8 s and longer if the process was cut off, since heartbeats write nothing.

Cause: all entries of the first list of an era were taken for the copy's.

Change: the removal of an upstream is remembered with the store's revision. A copy holds writes up to some revision, so an entry with a higher one than the removal was written afterwards. One with a lower revision is held back as before.

Result: TestUpstreamThatRegisteredAgainBeforeFirstListOfEraIsListed failed in its first case without the change and passes.

--- a/api/discovery.go
+++ b/api/discovery.go
@@ -204,6 +204,9 @@
 	// FirstAnswerAt is the elapsed time at which the first answer of the read came, 0 for
 	// the time at which the update is applied.
 	FirstAnswerAt time.Duration
+	// Revision is that of the store at the last answer of the read, 0 if only that of the items
+	// is known.
+	Revision uint64
 	// Err is the error of a failed read. The other fields are empty then.
 	Err error
 }
--- a/decide/discovery/copy.go
+++ b/decide/discovery/copy.go
@@ -31,10 +31,18 @@
 	removals map[string]removal
 }
 
-// removal is the removal of an upstream, which started at a Unix time in milliseconds.
+// removal is the removal of an upstream, which started at a Unix time in milliseconds. revision
+// is at least that of the removal.
 type removal struct {
 	at          time.Duration
 	startedAtMs int64
+	revision    uint64
+}
+
+// contradicts reports whether an entry of the copy is older than the removal, or may be. A copy
+// holds writes up to some revision, so one with a higher revision than the removal came later.
+func (r removal) contradicts(e entry) bool {
+	return e.Instance.StartedAtMs <= r.startedAtMs && e.Revision <= r.revision
 }
 
 func newCopies() copies {
@@ -67,19 +75,19 @@
 	maps.DeleteFunc(c.held, func(key string, e entry) bool { return !e.Deleted && !listed[key] })
 }
 
-func (c *copies) recordRemoval(now time.Duration, key string, startedAtMs int64) {
-	maps.DeleteFunc(c.removals, func(_ string, r removal) bool { return now-r.at > removalMemory })
-	c.removals[key] = removal{at: now, startedAtMs: startedAtMs}
+func (c *copies) recordRemoval(key string, latest removal) {
+	maps.DeleteFunc(c.removals, func(_ string, r removal) bool { return latest.at-r.at > removalMemory })
+	c.removals[key] = latest
 }
 
 // recordReplacement records that the entry of an upstream was replaced by one that can't be
 // decoded. Its earlier starts are over, and if it was leaving, so is this one.
-func (c *copies) recordReplacement(now time.Duration, key string, in *api.Instance) {
+func (s *State) recordReplacement(now time.Duration, key string, in *api.Instance) {
 	over := in.StartedAtMs
 	if !in.Leaving {
 		over--
 	}
-	c.recordRemoval(now, key, over)
+	s.copies.recordRemoval(key, removal{now, over, s.revision})
 }
 
 // reconcile compares an entry of the first list of an era with what is known. It returns
@@ -95,7 +103,7 @@
 	}
 	known, ok := s.entries[e.Key]
 	if !ok || known.Instance == nil {
-		if r, removed := s.copies.removals[e.Key]; removed && in.StartedAtMs <= r.startedAtMs {
+		if r, removed := s.copies.removals[e.Key]; removed && r.contradicts(e) {
 			hold()
 		}
 		return e
--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -22,8 +22,10 @@
 type State struct {
 	bounds Bounds
 	// era is the latest era of the store whose entries were read.
-	era     uint64
-	entries map[string]entry
+	era uint64
+	// revision is the latest one of the era that was read.
+	revision uint64
+	entries  map[string]entry
 	// dropAt maps the key of each missing entry to the time at which it is dropped unless
 	// it is written again.
 	dropAt map[string]time.Duration
@@ -96,7 +98,7 @@
 	if u.Era < s.era || newEra && !u.Full {
 		return Change{}
 	}
-	s.era = u.Era
+	s.recordRevision(u)
 	failed := s.contact.failing
 	s.contact.answered(now, cmp.Or(u.FirstAnswerAt, now), newEra, s.bounds)
 	if failed {
@@ -128,6 +130,17 @@
 	return s.completeChange(now, c, dirty)
 }
 
+// recordRevision records the era and the latest revision of an update.
+func (s *State) recordRevision(u api.DiscoveryUpdate) {
+	if u.Era > s.era {
+		s.era, s.revision = u.Era, 0
+	}
+	s.revision = max(s.revision, u.Revision)
+	for _, item := range u.Items {
+		s.revision = max(s.revision, item.Revision)
+	}
+}
+
 // Tick drops missing upstreams whose grace period has ended, unless the store can't be read:
 // then they may not have been able to register again.
 func (s *State) Tick(now time.Duration) Change {
@@ -192,7 +205,7 @@
 			return false
 		}
 		if in := known.Instance; in != nil {
-			s.copies.recordReplacement(now, e.Key, in)
+			s.recordReplacement(now, e.Key, in)
 		}
 	}
 	if e.Table != nil {
@@ -229,7 +242,7 @@
 	if in := s.entries[key].Instance; in != nil {
 		c.Dropped = append(c.Dropped, in.ID)
 		delete(s.reassigned, in.ID)
-		s.copies.recordRemoval(now, key, in.StartedAtMs)
+		s.copies.recordRemoval(key, removal{now, in.StartedAtMs, s.revision})
 	}
 	delete(s.entries, key)
 	delete(s.dropAt, key)
--- a/decide/discovery/outage_test.go
+++ b/decide/discovery/outage_test.go
@@ -66,3 +66,33 @@
 		t.Errorf("%+v", c)
 	}
 }
+
+// Guards against an upstream that runs and gets no requests for some seconds: its lease expired
+// near a return of the store, and it registered again before the first list of the next era.
+func TestUpstreamThatRegisteredAgainBeforeFirstListOfEraIsListed(t *testing.T) {
+	const second = time.Second
+	for _, c := range []struct {
+		name     string
+		revision uint64
+		listed   bool
+	}{
+		{"written after the removal", 12, true},
+		{"the entry from before", 3, false},
+		{"written before the removal, not read", 9, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := discovery.New(discovery.Bounds{})
+			s.Apply(second, list(1, second, configItem(1, 2), startedItem("a", 3, 10, false)))
+			missing := list(1, 10*second, configItem(1, 2))
+			missing.Revision = 11
+			s.Apply(10*second, missing)
+			if view := s.Tick(13 * second).View; view == nil || len(view.Instances) > 0 {
+				t.Fatalf("not dropped: %+v", view)
+			}
+			view := s.Apply(14*second, list(2, 14*second, configItem(1, 2), startedItem("a", c.revision, 10, false))).View
+			if _, listed := view.Instances["a"]; listed != c.listed {
+				t.Errorf("listed %t, want %t", listed, c.listed)
+			}
+		})
+	}
+}
