--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -22,8 +22,10 @@
 type State struct {
 	bounds Bounds
 	// era is the latest era of the store whose entries were read.
-	era     uint64
-	entries map[string]entry
+	era uint64
+	// revision is the latest one of the era that was read.
+	revision uint64
+	entries  map[string]entry
 	// dropAt maps the key of each missing entry to the time at which it is dropped unless
 	// it is written again.
 	dropAt map[string]time.Duration
@@ -96,11 +98,19 @@
 	if u.Era < s.era || newEra && !u.Full {
 		return Change{}
 	}
-	s.era = u.Era
+	s.recordRevision(u)
+	failed := s.contact.failing
+	s.contact.answered(now, cmp.Or(u.FirstAnswerAt, now), newEra, s.bounds)
+	if failed {
+		s.restartGrace(now)
+	}
 	if newEra {
-		s.copies.begin(now + s.bounds.copyHold())
+		s.copies.begin()
+	}
+	if s.contact.reconnected {
+		// While the store was away nothing was written again, and leases may not have expired.
+		s.copies.until = now + s.bounds.copyHold()
 	}
-	s.contact.answered(now, cmp.Or(u.FirstAnswerAt, now), newEra, s.bounds)
 	s.asOf = max(s.asOf, u.AsOf)
 	c := Change{NewEra: newEra, Era: u.Era}
 	read := api.TableSource{Era: u.Era, Full: u.Full, ReadAt: now}
@@ -115,26 +125,33 @@
 	if u.Full {
 		dirty = s.removeUnlisted(now, u, newEra, &c) || dirty
 	}
-	dirty = s.applyOverdue(now, &c) || dirty
-	return s.completeChange(c, dirty)
+	dirty = s.settleCopies(now, &c) || dirty
+	dirty = s.dropOverdue(now, &c) || dirty
+	return s.completeChange(now, c, dirty)
 }
 
-// Tick applies what has become due: it drops missing entries whose grace period has
-// ended, and lets what the store has said since it came back from a copy win.
-func (s *State) Tick(now time.Duration) Change {
-	var c Change
-	dirty := s.applyOverdue(now, &c)
-	return s.completeChange(c, dirty)
+// recordRevision records the era and the latest revision of an update.
+func (s *State) recordRevision(u api.DiscoveryUpdate) {
+	if u.Era > s.era {
+		s.era, s.revision = u.Era, 0
+	}
+	s.revision = max(s.revision, u.Revision)
+	for _, item := range u.Items {
+		s.revision = max(s.revision, item.Revision)
+	}
 }
 
-func (s *State) applyOverdue(now time.Duration, c *Change) bool {
-	dirty := s.settleCopies(now)
-	return s.dropOverdue(now, c) || dirty
+// Tick drops missing upstreams whose grace period has ended, unless the store can't be read:
+// then they may not have been able to register again.
+func (s *State) Tick(now time.Duration) Change {
+	var c Change
+	dirty := !s.contact.failing && s.dropOverdue(now, &c)
+	return s.completeChange(now, c, dirty)
 }
 
 // MarkAddressReassigned records that the address of an upstream was reassigned to another
 // upstream. The view excludes the upstream until its entry changes.
-func (s *State) MarkAddressReassigned(id string) Change {
+func (s *State) MarkAddressReassigned(now time.Duration, id string) Change {
 	for _, e := range s.entries {
 		if e.Instance == nil || e.Instance.ID != id {
 			continue
@@ -143,25 +160,22 @@
 			return Change{}
 		}
 		s.reassigned[id] = e.position
-		return s.completeChange(Change{Dropped: []string{id}}, true)
+		return s.completeChange(now, Change{Dropped: []string{id}}, true)
 	}
 	return Change{}
 }
 
 // completeChange adds the new view and the next time for Tick to a change.
-func (s *State) completeChange(c Change, dirty bool) Change {
+func (s *State) completeChange(now time.Duration, c Change, dirty bool) Change {
 	if dirty {
 		s.changeCount++
 		c.View = s.view()
 	}
 	for _, at := range s.dropAt {
-		if c.NextTick == 0 || at < c.NextTick {
+		if at > now && (c.NextTick == 0 || at < c.NextTick) {
 			c.NextTick = at
 		}
 	}
-	if s.copies.pending() && (c.NextTick == 0 || s.copies.until < c.NextTick) {
-		c.NextTick = s.copies.until
-	}
 	return c
 }
 
@@ -190,6 +204,9 @@
 			// The last valid configuration stays active.
 			return false
 		}
+		if in := known.Instance; in != nil {
+			s.recordReplacement(now, e.Key, in)
+		}
 	}
 	if e.Table != nil {
 		if s.table != nil && e.Table.Version < s.table.Version {
@@ -225,7 +242,7 @@
 	if in := s.entries[key].Instance; in != nil {
 		c.Dropped = append(c.Dropped, in.ID)
 		delete(s.reassigned, in.ID)
-		s.copies.recordRemoval(now, key, in.StartedAtMs)
+		s.copies.recordRemoval(key, removal{now, in.StartedAtMs, s.revision})
 	}
 	delete(s.entries, key)
 	delete(s.dropAt, key)
@@ -249,9 +266,9 @@
 		}
 		_, scheduled := s.dropAt[key]
 		switch {
-		case scheduled:
+		case scheduled, s.copies.lacks(key):
 		case fromCopy && e.OutOfServiceZone != "":
-			s.dropAt[key] = s.copies.until
+			s.copies.holdAbsence(key, u.Era)
 			c.Withheld = append(c.Withheld, key)
 		default:
 			dirty = s.removeOrDefer(now, key, c) || dirty
