--- a/standin/platformstore/store.go
+++ b/standin/platformstore/store.go
@@ -49,6 +49,9 @@
 	s.write(entry{Key: key, Payload: base64.StdEncoding.EncodeToString(value)})
 }
 
+// PutEncoded writes an entry whose value is stated as it is, in base64 or not.
+func (s *Store) PutEncoded(key, payload string) { s.write(entry{Key: key, Payload: payload}) }
+
 // Delete removes an entry.
 func (s *Store) Delete(key string) { s.write(entry{Key: key, Deleted: true}) }
 
