--- a/cmd/mulberryfork-platform/storereturn_test.go
+++ b/cmd/mulberryfork-platform/storereturn_test.go
@@ -65,10 +65,10 @@
 	d.store.SetEra(1)
 	d.store.Put("op/config", fmt.Appendf(nil, configFormat, 2, 2))
 	d.copied = d.store.Copy()
-	d.store.Put("op/config", fmt.Appendf(nil, configFormat, 3, 3))
 	for range 20 {
 		d.register("w1", d.addresses["w1"], "available")
 	}
+	d.store.Put("op/config", fmt.Appendf(nil, configFormat, 3, 3))
 	return d
 }
 
