discovery: a lower version written in a new era replaces a configuration that was lost

An edge that alone had read a configuration which the store lost, perhaps before it acknowledged it, kept it until a version at least as high was written. If the operator's next version lay between the last acknowledged and the lost one, that edge refused its routes and keys for as long. Such a write, which was read after the first list of the era and so isn't part of the copy, now wins once the time has passed in which the operator writes again what was lost. Configurations of the copy and lower versions within one era are ignored as before.

--- a/decide/discovery/copy.go
+++ b/decide/discovery/copy.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/storeera"
 )
 
@@ -18,12 +19,17 @@
 //   - an upstream that was removed stays removed, and one that was leaving stays so;
 //   - a zone that was out of service stays out;
 //   - a cold start ends at the later of the two times;
-//   - the configuration with the higher version stays active, without a time limit.
+//   - the configuration with the higher version stays active; one of the copy never replaces
+//     it, one that was written since does after that time.
 type copies struct {
 	// until is the end of the time for which the earlier knowledge wins.
 	until time.Duration
 	// held maps keys to entries of the copy that have no effect until then.
 	held map[string]entry
+	// configRead is the read of the held configuration, and configOfCopy the position of the
+	// one in the copy.
+	configRead   api.TableSource
+	configOfCopy storeera.Position
 	// removals holds, by key, the upstreams that were removed lately.
 	removals map[string]removal
 }
@@ -40,9 +46,15 @@
 
 // begin starts an era, in which the earlier knowledge wins until a time. Entries held back
 // in the era before are dropped: the list with which this one begins replaces them.
-func (c *copies) begin(until time.Duration) {
+func (c *copies) begin(until time.Duration, first api.DiscoveryUpdate) {
 	c.until = until
 	clear(c.held)
+	c.configOfCopy = storeera.Position{Era: first.Era}
+	for _, item := range first.Items {
+		if item.Table != nil {
+			c.configOfCopy.Revision = item.Revision
+		}
+	}
 }
 
 // pending reports whether entries are held back.
@@ -111,13 +123,33 @@
 	delete(s.dropAt, known.Key)
 }
 
+// supersedesLost reports whether a configuration takes the place of the active one although its
+// version is lower: the store has lost the active one, and this one was written since it came
+// back. Before the operator has had the time to write the lost one again, it is held back.
+func (s *State) supersedesLost(now time.Duration, e entry, read api.TableSource, c *Change) bool {
+	if s.tableSource.Era >= e.position.Era || e.position.Compare(s.copies.configOfCopy) <= 0 {
+		return false
+	}
+	if now < s.copies.until {
+		s.copies.held[e.Key], s.copies.configRead = e, read
+		c.Withheld = append(c.Withheld, e.Key)
+		return false
+	}
+	return true
+}
+
 // settleCopies lets the held entries take effect once their time has come, and reports
 // whether the view changed.
 func (s *State) settleCopies(now time.Duration) bool {
 	if !s.copies.pending() || now < s.copies.until {
 		return false
 	}
-	maps.Copy(s.entries, s.copies.held)
+	for key, e := range s.copies.held {
+		s.entries[key] = e
+		if e.Table != nil {
+			s.table, s.tableSource = e.Table, s.copies.configRead
+		}
+	}
 	clear(s.copies.held)
 	return true
 }
--- a/decide/discovery/copy_test.go
+++ b/decide/discovery/copy_test.go
@@ -1,6 +1,7 @@
 package discovery_test
 
 import (
+	"cmp"
 	"slices"
 	"testing"
 	"time"
@@ -154,6 +155,57 @@
 	}
 }
 
+// Guards against a process that alone has read a configuration which the store lost before it
+// acknowledged it, and which ignores the next one for good since its version is lower; and
+// against one that goes back to an acknowledged one before the lost one is written again.
+func TestLowerVersionAfterLostConfiguration(t *testing.T) {
+	const second = time.Second
+	before := []timedUpdate{
+		{second, list(1, second, configItem(7, 2))},
+		{2 * second, changes(1, 2*second, configItem(12, 20))},
+		{3 * second, list(2, 3*second, configItem(7, 2))},
+	}
+	for _, c := range []struct {
+		name   string
+		events []timedUpdate
+		// want is the version after the events, later a minute later if it is another one.
+		want, later uint64
+	}{
+		{"the copy", nil, 12, 0},
+		{"the copy, long after", []timedUpdate{{20 * second, list(2, 20*second, configItem(7, 2))}}, 12, 0},
+		{"written soon", []timedUpdate{{4 * second, changes(2, 4*second, configItem(9, 5))}}, 12, 9},
+		{"written soon, read after the hold", []timedUpdate{{4 * second, changes(2, 4*second, configItem(9, 5))}, {8 * second, changes(2, 8*second)}}, 9, 0},
+		{"written soon and listed again", []timedUpdate{{4 * second, changes(2, 4*second, configItem(9, 5))}, {5 * second, list(2, 5*second, configItem(9, 5))}, {8 * second, changes(2, 8*second)}}, 9, 0},
+		{"two written soon", []timedUpdate{{4 * second, changes(2, 4*second, configItem(8, 5), configItem(9, 6))}, {8 * second, changes(2, 8*second)}}, 9, 0},
+		{"written after the hold", []timedUpdate{{9 * second, changes(2, 9*second, configItem(9, 5))}}, 9, 0},
+		{"listed after the hold", []timedUpdate{{9 * second, list(2, 9*second, configItem(9, 5))}}, 9, 0},
+		{"the lost one is written again", []timedUpdate{{4 * second, changes(2, 4*second, configItem(9, 5), configItem(12, 6))}, {8 * second, changes(2, 8*second)}}, 12, 0},
+		{"a lower one after the lost one was written again", []timedUpdate{{4 * second, changes(2, 4*second, configItem(12, 5))}, {8 * second, changes(2, 8*second, configItem(9, 6))}}, 12, 0},
+		{"a lower one after a lower one", []timedUpdate{{8 * second, changes(2, 8*second, configItem(9, 5))}, {9 * second, changes(2, 9*second, configItem(8, 6))}}, 9, 0},
+		{"a higher one after it", []timedUpdate{{4 * second, changes(2, 4*second, configItem(9, 5), configItem(13, 6))}, {8 * second, changes(2, 8*second)}}, 13, 0},
+		{"the store goes back again", []timedUpdate{{4 * second, changes(2, 4*second, configItem(9, 5))}, {5 * second, list(3, 5*second, configItem(9, 5))}, {11 * second, changes(3, 11*second)}}, 12, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := discovery.New(discovery.Bounds{})
+			var view *api.View
+			for _, e := range append(slices.Clone(before), c.events...) {
+				if change := s.Apply(e.at, e.update); change.View != nil {
+					view = change.View
+				}
+			}
+			if view.Table.Version != c.want {
+				t.Errorf("version %d, want %d", view.Table.Version, c.want)
+			}
+			if change := s.Tick(time.Minute); change.View != nil {
+				view = change.View
+			}
+			if want := cmp.Or(c.later, c.want); view.Table.Version != want {
+				t.Errorf("version %d a minute later, want %d", view.Table.Version, want)
+			}
+		})
+	}
+}
+
 // Guards against a cold upstream that gets its full load because the copy of the store was
 // made before its cold start was known.
 func TestColdStartOutlastsCopyOfStore(t *testing.T) {
--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -98,7 +98,7 @@
 	}
 	s.era = u.Era
 	if newEra {
-		s.copies.begin(now + s.bounds.copyHold())
+		s.copies.begin(now+s.bounds.copyHold(), u)
 	}
 	s.contact.answered(now, cmp.Or(u.FirstAnswerAt, now), newEra, s.bounds)
 	s.asOf = max(s.asOf, u.AsOf)
@@ -192,7 +192,7 @@
 		}
 	}
 	if e.Table != nil {
-		if s.table != nil && e.Table.Version < s.table.Version {
+		if s.table != nil && e.Table.Version < s.table.Version && !s.supersedesLost(now, e, read, c) {
 			c.IgnoredConfigs = append(c.IgnoredConfigs, IgnoredConfig{e.Table.Version, read})
 			return false
 		}
