storeera: follow a store whose counter of eras went back

An answer of an era below the latest one is dropped as late. Reads of one reader follow each other, so an answer to a read that began in the latest era is not late.

--- a/decide/storeera/storeera.go
+++ b/decide/storeera/storeera.go
@@ -24,17 +24,27 @@
 	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision))
 }
 
+// lowerAnswers is the number of answers in a row after which an era below the latest one is
+// taken for a new one.
+const lowerAnswers = 3
+
 // Tracker knows the latest era that a store has stated to one reader. Its zero value
 // knows none.
+//
+// It counts eras in the order in which it met them: era is that which the store stated, or
+// more if the store's own counter has gone back.
 type Tracker struct {
-	era      uint64
-	answered bool
+	era, stated uint64
+	answered    bool
+	// lower counts the latest answers that state an era below the latest one although their
+	// read began in it.
+	lower int
 }
 
 // Read is one read of the store, which may take several calls.
 type Read struct {
-	tracker *Tracker
-	era     uint64
+	tracker     *Tracker
+	era, stated uint64
 }
 
 // NewEraError reports that the store has begun a new era since the read began. The
@@ -53,7 +63,7 @@
 }
 
 // Begin begins a read in the latest era.
-func (t *Tracker) Begin() *Read { return &Read{tracker: t, era: t.era} }
+func (t *Tracker) Begin() *Read { return &Read{tracker: t, era: t.era, stated: t.stated} }
 
 // Era returns the era in which the read began, 0 if the store states none.
 func (r *Read) Era() uint64 { return r.era }
@@ -65,19 +75,42 @@
 func (r *Read) Check(stated uint64) error {
 	t := r.tracker
 	if stated == 0 {
-		stated = r.era
+		stated = r.stated
 	}
 	if !t.answered {
-		t.answered, t.era, r.era = true, stated, stated
+		t.answered = true
+		t.era, t.stated, r.era, r.stated = stated, stated, stated, stated
 		return nil
 	}
 	switch {
-	case stated > t.era:
-		began := t.era
-		t.era = stated
-		return &NewEraError{Began: began, Stated: stated}
-	case stated < t.era || r.era < t.era:
-		return &OldEraError{Latest: t.era, Stated: min(stated, r.era)}
+	case stated > t.stated:
+		return t.begin(stated)
+	case stated < t.stated || r.era < t.era:
+		if r.era == t.era {
+			t.lower++
+		}
+		return &OldEraError{Latest: t.stated, Stated: min(stated, r.stated)}
 	}
+	t.lower = 0
 	return nil
 }
+
+func (t *Tracker) begin(stated uint64) *NewEraError {
+	began := t.stated
+	t.era, t.stated, t.lower = max(t.era+1, stated), stated, 0
+	return &NewEraError{Began: began, Stated: stated}
+}
+
+// Doubted reports whether the last answer stated an era below the latest one. The next read
+// must then not be one that the store may answer from the past.
+func (t *Tracker) Doubted() bool { return t.lower > 0 }
+
+// FollowLower begins a new era after answers in a row that state one below the latest: the
+// store has lost its counter, or an answer stated a wrong era. It returns nil if there are
+// too few of them. The reader must read one call after the other, so that no answer is late.
+func (t *Tracker) FollowLower(last *OldEraError) *NewEraError {
+	if t.lower < lowerAnswers {
+		return nil
+	}
+	return t.begin(last.Stated)
+}
--- a/decide/storeera/storeera_test.go
+++ b/decide/storeera/storeera_test.go
@@ -81,3 +81,57 @@
 		}
 	})
 }
+
+// Guards against a reader that drops all answers for good since the store's counter of eras was
+// lost or one answer stated a wrong era, and against one that follows a single answer.
+func TestLowerEraIsFollowed(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// answers are the eras that the store states, one a read.
+		answers []uint64
+		// want are the eras of the reads whose answers count, 0 for others.
+		want []uint64
+	}{
+		{"for good", []uint64{5, 2, 2, 2, 2, 3, 3}, []uint64{5, 0, 0, 0, 6, 0, 7}},
+		{"for two answers", []uint64{5, 2, 2, 5, 2, 2, 5}, []uint64{5, 0, 0, 5, 0, 0, 5}},
+		{"after one far higher", []uint64{5, 900, 5, 5, 5, 5, 6, 6}, []uint64{5, 0, 0, 0, 0, 901, 0, 902}},
+		{"without a header since", []uint64{5, 2, 2, 2, 0}, []uint64{5, 0, 0, 0, 6}},
+		{"lower and lower", []uint64{5, 4, 3, 2, 2}, []uint64{5, 0, 0, 0, 6}},
+		{"beyond the eras before", []uint64{5, 2, 2, 2, 9, 9}, []uint64{5, 0, 0, 0, 0, 9}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var tracker storeera.Tracker
+			for i, stated := range c.answers {
+				read, counted := tracker.Begin(), uint64(0)
+				err := read.Check(stated)
+				var old *storeera.OldEraError
+				if errors.As(err, &old) {
+					_ = tracker.FollowLower(old)
+				}
+				if err == nil {
+					counted = read.Era()
+				}
+				if counted != c.want[i] {
+					t.Errorf("answer %d: era %d, want %d", i, counted, c.want[i])
+				}
+			}
+		})
+	}
+}
+
+// Guards against answers to overlapping reads that are taken for a counter that was lost.
+func TestLateAnswersAreNotFollowed(t *testing.T) {
+	var tracker storeera.Tracker
+	_ = tracker.Begin().Check(1)
+	var reads []*storeera.Read
+	for range 9 {
+		reads = append(reads, tracker.Begin())
+	}
+	_ = tracker.Begin().Check(2)
+	for _, read := range reads {
+		var old *storeera.OldEraError
+		if !errors.As(read.Check(1), &old) || tracker.FollowLower(old) != nil || tracker.Doubted() {
+			t.Fatal("a late answer is followed")
+		}
+	}
+}
