--- a/cmd/mulberryfork-platform/configentry_test.go
+++ b/cmd/mulberryfork-platform/configentry_test.go
@@ -115,3 +115,23 @@
 		}
 	}
 }
+
+// Guards against a large configuration that an edge does not read, or whose last routes it does
+// not serve.
+func TestLargeConfigurationIsServed(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	const route = `{"name":"r%d","host":"h.example","prefix":"/r%d/%s/","kind":"idempotent","timeoutMs":4000,"service":"svc","maxAttempts":2}`
+	for version, padding := range []int{10, 400} {
+		var routes []string
+		for i := range 2000 {
+			routes = append(routes, fmt.Sprintf(route, i, i, strings.Repeat("x", padding)))
+		}
+		text := fmt.Sprintf(configFormat, version+2, 1)
+		f.store.Put("op/config", []byte(strings.Replace(text, `"routes":[`, `"routes":[`+strings.Join(routes, ",")+",", 1)))
+		f.awaitView(func(v *api.View) bool { return v.Table.Version == uint64(version+2) })
+		for _, i := range []int{0, 1999} {
+			f.requireStatus("large", fmt.Sprintf("/r%d/%s/x", i, strings.Repeat("x", padding)), "key1", http.StatusOK)
+		}
+	}
+}
