--- a/cmd/mulberryfork-platform/routematch_test.go
+++ b/cmd/mulberryfork-platform/routematch_test.go
@@ -110,3 +110,30 @@
 		t.Errorf("the service of before got %q, the one of after %q", first, second)
 	}
 }
+
+// Guards against a proper request that is refused with 404 for another spelling of its host:
+// hosts have no case, and a port or the dot of the root name no other host.
+func TestHostIsMatchedInAnySpelling(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	for host, want := range map[string]int{
+		"h.example": 200, "H.Example": 200, "h.example:80": 200, "h.example:8636": 200, "h.example.": 200, "H.EXAMPLE.:80": 200, "h.example:": 200,
+		"example": 404, "g.h.example": 404, "h.example.x": 404, "h.example..": 404, "[::1]:80": 404, ":80": 404,
+	} {
+		r, err := http.NewRequest(http.MethodPost, "http://"+f.http+"/i/x", strings.NewReader("whole"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Host = host
+		r.Header.Set("X-Mulberryfork-Attempt-Id", "host "+host)
+		r.Header.Set("X-Api-Key", "key1")
+		response, err := transport.RoundTrip(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if response.StatusCode != want {
+			t.Errorf("%q: status %d, want %d", host, response.StatusCode, want)
+		}
+	}
+}
