--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -105,7 +105,7 @@
 		s.restartGrace(now)
 	}
 	if newEra {
-		s.copies.begin()
+		s.copies.begin(u)
 	}
 	if s.contact.reconnected {
 		// While the store was away nothing was written again, and leases may not have expired.
@@ -209,7 +209,7 @@
 		}
 	}
 	if e.Table != nil {
-		if s.table != nil && e.Table.Version < s.table.Version {
+		if s.table != nil && e.Table.Version < s.table.Version && !s.supersedesLost(e, read, c) {
 			c.IgnoredConfigs = append(c.IgnoredConfigs, IgnoredConfig{e.Table.Version, read})
 			return false
 		}
