discovery: keep what was known over a copy until the store is read again

Callers' requests reached an upstream that every edge knew to have left. The store had come back from a copy in which the upstream was available, and was away again (a second copy within 5 s, or refusals) before the lease in the copy had ended.

Cause: the time for which the earlier knowledge wins over the copy ended by the clock alone. With the store away, the entry of the copy took effect though nothing had been read since, and a third era then took it for known. A zone out of service that the copy lacks came back in the same way.

Held entries now take effect with the first answer to a read that began after that time; no timer settles them.

With the change taken out, the three new tests fail (of decide/discovery no other).

--- a/decide/discovery/copy.go
+++ b/decide/discovery/copy.go
@@ -13,17 +13,20 @@
 
 // copies holds the entries of the copy with which an era began that contradict what was
 // known. Upstreams and the operator write again what was lost, and the leases of upstreams
-// that are gone expire, so the store's state is current again after a time. Until then what
-// was known wins:
+// that are gone expire, so the store's state is current again after a time. Until the store
+// was read after that, what was known wins:
 //   - an upstream that was removed stays removed, and one that was leaving stays so;
 //   - a zone that was out of service stays out;
 //   - a cold start ends at the later of the two times;
 //   - the configuration with the higher version stays active, without a time limit.
 type copies struct {
-	// until is the end of the time for which the earlier knowledge wins.
+	// until is the time from which a read tells what the store holds by itself. The earlier
+	// knowledge wins until there is one.
 	until time.Duration
 	// held maps keys to entries of the copy that have no effect until then.
 	held map[string]entry
+	// missing holds the keys of zones out of service that the copy lacks.
+	missing map[string]bool
 	// removals holds, by key, the upstreams that were removed lately.
 	removals map[string]removal
 }
@@ -35,7 +38,7 @@
 }
 
 func newCopies() copies {
-	return copies{held: make(map[string]entry), removals: make(map[string]removal)}
+	return copies{held: make(map[string]entry), missing: make(map[string]bool), removals: make(map[string]removal)}
 }
 
 // begin starts an era, in which the earlier knowledge wins until a time. Entries held back
@@ -43,11 +46,9 @@
 func (c *copies) begin(until time.Duration) {
 	c.until = until
 	clear(c.held)
+	clear(c.missing)
 }
 
-// pending reports whether entries are held back.
-func (c *copies) pending() bool { return len(c.held) > 0 }
-
 // holds reports whether an entry is one of the copy that is held back.
 func (c *copies) holds(e entry) bool {
 	held, ok := c.held[e.Key]
@@ -55,7 +56,10 @@
 }
 
 // release forgets what the copy said of a key.
-func (c *copies) release(key string) { delete(c.held, key) }
+func (c *copies) release(key string) {
+	delete(c.held, key)
+	delete(c.missing, key)
+}
 
 // releaseUnlisted forgets the entries of the copy that a later list lacks.
 func (c *copies) releaseUnlisted(listed map[string]bool) {
@@ -111,13 +115,18 @@
 	delete(s.dropAt, known.Key)
 }
 
-// settleCopies lets the held entries take effect once their time has come, and reports
-// whether the view changed.
-func (s *State) settleCopies(now time.Duration) bool {
-	if !s.copies.pending() || now < s.copies.until {
+// settleCopies lets the held entries take effect once the store was read late enough, and
+// reports whether the view changed.
+func (s *State) settleCopies(now time.Duration, c *Change) bool {
+	held, missing := s.copies.held, s.copies.missing
+	if s.asOf < s.copies.until || len(held) == 0 && len(missing) == 0 {
 		return false
 	}
-	maps.Copy(s.entries, s.copies.held)
-	clear(s.copies.held)
+	maps.Copy(s.entries, held)
+	for key := range missing {
+		s.drop(now, key, c)
+	}
+	clear(held)
+	clear(missing)
 	return true
 }
--- a/decide/discovery/copy_test.go
+++ b/decide/discovery/copy_test.go
@@ -1,6 +1,7 @@
 package discovery_test
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
@@ -100,6 +101,16 @@
 			afterCopy(timedUpdate{4 * second, list(3, 4*second, copied...)}, timedUpdate{8 * second, changes(3, 8*second)}),
 			[]string{"c"}, []string{"a", "c"}, 9, true,
 		},
+		{
+			"an answer to a call from before the end of the leases in the copy",
+			afterCopy(timedUpdate{9 * second, changes(2, 6*second)}),
+			[]string{"c"}, []string{"a", "c"}, 9, true,
+		},
+		{
+			"a third era after a long absence of the store",
+			afterCopy(timedUpdate{20 * second, list(3, 20*second, copied...)}, timedUpdate{21 * second, changes(3, 21*second)}),
+			[]string{"c"}, []string{"a", "c"}, 9, true,
+		},
 		{
 			"late answers of era 1 change nothing",
 			afterCopy(timedUpdate{4 * second, changes(1, 4*second, deletedItem("c", 90), configItem(13, 91))}, timedUpdate{5 * second, list(1, 5*second)}),
@@ -154,6 +165,23 @@
 	}
 }
 
+// Guards against requests to an upstream that left, or to a zone out of service, because the
+// time for which that is known over a copy of the store ended while the store was away.
+func TestKnowledgeOverCopyOutlastsAbsenceOfStore(t *testing.T) {
+	const second = time.Second
+	s := discovery.New(discovery.Bounds{})
+	s.Apply(second, list(1, second, configItem(1, 2), startedItem("a", 3, 10, true), zoneItem("z", 4)))
+	s.Apply(2*second, list(2, 2*second, configItem(1, 2), startedItem("a", 3, 10, false)))
+	s.Apply(4*second, api.DiscoveryUpdate{Err: context.DeadlineExceeded})
+	if c := s.Tick(20 * second); c.View != nil || c.NextTick != 0 {
+		t.Errorf("without an answer of the store: view %+v, next tick at %v", c.View, c.NextTick)
+	}
+	view := s.Apply(21*second, changes(2, 21*second)).View
+	if view == nil || view.Instances["a"].Leaving || view.ZonesOut["z"] {
+		t.Errorf("after an answer: view %+v", view)
+	}
+}
+
 // Guards against a cold upstream that gets its full load because the copy of the store was
 // made before its cold start was known.
 func TestColdStartOutlastsCopyOfStore(t *testing.T) {
--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -115,23 +115,18 @@
 	if u.Full {
 		dirty = s.removeUnlisted(now, u, newEra, &c) || dirty
 	}
-	dirty = s.applyOverdue(now, &c) || dirty
+	dirty = s.settleCopies(now, &c) || dirty
+	dirty = s.dropOverdue(now, &c) || dirty
 	return s.completeChange(c, dirty)
 }
 
-// Tick applies what has become due: it drops missing entries whose grace period has
-// ended, and lets what the store has said since it came back from a copy win.
+// Tick drops missing entries whose grace period has ended.
 func (s *State) Tick(now time.Duration) Change {
 	var c Change
-	dirty := s.applyOverdue(now, &c)
+	dirty := s.dropOverdue(now, &c)
 	return s.completeChange(c, dirty)
 }
 
-func (s *State) applyOverdue(now time.Duration, c *Change) bool {
-	dirty := s.settleCopies(now)
-	return s.dropOverdue(now, c) || dirty
-}
-
 // MarkAddressReassigned records that the address of an upstream was reassigned to another
 // upstream. The view excludes the upstream until its entry changes.
 func (s *State) MarkAddressReassigned(id string) Change {
@@ -159,9 +154,6 @@
 			c.NextTick = at
 		}
 	}
-	if s.copies.pending() && (c.NextTick == 0 || s.copies.until < c.NextTick) {
-		c.NextTick = s.copies.until
-	}
 	return c
 }
 
@@ -249,9 +241,9 @@
 		}
 		_, scheduled := s.dropAt[key]
 		switch {
-		case scheduled:
+		case scheduled, s.copies.missing[key]:
 		case fromCopy && e.OutOfServiceZone != "":
-			s.dropAt[key] = s.copies.until
+			s.copies.missing[key] = true
 			c.Withheld = append(c.Withheld, key)
 		default:
 			dirty = s.removeOrDefer(now, key, c) || dirty
