discovery: earlier knowledge outlasts another absence of the store by a lease

Callers' requests reached an upstream that the edges knew to have left, if the store was away for a moment just before the lease in the copy had ended and let it run anew after that.

Cause: the time for which the earlier knowledge wins over a copy counted from the first read of the era only, though no lease expires and nothing is written while the store is away. The store's own removal of the entry came up to 3 heartbeats later.

The time counts anew from the first answer after a failed read.

With the change taken out, both cases "lease begins again" and TestKnowledgeOverCopyOutlastsAbsenceOfStore fail.

--- a/cmd/mulberryfork-platform/draincopy_test.go
+++ b/cmd/mulberryfork-platform/draincopy_test.go
@@ -28,6 +28,15 @@
 				<-time.After(2 * time.Second)
 				f.store.SetFailureStatus(0)
 			}},
+			{"lease begins again", func(f *drainFleet) {
+				<-time.After(lease - 200*time.Millisecond)
+				f.store.SetFailureStatus(http.StatusServiceUnavailable)
+				<-time.After(300 * time.Millisecond)
+				f.store.SetFailureStatus(0)
+				<-time.After(lease)
+				f.store.DeleteUpstream("w1")
+				<-time.After(time.Second)
+			}},
 		} {
 			t.Run(c.name+"/"+map[bool]string{true: "draining", false: "removed"}[says], func(t *testing.T) {
 				t.Parallel()
--- a/decide/discovery/copy.go
+++ b/decide/discovery/copy.go
@@ -49,6 +49,14 @@
 	clear(c.missing)
 }
 
+// extend lets the earlier knowledge win until a time. While the store is away again, leases
+// don't expire and nothing is written.
+func (c *copies) extend(until time.Duration) {
+	if len(c.held) > 0 || len(c.missing) > 0 {
+		c.until = until
+	}
+}
+
 // holds reports whether an entry is one of the copy that is held back.
 func (c *copies) holds(e entry) bool {
 	held, ok := c.held[e.Key]
--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -100,6 +100,9 @@
 	if newEra {
 		s.copies.begin(now + s.bounds.copyHold())
 	}
+	if s.contact.failing {
+		s.copies.extend(now + s.bounds.copyHold())
+	}
 	s.contact.answered(now, cmp.Or(u.FirstAnswerAt, now), newEra, s.bounds)
 	s.asOf = max(s.asOf, u.AsOf)
 	c := Change{NewEra: newEra, Era: u.Era}
