discovery: a leaving upstream stays so while its lost writes are repeated

Callers' requests reached an upstream that the edges knew to leave, when what the store had lost was written again in turn: first that the upstream is available, and up to 2 s later that it is draining.

Cause: any write since the return of the store ended the earlier knowledge, also one that says less than was known of the same start.

Such a write is now held back like the copy, until the upstream is written as leaving, starts again, or the time of the copy has passed.

With the change taken out, TestLeavingUpstreamGetsNoRequestsWhileItsWritesAreRepeated and the case "what a leaving upstream wrote before it left is written again" fail.

--- a/cmd/mulberryfork-platform/draincopy_test.go
+++ b/cmd/mulberryfork-platform/draincopy_test.go
@@ -49,3 +49,18 @@
 		}
 	}
 }
+
+// Guards against requests to an upstream that is known to leave, because the writes that the
+// store has lost are written again in turn, and the first says that it is available.
+func TestLeavingUpstreamGetsNoRequestsWhileItsWritesAreRepeated(t *testing.T) {
+	t.Parallel()
+	f := newDrainFleet(t, 2, 1000)
+	leftAt := f.leave(true)
+	f.goAway(500 * time.Millisecond)
+	<-time.After(800 * time.Millisecond)
+	f.writeLeaving(false)
+	<-time.After(1700 * time.Millisecond)
+	f.writeLeaving(true)
+	<-time.After(time.Second)
+	f.checkArrivals(leftAt)
+}
--- a/decide/discovery/copy.go
+++ b/decide/discovery/copy.go
@@ -63,6 +63,19 @@
 	return ok && !e.Deleted && e.position.Compare(held.position) <= 0
 }
 
+// holdEarlier holds back an entry that was written since the era began but states what was
+// true before: an upstream that leaves doesn't become available again without a new start,
+// so the upstream writes in turn what the store has lost. It reports whether it did.
+func (c *copies) holdEarlier(known, e entry) bool {
+	before, in := known.Instance, e.Instance
+	_, held := c.held[e.Key]
+	if !held || before == nil || in == nil || in.StartedAtMs != before.StartedAtMs || !before.Leaving || in.Leaving {
+		return false
+	}
+	c.held[e.Key] = e
+	return true
+}
+
 // release forgets what the copy said of a key.
 func (c *copies) release(key string) {
 	delete(c.held, key)
--- a/decide/discovery/copy_test.go
+++ b/decide/discovery/copy_test.go
@@ -71,6 +71,17 @@
 			afterCopy(timedUpdate{4 * second, changes(2, 4*second, startedItem("a", 6, 10, true), zoneItem("z", 8), configItem(9, 9))}, timedUpdate{20 * second, changes(2, 20*second)}),
 			[]string{"b", "c"}, []string{"a", "b", "c"}, 9, true,
 		},
+		{
+			"what a leaving upstream wrote before it left is written again",
+			afterCopy(timedUpdate{4 * second, changes(2, 4*second, startedItem("a", 6, 10, false))}, timedUpdate{5 * second, changes(2, 5*second)}),
+			[]string{"c"}, []string{"a", "c"}, 9, true,
+		},
+		{
+			"all that a leaving upstream wrote is written again",
+			afterCopy(timedUpdate{4 * second, changes(2, 4*second, startedItem("a", 6, 10, false))}, timedUpdate{5 * second, changes(2, 5*second, startedItem("a", 7, 10, true))},
+				timedUpdate{9 * second, changes(2, 9*second)}),
+			[]string{"b", "c"}, []string{"a", "b", "c"}, 9, false,
+		},
 		{
 			"an upstream starts again and another registers again",
 			afterCopy(timedUpdate{4 * second, changes(2, 4*second, startedItem("a", 6, 30, false), startedItem("b", 7, 10, false))}),
--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -170,6 +170,9 @@
 		}
 		return false
 	}
+	if s.copies.holdEarlier(known, e) {
+		return false
+	}
 	s.copies.release(e.Key)
 	if e.Deleted {
 		return ok && s.removeOrDefer(now, e.Key, c)
