--- a/cmd/mulberryfork-platform/drainfleet_test.go
+++ b/cmd/mulberryfork-platform/drainfleet_test.go
@@ -30,7 +30,9 @@
 	store    *platformstore.Store
 	address  string
 	edges    []*daemon.Process
+	// leaving is the entry of w1, worker the upstream.
 	leaving  platformstore.Upstream
+	worker   *platformworker.Worker
 	copied   platformstore.Copy
 	mu       sync.Mutex
 	arrivals []drainArrival
@@ -60,7 +62,7 @@
 		u := platformstore.Upstream{Service: "svc", Address: upstreamServer.Listener.Addr().String(), Zone: "z", Slots: 4, StartedAtMs: startedAtMs}
 		f.store.SetUpstream(id, u)
 		if id == "w1" {
-			f.leaving = u
+			f.leaving, f.worker = u, w
 		}
 	}
 	for i := range edges {
