--- a/cmd/mulberryfork-platform/drainfleet_test.go
+++ b/cmd/mulberryfork-platform/drainfleet_test.go
@@ -26,10 +26,10 @@
 // drainFleet is some edges before a store and two upstreams, of which w1 leaves. Requests are
 // sent to all edges.
 type drainFleet struct {
-	t        *testing.T
-	store    *platformstore.Store
-	address  string
-	edges    []*daemon.Process
+	t       *testing.T
+	store   *platformstore.Store
+	address string
+	edges   []*daemon.Process
 	// leaving is the entry of w1, worker the upstream.
 	leaving  platformstore.Upstream
 	worker   *platformworker.Worker
