discovery: writes of an earlier start don't end what is known over a copy

Callers' requests reached an upstream that had started again under its ID and was known to leave, when a write of its earlier start, which the store had lost, was repeated before those of the later one.

Cause: any write since the return of the store ended the earlier knowledge. Reads of the copy and repeated writes now share one rule, isEarlier.

With the change taken out, the case "what an upstream wrote before its last start is written again" fails.

--- a/decide/discovery/copy.go
+++ b/decide/discovery/copy.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/mulberryfork/mulberryfork/api"
 	"github.com/mulberryfork/mulberryfork/decide/storeera"
 )
 
@@ -64,18 +65,22 @@
 }
 
 // holdEarlier holds back an entry that was written since the era began but states what was
-// true before: an upstream that leaves doesn't become available again without a new start,
-// so the upstream writes in turn what the store has lost. It reports whether it did.
+// true before: the writes that the store has lost are repeated in turn. It reports whether it
+// did.
 func (c *copies) holdEarlier(known, e entry) bool {
-	before, in := known.Instance, e.Instance
-	_, held := c.held[e.Key]
-	if !held || before == nil || in == nil || in.StartedAtMs != before.StartedAtMs || !before.Leaving || in.Leaving {
+	if _, held := c.held[e.Key]; !held || known.Instance == nil || e.Instance == nil || !isEarlier(e.Instance, known.Instance) {
 		return false
 	}
 	c.held[e.Key] = e
 	return true
 }
 
+// isEarlier reports whether an entry of an upstream is older than the known one by what it
+// states: an upstream that leaves doesn't become available again without a new start.
+func isEarlier(in, known *api.Instance) bool {
+	return in.StartedAtMs < known.StartedAtMs || in.StartedAtMs == known.StartedAtMs && known.Leaving && !in.Leaving
+}
+
 // release forgets what the copy said of a key.
 func (c *copies) release(key string) {
 	delete(c.held, key)
@@ -112,7 +117,7 @@
 	}
 	before := known.Instance
 	switch {
-	case in.StartedAtMs < before.StartedAtMs, in.StartedAtMs == before.StartedAtMs && before.Leaving && !in.Leaving:
+	case isEarlier(in, before):
 		hold()
 		s.reposition(known, e.position)
 	case in.StartedAtMs == before.StartedAtMs:
--- a/decide/discovery/copy_test.go
+++ b/decide/discovery/copy_test.go
@@ -76,6 +76,11 @@
 			afterCopy(timedUpdate{4 * second, changes(2, 4*second, startedItem("a", 6, 10, false))}, timedUpdate{5 * second, changes(2, 5*second)}),
 			[]string{"c"}, []string{"a", "c"}, 9, true,
 		},
+		{
+			"what an upstream wrote before its last start is written again",
+			afterCopy(timedUpdate{4 * second, changes(2, 4*second, startedItem("a", 6, 5, false))}, timedUpdate{5 * second, changes(2, 5*second)}),
+			[]string{"c"}, []string{"a", "c"}, 9, true,
+		},
 		{
 			"all that a leaving upstream wrote is written again",
 			afterCopy(timedUpdate{4 * second, changes(2, 4*second, startedItem("a", 6, 10, false))}, timedUpdate{5 * second, changes(2, 5*second, startedItem("a", 7, 10, true))},
