discovery: the grace period after an outage begins with the first answer

Callers' requests reached an upstream that was gone for as long as the list after an outage took, beyond the grace period of 2.2 s.

Cause: the grace period was counted from the last page of the list. The store was back by the first answer, and upstreams register again within two seconds of its return. An upstream that registered while a long list was read is kept until the next read can tell.

--- a/decide/discovery/outage.go
+++ b/decide/discovery/outage.go
@@ -13,11 +13,13 @@
 	leaseHeartbeats = 3
 	// heartbeatJitter is the part of an interval by which a heartbeat may be late.
 	heartbeatJitter = 0.05
+	// propagation is the time for a change to be read.
+	propagation = 200 * time.Millisecond
 	// ReregistrationGrace is the grace period after an outage of the store. An
 	// upstream whose lease expired must register again within this period. It consists
 	// of the 2 s that the platform specifies and a margin for the propagation of the
 	// change.
-	ReregistrationGrace = 2200 * time.Millisecond
+	ReregistrationGrace = 2*time.Second + propagation
 )
 
 // contact is what is known of the store's absences.
@@ -32,6 +34,8 @@
 	// during the grace period after it, in which missing upstreams are kept.
 	reconnectedAt time.Duration
 	inGrace       bool
+	// outageEnded is set while the first update after an outage is applied.
+	outageEnded bool
 	// reconnected is set while the first update after a failure or an outage is applied.
 	reconnected bool
 }
@@ -48,10 +52,10 @@
 // outage if it was long enough for a lease to expire.
 func (c *contact) answered(now, first time.Duration, away bool, b Bounds) {
 	silence := first - c.answeredAt
-	c.reconnected = c.failing
+	c.reconnected, c.outageEnded = c.failing, false
 	switch {
 	case away || c.answeredAt > 0 && silence > b.OutageThreshold():
-		c.reconnectedAt, c.inGrace, c.reconnected = now, true, true
+		c.reconnectedAt, c.inGrace, c.reconnected, c.outageEnded = first, true, true, true
 	case c.inGrace && now-c.reconnectedAt > ReregistrationGrace:
 		c.inGrace = false
 	}
@@ -64,8 +68,9 @@
 func (c *contact) deferral(now time.Duration, b Bounds) time.Duration {
 	end := c.reconnectedAt + ReregistrationGrace
 	switch {
-	case c.reconnected && c.inGrace && c.reconnectedAt == now:
-		return end
+	case c.outageEnded:
+		// What was written while a long list was read follows with the next read.
+		return max(end, now+propagation)
 	case c.inGrace:
 		return min(end, now+b.removalGrace())
 	case now < c.unsettledUntil && !c.reconnected:
