--- a/decide/discovery/copy.go
+++ b/decide/discovery/copy.go
@@ -14,8 +14,8 @@
 
 // copies holds the entries of the copy with which an era began that contradict what was
 // known. Upstreams and the operator write again what was lost, and the leases of upstreams
-// that are gone expire, so the store's state is current again after a time. Until then what
-// was known wins:
+// that are gone expire, so the store's state is current again after a time. Until the store
+// was read after that, what was known wins:
 //   - an upstream that was removed stays removed, and one that was leaving stays so;
 //   - a zone that was out of service stays out;
 //   - a cold start ends at the later of the two times;
@@ -72,6 +72,23 @@
 	return ok && !e.Deleted && e.position.Compare(held.position) <= 0
 }
 
+// holdEarlier holds back an entry that was written since the era began but states what was
+// true before: the writes that the store has lost are repeated in turn. It reports whether it
+// did.
+func (c *copies) holdEarlier(known, e entry) bool {
+	if _, held := c.held[e.Key]; !held || known.Instance == nil || e.Instance == nil || !isEarlier(e.Instance, known.Instance) {
+		return false
+	}
+	c.held[e.Key] = e
+	return true
+}
+
+// isEarlier reports whether an entry of an upstream is older than the known one by what it
+// states: an upstream that leaves doesn't become available again without a new start.
+func isEarlier(in, known *api.Instance) bool {
+	return in.StartedAtMs < known.StartedAtMs || in.StartedAtMs == known.StartedAtMs && known.Leaving && !in.Leaving
+}
+
 // release forgets what the copy said of a key.
 func (c *copies) release(key string) { delete(c.held, key) }
 
@@ -123,7 +140,7 @@
 	}
 	before := known.Instance
 	switch {
-	case in.StartedAtMs < before.StartedAtMs, in.StartedAtMs == before.StartedAtMs && before.Leaving && !in.Leaving:
+	case isEarlier(in, before):
 		hold()
 		s.reposition(known, e.position)
 	case in.StartedAtMs == before.StartedAtMs:
--- a/decide/discovery/copy_test.go
+++ b/decide/discovery/copy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"slices"
 	"testing"
@@ -94,6 +95,22 @@
 			afterCopy(append([]timedUpdate{{4 * second, changes(2, 4*second, startedItem("a", 6, 10, true), zoneItem("z", 8), configItem(9, 9))}}, calm(2, 5*second, 20*second)...)...),
 			[]string{"b", "c"}, []string{"a", "b", "c"}, 9, true,
 		},
+		{
+			"what a leaving upstream wrote before it left is written again",
+			afterCopy(timedUpdate{4 * second, changes(2, 4*second, startedItem("a", 6, 10, false))}, timedUpdate{5 * second, changes(2, 5*second)}),
+			[]string{"c"}, []string{"a", "c"}, 9, true,
+		},
+		{
+			"what an upstream wrote before its last start is written again",
+			afterCopy(timedUpdate{4 * second, changes(2, 4*second, startedItem("a", 6, 5, false))}, timedUpdate{5 * second, changes(2, 5*second)}),
+			[]string{"c"}, []string{"a", "c"}, 9, true,
+		},
+		{
+			"all that a leaving upstream wrote is written again",
+			afterCopy(append([]timedUpdate{{4 * second, changes(2, 4*second, startedItem("a", 6, 10, false))}, {5 * second, changes(2, 5*second, startedItem("a", 7, 10, true))}},
+				calm(2, 6*second, 9*second)...)...),
+			[]string{"b", "c"}, []string{"a", "b", "c"}, 9, false,
+		},
 		{
 			"an upstream starts again and another registers again",
 			afterCopy(timedUpdate{4 * second, changes(2, 4*second, startedItem("a", 6, 30, false), startedItem("b", 7, 10, false))}),
@@ -124,6 +141,16 @@
 			afterCopy(timedUpdate{4 * second, list(3, 4*second, copied...)}, timedUpdate{8 * second, changes(3, 8*second)}),
 			[]string{"c"}, []string{"a", "c"}, 9, true,
 		},
+		{
+			"an answer to a call from before the end of the leases in the copy",
+			afterCopy(timedUpdate{9 * second, changes(2, 6*second)}),
+			[]string{"c"}, []string{"a", "c"}, 9, true,
+		},
+		{
+			"a third era after a long absence of the store",
+			afterCopy(timedUpdate{20 * second, list(3, 20*second, copied...)}, timedUpdate{21 * second, changes(3, 21*second)}),
+			[]string{"c"}, []string{"a", "c"}, 9, true,
+		},
 		{
 			"late answers of era 1 change nothing",
 			afterCopy(timedUpdate{4 * second, changes(1, 4*second, deletedItem("c", 90), configItem(13, 91))}, timedUpdate{5 * second, list(1, 5*second)}),
@@ -232,6 +259,32 @@
 	}
 }
 
+// Guards against requests to an upstream that left, or to a zone out of service, because the
+// time for which that is known over a copy of the store ended while the store was away.
+func TestKnowledgeOverCopyOutlastsAbsenceOfStore(t *testing.T) {
+	const second = time.Second
+	s := discovery.New(discovery.Bounds{})
+	s.Apply(second, list(1, second, configItem(1, 2), startedItem("a", 3, 10, true), zoneItem("z", 4)))
+	s.Apply(2*second, list(2, 2*second, configItem(1, 2), startedItem("a", 3, 10, false)))
+	s.Apply(4*second, api.DiscoveryUpdate{Err: context.DeadlineExceeded})
+	if c := s.Tick(20 * second); c.View != nil || c.NextTick != 0 {
+		t.Errorf("without an answer of the store: view %+v, next tick at %v", c.View, c.NextTick)
+	}
+	// Leases in the copy may end only after the absence.
+	if c := s.Apply(21*second, changes(2, 21*second)); c.View != nil {
+		t.Errorf("with the first answer after the absence: view %+v", c.View)
+	}
+	var view *api.View
+	for _, e := range calm(2, 22*second, 26*second) {
+		if change := s.Apply(e.at, e.update); change.View != nil {
+			view = change.View
+		}
+	}
+	if view == nil || view.Instances["a"].Leaving || view.ZonesOut["z"] {
+		t.Errorf("after the leases in the copy: view %+v", view)
+	}
+}
+
 // Guards against a cold upstream that gets its full load because the copy of the store was
 // made before its cold start was known.
 func TestColdStartOutlastsCopyOfStore(t *testing.T) {
