faultproxy: refuse connections

A store that is away refuses connections; the stand-in could only answer 503 or cut links. Refuse closes the listener, keeps its port with a socket that doesn't listen, and resets what is open; Accept listens on it again.

TestRefusedConnections passes.

--- a/standin/faultproxy/proxy.go
+++ b/standin/faultproxy/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -29,14 +30,17 @@
 
 // Proxy listens on loopback and connects to one target.
 type Proxy struct {
-	network  *Network
-	link     Link
-	listener net.Listener
-	serving  sync.WaitGroup
+	network *Network
+	link    Link
+	address *net.TCPAddr
+	serving sync.WaitGroup
 
 	mu     sync.Mutex
 	target string
-	closed chan struct{}
+	// listener is nil while the proxy refuses connections. reserved then keeps its port.
+	listener net.Listener
+	reserved *os.File
+	closed   chan struct{}
 }
 
 // Listen starts a proxy.
@@ -45,8 +49,10 @@
 	if err != nil {
 		return nil, &ListenError{Err: err}
 	}
-	p := &Proxy{network: n, link: l, listener: listener, target: l.Target, closed: make(chan struct{})}
-	p.serving.Go(p.serve)
+	p := &Proxy{
+		network: n, link: l, address: listener.Addr().(*net.TCPAddr), listener: listener, target: l.Target, closed: make(chan struct{}),
+	}
+	p.serving.Go(func() { p.serve(listener) })
 	return p, nil
 }
 
@@ -59,7 +65,7 @@
 func (e *ListenError) Unwrap() error { return e.Err }
 
 // Address returns the address that the proxy listens on.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address.String() }
 
 // SetTarget changes the target of new connections, for example after the target
 // has restarted on another address.
@@ -72,7 +78,19 @@
 // Close resets all connections and stops listening.
 func (p *Proxy) Close() {
 	close(p.closed)
-	_ = p.listener.Close()
+	p.mu.Lock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+	}
+	if p.reserved != nil {
+		_ = p.reserved.Close()
+	}
+	p.mu.Unlock()
+	p.resetConnections()
+	p.serving.Wait()
+}
+
+func (p *Proxy) resetConnections() {
 	p.network.mu.Lock()
 	var own []*connection
 	for c := range p.network.connections {
@@ -84,12 +102,11 @@
 	for _, c := range own {
 		c.reset()
 	}
-	p.serving.Wait()
 }
 
-func (p *Proxy) serve() {
+func (p *Proxy) serve(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -114,7 +131,7 @@
 	c := &connection{proxy: p, from: from, to: p.link.To, client: client, closed: make(chan struct{})}
 	p.network.add(c)
 	defer p.network.remove(c)
-	if !c.waitWhileCut(from, c.to) || !c.dialTarget() {
+	if p.refuses() || !c.waitWhileCut(from, c.to) || !c.dialTarget() {
 		p.network.count(func(n *Counts) { n.Refused++ })
 		c.reset()
 		return
