--- a/proof/checker.go
+++ b/proof/checker.go
@@ -17,10 +17,11 @@
 )
 
 // Violation is an event that violates a guarantee. At is the time since the start of
-// the record.
+// the record. Node is the process that caused it, if the checker tells.
 type Violation struct {
 	At      time.Duration
 	Message string
+	Node    string
 }
 
 func (v Violation) String() string { return fmt.Sprintf("%8.3fs %s", v.At.Seconds(), v.Message) }
@@ -88,11 +89,16 @@
 	return false
 }
 
+// overlaps reports whether a fault was active at any time in an interval.
+func (f Fault) overlaps(from, until time.Duration) bool {
+	return f.From <= until && (f.Until == 0 || f.Until >= from)
+}
+
 // faultActive reports whether a fault affected a node at any time in an interval. If
 // node is empty, it considers the faults of all nodes.
 func (r Record) faultActive(node string, from, until time.Duration) bool {
 	for _, f := range r.Faults {
-		if f.affects(node) && f.From <= until && (f.Until == 0 || f.Until >= from) {
+		if f.affects(node) && f.overlaps(from, until) {
 			return true
 		}
 	}
--- a/proof/record.go
+++ b/proof/record.go
@@ -41,6 +41,10 @@
 	// broke before one was received.
 	Code api.Code
 	Run  api.RunState
+	// Status is the HTTP status of the response, 0 without one, and ProcessStart the time at
+	// which the process that received the attempt was started. Both are set only by drills.
+	Status       int
+	ProcessStart time.Duration
 }
 
 // reachedDeadline reports whether the caller's own time limit had passed at a time.
@@ -144,6 +148,10 @@
 	RouteChanges []RouteChange
 	Revoked      []Exclusion
 	Usages       []Usage
+	// The following fields are set only by drills.
+	Versions   []ConfigVersion
+	Departures []Departure
+	Restores   []Restore
 	// End is the time at which the record was copied.
 	End time.Duration
 }
@@ -175,6 +183,7 @@
 	c.Arrivals, c.ColdStarts = slices.Clone(c.Arrivals), slices.Clone(c.ColdStarts)
 	c.RouteChanges, c.Revoked = slices.Clone(c.RouteChanges), slices.Clone(c.Revoked)
 	c.Usages = slices.Clone(c.Usages)
+	c.Versions, c.Departures, c.Restores = slices.Clone(c.Versions), slices.Clone(c.Departures), slices.Clone(c.Restores)
 	c.End = now
 	return c
 }
