--- a/bench/soak.go
+++ b/bench/soak.go
@@ -36,12 +36,15 @@
 	edgeBinary = "mulberryfork-platform"
 )
 
+// edgeDeployments lists the deployments of edges.
+var edgeDeployments = []string{edgepool.Deployment, edgepool.OpenDeployment, edgepool.DrillDeployment}
+
 // soakDeployments returns the deployments of a run. Edges are included only if
 // their program exists; go run does not build it.
 func soakDeployments(p Params, edgeProgram string) ([]string, error) {
 	_, err := os.Stat(edgeProgram)
 	switch {
-	case (p.Only == edgepool.Deployment || p.Only == edgepool.OpenDeployment) && err != nil:
+	case slices.Contains(edgeDeployments, p.Only) && err != nil:
 		return nil, eris.Wrap(err, "build both programs with go build -o DIR/ ./cmd/...")
 	case p.Only != "":
 		return []string{p.Only}, nil
@@ -76,6 +79,8 @@
 			s, err = edgepool.Soak(ctx, edgeProgram, seed, duration, p.Progress)
 		case edgepool.OpenDeployment:
 			s, err = edgepool.SoakOpen(ctx, edgeProgram, seed, duration, p.Progress)
+		case edgepool.DrillDeployment:
+			s, err = edgepool.SoakDrills(ctx, edgeProgram, seed, duration, p.Progress)
 		default:
 			s, err = pool.Soak(ctx, pool.SoakOptions{Binary: binary, Deployment: d, Seed: seed, Length: duration, Overload: true, Progress: p.Progress})
 		}
@@ -150,10 +155,9 @@
 			if i > 0 {
 				continue
 			}
-			for _, line := range s.Record.EventsAround(f.At) {
-				fmt.Fprintf(p.Progress, "    %s\n", line)
-			}
+			showContext(p, s, f)
 		}
+		showNodes(p, s, checker, found)
 		i := slices.IndexFunc(figures, func(f Figure) bool { return f.Name == checker.Name })
 		if i < 0 {
 			figures = append(figures, Bounded(checker.Name, float64(len(found)), "violations", Exactly, 0))
@@ -163,3 +167,27 @@
 	}
 	return figures
 }
+
+// showContext prints the events around a violation, or the log of its process.
+func showContext(p Params, s schedule.SoakResult, f proof.Violation) {
+	lines := s.Record.EventsAround(f.At)
+	if s.Log != nil && f.Node != "" {
+		lines = s.Log(f.Node, f.At)
+	}
+	for _, line := range lines {
+		fmt.Fprintf(p.Progress, "    %s\n", line)
+	}
+}
+
+// showNodes prints the number of violations of each process.
+func showNodes(p Params, s schedule.SoakResult, checker proof.Checker, found []proof.Violation) {
+	counts := make(map[string]int)
+	for _, f := range found {
+		if f.Node != "" {
+			counts[f.Node]++
+		}
+	}
+	for _, node := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(p.Progress, "%s %s: %d at %s\n", s.Deployment, checker.Name, counts[node], node)
+	}
+}
--- a/proof/edgepool/edge.go
+++ b/proof/edgepool/edge.go
@@ -38,15 +38,20 @@
 
 	pool         *Pool
 	settingsFile string
-	storeAddress string
+	storeProxy   *faultproxy.Proxy
 	callerProxy  *faultproxy.Proxy
 	linkProxy    *faultproxy.Proxy
 
+	// disturbance is held while a drill disturbs the edge.
+	disturbance sync.Mutex
+
 	mu        sync.Mutex
 	process   *process.Process
 	readyAddr string
 	// httpAddr is where callers reach the process without the proxy.
 	httpAddr string
+	// startedAt is the time at which the process was started.
+	startedAt time.Duration
 	// ending is set while the process is being ended deliberately.
 	ending bool
 }
@@ -63,12 +68,8 @@
 	if e.linkProxy, err = p.proxy(faultproxy.Link{Source: p.sourceEdge, To: e.Name}); err != nil {
 		return err
 	}
-	outbound, err := p.proxy(faultproxy.Link{From: e.Name, To: endpointStore, Target: store})
-	if err != nil {
-		return err
-	}
-	e.storeAddress = outbound.Address()
-	return nil
+	e.storeProxy, err = p.proxy(faultproxy.Link{From: e.Name, To: endpointStore, Target: store})
+	return err
 }
 
 func (e *Edge) writeSettings() error {
@@ -79,7 +80,7 @@
 		}
 	}
 	edge := table{
-		"store": e.storeAddress, "ready": anyPort, "seeds": seedAddresses,
+		"store": e.storeProxy.Address(), "ready": anyPort, "seeds": seedAddresses,
 		"revocation":  proof.EdgeRevocationLimit.String(),
 		"retry_ratio": proof.EdgeRetryRatio, "retry_extra": proof.EdgeRetryExtra,
 		"retry_window":   proof.EdgeRetryWindow.String(),
@@ -110,12 +111,14 @@
 
 // Start runs the process, waits until it listens and makes the proxies forward to it.
 func (e *Edge) Start(ctx context.Context) error {
+	startedAt := e.pool.Now()
 	started, addresses, err := process.Start(ctx, process.Program{
 		Name: e.Name, Path: e.pool.options.Binary, Args: []string{"edge"}, Env: []string{settingsEnv + "=" + e.settingsFile},
 		LogFile: e.settingsFile + ".log",
 	})
 	e.mu.Lock()
 	e.process, e.readyAddr, e.httpAddr, e.ending = started, addresses["ready"], addresses["http"], false
+	e.startedAt = startedAt
 	e.mu.Unlock()
 	if err != nil {
 		return err
@@ -152,6 +155,13 @@
 	return e.httpAddr
 }
 
+// receiver returns where callers reach the process, and when it was started.
+func (e *Edge) receiver() (address string, startedAt time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.httpAddr, e.startedAt
+}
+
 func (e *Edge) readyAddress() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -182,6 +192,14 @@
 // Restart shuts the process down gracefully, records the shutdown and starts the
 // process again.
 func (e *Edge) Restart(ctx context.Context) error {
+	if err := e.stop(ctx); err != nil {
+		return err
+	}
+	return e.Start(ctx)
+}
+
+// stop shuts the process down gracefully and records the shutdown.
+func (e *Edge) stop(ctx context.Context) error {
 	stop := proof.Shutdown{Node: e.Name, Begin: e.pool.Now()}
 	e.markEnding()
 	if err := e.Signal(syscall.SIGTERM); err != nil {
@@ -196,7 +214,7 @@
 	}
 	stop.End, stop.Code = e.pool.Now(), e.currentProcess().ExitCode()
 	e.pool.UpdateRecord(func(r *proof.Record) { r.Shutdowns = append(r.Shutdowns, stop) })
-	return e.Start(ctx)
+	return nil
 }
 
 // awaitReady polls the process until it reports that it is ready.
--- a/proof/edgepool/upstream.go
+++ b/proof/edgepool/upstream.go
@@ -52,9 +52,28 @@
 // It resets the connections to the old incarnation and deletes its entry from the
 // store.
 func (u *upstream) replace(service string, cold time.Duration) error {
+	old, _ := u.current()
+	if err := u.renew(service, cold); err != nil {
+		return err
+	}
+	if old != "" {
+		u.pool.Store.DeleteUpstream(old)
+	}
+	u.pool.Store.SetUpstream(u.current())
+	return nil
+}
+
+// current returns the ID and the entry of the current incarnation.
+func (u *upstream) current() (id string, entry platformstore.Upstream) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.id, u.entry
+}
+
+// renew is replace without the changes of the store.
+func (u *upstream) renew(service string, cold time.Duration) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	old := u.id
 	u.incarnation++
 	u.id = fmt.Sprintf("%s.%d", u.name, u.incarnation)
 	address, err := u.pool.serve(u.worker(u.id, service))
@@ -72,10 +91,6 @@
 			r.ColdStarts = append(r.ColdStarts, proof.ColdStart{Upstream: u.id, Rate: coldRate, From: from, Until: from + cold})
 		})
 	}
-	if old != "" {
-		u.pool.Store.DeleteUpstream(old)
-	}
-	u.pool.Store.SetUpstream(u.id, u.entry)
 	return nil
 }
 
--- a/proof/schedule/soak.go
+++ b/proof/schedule/soak.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/mulberryfork/mulberryfork/proof"
 	"github.com/mulberryfork/mulberryfork/proof/process"
@@ -16,6 +17,8 @@
 	Checkers   []proof.Checker
 	// Steps is the number of faults and operations that were applied.
 	Steps int
+	// Log returns what a process logged around a time. It is nil if that isn't shown.
+	Log func(node string, at time.Duration) []string
 }
 
 // NewDir creates a temporary directory for the settings and logs of a soak and
--- a/standin/platformstore/entries.go
+++ b/standin/platformstore/entries.go
@@ -14,6 +14,8 @@
 	ColdStart time.Duration
 	// StartedAtMs is its start as Unix time in milliseconds.
 	StartedAtMs int64
+	// Heartbeats is the number of times that it has written the entry before.
+	Heartbeats int
 }
 
 // Route is a route of a Config.
@@ -56,7 +58,7 @@
 	s.putJSON("servers/"+id, map[string]any{
 		"service": u.Service, "address": u.Address, "availabilityZone": u.Zone, "version": "v1",
 		"capacitySlots": u.Slots, "lifecycleState": state, "coldRemainingMs": u.ColdStart.Milliseconds(),
-		"sequenceNumber": 1, "born": u.StartedAtMs,
+		"sequenceNumber": 1 + u.Heartbeats, "born": u.StartedAtMs,
 	})
 }
 
--- a/standin/platformstore/store.go
+++ b/standin/platformstore/store.go
@@ -52,6 +52,19 @@
 // Delete removes an entry.
 func (s *Store) Delete(key string) { s.write(entry{Key: key, Deleted: true}) }
 
+// Payloads returns the encoded payloads of all entries under a prefix, by key.
+func (s *Store) Payloads(prefix string) map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := make(map[string]string)
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			found[key] = e.Payload
+		}
+	}
+	return found
+}
+
 func (s *Store) write(e entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
