--- a/cmd/mulberryfork/tools.go
+++ b/cmd/mulberryfork/tools.go
@@ -57,7 +57,7 @@
 	Seeds   int     `default:"1" help:"Run with this many consecutive seeds, starting at --seed, and show the spread."`
 	Keep    string  `type:"existingdir" help:"Write the result of each seed to a JSON file in this folder."`
 	Minutes float64 `help:"Duration of experiments that run for a given time."`
-	Only    string  `help:"Deployment of a soak test: vale-do-sousa, slnecne-bodky, edges, or open-edges, which is not among all. Default: all."`
+	Only    string  `help:"Deployment of a soak test: vale-do-sousa, slnecne-bodky, edges, or open-edges or drills, which are not among all. Default: all."`
 	Plain   bool    `help:"Run the baseline version, if the experiment has one."`
 	Plot    string  `help:"Write a plot to this SVG file."`
 }
--- a/proof/drill.go
+++ b/proof/drill.go
@@ -129,6 +129,28 @@
 // voids the acknowledgement, except for processes that must know it by then. They are bound
 // also while the store is away.
 func DeparturesApplied(r Record) []Violation {
+	return r.departureViolations(func(d Departure, a Attempt, at time.Duration) bool {
+		if !r.lost(d, at) && !r.faultActive(a.Router, at-EdgeContactWindow, at) {
+			return true
+		}
+		due := d.At + EdgeLeavingLimit
+		known := a.ProcessStart <= d.At && !r.faultActive(a.Router, due-EdgeContactWindow, due)
+		return known && !r.nodeDisturbed(a.Router, at-EdgeContactWindow, at)
+	})
+}
+
+// LostDeparturesApplied finds those attempts that DeparturesApplied allows only because the
+// store had lost the acknowledgement. The edge was in touch, but its process didn't need to
+// know it.
+func LostDeparturesApplied(r Record) []Violation {
+	return r.departureViolations(func(d Departure, a Attempt, at time.Duration) bool {
+		return r.lost(d, at) && !r.faultActive(a.Router, at-EdgeContactWindow, at)
+	})
+}
+
+// departureViolations finds attempts that reached an upstream more than EdgeLeavingLimit
+// after one of its departures that binds the process.
+func (r Record) departureViolations(binds func(d Departure, a Attempt, at time.Duration) bool) []Violation {
 	departures := make(map[string][]Departure)
 	for _, d := range r.Departures {
 		departures[d.Upstream] = append(departures[d.Upstream], d)
@@ -141,7 +163,7 @@
 			continue
 		}
 		for _, d := range departures[arrival.Upstream] {
-			if r.boundBy(d, a, arrival.At) {
+			if arrival.At > d.At+EdgeLeavingLimit && binds(d, a, arrival.At) {
 				v := violation(arrival.At, "attempt %s at %.3fs reached %s from %s %.3fs after the acknowledgement of its departure",
 					a.ID, a.Begin.Seconds(), arrival.Upstream, a.Router, (arrival.At - d.At).Seconds())
 				v.Node = a.Router
@@ -153,21 +175,15 @@
 	return found
 }
 
-// boundBy reports whether a departure forbids the arrival of an attempt at a time.
-func (r Record) boundBy(d Departure, a Attempt, at time.Duration) bool {
-	due := d.At + EdgeLeavingLimit
-	if at <= due {
-		return false
-	}
-	lost := slices.ContainsFunc(r.Restores, func(s Restore) bool { return s.CopiedAt < d.At && s.At > d.At && s.At <= at })
-	if !lost && !r.faultActive(a.Router, at-EdgeContactWindow, at) {
-		return true
-	}
-	known := a.ProcessStart <= d.At && !r.faultActive(a.Router, due-EdgeContactWindow, due)
-	disturbed := slices.ContainsFunc(r.Faults, func(f Fault) bool {
-		return len(f.Nodes) > 0 && f.affects(a.Router) && f.overlaps(at-EdgeContactWindow, at)
-	})
-	return known && !disturbed
+// lost reports whether the store came back without a departure until a time.
+func (r Record) lost(d Departure, until time.Duration) bool {
+	return slices.ContainsFunc(r.Restores, func(s Restore) bool { return s.CopiedAt < d.At && s.At > d.At && s.At <= until })
+}
+
+// nodeDisturbed reports whether a fault of this node, not of all nodes, was active in an
+// interval.
+func (r Record) nodeDisturbed(node string, from, until time.Duration) bool {
+	return slices.ContainsFunc(r.Faults, func(f Fault) bool { return slices.Contains(f.Nodes, node) && f.overlaps(from, until) })
 }
 
 // handledAttempt is an attempt that an edge passed to a service or refused as not configured.
--- a/proof/drill_test.go
+++ b/proof/drill_test.go
@@ -175,7 +175,7 @@
 		faults                []proof.Fault
 		restores              []proof.Restore
 		again                 time.Duration
-		bound                 bool
+		bound, lost           bool
 	}{
 		"within the limit":      {arrival: 12 * s, processStart: s},
 		"late":                  {arrival: 12*s + ms, processStart: s, bound: true},
@@ -187,7 +187,7 @@
 		},
 		"not known for sure, store away": {arrival: 12300 * ms, processStart: s, faults: []proof.Fault{{From: 11 * s, Until: 13 * s}}},
 		"known, lost by the store":       {arrival: late, processStart: s, faults: []proof.Fault{lost}, restores: []proof.Restore{restore}, bound: true},
-		"lost, process started since":    {arrival: late, processStart: 14 * s, faults: []proof.Fault{lost}, restores: []proof.Restore{restore}},
+		"lost, process started since":    {arrival: late, processStart: 14 * s, faults: []proof.Fault{lost}, restores: []proof.Restore{restore}, lost: true},
 		"lost and written again": {
 			arrival: late, processStart: 14 * s, faults: []proof.Fault{lost}, restores: []proof.Restore{restore}, again: 15500 * ms, bound: true,
 		},
@@ -210,6 +210,9 @@
 				want = at(c.arrival)
 			}
 			checkTimes(t, proof.DeparturesApplied(r), want)
+			if found := proof.LostDeparturesApplied(r); c.lost && len(found) != 1 {
+				t.Errorf("lost departures: %v, want one", found)
+			}
 		})
 	}
 }
--- a/proof/edgepool/drill.go
+++ b/proof/edgepool/drill.go
@@ -44,6 +44,9 @@
 	s.Steps, err = p.Drill(ctx, seed, length, progress)
 	s.Record = p.Record()
 	showStatuses(s.Record, progress)
+	for _, v := range proof.LostDeparturesApplied(s.Record) {
+		fmt.Fprintf(progress, "lost by the store: %s\n", v)
+	}
 	s.CleanUp(dir, progress)
 	return s, err
 }
