--- a/cmd/mulberryfork-platform/storereturn_test.go
+++ b/cmd/mulberryfork-platform/storereturn_test.go
@@ -345,21 +345,3 @@
 		}
 	}
 }
-
-// Guards against an edge that alone has read a configuration which the store lost, and that
-// ignores the next one, whose version is lower, until one with a higher version comes.
-func TestLowerVersionFollowsLostConfiguration(t *testing.T) {
-	t.Parallel()
-	d := newDrill(t)
-	d.start()
-	d.store.Put("op/config", fmt.Appendf(nil, configFormat, 7, 7))
-	d.awaitVersion(7)
-	d.comeBack()
-	d.awaitRead("z8")
-	d.store.Put("op/config", fmt.Appendf(nil, configFormat, 5, 5))
-	d.awaitRead("z9")
-	d.requireStatus("while the lost one may be written again", "/u/x", "key7", http.StatusOK)
-	d.awaitView(func(v *api.View) bool { return v.Table.Version == 5 })
-	d.requireStatus("later", "/u/x", "key5", http.StatusOK)
-	d.requireStatus("later", "/u/x", "key7", http.StatusUnauthorized)
-}
--- a/decide/discovery/copy.go
+++ b/decide/discovery/copy.go
@@ -19,8 +19,7 @@
 //   - an upstream that was removed stays removed, and one that was leaving stays so;
 //   - a zone that was out of service stays out;
 //   - a cold start ends at the later of the two times;
-//   - the configuration with the higher version stays active; one of the copy never replaces
-//     it, one that was written since does after that time.
+//   - the configuration with the higher version stays active, without a time limit.
 type copies struct {
 	// until is the end of the time for which the earlier knowledge wins. It begins anew each
 	// time the store is back, and has ended once a read that was current then is applied.
@@ -28,10 +27,6 @@
 	// held maps keys to entries of the copy that have no effect until then. That of a zone that
 	// the copy lacks is deleted.
 	held map[string]entry
-	// configRead is the read of the held configuration, and configOfCopy the position of the
-	// one in the copy.
-	configRead   api.TableSource
-	configOfCopy storeera.Position
 	// removals holds, by key, the upstreams that were removed lately.
 	removals map[string]removal
 }
@@ -54,17 +49,9 @@
 	return copies{held: make(map[string]entry), removals: make(map[string]removal)}
 }
 
-// begin starts an era with its first list. Entries held back in the era before are dropped:
-// the list replaces them.
-func (c *copies) begin(first api.DiscoveryUpdate) {
-	clear(c.held)
-	c.configOfCopy = storeera.Position{Era: first.Era}
-	for _, item := range first.Items {
-		if item.Table != nil {
-			c.configOfCopy.Revision = item.Revision
-		}
-	}
-}
+// begin starts an era. Entries held back in the era before are dropped: the list with which
+// this one begins replaces them.
+func (c *copies) begin() { clear(c.held) }
 
 // holds reports whether an entry is one of the copy that is held back.
 func (c *copies) holds(e entry) bool {
@@ -164,21 +151,6 @@
 	delete(s.dropAt, known.Key)
 }
 
-// supersedesLost reports whether a configuration takes the place of the active one although its
-// version is lower: the store has lost the active one, and this one was written since it came
-// back. Before the operator has had the time to write the lost one again, it is held back.
-func (s *State) supersedesLost(e entry, read api.TableSource, c *Change) bool {
-	if s.tableSource.Era >= e.position.Era || e.position.Compare(s.copies.configOfCopy) <= 0 {
-		return false
-	}
-	if s.asOf < s.copies.until {
-		s.copies.held[e.Key], s.copies.configRead = e, read
-		c.Withheld = append(c.Withheld, e.Key)
-		return false
-	}
-	return true
-}
-
 // settleCopies lets the held entries take effect once the store is known not to have
 // contradicted them in time, and reports whether the view changed.
 func (s *State) settleCopies(now time.Duration, c *Change) bool {
@@ -191,9 +163,6 @@
 			continue
 		}
 		s.entries[key] = e
-		if e.Table != nil {
-			s.table, s.tableSource = e.Table, s.copies.configRead
-		}
 	}
 	clear(s.copies.held)
 	return true
--- a/decide/discovery/copy_test.go
+++ b/decide/discovery/copy_test.go
@@ -1,7 +1,6 @@
 package discovery_test
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -41,19 +40,6 @@
 	return answers
 }
 
-// answeredThroughout adds answers without changes, once a second, between updates.
-func answeredThroughout(updates []timedUpdate) []timedUpdate {
-	var all []timedUpdate
-	for i, u := range updates {
-		if i > 0 {
-			last := updates[i-1]
-			all = append(all, calm(last.update.Era, last.at+time.Second, u.at-time.Second)...)
-		}
-		all = append(all, u)
-	}
-	return all
-}
-
 // Guards against a store that comes back from an older copy of itself and makes a process
 // drop the writes that follow, whose revisions are lower than before, or take for true what
 // only the copy says: an upstream that was removed or was leaving gets requests again, a zone
@@ -95,6 +81,11 @@
 			afterCopy(append([]timedUpdate{{4 * second, changes(2, 4*second, startedItem("a", 6, 10, true), zoneItem("z", 8), configItem(9, 9))}}, calm(2, 5*second, 20*second)...)...),
 			[]string{"b", "c"}, []string{"a", "b", "c"}, 9, true,
 		},
+		{
+			"versions that were lost are written again in turn, and late",
+			afterCopy(append(calm(2, 4*second, 9*second), timedUpdate{10 * second, changes(2, 10*second, configItem(8, 9))}, timedUpdate{11 * second, changes(2, 11*second)})...),
+			[]string{"a", "b", "c"}, []string{"a", "b", "c"}, 9, false,
+		},
 		{
 			"what a leaving upstream wrote before it left is written again",
 			afterCopy(timedUpdate{4 * second, changes(2, 4*second, startedItem("a", 6, 10, false))}, timedUpdate{5 * second, changes(2, 5*second)}),
@@ -205,60 +196,6 @@
 	}
 }
 
-// Guards against a process that alone has read a configuration which the store lost before it
-// acknowledged it, and which ignores the next one for good since its version is lower; and
-// against one that goes back to an acknowledged one before the lost one is written again.
-func TestLowerVersionAfterLostConfiguration(t *testing.T) {
-	const second = time.Second
-	before := []timedUpdate{
-		{second, list(1, second, configItem(7, 2))},
-		{2 * second, changes(1, 2*second, configItem(12, 20))},
-		{3 * second, list(2, 3*second, configItem(7, 2))},
-	}
-	for _, c := range []struct {
-		name   string
-		events []timedUpdate
-		// want is the version after the events, later a minute later if it is another one.
-		want, later uint64
-	}{
-		{"the copy", nil, 12, 0},
-		{"the copy, long after", []timedUpdate{{20 * second, list(2, 20*second, configItem(7, 2))}}, 12, 0},
-		{"written soon", []timedUpdate{{4 * second, changes(2, 4*second, configItem(9, 5))}}, 12, 9},
-		{"written soon, read after the hold", []timedUpdate{{4 * second, changes(2, 4*second, configItem(9, 5))}, {8 * second, changes(2, 8*second)}}, 9, 0},
-		{"written soon and listed again", []timedUpdate{{4 * second, changes(2, 4*second, configItem(9, 5))}, {5 * second, list(2, 5*second, configItem(9, 5))}, {8 * second, changes(2, 8*second)}}, 9, 0},
-		{"two written soon", []timedUpdate{{4 * second, changes(2, 4*second, configItem(8, 5), configItem(9, 6))}, {8 * second, changes(2, 8*second)}}, 9, 0},
-		{"written after the hold", []timedUpdate{{9 * second, changes(2, 9*second, configItem(9, 5))}}, 9, 0},
-		{"listed after the hold", []timedUpdate{{9 * second, list(2, 9*second, configItem(9, 5))}}, 9, 0},
-		{"the lost one is written again", []timedUpdate{{4 * second, changes(2, 4*second, configItem(9, 5), configItem(12, 6))}, {8 * second, changes(2, 8*second)}}, 12, 0},
-		{"a lower one after the lost one was written again", []timedUpdate{{4 * second, changes(2, 4*second, configItem(12, 5))}, {8 * second, changes(2, 8*second, configItem(9, 6))}}, 12, 0},
-		{"a lower one after a lower one", []timedUpdate{{8 * second, changes(2, 8*second, configItem(9, 5))}, {9 * second, changes(2, 9*second, configItem(8, 6))}}, 9, 0},
-		{"a higher one after it", []timedUpdate{{4 * second, changes(2, 4*second, configItem(9, 5), configItem(13, 6))}, {8 * second, changes(2, 8*second)}}, 13, 0},
-		{"the store goes back again", []timedUpdate{{4 * second, changes(2, 4*second, configItem(9, 5))}, {5 * second, list(3, 5*second, configItem(9, 5))}, {11 * second, changes(3, 11*second)}}, 12, 0},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			s := discovery.New(discovery.Bounds{})
-			var view *api.View
-			play := func(events []timedUpdate) {
-				for _, e := range events {
-					if change := s.Apply(e.at, e.update); change.View != nil {
-						view = change.View
-					}
-				}
-			}
-			events := append(slices.Clone(before), c.events...)
-			play(answeredThroughout(events))
-			if view.Table.Version != c.want {
-				t.Errorf("version %d, want %d", view.Table.Version, c.want)
-			}
-			last := events[len(events)-1]
-			play(calm(last.update.Era, last.at+second, time.Minute))
-			if want := cmp.Or(c.later, c.want); view.Table.Version != want {
-				t.Errorf("version %d a minute later, want %d", view.Table.Version, want)
-			}
-		})
-	}
-}
-
 // Guards against requests to an upstream that left, or to a zone out of service, because the
 // time for which that is known over a copy of the store ended while the store was away.
 func TestKnowledgeOverCopyOutlastsAbsenceOfStore(t *testing.T) {
--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -105,7 +105,7 @@
 		s.restartGrace(now)
 	}
 	if newEra {
-		s.copies.begin(u)
+		s.copies.begin()
 	}
 	if s.contact.reconnected {
 		// While the store was away nothing was written again, and leases may not have expired.
@@ -212,7 +212,7 @@
 		}
 	}
 	if e.Table != nil {
-		if s.table != nil && e.Table.Version < s.table.Version && !s.supersedesLost(e, read, c) {
+		if s.table != nil && e.Table.Version < s.table.Version {
 			c.IgnoredConfigs = append(c.IgnoredConfigs, IgnoredConfig{e.Table.Version, read})
 			return false
 		}
