discovery: a removal that the store has stated is deferred once

Callers' requests could reach an upstream later than the drain timeout after its removal was read: a failed read, or a copy of the store that lacked the upstream, began its deferral anew, without end if failures recurred, and a copy that held it cancelled the removal.

Change: a missing entry knows whether it went missing in an outage. Only then its grace period begins anew; a stated removal keeps its time, and a copy that holds its upstream is held back.

TestStatedRemovalIsNotPutOffFurther failed in 5 of 5 cases before.

--- a/decide/discovery/copy.go
+++ b/decide/discovery/copy.go
@@ -148,7 +148,7 @@
 	}
 	known.position = p
 	s.entries[known.Key] = known
-	delete(s.dropAt, known.Key)
+	delete(s.missing, known.Key)
 }
 
 // settleCopies lets the held entries take effect once the store is known not to have
--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -26,9 +26,8 @@
 	// revision is the latest one of the era that was read.
 	revision uint64
 	entries  map[string]entry
-	// dropAt maps the key of each missing entry to the time at which it is dropped unless
-	// it is written again.
-	dropAt map[string]time.Duration
+	// missing maps the key of each missing entry to its removal, unless it is written again.
+	missing map[string]missing
 	// reassigned holds the upstreams whose address was reassigned to another
 	// upstream. It maps their IDs to the positions of their entries.
 	reassigned  map[string]storeera.Position
@@ -78,7 +77,7 @@
 	return &State{
 		bounds:     b,
 		entries:    make(map[string]entry),
-		dropAt:     make(map[string]time.Duration),
+		missing:    make(map[string]missing),
 		reassigned: make(map[string]storeera.Position),
 		copies:     newCopies(),
 	}
@@ -118,6 +117,7 @@
 	for _, item := range u.Items {
 		e := entry{item, storeera.Position{Era: u.Era, Revision: item.Revision}}
 		if newEra {
+			dirty = s.dropStated(now, e.Key, &c) || dirty
 			e = s.reconcile(e, &c)
 		}
 		dirty = s.applyEntry(now, e, read, &c) || dirty
@@ -141,11 +141,10 @@
 	}
 }
 
-// Tick drops missing upstreams whose grace period has ended, unless the store can't be read:
-// then they may not have been able to register again.
+// Tick drops missing upstreams whose grace period has ended.
 func (s *State) Tick(now time.Duration) Change {
 	var c Change
-	dirty := !s.contact.failing && s.dropOverdue(now, &c)
+	dirty := s.dropOverdue(now, &c)
 	return s.completeChange(now, c, dirty)
 }
 
@@ -171,9 +170,9 @@
 		s.changeCount++
 		c.View = s.view()
 	}
-	for _, at := range s.dropAt {
-		if at > now && (c.NextTick == 0 || at < c.NextTick) {
-			c.NextTick = at
+	for _, m := range s.missing {
+		if m.dropAt > now && (c.NextTick == 0 || m.dropAt < c.NextTick) {
+			c.NextTick = m.dropAt
 		}
 	}
 	return c
@@ -196,8 +195,8 @@
 	if e.Deleted {
 		return ok && s.removeOrDefer(now, e.Key, c)
 	}
-	_, wasMissing := s.dropAt[e.Key]
-	delete(s.dropAt, e.Key)
+	_, wasMissing := s.missing[e.Key]
+	delete(s.missing, e.Key)
 	if ok && e.position == known.position {
 		return wasMissing
 	}
@@ -232,8 +231,8 @@
 		return false
 	}
 	if until := s.contact.deferral(now, s.bounds); e.Instance != nil && !e.Instance.Leaving && until > now {
-		if _, scheduled := s.dropAt[key]; !scheduled {
-			s.dropAt[key] = until
+		if _, scheduled := s.missing[key]; !scheduled {
+			s.missing[key] = missing{dropAt: until, duringOutage: s.contact.outageEnded}
 		}
 		return false
 	}
@@ -248,7 +247,7 @@
 		s.copies.recordRemoval(key, removal{now, in.StartedAtMs, s.revision})
 	}
 	delete(s.entries, key)
-	delete(s.dropAt, key)
+	delete(s.missing, key)
 }
 
 // removeUnlisted removes the entries that a list of all entries lacks. fromCopy is set
@@ -263,11 +262,11 @@
 		if listed[key] || u.SkippedPrefix != "" && strings.HasPrefix(key, u.SkippedPrefix) {
 			continue
 		}
-		if fromCopy {
+		if fromCopy && s.missing[key].duringOutage {
 			// What the era before had scheduled begins again.
-			delete(s.dropAt, key)
+			delete(s.missing, key)
 		}
-		_, scheduled := s.dropAt[key]
+		_, scheduled := s.missing[key]
 		switch {
 		case scheduled, s.copies.lacks(key):
 		case fromCopy && e.OutOfServiceZone != "":
@@ -281,11 +280,23 @@
 	return dirty
 }
 
-// dropOverdue drops the missing entries whose grace period has ended.
+// dropStated drops an entry whose removal the store stated before it came back from a copy that
+// still holds the entry, and reports whether it did.
+func (s *State) dropStated(now time.Duration, key string, c *Change) bool {
+	m, ok := s.missing[key]
+	if !ok || m.duringOutage {
+		return false
+	}
+	s.drop(now, key, c)
+	return true
+}
+
+// dropOverdue drops the missing entries whose grace period has ended. One that went missing in
+// an outage may not have been able to register again while the store can't be read.
 func (s *State) dropOverdue(now time.Duration, c *Change) bool {
 	dirty := false
-	for key, at := range maps.Clone(s.dropAt) {
-		if now >= at {
+	for key, m := range maps.Clone(s.missing) {
+		if now >= m.dropAt && !(m.duringOutage && s.contact.failing) {
 			s.drop(now, key, c)
 			dirty = true
 		}
--- a/decide/discovery/outage.go
+++ b/decide/discovery/outage.go
@@ -79,15 +79,26 @@
 	return now
 }
 
-// restartGrace begins the grace periods of missing upstreams anew, with the first answer after
-// a failed read.
+// missing is the removal of an entry that is deferred.
+type missing struct {
+	dropAt time.Duration
+	// duringOutage is set if the entry went missing in an outage of the store: its lease may
+	// have expired. Any other removal is known to have been stated by the store.
+	duringOutage bool
+}
+
+// restartGrace begins the grace periods of upstreams that went missing in an outage anew, with
+// the first answer after a failed read.
 func (s *State) restartGrace(now time.Duration) {
 	until := now + s.bounds.removalGrace()
 	if s.contact.outageEnded {
 		until = s.contact.deferral(now, s.bounds)
 	}
-	for key, at := range s.dropAt {
-		s.dropAt[key] = max(at, until)
+	for key, m := range s.missing {
+		if m.duringOutage {
+			m.dropAt = max(m.dropAt, until)
+			s.missing[key] = m
+		}
 	}
 }
 
--- a/decide/discovery/outage_test.go
+++ b/decide/discovery/outage_test.go
@@ -125,3 +125,44 @@
 		}
 	}
 }
+
+// Guards against requests to an upstream whose removal the store has stated, because failures to
+// read it, or a copy that still holds the upstream, put the end of its deferral off.
+func TestStatedRemovalIsNotPutOffFurther(t *testing.T) {
+	const second, tenth = time.Second, 100 * time.Millisecond
+	all := []api.DiscoveryItem{configItem(1, 1), startedItem("a", 2, 10, false), startedItem("b", 3, 10, false)}
+	failed := api.DiscoveryUpdate{Err: errors.New("refused")}
+	for _, c := range []struct {
+		name   string
+		events []timedUpdate
+	}{
+		{"a short failure", []timedUpdate{{48 * tenth, failed}, {49 * tenth, list(1, 49*tenth, all[:2]...)}}},
+		{"the store stays away", []timedUpdate{{48 * tenth, failed}}},
+		{"failures recur", []timedUpdate{{45 * tenth, failed}, {46 * tenth, list(1, 46*tenth, all[:2]...)}, {52 * tenth, failed}, {53 * tenth, list(1, 53*tenth, all[:2]...)}}},
+		{"a copy that holds it", []timedUpdate{{45 * tenth, list(2, 45*tenth, all...)}}},
+		{"a copy that lacks it", []timedUpdate{{45 * tenth, list(2, 45*tenth, all[:2]...)}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := discovery.New(discovery.Bounds{})
+			view := s.Apply(second, list(1, second, all...)).View
+			see := func(change discovery.Change) {
+				if change.View != nil {
+					view = change.View
+				}
+			}
+			see(s.Apply(30*tenth, failed))
+			see(s.Apply(31*tenth, list(1, 31*tenth, all...)))
+			see(s.Apply(40*tenth, changes(1, 40*tenth, deletedItem("b", 9))))
+			if _, listed := view.Instances["b"]; !listed {
+				t.Fatal("the removal after a failure was not deferred")
+			}
+			for _, e := range c.events {
+				see(s.Apply(e.at, e.update))
+			}
+			see(s.Tick(60*tenth - tenth/2))
+			if _, listed := view.Instances["b"]; listed {
+				t.Error("still listed 1.95 s after the removal was read")
+			}
+		})
+	}
+}
