discovery: the hold over a copy of the store ends

A rank or upstream that runs stayed out of the view of a process for good, and a zone out of service, after the store came back from a copy: at side processes always, at edges if reads failed every few seconds.

A poll every 3 s is longer than an outage, so that each answer extended it, and so did each failure.

Change: the time between polls is no absence, and an era's hold is extended three times at most.

TestHoldOverCopyEnds failed in 3 of 3 cases before.

--- a/decide/discovery/copy.go
+++ b/decide/discovery/copy.go
@@ -12,6 +12,10 @@
 // that a store comes back from are some seconds old.
 const removalMemory = time.Minute
 
+// maxExtensions bounds how often an absence of the store extends the time for which earlier
+// knowledge wins, so that failures that recur don't keep what the store says out of force.
+const maxExtensions = 3
+
 // copies holds the entries of the copy with which an era began that contradict what was
 // known. Upstreams and the operator write again what was lost, and the leases of upstreams
 // that are gone expire, so the store's state is current again after a time. Until the store
@@ -21,9 +25,10 @@
 //   - a cold start ends at the later of the two times;
 //   - the configuration with the higher version stays active, without a time limit.
 type copies struct {
-	// until is the end of the time for which the earlier knowledge wins. It begins anew each
-	// time the store is back, and has ended once a read that was current then is applied.
-	until time.Duration
+	// until is the end of the time for which the earlier knowledge wins, which has come once a
+	// read that was current then is applied. Absences of the store extend it.
+	until      time.Duration
+	extensions int
 	// held maps keys to entries of the copy that have no effect until then. That of a zone that
 	// the copy lacks is deleted.
 	held map[string]entry
@@ -49,9 +54,21 @@
 	return copies{held: make(map[string]entry), removals: make(map[string]removal)}
 }
 
-// begin starts an era. Entries held back in the era before are dropped: the list with which
-// this one begins replaces them.
-func (c *copies) begin() { clear(c.held) }
+// begin starts an era, in which the earlier knowledge wins until a time. Entries held back
+// in the era before are dropped: the list with which this one begins replaces them.
+func (c *copies) begin(until time.Duration) {
+	c.until, c.extensions = until, 0
+	clear(c.held)
+}
+
+// extend lets the earlier knowledge win until a time after an absence of the store, in which
+// nothing was written again and leases may not have expired.
+func (c *copies) extend(until time.Duration) {
+	if c.extensions < maxExtensions {
+		c.until = until
+		c.extensions++
+	}
+}
 
 // holds reports whether an entry is one of the copy that is held back.
 func (c *copies) holds(e entry) bool {
--- a/decide/discovery/copy_test.go
+++ b/decide/discovery/copy_test.go
@@ -313,3 +313,40 @@
 		})
 	}
 }
+
+// Guards against an upstream that stays out of use, and a zone out of service, for good after the
+// store came back from a copy: at a process that polls less often than an outage lasts, and where
+// reads fail again and again.
+func TestHoldOverCopyEnds(t *testing.T) {
+	const second = time.Second
+	copied := []api.DiscoveryItem{configItem(7, 2), startedItem("a", 3, 10, false)}
+	for _, c := range []struct {
+		name     string
+		bounds   discovery.Bounds
+		interval time.Duration
+		fails    bool
+	}{
+		{"polls", discovery.Bounds{PollInterval: 3 * second}, 3 * second, false},
+		{"polls seldom", discovery.Bounds{PollInterval: 10 * second}, 10 * second, false},
+		{"failures recur", discovery.Bounds{}, second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := discovery.New(c.bounds)
+			s.Apply(second, list(1, second, copied...))
+			s.Apply(2*second, changes(1, 2*second, deletedItem("a", 9), zoneItem("z", 10)))
+			view := s.Apply(5*second, list(2, 5*second, copied...)).View
+			for i := range 30 {
+				at := 5*second + time.Duration(i+1)*c.interval
+				if c.fails && i%4 == 3 {
+					s.Apply(at-100*time.Millisecond, api.DiscoveryUpdate{Err: errors.New("refused")})
+				}
+				if change := s.Apply(at, list(2, at, copied...)); change.View != nil {
+					view = change.View
+				}
+			}
+			if _, listed := view.Instances["a"]; !listed || view.ZonesOut["z"] {
+				t.Errorf("upstreams %+v, zones out of service %v", view.Instances, view.ZonesOut)
+			}
+		})
+	}
+}
--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -104,11 +104,9 @@
 		s.restartGrace(now)
 	}
 	if newEra {
-		s.copies.begin()
-	}
-	if s.contact.reconnected {
-		// While the store was away nothing was written again, and leases may not have expired.
-		s.copies.until = now + s.bounds.copyHold()
+		s.copies.begin(now + s.bounds.copyHold())
+	} else if s.contact.returned {
+		s.copies.extend(now + s.bounds.copyHold())
 	}
 	s.asOf = max(s.asOf, u.AsOf)
 	c := Change{NewEra: newEra, Era: u.Era}
--- a/decide/discovery/outage.go
+++ b/decide/discovery/outage.go
@@ -38,6 +38,9 @@
 	outageEnded bool
 	// reconnected is set while the first update after a failure or an outage is applied.
 	reconnected bool
+	// returned is set while the first update after an absence of the store is applied. Unlike
+	// an outage, the time between two polls is none.
+	returned bool
 }
 
 // failed records that a read failed.
@@ -53,6 +56,7 @@
 func (c *contact) answered(now, first time.Duration, away bool, b Bounds) {
 	silence := first - c.answeredAt
 	c.reconnected, c.outageEnded = c.failing, false
+	c.returned = c.failing || away || c.answeredAt > 0 && silence > b.OutageThreshold()+b.PollInterval
 	switch {
 	case away || c.answeredAt > 0 && silence > b.OutageThreshold():
 		c.reconnectedAt, c.inGrace, c.reconnected, c.outageEnded = first, true, true, true
@@ -109,6 +113,8 @@
 	// DrainTimeout is the time from the removal of an upstream within which it must get no
 	// more requests.
 	DrainTimeout time.Duration
+	// PollInterval is the time between two reads of a process that polls, 0 if it watches.
+	PollInterval time.Duration
 }
 
 // HeartbeatInterval returns the interval in which upstreams renew their leases.
--- a/service/discovery/discovery.go
+++ b/service/discovery/discovery.go
@@ -53,6 +53,7 @@
 	s.state = discovery.New(discovery.Bounds{
 		Heartbeat:    time.Duration(settings.Edge.Heartbeat),
 		DrainTimeout: time.Duration(settings.Edge.DrainTimeout),
+		PollInterval: time.Duration(settings.Edge.PollInterval),
 	})
 	s.view.Store(&api.View{})
 	s.counts = counters{
