discovery: compare the revision of a removal with those of all eras

An upstream that was removed in the second of three eras got requests again, if the third began with a copy of the first: its entry there had a higher revision than the removal, and so counted as written later.

--- a/decide/discovery/copy.go
+++ b/decide/discovery/copy.go
@@ -37,17 +37,17 @@
 }
 
 // removal is the removal of an upstream, which started at a Unix time in milliseconds. revision
-// is at least that of the removal.
+// is the highest one that had been read by then in any era.
 type removal struct {
 	at          time.Duration
 	startedAtMs int64
 	revision    uint64
 }
 
-// contradicts reports whether an entry of the copy is older than the removal, or may be. A copy
-// holds writes up to some revision, so one with a higher revision than the removal came later.
-func (r removal) contradicts(e entry) bool {
-	return e.Instance.StartedAtMs <= r.startedAtMs && e.Revision <= r.revision
+// contradicts reports whether an entry of the copy is older than the removal, or may be. One
+// with a higher revision than any that had been read by then was written later.
+func (r removal) contradicts(now time.Duration, e entry) bool {
+	return now-r.at <= removalMemory && e.Instance.StartedAtMs <= r.startedAtMs && e.Revision <= r.revision
 }
 
 func newCopies() copies {
@@ -126,7 +126,7 @@
 
 // reconcile compares an entry of the first list of an era with what is known. It returns
 // the entry to apply; one that contradicts later knowledge is held back.
-func (s *State) reconcile(e entry, c *Change) entry {
+func (s *State) reconcile(now time.Duration, e entry, c *Change) entry {
 	in := e.Instance
 	if in == nil {
 		return e
@@ -137,7 +137,7 @@
 	}
 	known, ok := s.entries[e.Key]
 	if !ok || known.Instance == nil {
-		if r, removed := s.copies.removals[e.Key]; removed && r.contradicts(e) {
+		if r, removed := s.copies.removals[e.Key]; removed && r.contradicts(now, e) {
 			hold()
 		}
 		return e
--- a/decide/discovery/copy_test.go
+++ b/decide/discovery/copy_test.go
@@ -350,3 +350,34 @@
 		})
 	}
 }
+
+// Guards against an upstream that was removed in the second of three eras and gets requests
+// again, since its entry in a copy of the first has a higher revision than the removal; and
+// against a removal that is remembered for longer than the copies are old.
+func TestRemovalIsKnownOverOlderCopy(t *testing.T) {
+	const second = time.Second
+	for _, c := range []struct {
+		name   string
+		at     time.Duration
+		listed bool
+	}{
+		{"soon", 20 * second, false},
+		{"after an hour", time.Hour, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := discovery.New(discovery.Bounds{})
+			s.Apply(second, list(1, second, configItem(1, 2), startedItem("a", 80, 10, false)))
+			s.Apply(2*second, list(2, 2*second, configItem(1, 2), startedItem("a", 30, 10, false)))
+			for _, e := range calm(2, 3*second, 10*second) {
+				s.Apply(e.at, e.update)
+			}
+			if view := s.Apply(11*second, changes(2, 11*second, deletedItem("a", 40))).View; view == nil || len(view.Instances) > 0 {
+				t.Fatalf("not removed: %+v", view)
+			}
+			change := s.Apply(c.at, list(3, c.at, configItem(1, 2), startedItem("a", 80, 10, false)))
+			if listed := change.View != nil && len(change.View.Instances) > 0; listed != c.listed {
+				t.Errorf("listed %t, want %t", listed, c.listed)
+			}
+		})
+	}
+}
--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -23,7 +23,7 @@
 	bounds Bounds
 	// era is the latest era of the store whose entries were read.
 	era uint64
-	// revision is the latest one of the era that was read.
+	// revision is the highest one that was read in any era.
 	revision uint64
 	entries  map[string]entry
 	// missing maps the key of each missing entry to its removal, unless it is written again.
@@ -97,7 +97,7 @@
 	if u.Era < s.era || newEra && !u.Full {
 		return Change{}
 	}
-	s.recordRevision(u)
+	s.recordPosition(u)
 	failed := s.contact.failing
 	s.contact.answered(now, cmp.Or(u.FirstAnswerAt, now), newEra, s.bounds)
 	if failed {
@@ -116,7 +116,7 @@
 		e := entry{item, storeera.Position{Era: u.Era, Revision: item.Revision}}
 		if newEra {
 			dirty = s.dropStated(now, e.Key, &c) || dirty
-			e = s.reconcile(e, &c)
+			e = s.reconcile(now, e, &c)
 		}
 		dirty = s.applyEntry(now, e, read, &c) || dirty
 	}
@@ -128,11 +128,9 @@
 	return s.completeChange(now, c, dirty)
 }
 
-// recordRevision records the era and the latest revision of an update.
-func (s *State) recordRevision(u api.DiscoveryUpdate) {
-	if u.Era > s.era {
-		s.era, s.revision = u.Era, 0
-	}
+// recordPosition records the era and the highest revision of an update.
+func (s *State) recordPosition(u api.DiscoveryUpdate) {
+	s.era = u.Era
 	s.revision = max(s.revision, u.Revision)
 	for _, item := range u.Items {
 		s.revision = max(s.revision, item.Revision)
