discovery: a leaving upstream that the copy lacks is known to leave

A leaving upstream got requests for up to 2 s, if the copy lacked it or held a malformed entry for it, and it wrote again in turn what the store had lost: available, then draining.

Cause: a repeated write was held back only where the copy held the upstream.

Change: the removal of a leaving upstream is remembered as such, and such a write is held back for the time in which earlier knowledge wins, unless the upstream has started again.

Two new cases of TestCopyOfStore failed before.

--- a/decide/discovery/copy.go
+++ b/decide/discovery/copy.go
@@ -42,6 +42,8 @@
 	at          time.Duration
 	startedAtMs int64
 	revision    uint64
+	// leaving is set if the upstream was leaving.
+	leaving bool
 }
 
 // contradicts reports whether an entry of the copy is older than the removal, or may be. One
@@ -79,14 +81,23 @@
 // holdEarlier holds back an entry that was written since the era began but states what was
 // true before: the writes that the store has lost are repeated in turn. It reports whether it
 // did.
-func (c *copies) holdEarlier(known, e entry) bool {
-	if _, held := c.held[e.Key]; !held || known.Instance == nil || e.Instance == nil || !isEarlier(e.Instance, known.Instance) {
+func (s *State) holdEarlier(known, e entry) bool {
+	if e.Instance == nil || !s.isRepeated(known, e) {
 		return false
 	}
-	c.held[e.Key] = e
+	s.copies.held[e.Key] = e
 	return true
 }
 
+func (s *State) isRepeated(known, e entry) bool {
+	if known.Instance != nil {
+		_, held := s.copies.held[e.Key]
+		return held && isEarlier(e.Instance, known.Instance)
+	}
+	r, removed := s.copies.removals[e.Key]
+	return removed && r.leaving && s.asOf < s.copies.until && !e.Instance.Leaving && e.Instance.StartedAtMs <= r.startedAtMs
+}
+
 // isEarlier reports whether an entry of an upstream is older than the known one by what it
 // states: an upstream that leaves doesn't become available again without a new start.
 func isEarlier(in, known *api.Instance) bool {
@@ -121,7 +132,7 @@
 	if !in.Leaving {
 		over--
 	}
-	s.copies.recordRemoval(key, removal{now, over, s.revision})
+	s.copies.recordRemoval(key, removal{now, over, s.revision, in.Leaving})
 }
 
 // reconcile compares an entry of the first list of an era with what is known. It returns
--- a/decide/discovery/copy_test.go
+++ b/decide/discovery/copy_test.go
@@ -91,6 +91,24 @@
 			afterCopy(timedUpdate{4 * second, changes(2, 4*second, startedItem("a", 6, 10, false))}, timedUpdate{5 * second, changes(2, 5*second)}),
 			[]string{"c"}, []string{"a", "c"}, 9, true,
 		},
+		{
+			"the copy lacks a leaving upstream, and what it wrote before it left is written again",
+			append(slices.Clone(before), timedUpdate{3 * second, list(2, 3*second, configItem(7, 2), startedItem("c", 3, 10, false))},
+				timedUpdate{4 * second, changes(2, 4*second, startedItem("a", 6, 10, false))}, timedUpdate{5 * second, changes(2, 5*second)}),
+			[]string{"c"}, []string{"c"}, 9, true,
+		},
+		{
+			"a leaving upstream can't be decoded in the copy, and what it wrote before it left is written again",
+			append(slices.Clone(before), timedUpdate{3 * second, list(2, 3*second, configItem(7, 2), api.DiscoveryItem{Key: "servers/a", Revision: 3, Malformed: errors.New("bytes")}, startedItem("c", 3, 10, false))},
+				timedUpdate{4 * second, changes(2, 4*second, startedItem("a", 6, 10, false))}, timedUpdate{5 * second, changes(2, 5*second)}),
+			[]string{"c"}, []string{"c"}, 9, true,
+		},
+		{
+			"a leaving upstream that the copy lacks starts again",
+			append(slices.Clone(before), timedUpdate{3 * second, list(2, 3*second, configItem(7, 2), startedItem("c", 3, 10, false))},
+				timedUpdate{4 * second, changes(2, 4*second, startedItem("a", 6, 20, false))}),
+			[]string{"a", "c"}, []string{"a", "c"}, 9, true,
+		},
 		{
 			"what an upstream wrote before its last start is written again",
 			afterCopy(timedUpdate{4 * second, changes(2, 4*second, startedItem("a", 6, 5, false))}, timedUpdate{5 * second, changes(2, 5*second)}),
--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -184,7 +184,7 @@
 		}
 		return false
 	}
-	if s.copies.holdEarlier(known, e) {
+	if s.holdEarlier(known, e) {
 		return false
 	}
 	s.copies.release(e.Key)
@@ -240,7 +240,7 @@
 	if in := s.entries[key].Instance; in != nil {
 		c.Dropped = append(c.Dropped, in.ID)
 		delete(s.reassigned, in.ID)
-		s.copies.recordRemoval(key, removal{now, in.StartedAtMs, s.revision})
+		s.copies.recordRemoval(key, removal{now, in.StartedAtMs, s.revision, in.Leaving})
 	}
 	delete(s.entries, key)
 	delete(s.missing, key)
