discovery: a deferred removal is known by the revision at which it was stated

An upstream whose lease expired near a return of the store, and that registered again before the first list of the new era, stayed out of use for 4.8 s: the copy seemed to hold it from before.

Cause: a stated removal that a copy follows was dated by the list of the copy itself.

Change: the revision is kept from the time at which the removal was stated.

--- a/decide/discovery/discovery.go
+++ b/decide/discovery/discovery.go
@@ -228,7 +228,7 @@
 	}
 	if until := s.contact.deferral(now, s.bounds); e.Instance != nil && !e.Instance.Leaving && until > now {
 		if _, scheduled := s.missing[key]; !scheduled {
-			s.missing[key] = missing{dropAt: until, duringOutage: s.contact.outageEnded}
+			s.missing[key] = missing{until, s.contact.outageEnded, s.revision}
 		}
 		return false
 	}
@@ -238,9 +238,13 @@
 
 func (s *State) drop(now time.Duration, key string, c *Change) {
 	if in := s.entries[key].Instance; in != nil {
+		revision := s.revision
+		if m, deferred := s.missing[key]; deferred && !m.duringOutage {
+			revision = m.revision
+		}
 		c.Dropped = append(c.Dropped, in.ID)
 		delete(s.reassigned, in.ID)
-		s.copies.recordRemoval(key, removal{now, in.StartedAtMs, s.revision, in.Leaving})
+		s.copies.recordRemoval(key, removal{now, in.StartedAtMs, revision, in.Leaving})
 	}
 	delete(s.entries, key)
 	delete(s.missing, key)
--- a/decide/discovery/outage.go
+++ b/decide/discovery/outage.go
@@ -89,6 +89,8 @@
 	// duringOutage is set if the entry went missing in an outage of the store: its lease may
 	// have expired. Any other removal is known to have been stated by the store.
 	duringOutage bool
+	// revision is the highest one that had been read when the entry went missing.
+	revision uint64
 }
 
 // restartGrace begins the grace periods of upstreams that went missing in an outage anew, with
--- a/decide/discovery/outage_test.go
+++ b/decide/discovery/outage_test.go
@@ -166,3 +166,23 @@
 		})
 	}
 }
+
+// Guards against an upstream that runs and stays out of use: its lease expired, it registered
+// again before the first list of a new era, and the removal was still deferred.
+func TestUpstreamThatRegisteredAgainWhileRemovalIsDeferredIsListed(t *testing.T) {
+	const second = time.Second
+	s := discovery.New(discovery.Bounds{})
+	s.Apply(second, list(1, second, configItem(1, 2), startedItem("a", 3, 10, false)))
+	s.Apply(2*second, api.DiscoveryUpdate{Err: errors.New("refused")})
+	s.Apply(3*second, list(1, 3*second, configItem(1, 2), startedItem("a", 3, 10, false)))
+	view := s.Apply(3500*time.Millisecond, changes(1, 3500*time.Millisecond, deletedItem("a", 9))).View
+	if view != nil {
+		t.Fatalf("not deferred: %+v", view)
+	}
+	again := list(2, 4*second, configItem(1, 2), startedItem("a", 10, 10, false))
+	again.Revision = 10
+	view = s.Apply(4*second, again).View
+	if _, listed := view.Instances["a"]; !listed {
+		t.Error("not listed")
+	}
+}
